--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,105 @@
+package wire
+
+import (
+	"fmt"
+
+	"mallowlead/policy"
+)
+
+// settings are the start-up parameters of the wire that the policy needs.
+type settings struct {
+	Az         int `json:"az"`
+	Categories []struct {
+		Name        string  `json:"name"`
+		AimS        float64 `json:"aim_s"`
+		DeadlineS   float64 `json:"deadline_s"`
+		Idempotency string  `json:"idempotency"`
+		Group       string  `json:"group"`
+		FifoByKey   bool    `json:"fifo_by_key"`
+		LateShare   float64 `json:"late_share"`
+		MemorySpanS float64 `json:"memory_span_s"`
+		Points      float64 `json:"points"`
+	} `json:"categories"`
+	Discovery string `json:"discovery"`
+	Limits    struct {
+		Cancel         bool    `json:"cancel"`
+		ConnIdleS      float64 `json:"conn_idle_s"`
+		MaxAttempts    int     `json:"max_attempts"`
+		MaxOpen        int     `json:"max_open"`
+		MaxRetryAfterS float64 `json:"max_retry_after_s"`
+		RetryAfter     bool    `json:"retry_after"`
+		SecondCopies   bool    `json:"second_copies"`
+	} `json:"limits"`
+	NInstances int     `json:"n_instances"`
+	QuantumS   float64 `json:"quantum_s"`
+	Rules      struct {
+		ColdShare      float64 `json:"cold_share"`
+		OverloadFactor float64 `json:"overload_factor"`
+		OverloadForS   float64 `json:"overload_for_s"`
+		RampTimeS      float64 `json:"ramp_time_s"`
+		OrderPauseS    float64 `json:"order_pause_s"`
+	} `json:"rules"`
+	Shapes    []string `json:"shapes"`
+	Specifics struct {
+		BundleMax      []int     `json:"bundle_max"`
+		LosesWorth     string    `json:"loses_worth"`
+		MaxCalls       int       `json:"max_calls"`
+		RouteFee       []float64 `json:"route_fee"`
+		SeparateRoutes []bool    `json:"separate_routes"`
+	} `json:"specifics"`
+	Weights string `json:"weights"`
+}
+
+var (
+	effects = map[string]policy.Effect{"retryable": policy.Safe, "dedup": policy.Keyed, "fragile": policy.Unsafe}
+	weights = map[string]policy.Weights{"off": policy.WeightsOff, "nominal": policy.WeightsNominal,
+		"rough": policy.WeightsRough}
+)
+
+// policy translates the settings into the policy's terms.
+func (s *settings) policy() (policy.Settings, error) {
+	p := policy.Settings{
+		Instances: s.NInstances, Zone: s.Az, ZoneFee: s.Specifics.RouteFee, Slots: s.Specifics.MaxCalls,
+		HoldRoom: s.Limits.MaxOpen, MaxAttempts: s.Limits.MaxAttempts, SecondCopies: s.Limits.SecondCopies,
+		CanCancel: s.Limits.Cancel,
+		Tick:      seconds(s.QuantumS),
+		ColdShare: s.Rules.ColdShare, RampTime: seconds(s.Rules.RampTimeS),
+		OverloadFactor: s.Rules.OverloadFactor, OverloadFor: seconds(s.Rules.OverloadForS),
+		OrderPause: seconds(s.Rules.OrderPauseS), ConnIdle: seconds(s.Limits.ConnIdleS),
+	}
+	if s.Limits.RetryAfter {
+		p.MaxStayAway = seconds(s.Limits.MaxRetryAfterS)
+	}
+	switch s.Discovery {
+	case "subscribe":
+		p.Subscribe = true
+	case "automatic":
+	default:
+		return p, fmt.Errorf("settings: discovery: unknown mode %q", s.Discovery)
+	}
+	var ok bool
+	if p.Weights, ok = weights[s.Weights]; !ok {
+		return p, fmt.Errorf("settings: weights: unknown meaning %q", s.Weights)
+	}
+	for i, c := range s.Categories {
+		effect, ok := effects[c.Idempotency]
+		if !ok {
+			return p, fmt.Errorf("settings: categories[%d].idempotency: unknown effect %q", i, c.Idempotency)
+		}
+		p.Classes = append(p.Classes, policy.Class{Name: c.Name, Aim: seconds(c.AimS),
+			Deadline: seconds(c.DeadlineS), Worth: c.Points, LateShare: c.LateShare,
+			Halving: s.Specifics.LosesWorth == "halving", Effect: effect, ByZone: c.Group != "all",
+			Memory: seconds(c.MemorySpanS), Ordered: c.FifoByKey})
+	}
+	for i := range s.Shapes {
+		k := policy.Kind{Bundle: 1}
+		if i < len(s.Specifics.BundleMax) {
+			k.Bundle = s.Specifics.BundleMax[i]
+		}
+		if i < len(s.Specifics.SeparateRoutes) {
+			k.Separate = s.Specifics.SeparateRoutes[i]
+		}
+		p.Kinds = append(p.Kinds, k)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,182 @@
+package policy
+
+import "time"
+
+// Effect says what a second execution of a message would do.
+type Effect int
+
+// The effects of a class.
+const (
+	Safe   Effect = iota // may be repeated at will
+	Keyed                // the destination drops a repeat while it remembers the key
+	Unsafe               // must never run twice
+)
+
+// Outcome says how one attempt ended.
+type Outcome int
+
+// The outcomes of an attempt. QueueFull, ConnectError and Ignored prove that it never ran.
+const (
+	OK           Outcome = iota // delivered
+	Failed                      // answered with an error
+	QueueFull                   // turned away: above the limit, queue full, shut or draining
+	TimedOut                    // no answer in time
+	ConnectError                // no connection
+	Reset                       // the connection broke while the attempt was out
+	Canceled                    // called off by this dispatcher
+	Ignored                     // never sent: no slot, no time or no attempts left
+)
+
+// Weights says what an endpoint's weight holds.
+type Weights int
+
+// The meanings of a weight.
+const (
+	WeightsOff     Weights = iota // nothing
+	WeightsNominal                // calls a second the destination (or route) takes from all relays
+	WeightsRough                  // the same, up to half too high or too low
+)
+
+// Class is one class of message.
+type Class struct {
+	Name      string
+	Aim       time.Duration // full worth up to here
+	Deadline  time.Duration // given up after this
+	Worth     float64
+	LateShare float64 // share of the worth left at the deadline
+	Halving   bool    // the worth halves with each further Aim instead of falling evenly
+	Effect    Effect
+	ByZone    bool          // Keyed: only endpoints of one zone share the memory of a key
+	Memory    time.Duration // Keyed: how long a key is remembered
+	Ordered   bool          // messages with one key go one at a time, in order
+}
+
+// Kind is one kind of destination.
+type Kind struct {
+	Separate bool // its endpoints are routes apart, each with its own limit, pace and outages
+	Bundle   int  // messages in one call at most
+}
+
+// Settings is all that a dispatcher is told at its start.
+type Settings struct {
+	Instances      int // relays that share the traffic, this one included
+	Zone           int // of this relay, as in Endpoint
+	Classes        []Class
+	Kinds          []Kind
+	ZoneFee        []float64 // by zone: points of the result for all messages sent by such routes
+	Slots          int       // calls out at once
+	HoldRoom       int       // messages held, sent or not
+	MaxAttempts    int
+	SecondCopies   bool // two attempts of a message may be out at once
+	CanCancel      bool
+	Subscribe      bool // list changes come only after Subscribe
+	Weights        Weights
+	Tick           time.Duration // least time between batches
+	MaxStayAway    time.Duration // longest hold-off that a client honours
+	ColdShare      float64       // share of its capacity that a destination has after an outage
+	RampTime       time.Duration // and all of it after this
+	OverloadFactor float64       // sent more than this multiple of its present capacity
+	OverloadFor    time.Duration // for this long, a cold destination falls over
+	ConnIdle       time.Duration // idle connections close by themselves after this; 0 for never
+	OrderPause     time.Duration // rest of a key after an attempt that may still run
+}
+
+// Endpoint is one entry of the list of endpoints.
+type Endpoint struct {
+	ID          string
+	Destination int
+	Kind        int
+	Zone        int
+	Weight      float64
+	Draining    bool // send nothing new
+	Gone        bool // removed
+}
+
+// Report is a load report of a destination.
+type Report struct {
+	Left  float64 // share of the allowance that is left
+	Limit float64 // calls a second; 0 where there is no limit
+}
+
+// Event is something that happened to a dispatcher.
+type Event interface{ event() }
+
+// The events.
+type (
+	// Arrived hands in a message. It has to end exactly once.
+	Arrived struct {
+		ID          string
+		Class       int
+		Destination int
+		Left        time.Duration // until it is given up
+		Key         string        // of ordered classes, or empty
+	}
+	// Ended reports how an attempt ended.
+	Ended struct {
+		ID       string
+		Endpoint string
+		Attempt  int
+		Outcome  Outcome
+		Wait     time.Duration // told to wait
+		Took     time.Duration
+		Over     bool    // the message has its final answer
+		Report   *Report // or nil
+	}
+	// Withdrawn says that nobody wants a message any more; no answer is owed.
+	Withdrawn struct{ ID string }
+	// Listed changes the list of endpoints, or replaces it when Whole.
+	Listed struct {
+		Whole     bool
+		Endpoints []Endpoint
+	}
+	// ListFailed says that a subscription failed or was dropped.
+	ListFailed struct{}
+	// Woken says that a timer fell due.
+	Woken struct{}
+)
+
+func (Arrived) event()    {}
+func (Ended) event()      {}
+func (Withdrawn) event()  {}
+func (Listed) event()     {}
+func (ListFailed) event() {}
+func (Woken) event()      {}
+
+// Action is something that a dispatcher wants done.
+type Action interface{ action() }
+
+// The actions.
+type (
+	// Send starts the next attempt of a message; Timeout 0 leaves it out until the deadline.
+	Send struct {
+		ID       string
+		Endpoint string
+		Timeout  time.Duration
+	}
+	// Refuse ends a message undelivered; the client may safely come again.
+	Refuse struct {
+		ID       string
+		StayAway time.Duration
+	}
+	// Fail ends a message; the client is told nothing of its effect.
+	Fail struct{ ID string }
+	// Cancel ends the wait on an attempt.
+	Cancel struct {
+		ID      string
+		Attempt int
+	}
+	// CloseIdle closes the idle connections of this relay to an endpoint.
+	CloseIdle struct{ Endpoint string }
+	// Wake asks for Woken.
+	Wake struct{ After time.Duration }
+	// Subscribe asks for changes of the list.
+	Subscribe struct{}
+)
+
+func (Send) action()      {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (Cancel) action()    {}
+func (CloseIdle) action() {}
+func (Wake) action()      {}
+func (Subscribe) action() {}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,831 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// plain are settings with one safe class, and room for everything.
+func plain() Settings {
+	return Settings{Instances: 1, Slots: 4, HoldRoom: 100, MaxAttempts: 8, CanCancel: true,
+		Tick: 5 * ms, ColdShare: 0.2, RampTime: 10 * time.Second, OverloadFactor: 2, OverloadFor: 2 * time.Second,
+		MaxStayAway: 3 * time.Second, Kinds: []Kind{{Bundle: 1}, {Bundle: 5}, {Bundle: 1, Separate: true}},
+		Classes: []Class{{Aim: time.Second, Deadline: 10 * time.Second, Worth: 1, Effect: Safe},
+			{Aim: time.Second, Deadline: 10 * time.Second, Worth: 1, Effect: Keyed, Memory: 4 * time.Second},
+			{Aim: time.Second, Deadline: 10 * time.Second, Worth: 1, Effect: Unsafe, Ordered: true}}}
+}
+
+func start(t *testing.T, s Settings, eps ...Endpoint) *Dispatcher {
+	t.Helper()
+	d, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Handle(0, []Event{Listed{Whole: true, Endpoints: eps}})
+	return d
+}
+
+func arrive(id string, class int) Event {
+	return Arrived{ID: id, Class: class, Left: 10 * time.Second, Key: "k"}
+}
+
+// said lists actions in short, without timers and time-outs.
+func said(actions []Action) string {
+	var out []string
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			out = append(out, a.ID+">"+a.Endpoint)
+		case Refuse:
+			out = append(out, "refuse "+a.ID)
+		case Fail:
+			out = append(out, "fail "+a.ID)
+		case Cancel:
+			out = append(out, fmt.Sprintf("cancel %s/%d", a.ID, a.Attempt))
+		case Subscribe:
+			out = append(out, "subscribe")
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func expect(t *testing.T, what string, actions []Action, want string) {
+	t.Helper()
+	if got := said(actions); got != want {
+		t.Errorf("%s: got %q, want %q", what, got, want)
+	}
+}
+
+func TestRefusing(t *testing.T) {
+	tests := []struct {
+		name         string
+		u, x, τ, net float64
+		held, want   bool
+	}{
+		{"u exactly τ", 2, 0.1, 2, 0, true, false},
+		{"u above τ", 2.01, 0.1, 2, 0, false, true},
+		{"nothing held", 0, 5, 3, 1, false, false},
+		{"bound met exactly: 2(1.5+1-2) = 1", 1.5, 1, 2, 2, true, true},
+		{"bound missed: 2(1.4+1-2) = 0.8", 1.4, 1, 2, 2, true, false},
+		{"λ = r: no bound", 1.9, 5, 2, 0, true, false},
+		{"λ below r: no bound", 1.9, 5, 2, -1, true, false},
+		{"static rule: x = τ + 1/(λ-r)", 0.001, 2.5, 2, 2, true, true},
+		{"no time left and idle", 0, 0.1, -0.1, 1, false, true},
+		{"held, but u is 0", 0, 9, 2, 2, true, false},
+	}
+	for _, tt := range tests {
+		if got := refusing(tt.u, tt.x, tt.τ, tt.net, tt.held); got != tt.want {
+			t.Errorf("%s: got %v", tt.name, got)
+		}
+	}
+}
+
+func TestBacklog(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	q := d.queues[0]
+	if u := d.backlog(q); u != 0 {
+		t.Errorf("idle: u = %v, want 0", u)
+	}
+	q.mean = 0.5
+	q.held = make([]*message, 6)
+	if u := d.backlog(q); u != 3 {
+		t.Errorf("six held, none out: u = %v, want 6 × 0.5", u)
+	}
+	q.out = []*call{{ep: q.eps[0]}, {ep: q.eps[0]}}
+	if u := d.backlog(q); u != 1.5 {
+		t.Errorf("six held, two out: u = %v, want 6 × 0.5 / 2", u)
+	}
+	d.now = 5500 * ms // both calls have been out for 5.5 s: 0.5 + 0.1×5, then 1 + 0.1×4.5
+	if got := d.latency(q); math.Abs(got-1.45) > 1e-9 {
+		t.Errorf("calls out count with their age: %v, want 1.45", got)
+	}
+	q.waitUntil = d.now + 8*time.Second
+	if u := d.backlog(q); u != 8 {
+		t.Errorf("in a wait: u = %v, want the 8 s that remain", u)
+	}
+}
+
+func TestRatesAndVirtualCopy(t *testing.T) {
+	var a aged
+	if a.rate(0) != 0 {
+		t.Error("a fresh counter has a rate")
+	}
+	for i := range 400 {
+		a.add(time.Duration(i)*100*ms, 1)
+	}
+	if got := a.rate(40 * time.Second); math.Abs(got-10) > 0.3 {
+		t.Errorf("ten a second: rate %v", got)
+	}
+	d := start(t, plain(), Endpoint{ID: "a"})
+	q := d.queues[0]
+	q.mean = 2
+	for i, want := range []float64{0, 0, 1, 1} { // work 0, 2 and 4 against τ = 3; a miss adds none
+		d.virtual(q, 3)
+		if q.misses.n != want {
+			t.Errorf("arrival %d: %v misses of the copy, want %v", i, q.misses.n, want)
+		}
+		if i == 2 {
+			d.now = 2 * time.Second // the copy's work drains to 2
+		}
+	}
+}
+
+func TestFreshDispatcherUsesTheBasicRuleAlone(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	expect(t, "first message", d.Handle(0, []Event{arrive("m", 0)}), "m>a")
+	if λ, r := d.queues[0].arrivals.rate(0), d.queues[0].misses.rate(0); λ <= 0 || r != 0 {
+		t.Errorf("λ = %v, r = %v", λ, r)
+	}
+}
+
+func TestTurns(t *testing.T) {
+	s := plain()
+	s.Slots = 3
+	d := start(t, s, Endpoint{ID: "a"}, Endpoint{ID: "b", Destination: 1})
+	other := Arrived{ID: "n", Destination: 1, Left: time.Second}
+	expect(t, "fewest calls out first", d.Handle(0, []Event{arrive("m1", 0), arrive("m2", 0), arrive("m3", 0), other}),
+		"m1>a n>b m2>a")
+}
+
+func TestEffects(t *testing.T) {
+	tests := []struct {
+		class   int
+		outcome Outcome
+		want    string
+	}{
+		{0, OK, ""}, {0, Failed, "m>a"}, {0, TimedOut, "m>a"}, {0, Reset, "m>a"}, {0, Canceled, "m>a"},
+		{0, ConnectError, "m>a"}, {0, Ignored, "m>a"}, {0, QueueFull, ""},
+		{1, OK, ""}, {1, Failed, "m>a"}, {1, TimedOut, "m>a"}, {1, ConnectError, "m>a"},
+		{2, OK, ""}, {2, Failed, "fail m"}, {2, TimedOut, "fail m"}, {2, Reset, "fail m"}, {2, Canceled, "fail m"},
+		{2, ConnectError, "m>a"}, {2, Ignored, "m>a"},
+	}
+	for _, tt := range tests {
+		d := start(t, plain(), Endpoint{ID: "a"})
+		expect(t, "arrival", d.Handle(0, []Event{arrive("m", tt.class)}), "m>a")
+		got := d.Handle(time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: tt.outcome, Over: tt.outcome == OK}})
+		expect(t, fmt.Sprintf("class %d, outcome %d", tt.class, tt.outcome), got, tt.want)
+	}
+}
+
+func TestKeyedEndsWithItsMemory(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	d.Handle(0, []Event{arrive("m", 1)})
+	got := d.Handle(3995*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: TimedOut}})
+	expect(t, "memory gone", got, "refuse m")
+}
+
+func TestUnsafeHasNoEarlyTimeout(t *testing.T) {
+	for i, want := range []bool{true, true, false} {
+		d := start(t, plain(), Endpoint{ID: "a"})
+		got := d.Handle(0, []Event{Arrived{ID: fmt.Sprint("m", i), Class: i, Left: 10 * time.Second}})
+		if send := got[0].(Send); (send.Timeout > 0) != want {
+			t.Errorf("class %d: time-out %v", i, send.Timeout)
+		}
+	}
+}
+
+func TestHeldMessagesEndInTime(t *testing.T) {
+	d := start(t, plain())
+	got := d.Handle(0, []Event{arrive("m", 2)})
+	expect(t, "no endpoint listed", got, "")
+	at := got[len(got)-1].(Wake).After
+	if at > 10*time.Second || at < 9900*ms {
+		t.Errorf("timer after %v", at)
+	}
+	expect(t, "before its end", d.Handle(at-ms, []Event{Woken{}}), "")
+	expect(t, "at its end", d.Handle(at, []Event{Woken{}}), "refuse m")
+	expect(t, "late outcome", d.Handle(at+ms, []Event{Ended{ID: "m", Outcome: OK}}), "")
+}
+
+func TestDrains(t *testing.T) {
+	s := plain()
+	s.Slots = 8
+	d := start(t, s, Endpoint{ID: "a"}, Endpoint{ID: "b"})
+	d.Handle(0, []Event{Listed{Endpoints: []Endpoint{{ID: "a", Draining: true}}}})
+	expect(t, "draining", d.Handle(1, []Event{arrive("m", 0), arrive("n", 0)}), "m>b n>b")
+	d.Handle(2, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: "c"}}}})
+	expect(t, "gone", d.Handle(3, []Event{arrive("o", 0)}), "o>c")
+}
+
+func TestOrder(t *testing.T) {
+	s := plain()
+	s.OrderPause = 300 * ms
+	d := start(t, s, Endpoint{ID: "a"})
+	expect(t, "one of a key at a time", d.Handle(0, []Event{arrive("m", 2), arrive("n", 2)}), "m>a")
+	expect(t, "a time-out rests the key", d.Handle(time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: TimedOut}}),
+		"fail m")
+	expect(t, "still resting", d.Handle(1299*ms, []Event{Woken{}}), "")
+	expect(t, "rested", d.Handle(1300*ms, []Event{Woken{}}), "n>a")
+}
+
+func TestWaits(t *testing.T) {
+	for _, tt := range []struct {
+		kind int
+		want string
+	}{{0, ""}, {2, "n>b"}} { // a shared limit binds the destination, a route only itself
+		d := start(t, plain(), Endpoint{ID: "a", Kind: tt.kind}, Endpoint{ID: "b", Kind: tt.kind})
+		d.Handle(0, []Event{arrive("m", 0)})
+		d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: time.Second}, Withdrawn{ID: "m"}})
+		expect(t, fmt.Sprint("kind ", tt.kind), d.Handle(500*ms, []Event{arrive("n", 0)}), tt.want)
+	}
+}
+
+// TestWaitOfABundle guards against a wait that is told with the first of several outcomes of one call.
+func TestWaitOfABundle(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a", Kind: 1})
+	expect(t, "one call", d.Handle(0, []Event{arrive("m", 0), arrive("n", 0)}), "m>a n>a")
+	if d.out != 1 {
+		t.Errorf("%d calls out, want one bundle", d.out)
+	}
+	got := d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: time.Second}, arrive("o", 0)})
+	expect(t, "in the wait", got, "")
+}
+
+// TestReturn plays each kind of outage: trials stay within the rule's budget, and a success starts a ramp.
+func TestReturn(t *testing.T) {
+	s := plain()
+	s.Weights = WeightsNominal
+	for _, outcome := range []Outcome{ConnectError, Failed, Reset, QueueFull, TimedOut} {
+		d := start(t, s, Endpoint{ID: "a", Weight: 5})
+		sends, out := 0, map[string]int{}
+		for now := time.Duration(0); now < 24*time.Second; now += 20 * ms {
+			var events []Event
+			for id, n := range out {
+				events = append(events, Ended{ID: id, Endpoint: "a", Attempt: n, Outcome: outcome})
+			}
+			out = map[string]int{}
+			if now%(200*ms) == 0 {
+				events = append(events, Arrived{ID: fmt.Sprint(now), Left: 10 * time.Second})
+			}
+			for _, a := range d.Handle(now, events) {
+				if a, ok := a.(Send); ok {
+					out[a.ID] = len(d.messages[a.ID].attempts) - 1
+					if now >= 20*time.Second {
+						sends++
+					}
+				}
+			}
+		}
+		// In 4 s a cold destination may take 2 × 0.2 × 5 × 4 = 8 calls.
+		if sends > 8 || sends == 0 {
+			t.Errorf("outcome %d: %d calls in 4 s of an outage", outcome, sends)
+		}
+	}
+}
+
+func TestRampAfterSuccess(t *testing.T) {
+	s := plain()
+	s.Weights, s.Slots = WeightsNominal, 40
+	d := start(t, s, Endpoint{ID: "a", Weight: 10})
+	ep := d.endpoints["a"]
+	d.now = time.Second
+	d.sicken(ep)
+	d.succeeded(ep, true)
+	if got, want := d.budget(ep, 0), rampSafety*2*0.2*10; math.Abs(got-want) > 1e-9 {
+		t.Errorf("budget at the return: %v, want %v", got, want)
+	}
+	if got, want := d.budget(ep, 10*time.Second), rampSafety*2*10; math.Abs(got-want) > 1e-9 {
+		t.Errorf("budget when warm: %v, want %v", got, want)
+	}
+	d.now = 12 * time.Second
+	if d.epTokens(ep); ep.ramping {
+		t.Error("still ramping after the ramp time")
+	}
+}
+
+// TestConnectionCap guards against taking a connection limit for an outage.
+func TestConnectionCap(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	d.Handle(0, []Event{arrive("m1", 0), arrive("m2", 0)})
+	d.Handle(10*ms, []Event{Ended{ID: "m1", Endpoint: "a", Outcome: OK, Over: true}, arrive("m3", 0)})
+	d.Handle(20*ms, []Event{Ended{ID: "m2", Endpoint: "a", Outcome: ConnectError}})
+	ep := d.endpoints["a"]
+	if ep.sick || ep.failures > 0 || ep.connCap != 1 {
+		t.Errorf("sick %v, failures %v, cap %v", ep.sick, ep.failures, ep.connCap)
+	}
+	for range 20 {
+		d.succeeded(ep, true)
+	}
+	if ep.connCap < 1.9 {
+		t.Errorf("cap %v after twenty successes", ep.connCap)
+	}
+}
+
+// TestLostCallIsSentAgain guards against single lost calls: one that a later call has overtaken is
+// called off; one that nothing has overtaken stays while slots are free.
+func TestLostCallIsSentAgain(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	q := d.queues[0]
+	q.observe(0, 0.1)
+	d.Handle(0, []Event{arrive("lost", 0)})
+	d.Handle(50*ms, []Event{arrive("m", 0)})
+	expect(t, "nothing overtook it", d.Handle(140*ms, []Event{Woken{}}), "")
+	d.Handle(150*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}})
+	expect(t, "overtaken and late", d.Handle(700*ms, []Event{Woken{}}), "cancel lost/0")
+	expect(t, "sent again", d.Handle(705*ms, []Event{Ended{ID: "lost", Endpoint: "a", Outcome: Canceled}}), "lost>a")
+}
+
+// TestStuckSlotIsTakenBack guards against hangs that fill the slots.
+func TestStuckSlotIsTakenBack(t *testing.T) {
+	s := plain()
+	s.Slots = 2
+	d := start(t, s, Endpoint{ID: "a"}, Endpoint{ID: "b", Destination: 1}, Endpoint{ID: "c", Destination: 2})
+	d.queues[0].observe(0, 0.1)
+	d.queues[1].observe(0, 0.1)
+	at := func(id string, dest int) Event { return Arrived{ID: id, Destination: dest, Left: 10 * time.Second} }
+	d.Handle(0, []Event{at("m", 0)})
+	d.Handle(100*ms, []Event{at("n", 1)})
+	expect(t, "no slot is wanted", d.Handle(900*ms, []Event{Woken{}}), "")
+	expect(t, "one is wanted", d.Handle(1000*ms, []Event{at("o", 2)}), "cancel m/0")
+}
+
+// TestPaceFollows guards against a pace that is cut by refusals and never comes back, and against one
+// that rises although the destination reports that its allowance is used up.
+func TestPaceFollows(t *testing.T) {
+	s := plain()
+	s.Weights, s.Instances = WeightsNominal, 4
+	d := start(t, s, Endpoint{ID: "a", Weight: 8})
+	q := d.queues[0]
+	if q.pace != 2 {
+		t.Fatalf("pace %v, want 8 / 4", q.pace)
+	}
+	d.full(q)
+	if q.pace != 2*paceCut {
+		t.Errorf("pace %v after a refusal", q.pace)
+	}
+	q.held = []*message{{}}
+	d.succeeded(d.endpoints["a"], false)
+	if q.pace != 2*paceCut {
+		t.Errorf("pace %v rose without room", q.pace)
+	}
+	d.succeeded(d.endpoints["a"], true)
+	if want := 2*paceCut + 2*paceRaise; math.Abs(q.pace-want) > 1e-9 {
+		t.Errorf("pace %v, want %v", q.pace, want)
+	}
+}
+
+func TestRoutes(t *testing.T) {
+	s := plain()
+	s.ZoneFee = []float64{0.06, 0}
+	d := start(t, s, Endpoint{ID: "a", Kind: 2}, Endpoint{ID: "b", Kind: 2, Zone: 1})
+	expect(t, "the cheaper of two idle routes", d.Handle(0, []Event{arrive("m", 0)}), "m>b")
+	d.queues[1].mean, d.queues[1].class[0] = 5, 5
+	expect(t, "the faster at a fee", d.Handle(0, []Event{arrive("n", 0)}), "n>a")
+}
+
+func TestSubscribe(t *testing.T) {
+	s := plain()
+	s.Subscribe = true
+	d, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	expect(t, "at the start", d.Handle(0, nil), "subscribe")
+	expect(t, "failed", d.Handle(ms, []Event{ListFailed{}}), "")
+	expect(t, "again", d.Handle(ms+subscribeAgain, []Event{Woken{}}), "subscribe")
+}
+
+func TestSettingsThatMakeNoSense(t *testing.T) {
+	tests := []struct {
+		field string
+		spoil func(*Settings)
+	}{
+		{"Classes", func(s *Settings) { s.Classes = nil }},
+		{"Classes[0].Deadline", func(s *Settings) { s.Classes[0].Deadline = -1 }},
+		{"Classes[1].Memory", func(s *Settings) { s.Classes[1].Memory = -1 }},
+		{"Classes[2].Effect", func(s *Settings) { s.Classes[2].Effect = 7 }},
+		{"Slots", func(s *Settings) { s.Slots = 0 }},
+		{"Instances", func(s *Settings) { s.Instances = 0 }},
+		{"HoldRoom", func(s *Settings) { s.HoldRoom = 0 }},
+		{"Weights", func(s *Settings) { s.Weights = 9 }},
+		{"OrderPause", func(s *Settings) { s.OrderPause = -1 }},
+	}
+	for _, tt := range tests {
+		s := plain()
+		tt.spoil(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), tt.field) {
+			t.Errorf("%s: error %v", tt.field, err)
+		}
+	}
+}
+
+func TestUnknownThingsChangeNothing(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	got := d.Handle(time.Second, []Event{Ended{ID: "x"}, Withdrawn{ID: "x"},
+		Arrived{ID: "y", Class: 99}, Listed{Endpoints: []Endpoint{{ID: "z", Gone: true}}}})
+	expect(t, "unknown", got, "")
+	d.Handle(0, []Event{Woken{}}) // a clock that goes back
+	if d.now != time.Second {
+		t.Errorf("the clock went back to %v", d.now)
+	}
+}
+
+// TestLateRuleUnderOverload guards against a queue that serves everybody late, and against patient
+// messages that fill it before urgent ones worth more.
+func TestLateRuleUnderOverload(t *testing.T) {
+	s := plain()
+	s.Classes = []Class{
+		{Aim: time.Second, Deadline: 5 * time.Second, Worth: 2},                      // four fifths left at 1.8 s
+		{Aim: 4 * time.Second, Deadline: 16 * time.Second, Worth: 1, LateShare: 0.5}, // and at 8.8 s
+		{Aim: 4 * time.Second, Deadline: 16 * time.Second, Worth: 4, LateShare: 0.5},
+	}
+	tests := []struct {
+		class    int
+		overload bool
+		held     int // at half a second each
+		refused  bool
+	}{
+		{0, false, 8, false}, {0, true, 3, false}, {0, true, 5, true},
+		{1, false, 20, false}, {1, true, 3, false}, {1, true, 5, true}, // class 0 is worth more
+		{2, true, 17, false}, {2, true, 19, true},
+	}
+	for _, tt := range tests {
+		d := start(t, s, Endpoint{ID: "a"})
+		q := d.queues[0]
+		q.mean = 0.5
+		for range tt.held {
+			q.held = append(q.held, &message{class: &s.Classes[1], expires: time.Hour, q: q})
+		}
+		if tt.overload {
+			q.arrivals.add(0, 100)
+		}
+		m := &message{Arrived: Arrived{ID: "m", Class: tt.class}, class: &d.s.Classes[tt.class],
+			expires: d.s.Classes[tt.class].Deadline}
+		d.live = append(d.live, m)
+		q.misses.add(0, 1000) // λ - r < 0: the bound stays out of it
+		d.admit(m)
+		if m.over != tt.refused {
+			t.Errorf("class %d, overload %v, %d held: refused %v", tt.class, tt.overload, tt.held, m.over)
+		}
+	}
+}
+
+// TestNoAttemptWithoutTime guards against attempts that take a slot and cannot end in time.
+func TestNoAttemptWithoutTime(t *testing.T) {
+	d := start(t, plain())
+	d.Handle(0, []Event{arrive("m", 0)})
+	d.queues[0].observe(0, 0.5)
+	expect(t, "0.6 s left, 0.5 s needed", d.Handle(9400*ms, []Event{Woken{}}), "")
+	expect(t, "0.4 s left, 0.5 s needed", d.Handle(9600*ms, []Event{Woken{}}), "refuse m")
+}
+
+// TestGrayErrors guards against taking a share of failing calls for an outage.
+func TestGrayErrors(t *testing.T) {
+	tests := []struct {
+		outcome Outcome
+		n       int
+		sick    bool
+	}{{Reset, 3, false}, {Reset, 4, true}, {Failed, 3, false}, {ConnectError, 1, false}, {ConnectError, 2, true}}
+	for _, tt := range tests {
+		d := start(t, plain(), Endpoint{ID: "a"})
+		d.Handle(0, []Event{arrive("m", 0)})
+		for i := range tt.n {
+			d.Handle(time.Duration(i+1)*ms, []Event{Ended{ID: "m", Endpoint: "a", Attempt: i, Outcome: tt.outcome}})
+		}
+		if got := d.endpoints["a"].sick; got != tt.sick {
+			t.Errorf("%d of outcome %d: sick %v", tt.n, tt.outcome, got)
+		}
+	}
+}
+
+// TestSiblingTrials guards against slow detection: outages mostly end for a whole destination.
+func TestSiblingTrials(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"}, Endpoint{ID: "b"})
+	a, b := d.endpoints["a"], d.endpoints["b"]
+	d.sicken(a)
+	d.sicken(b)
+	if d.open(b) {
+		t.Error("a trial at once")
+	}
+	d.succeeded(a, true)
+	if !d.open(b) {
+		t.Error("no trial after the sibling's return")
+	}
+}
+
+// TestStuckFactor guards against slots lost to calls that will never be answered.
+func TestStuckFactor(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	if got := d.stuckFactor(); got != silentAfter {
+		t.Errorf("at the start: %v", got)
+	}
+	d.unanswered = 0.9
+	if got := d.stuckFactor(); got != stuckAfter {
+		t.Errorf("with late calls unanswered: %v", got)
+	}
+}
+
+// TestRoom guards against one queue that fills the holding room.
+func TestRoom(t *testing.T) {
+	s := plain()
+	s.HoldRoom = 20
+	d := start(t, s, Endpoint{ID: "b", Destination: 1}) // nothing is listed for destination 0
+	refused := 0
+	for i := range 20 {
+		got := d.Handle(0, []Event{Arrived{ID: fmt.Sprint("m", i), Left: 10 * time.Second}})
+		if strings.HasPrefix(said(got), "refuse") {
+			refused++
+		}
+	}
+	if refused != 5 {
+		t.Errorf("%d of 20 refused, want those past three quarters of the room", refused)
+	}
+	expect(t, "another destination", d.Handle(0, []Event{Arrived{ID: "n", Destination: 1, Left: time.Second}}), "n>b")
+}
+
+// TestSeldomUsedConnectionsClose guards against many relays whose idle connections fill a small endpoint.
+func TestSeldomUsedConnectionsClose(t *testing.T) {
+	tests := []struct {
+		name    string
+		pitch   time.Duration // between messages
+		connCap float64
+		closes  bool
+	}{{"one in many seconds", 15 * time.Second, 0, true}, {"one a second", time.Second, 0, false},
+		{"one a second, few connections", time.Second, 2, true}}
+	for _, tt := range tests {
+		s := plain()
+		s.ConnIdle, s.Instances = 10*time.Second, 40
+		d := start(t, s, Endpoint{ID: "a"})
+		closes := false
+		for i := range 5 {
+			at, id := time.Duration(i+1)*tt.pitch, fmt.Sprint("m", i)
+			d.Handle(at, []Event{arrive(id, 0)})
+			d.endpoints["a"].connCap = tt.connCap
+			closes = false
+			for _, a := range d.Handle(at+100*ms, []Event{Ended{ID: id, Endpoint: "a", Outcome: OK, Over: true}}) {
+				closes = closes || a == CloseIdle{Endpoint: "a"}
+			}
+		}
+		if closes != tt.closes {
+			t.Errorf("%s: closes %v", tt.name, closes)
+		}
+	}
+}
+
+// TestEvenShares guards against a pace that starves relays whose even share is a call in many seconds.
+func TestEvenShares(t *testing.T) {
+	for _, tt := range []struct {
+		relays int
+		want   float64
+	}{{2, 2}, {400, pacedCalls}} { // 4 a second are 2 for one of 2, 0.01 for one of 400: chance decides
+		s := plain()
+		s.Instances, s.Weights = tt.relays, WeightsNominal
+		d := start(t, s, Endpoint{ID: "a", Weight: 4})
+		if got := d.queues[0].pace; got != tt.want {
+			t.Errorf("%d relays: pace %v, want %v", tt.relays, got, tt.want)
+		}
+	}
+}
+
+// TestRelaysDoNotKnockInStep guards against relays that are refused together and come back together.
+func TestRelaysDoNotKnockInStep(t *testing.T) {
+	s := plain()
+	s.Instances, s.Weights = 400, WeightsNominal
+	seen := map[time.Duration]bool{}
+	for seed := range int64(5) {
+		d, err := New(s, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Handle(0, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: "a", Weight: 4}}}, arrive("m", 0)})
+		d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull}})
+		seen[d.queues[0].holdUntil] = true
+	}
+	if len(seen) < 4 {
+		t.Errorf("five relays come back at %d moments", len(seen))
+	}
+}
+
+// TestNoTimerWithoutCause guards against a timer every tick while a queue with a free token waits for a slot.
+func TestNoTimerWithoutCause(t *testing.T) {
+	s := plain()
+	s.Slots, s.Weights = 1, WeightsNominal
+	d := start(t, s, Endpoint{ID: "a", Weight: 5})
+	for _, a := range d.Handle(0, []Event{arrive("m", 0), arrive("n", 0)}) {
+		if w, ok := a.(Wake); ok && w.After < time.Second {
+			t.Errorf("timer after %v", w.After)
+		}
+	}
+}
+
+// TestLostUnsafeAnswerFreesItsSlot guards against answers lost at unsafe calls, which filled all slots.
+func TestLostUnsafeAnswerFreesItsSlot(t *testing.T) {
+	s := plain()
+	s.Slots = 1
+	d := start(t, s, Endpoint{ID: "a"}, Endpoint{ID: "b", Destination: 1})
+	d.queues[0].observe(2, 0.1)
+	d.unanswered = 0.9
+	d.Handle(0, []Event{Arrived{ID: "m", Class: 2, Left: 20 * time.Second}})
+	expect(t, "no slot is wanted", d.Handle(3*time.Second, []Event{Woken{}}), "")
+	expect(t, "one is wanted", d.Handle(3100*ms, []Event{Arrived{ID: "n", Destination: 1, Left: 9 * time.Second}}), "cancel m/0")
+	expect(t, "never twice", d.Handle(3105*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: Canceled}}), "fail m n>b")
+}
+
+// TestBorrowedLatency guards against queues that know nothing: a lost first call would hold its slot to its end.
+func TestBorrowedLatency(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"}, Endpoint{ID: "b", Destination: 1})
+	d.Handle(0, []Event{arrive("m", 0)})
+	d.Handle(400*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Took: 400 * ms, Over: true},
+		Arrived{ID: "n", Destination: 1, Left: 10 * time.Second}})
+	q := d.queues[1]
+	if q.class[0] != 0.4 || q.mean != 0.4 {
+		t.Errorf("b borrows %v, %v, want what a took", q.class[0], q.mean)
+	}
+	q.observe(0, 0.2)
+	if got := q.class[0]; math.Abs(got-0.3) > 1e-9 {
+		t.Errorf("own first outcome counts half: %v, want 0.3", got)
+	}
+}
+
+// TestTimerThatFiresEarly guards against a clock of coarser steps that uses up the timer of a last chance.
+func TestTimerThatFiresEarly(t *testing.T) {
+	d := start(t, plain())
+	got := d.Handle(0, []Event{arrive("m", 0)})
+	at := got[len(got)-1].(Wake).After
+	got = d.Handle(at-400, []Event{Woken{}})
+	if len(got) != 1 || got[0].(Wake).After > 10*ms {
+		t.Fatalf("400 ns early: %v, want another timer", got)
+	}
+}
+
+// TestImpatientClients guards against taking little time left for age: under overload all were refused.
+func TestImpatientClients(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	q := d.queues[0]
+	q.mean = 0.5
+	q.arrivals.add(0, 100)
+	q.misses.add(0, 1000) // λ - r < 0: the bound stays out of it
+	expect(t, "2 s of 10 left, nothing held", d.Handle(0, []Event{Arrived{ID: "m", Left: 2 * time.Second}}), "m>a")
+}
+
+// TestOwnStall guards against holding a relay's own pause against its destinations.
+func TestOwnStall(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	q := d.queues[0]
+	q.observe(0, 0.1)
+	d.Handle(0, []Event{arrive("m", 0)})
+	d.Handle(2*time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Took: 100 * ms, Over: true}})
+	if math.Abs(q.mean-0.1) > 1e-9 || d.unanswered != 0 {
+		t.Errorf("mean %v, unanswered %v after a pause of our own", q.mean, d.unanswered)
+	}
+}
+
+// TestOneClassFailing guards against an endpoint that fails one class and serves the others.
+func TestOneClassFailing(t *testing.T) {
+	s := plain()
+	d := start(t, s, Endpoint{ID: "a"}, Endpoint{ID: "b"})
+	d.Handle(0, []Event{arrive("m", 0)})
+	expect(t, "a retry goes to the sibling", d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: Failed}}), "m>b")
+	d.Handle(2*ms, []Event{Ended{ID: "m", Endpoint: "b", Attempt: 1, Outcome: OK, Over: true}})
+	expect(t, "so does its class", d.Handle(3*ms, []Event{arrive("n", 0)}), "n>b")
+	d.Handle(4*ms, []Event{Ended{ID: "n", Endpoint: "b", Outcome: OK, Over: true}})
+	d.endpoints["a"].lastUsed = 4 * ms
+	expect(t, "others do not", d.Handle(5*ms, []Event{arrive("o", 1)}), "o>a")
+}
+
+// TestUrgentFirst guards against slots given to what can wait, where few slots make every turn a tie.
+func TestUrgentFirst(t *testing.T) {
+	s := plain()
+	s.Slots = 1
+	s.Classes[1].Aim = 8 * time.Second
+	d := start(t, s, Endpoint{ID: "a"}, Endpoint{ID: "b", Destination: 1})
+	expect(t, "one slot", d.Handle(0, []Event{Arrived{ID: "patient", Class: 1, Left: 10 * time.Second},
+		Arrived{ID: "urgent", Destination: 1, Left: 10 * time.Second}}), "urgent>b")
+}
+
+// TestFewKnocksAtSize guards against hundreds of relays whose further knocks push over a destination that
+// comes back cold: the even share of 4 calls a second is 0.01 for one of 400, and 2 for one of 2.
+func TestFewKnocksAtSize(t *testing.T) {
+	for _, tt := range []struct {
+		relays      int
+		outcome     Outcome
+		wait        time.Duration
+		least, most int // of 40 relays are sick after one
+	}{{400, QueueFull, 0, 10, 30}, {400, ConnectError, 0, 10, 30}, {400, QueueFull, time.Second, 40, 40},
+		{2, QueueFull, 0, 0, 0}, {2, ConnectError, 0, 0, 0}} {
+		sick := 0
+		for seed := range int64(40) {
+			s := plain()
+			s.Instances, s.Weights = tt.relays, WeightsNominal
+			d, err := New(s, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.Handle(0, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: "a", Weight: 4}}}, arrive("m", 0)})
+			d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: tt.outcome, Wait: tt.wait}})
+			if d.endpoints["a"].sick {
+				sick++
+			}
+			d.full(d.queues[0])
+			if d.full(d.queues[0]); tt.relays > 2 && !d.endpoints["a"].sick {
+				t.Errorf("%d relays, outcome %d: not sick after more", tt.relays, tt.outcome)
+			}
+		}
+		if sick < tt.least || sick > tt.most {
+			t.Errorf("%d relays, outcome %d, wait %v: %d of 40 sick", tt.relays, tt.outcome, tt.wait, sick)
+		}
+	}
+}
+
+// TestReplacedEndpointsAreForgotten guards against routes and endpoints that left and are walked for ever.
+func TestReplacedEndpointsAreForgotten(t *testing.T) {
+	for kind := range 3 {
+		d := start(t, plain())
+		for i := range 200 {
+			now := time.Duration(i) * time.Second
+			d.Handle(now, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: fmt.Sprint("a", i), Kind: kind},
+				{ID: fmt.Sprint("b", i), Kind: kind}}}, arrive(fmt.Sprint("m", i), 0)})
+			for id, m := range d.messages {
+				d.Handle(now+100*ms, []Event{Ended{ID: id, Endpoint: m.attempts[0].call.ep.ID, Outcome: OK, Over: true}})
+			}
+		}
+		if len(d.endpoints) != 2 || len(d.queues) > 3 || len(d.dests) != 1 || len(d.active)+len(d.messages)+len(d.live) != 0 {
+			t.Errorf("kind %d: %d endpoints, %d queues, %d active, %d messages", kind, len(d.endpoints), len(d.queues),
+				len(d.active), len(d.messages))
+		}
+	}
+}
+
+// TestBadInput guards against values that make no sense: sensible events after them are decided as ever.
+func TestBadInput(t *testing.T) {
+	s := plain()
+	s.Weights = WeightsNominal
+	for _, weight := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -3, 0} {
+		d := start(t, s, Endpoint{ID: "a", Weight: weight})
+		d.Handle(0, []Event{Listed{Endpoints: []Endpoint{{ID: "a", Weight: 5}}}, arrive("m", 0)})
+		if q := d.queues[0]; q.pace != 5 || len(q.out) != 1 {
+			t.Errorf("after weight %v: pace %v, %d calls out", weight, q.pace, len(q.out))
+		}
+	}
+	d := start(t, s, Endpoint{ID: "a"})
+	d.Handle(0, []Event{arrive("m", 0)})
+	d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: math.MaxInt64}})
+	expect(t, "an endless wait is kept", d.Handle(time.Second, []Event{arrive("n", 0)}), "refuse n")
+	expect(t, "no time left", d.Handle(time.Second, []Event{Arrived{ID: "o", Left: -time.Second}}), "refuse o")
+}
+
+// BenchmarkHandle reports what a batch costs with 1,000 endpoints listed.
+func BenchmarkHandle(b *testing.B) {
+	s := plain()
+	d, err := New(s, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var list []Endpoint
+	for i := range 1000 {
+		list = append(list, Endpoint{ID: fmt.Sprint("e", i), Destination: i / 2})
+	}
+	d.Handle(0, []Event{Listed{Whole: true, Endpoints: list}})
+	now := time.Duration(0)
+	for i := 0; b.Loop(); i++ {
+		id := fmt.Sprint("m", i)
+		now += 10 * ms
+		for _, a := range d.Handle(now, []Event{Arrived{ID: id, Destination: i % 500, Left: 10 * time.Second}}) {
+			if a, ok := a.(Send); ok {
+				d.Handle(now+5*ms, []Event{Ended{ID: id, Endpoint: a.Endpoint, Outcome: OK, Over: true}})
+			}
+		}
+	}
+}
+
+// TestNewEndpointOfADestinationThatIsOut guards against all relays rushing to a replacement at once.
+func TestNewEndpointOfADestinationThatIsOut(t *testing.T) {
+	for _, gone := range []bool{false, true} { // the old endpoint stays, or is replaced
+		d := start(t, plain(), Endpoint{ID: "a"})
+		d.sicken(d.endpoints["a"])
+		d.Handle(ms, []Event{Listed{Endpoints: []Endpoint{{ID: "a", Gone: gone}, {ID: "b"}}}})
+		if !d.endpoints["b"].sick {
+			t.Errorf("old one gone %v: the new one is not on its budget", gone)
+		}
+		d.succeeded(d.endpoints["b"], true)
+		d.Handle(2*ms, []Event{Listed{Endpoints: []Endpoint{{ID: "c"}}}})
+		if d.endpoints["c"].sick {
+			t.Error("a new one after the return is on a budget")
+		}
+	}
+}
+
+// TestListThatEmptiesAndComesBack guards against state that stays spoilt: calls are out while the list empties, the
+// weight and the zone change, and the clock jumps back and far ahead.
+func TestListThatEmptiesAndComesBack(t *testing.T) {
+	for kind := range 3 {
+		s := plain()
+		s.Weights = WeightsNominal
+		d := start(t, s, Endpoint{ID: "a", Kind: kind, Weight: 5})
+		expect(t, "sent", d.Handle(time.Second, []Event{arrive("m", 0)}), "m>a")
+		expect(t, "held", d.Handle(2*time.Second, []Event{Listed{Whole: true}, arrive("n", 0)}), "")
+		expect(t, "its outcome", d.Handle(0, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}}), "")
+		expect(t, "back", d.Handle(3*time.Second, []Event{Listed{Endpoints: []Endpoint{
+			{ID: "a", Kind: kind, Weight: 7, Zone: 1}}}}), "n>a")
+		expect(t, "far ahead", d.Handle(1000*time.Hour, []Event{Ended{ID: "n", Endpoint: "a", Outcome: OK, Over: true},
+			arrive("o", 0)}), "o>a")
+		if d.out != 1 || len(d.messages) != 1 {
+			t.Errorf("kind %d: %d calls out, %d messages", kind, d.out, len(d.messages))
+		}
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,441 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+)
+
+// This file holds the state of a dispatcher and its bookkeeping; what is decided on it is in policy.go.
+
+// Dispatcher decides for one relay. It is not safe for concurrent use.
+type Dispatcher struct {
+	s         Settings
+	now       time.Duration
+	endpoints map[string]*endpoint
+	dests     map[int]*destination
+	active    []*queue // those with messages held or calls out
+	queues    []*queue // in the order in which they were first seen
+	messages  map[string]*message
+	live      []*message // unfinished, in the order of arrival
+	resting   []*message // over, but their keys rest
+	keys      map[string][]*message
+	out       int // calls out
+	// unanswered is the share of calls out for stuckAfter mean latencies that had no success.
+	unanswered float64
+	seq        int
+	turn       int
+	meanWorth  float64
+	resub      time.Duration // when to subscribe
+	wakeAt     time.Duration // when the next timer is due; 0 for none
+	actions    []Action
+	chance     *rand.Rand
+	pools      map[int]*latencies // by kind of destination
+}
+
+// never is later than every moment.
+const never = time.Duration(math.MaxInt64)
+
+func (d *Dispatcher) act(a Action) { d.actions = append(d.actions, a) }
+
+// destination is where messages go: one queue, or one for each route.
+type destination struct {
+	queues []*queue // routes, or the one shared queue; queues[0] also serves while nothing is listed
+}
+
+// queue is one first-come queue of the paper.
+type queue struct {
+	dest   *destination
+	eps    []*endpoint
+	held   []*message
+	out    []*call
+	served int // the turn in which it was last served
+	latencies
+	kind      int
+	waitUntil time.Duration
+	holdUntil time.Duration // our own pause after a refusal without a wait
+	fulls     int           // refusals in a row
+	firstFull time.Duration // of the refusals in a row
+	lastOK    time.Duration // 0 for never
+	weight    float64       // calls a second that all relays may make; 0 for unknown
+	pace      float64       // calls a second of this relay; 0 for unknown
+	bucket                  // of the pace
+	arrivals  aged
+	misses    aged // of the virtual copy under the basic rule
+	copyWork  float64
+	copyAt    time.Duration
+	bundle    int
+	apart     bool
+	active    bool // among Dispatcher.active
+	ill       bool // the last that was heard of an endpoint's health was bad
+}
+
+// latencies are mean latencies in seconds; 0 for unknown.
+type latencies struct {
+	n     int     // outcomes counted
+	mean  float64 // of all classes
+	class []float64
+}
+
+// bucket is a token bucket.
+type bucket struct {
+	tokens   float64
+	tokensAt time.Duration
+}
+
+// fill adds the tokens that came since the last time, up to depth, and gives how many there are.
+func (b *bucket) fill(now time.Duration, rate, depth float64) float64 {
+	b.tokens = math.Min(depth, b.tokens+rate*math.Max(0, (now-b.tokensAt).Seconds()))
+	b.tokensAt = max(b.tokensAt, now)
+	return b.tokens
+}
+
+// endpoint is one listed endpoint and what is known of its health.
+type endpoint struct {
+	Endpoint
+	q         *queue
+	out       []*call
+	failures  float64   // in a row
+	strikes   []float64 // failures in a row by class
+	sick      bool
+	sickAt    time.Duration
+	recovered time.Duration // first success after an outage; 0 for never
+	ramping   bool
+	bucket    // of the budget while sick or ramping
+	lastOK    time.Duration
+	lastUsed  time.Duration
+	lastBegun time.Duration // the start of the latest call that succeeded
+	lastTook  float64       // the latency of the last success
+	connCap   float64       // learned; 0 for none
+}
+
+// call is one call out: one message, or a bundle.
+type call struct {
+	ep       *endpoint
+	sent     time.Duration
+	open     int // messages without an outcome
+	msgs     []*message
+	canceled bool // to take its slot back
+}
+
+// message is a message taken and not yet retired.
+type message struct {
+	Arrived
+	class    *Class
+	seq      int
+	expires  time.Duration
+	q        *queue // where it is held; nil while it is not
+	attempts []attempt
+	open     int // attempts without an outcome
+	over     bool
+	rest     time.Duration // until when its key rests after it
+}
+
+type attempt struct {
+	call  *call
+	sent  time.Duration
+	open  bool
+	unrun bool // proved never to have run
+}
+
+// aged is a counter whose counts fade with time constant counterAge (in policy.go).
+type aged struct {
+	n     float64
+	at    time.Duration
+	since time.Duration // when it began to count
+}
+
+func (a *aged) add(now time.Duration, n float64) {
+	a.n = a.n*math.Exp(-float64(now-a.at)/float64(counterAge)) + n
+	a.at = now
+}
+
+// count is what is left of the counts.
+func (a *aged) count(now time.Duration) float64 {
+	return a.n * math.Exp(-float64(now-a.at)/float64(counterAge))
+}
+
+// rate is the count a second over the counter's age.
+func (a *aged) rate(now time.Duration) float64 {
+	age := counterAge.Seconds()
+	return a.count(now) / (age * (1 - math.Exp(-math.Max(1, (now-a.since).Seconds())/age)))
+}
+
+// take notes a new message, or gives nil where it makes no sense.
+func (d *Dispatcher) take(e Arrived) *message {
+	if e.Class < 0 || e.Class >= len(d.s.Classes) || d.messages[e.ID] != nil {
+		return nil
+	}
+	d.seq++
+	m := &message{Arrived: e, class: &d.s.Classes[e.Class], seq: d.seq,
+		expires: d.now + e.Left}
+	d.messages[e.ID] = m
+	d.live = append(d.live, m)
+	if m.class.Ordered && m.Key != "" {
+		d.keys[m.Key] = append(d.keys[m.Key], m)
+	}
+	return m
+}
+
+// pool gives what is known of a kind.
+func (d *Dispatcher) pool(kind int) *latencies {
+	if d.pools[kind] == nil {
+		d.pools[kind] = &latencies{class: make([]float64, len(d.s.Classes))}
+	}
+	return d.pools[kind]
+}
+
+// firstRun is the first attempt that may have run, or nil.
+func (m *message) firstRun() *attempt {
+	for i := range m.attempts {
+		if !m.attempts[i].unrun {
+			return &m.attempts[i]
+		}
+	}
+	return nil
+}
+
+// worthAt is the share of its worth that a message has at an age.
+func (c *Class) worthAt(age time.Duration) float64 {
+	switch {
+	case age <= c.Aim:
+		return 1
+	case age > c.Deadline:
+		return 0
+	case c.Halving && c.Aim > 0:
+		return math.Max(c.LateShare, math.Pow(0.5, float64(age-c.Aim)/float64(c.Aim)))
+	}
+	return 1 - (1-c.LateShare)*float64(age-c.Aim)/float64(c.Deadline-c.Aim)
+}
+
+// ageAt is the age at which a message has only a share of its worth left.
+func (c *Class) ageAt(share float64) time.Duration {
+	switch {
+	case share <= c.LateShare:
+		return c.Deadline
+	case c.Halving:
+		return min(c.Deadline, c.Aim-time.Duration(math.Log2(share)*float64(c.Aim)))
+	}
+	return c.Aim + time.Duration((1-share)/(1-c.LateShare)*float64(c.Deadline-c.Aim))
+}
+
+// hold puts a message into a queue, by its order of arrival.
+func (d *Dispatcher) hold(q *queue, m *message) {
+	i := sort.Search(len(q.held), func(i int) bool { return q.held[i].seq > m.seq })
+	q.held = append(q.held, nil)
+	copy(q.held[i+1:], q.held[i:])
+	q.held[i] = m
+	m.q = q
+	d.wake(q)
+}
+
+// wake notes that a queue has something to do.
+func (d *Dispatcher) wake(q *queue) {
+	if !q.active {
+		q.active = true
+		d.active = append(d.active, q)
+	}
+}
+
+// rest drops the queues that have nothing to do from the active ones, and forgets routes that left.
+func (d *Dispatcher) rest() {
+	d.active = slices.DeleteFunc(d.active, func(q *queue) bool {
+		q.active = len(q.held) > 0 || len(q.out) > 0
+		if !q.active {
+			d.forget(q)
+		}
+		return !q.active
+	})
+}
+
+// forget drops a queue without endpoints and work, unless it is the one that stands for its destination.
+func (d *Dispatcher) forget(q *queue) {
+	if len(q.eps) > 0 || q.active || q.dest.queues[0] == q && len(q.dest.queues) == 1 {
+		return
+	}
+	q.dest.queues, d.queues = remove(q.dest.queues, q), remove(d.queues, q)
+}
+
+// release takes a message out of its queue.
+func (m *message) release() {
+	if m.q != nil {
+		m.q.held = remove(m.q.held, m)
+		m.q = nil
+	}
+}
+
+// dest gives a destination, with one queue at least.
+func (d *Dispatcher) dest(no int) *destination {
+	if d.dests[no] == nil {
+		dest := &destination{}
+		d.dests[no] = dest
+		d.addQueue(dest, 1, false)
+	}
+	return d.dests[no]
+}
+
+// addQueue adds a queue to a destination.
+func (d *Dispatcher) addQueue(dest *destination, bundle int, apart bool) *queue {
+	q := &queue{dest: dest, latencies: latencies{class: make([]float64, len(d.s.Classes))}, bundle: max(1, bundle), apart: apart,
+		bucket: bucket{tokensAt: d.now}, arrivals: aged{since: d.now}, misses: aged{since: d.now}}
+	dest.queues = append(dest.queues, q)
+	d.queues = append(d.queues, q)
+	return q
+}
+
+// usable tells whether a queue has an endpoint that takes new work.
+func (q *queue) usable() bool {
+	for _, ep := range q.eps {
+		if !ep.Draining && !ep.Gone {
+			return true
+		}
+	}
+	return false
+}
+
+// check names the first setting that makes no sense.
+func (s *Settings) check() error {
+	for i, c := range s.Classes {
+		switch {
+		case c.Deadline <= 0:
+			return fmt.Errorf("Classes[%d].Deadline: %v is not above 0", i, c.Deadline)
+		case c.Aim < 0:
+			return fmt.Errorf("Classes[%d].Aim: %v is negative", i, c.Aim)
+		case c.Memory < 0:
+			return fmt.Errorf("Classes[%d].Memory: %v is negative", i, c.Memory)
+		case c.Effect < Safe || c.Effect > Unsafe:
+			return fmt.Errorf("Classes[%d].Effect: %d is unknown", i, c.Effect)
+		}
+	}
+	switch {
+	case len(s.Classes) == 0:
+		return fmt.Errorf("Classes: there are none")
+	case s.Instances < 1:
+		return fmt.Errorf("Instances: %d is less than 1", s.Instances)
+	case s.Slots < 1:
+		return fmt.Errorf("Slots: %d is less than 1", s.Slots)
+	case s.HoldRoom < 1:
+		return fmt.Errorf("HoldRoom: %d is less than 1", s.HoldRoom)
+	case s.MaxAttempts < 1:
+		return fmt.Errorf("MaxAttempts: %d is less than 1", s.MaxAttempts)
+	case s.Weights < WeightsOff || s.Weights > WeightsRough:
+		return fmt.Errorf("Weights: %d is unknown", s.Weights)
+	case s.Tick < 0:
+		return fmt.Errorf("Tick: %v is negative", s.Tick)
+	case s.OrderPause < 0:
+		return fmt.Errorf("OrderPause: %v is negative", s.OrderPause)
+	case s.RampTime < 0 || s.OverloadFor < 0 || s.OverloadFactor < 0 || s.ColdShare < 0:
+		return fmt.Errorf("RampTime, OverloadFor, OverloadFactor, ColdShare: one is negative")
+	}
+	return nil
+}
+
+// remove takes v out of a slice and keeps the order.
+func remove[T comparable](list []T, v T) []T {
+	for i := range list {
+		if list[i] == v {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// listed takes in a change of the list.
+func (d *Dispatcher) listed(e Listed) {
+	named := map[string]bool{}
+	for _, entry := range e.Endpoints {
+		named[entry.ID] = true
+		d.entry(entry)
+	}
+	if e.Whole {
+		for _, q := range slices.Clone(d.queues) {
+			for _, ep := range append([]*endpoint(nil), q.eps...) {
+				if !named[ep.ID] {
+					d.drop(ep)
+				}
+			}
+		}
+	}
+	for _, q := range slices.Clone(d.active) {
+		if len(q.held) > 0 && !q.usable() {
+			d.reroute(q)
+		}
+	}
+}
+
+// entry takes in one entry of the list.
+func (d *Dispatcher) entry(e Endpoint) {
+	ep := d.endpoints[e.ID]
+	if e.Gone {
+		if ep != nil {
+			d.drop(ep)
+		}
+		return
+	}
+	if ep == nil {
+		ep = &endpoint{strikes: make([]float64, len(d.s.Classes))}
+		d.endpoints[e.ID] = ep
+		dest := d.dest(e.Destination)
+		kind := Kind{Bundle: 1}
+		if e.Kind >= 0 && e.Kind < len(d.s.Kinds) {
+			kind = d.s.Kinds[e.Kind]
+		}
+		ep.q = dest.queues[0]
+		if kind.Separate && (len(ep.q.eps) > 0 || len(dest.queues) > 1) {
+			ep.q = d.addQueue(dest, 1, true)
+		}
+		ep.q.bundle, ep.q.apart, ep.q.kind = max(1, kind.Bundle), kind.Separate, e.Kind
+		ep.q.eps = append(ep.q.eps, ep)
+		defer d.joins(ep)
+	}
+	ep.Endpoint = e
+	d.weigh(ep.q, e.Weight)
+}
+
+// drop forgets an endpoint that left the list; calls out there still end.
+func (d *Dispatcher) drop(ep *endpoint) {
+	ep.Gone = true
+	delete(d.endpoints, ep.ID)
+	ep.q.eps = remove(ep.q.eps, ep)
+	d.forget(ep.q)
+}
+
+// finish notes that a message has its final answer.
+func (d *Dispatcher) finish(m *message) {
+	if !m.over {
+		m.over = true
+		m.release()
+		d.live = remove(d.live, m)
+	}
+	d.retire(m)
+}
+
+func (d *Dispatcher) spend(q *queue) {
+	if q.pace > 0 {
+		d.tokens(q)
+		q.tokens--
+	}
+}
+
+// retire forgets a message that is over and has nothing out, and lets the next of its key go.
+func (d *Dispatcher) retire(m *message) {
+	if !m.over || m.open > 0 {
+		return
+	}
+	if d.now < m.rest {
+		if !slices.Contains(d.resting, m) {
+			d.resting = append(d.resting, m)
+		}
+		return
+	}
+	d.resting = remove(d.resting, m)
+	delete(d.messages, m.ID)
+	if line := remove(d.keys[m.Key], m); len(line) > 0 {
+		d.keys[m.Key] = line
+	} else {
+		delete(d.keys, m.Key)
+	}
+}
