--- /dev/null
+++ b/cmd/frostlink/main.go
@@ -0,0 +1,45 @@
+// Command frostlink is a relay on sockets: it takes messages from clients, holds them in a journal, and
+// delivers them to their destinations' hosts as package policy decides.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"mallowlead/internal/relay"
+)
+
+// heapShare of the memory limit is the runtime's soft limit: the journal's files count as memory too.
+const heapShare = 0.6
+
+func main() {
+	config := flag.String("config", os.Getenv("NODE_CONFIG"), "configuration `file` (default $NODE_CONFIG)")
+	state := flag.String("state", os.Getenv("NODE_STATE"), "`folder` that outlasts the process (default $NODE_STATE)")
+	flag.Parse()
+	if err := run(*config, *state); err != nil {
+		fmt.Fprintln(os.Stderr, "frostlink:", err)
+		os.Exit(1)
+	}
+}
+
+func run(config, state string) error {
+	if state == "" {
+		return fmt.Errorf("no folder for the journal: set NODE_STATE or -state")
+	}
+	cfg, err := relay.ReadConfig(config)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return relay.Run(ctx, cfg, state)
+}
--- /dev/null
+++ b/internal/relay/discovery.go
@@ -0,0 +1,169 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"mallowlead/internal/settings"
+	"mallowlead/policy"
+)
+
+const (
+	// watchSilence without a byte means that a watch is dead: an empty line comes every 2 s, and what
+	// discovery has to tell counts as told after 6 s, so that the answer to a new ask comes in time.
+	watchSilence = 4500 * time.Millisecond
+	// askAgainMost is the longest back-off before discovery is asked again, for the same reason.
+	askAgainMost = 2 * time.Second
+	askAgain     = 250 * time.Millisecond
+	// maxMemberLine bounds one line of a watch.
+	maxMemberLine = 16 << 20
+)
+
+// Members is the list of hosts, or a change of it, in discovery's form.
+type Members struct {
+	Seq   int64    `json:"seq"`
+	Whole bool     `json:"whole"`
+	Hosts []Member `json:"hosts"`
+}
+
+// Member is one host of the list.
+type Member struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+}
+
+// The states of a host that mean that it wants nothing new.
+const (
+	draining = "DRAINING"
+	deleted  = "DELETED"
+)
+
+// listed translates a list into the policy's terms.
+func (m Members) listed(s *settings.Settings) policy.Listed {
+	e := policy.Listed{Whole: m.Whole}
+	for _, h := range m.Hosts {
+		e.Endpoints = append(e.Endpoints, policy.Endpoint{ID: h.Host, Destination: h.Block,
+			Kind: slices.Index(s.Shapes, h.Class), Zone: slices.Index(s.Localities, h.Site), Weight: h.Share,
+			Draining: h.Health == draining, Gone: h.Health == deleted})
+	}
+	return e
+}
+
+// watcher keeps a watch on discovery's list. It starts one each time that it is asked, and reports when it
+// ends; whether and when to ask again is the module's decision, a back-off while discovery is down ours.
+type watcher struct {
+	base   string
+	client *http.Client
+	asked  chan struct{}
+	seq    int64
+	told   func(Members)
+	failed func()
+}
+
+func newWatcher(discovery string, seq int64, told func(Members), failed func()) *watcher {
+	return &watcher{base: "http://" + discovery + "/catalog/members", seq: seq, told: told, failed: failed,
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1)}
+}
+
+// ask wants a watch; it never blocks.
+func (w *watcher) ask() {
+	select {
+	case w.asked <- struct{}{}:
+	default: // one is wanted already
+	}
+}
+
+// run serves asks until ctx ends.
+func (w *watcher) run(ctx context.Context) {
+	backOff := time.Duration(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.asked:
+		}
+		if !sleep(ctx, backOff) {
+			return
+		}
+		lines, err := w.watch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		slog.Warn("watch ended", "lines", lines, "err", err)
+		if backOff = min(askAgainMost, 2*backOff+askAgain); lines > 0 {
+			backOff = 0
+		}
+		w.failed()
+	}
+}
+
+// watch follows one watch to its end and returns how many lists it brought.
+func (w *watcher) watch(ctx context.Context) (lines int, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// Guards against a watch that has gone silent: a cut link ends no connection.
+	dead := time.AfterFunc(watchSilence, cancel)
+	defer dead.Stop()
+	query := url.Values{"stream": {"1"}, "index": {strconv.FormatInt(w.seq, 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, w.base+"?"+query.Encode(), nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	in := bufio.NewScanner(resp.Body)
+	in.Buffer(nil, maxMemberLine)
+	for in.Scan() {
+		dead.Reset(watchSilence)
+		line := bytes.TrimSpace(in.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		var m Members
+		if err := json.Unmarshal(line, &m); err != nil {
+			// What an unreadable line held is lost to the changes that follow: ask for the whole list.
+			w.seq = 0
+			return lines, fmt.Errorf("unreadable line: %w", err)
+		}
+		w.seq = m.Seq
+		w.told(m)
+		lines++
+	}
+	if err := in.Err(); err != nil {
+		return lines, err
+	}
+	return lines, errors.New("end of the answer")
+}
+
+// sleep waits for d, and tells whether ctx is still alive after it.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/relay/journal.go
@@ -0,0 +1,316 @@
+package relay
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+)
+
+const (
+	journalName = "journal"
+	// diskShare of the folder's limit is used: the rest is for whole blocks and for what else lies there.
+	diskShare = 0.9
+	// recordHead is the length of a record's header: lengths of its two parts and their checksum.
+	recordHead = 12
+	// attemptsRoom is set aside for the later records of each message when it is taken on.
+	attemptsRoom = 2048
+	// slackSize is how far the file may outgrow twice what is live before it is compacted.
+	slackSize = 256 << 10
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Entry is a message that was taken on and has not come to its end.
+type Entry struct {
+	ID       string    `json:"id"`
+	Class    string    `json:"class,omitempty"`
+	Dest     int       `json:"dest,omitempty"`
+	Key      string    `json:"key,omitempty"`
+	Expires  time.Time `json:"expires,omitzero"`
+	Body     []byte    `json:"-"`
+	Attempts []Attempt `json:"-"`
+	Owed     *Notice   `json:"-"` // its end, until the platform has it
+}
+
+// Attempt is one call made for a message.
+type Attempt struct {
+	Host  string
+	Begun time.Time
+	Ended bool
+	Unrun bool // proved never to have run
+}
+
+// Health is what is remembered of a host's outage.
+type Health struct {
+	Sick bool      `json:"sick,omitempty"`
+	At   time.Time `json:"at,omitzero"`
+}
+
+// record is one line of the journal. Times in it are those of the wall clock, since another process reads it.
+type record struct {
+	Op     string    `json:"op"`
+	Entry  *Entry    `json:"entry,omitempty"`
+	ID     string    `json:"id,omitempty"`
+	Host   string    `json:"host,omitempty"`
+	At     time.Time `json:"at,omitzero"`
+	Unrun  bool      `json:"unrun,omitempty"`
+	Notice *Notice   `json:"notice,omitempty"`
+	Health *Health   `json:"health,omitempty"`
+}
+
+// The kinds of record.
+const (
+	opTaken  = "taken"
+	opBegun  = "begun"
+	opEnded  = "ended"
+	opOwed   = "owed"
+	opOver   = "over"
+	opHealth = "health"
+)
+
+// Journal keeps what a relay has taken on in a file that outlasts its process. Changes are buffered until
+// Commit; a write that returned outlasts SIGKILL, so there is no sync. It is not safe for concurrent use.
+type Journal struct {
+	path     string
+	limit    int // bytes of the old and the new file together while it is compacted
+	file     *os.File
+	size     int // of the file
+	live     int // bytes that the entries need, with room for their later records
+	reserved int // for messages that may be taken on before the next Commit
+	broken   bool
+	pending  []byte
+	entries  map[string]*Entry
+	order    []*Entry // as taken; those that are over leave at the next compaction
+	health   map[string]Health
+}
+
+// OpenJournal replays the journal in a folder, drops what can't be read at its end, and makes it ready.
+func OpenJournal(dir string, diskMB float64) (*Journal, error) {
+	j := &Journal{path: filepath.Join(dir, journalName), limit: int(diskShare * diskMB * 1e6),
+		entries: map[string]*Entry{}, health: map[string]Health{}}
+	// A process that ended while it compacted leaves a file that was never used.
+	if err := os.Remove(j.temporary()); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	raw, err := os.ReadFile(j.path)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	if rest := j.replay(raw); rest > 0 {
+		slog.Warn("journal: unreadable end skipped", "bytes", rest)
+	}
+	if err := j.compact(); err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	return j, nil
+}
+
+// Close closes the file.
+func (j *Journal) Close() error { return j.file.Close() }
+
+// Entries are the messages taken on and not over, in the order in which they were taken on.
+func (j *Journal) Entries() []*Entry {
+	return slices.DeleteFunc(slices.Clone(j.order), func(e *Entry) bool { return j.entries[e.ID] != e })
+}
+
+// Get gives a message that is not over, or nil.
+func (j *Journal) Get(id string) *Entry { return j.entries[id] }
+
+// Health is what is remembered of hosts.
+func (j *Journal) Health() map[string]Health { return j.health }
+
+// Reserve tells whether a message may be taken on, and keeps room for it until the next Commit: all that is
+// live must fit twice, or it could not be compacted.
+func (j *Journal) Reserve(e *Entry) bool {
+	if j.broken || 2*(j.live+j.reserved+need(e)) > j.limit {
+		return false
+	}
+	j.reserved += need(e)
+	return true
+}
+
+// need is the room that an entry takes up, with its later records.
+func need(e *Entry) int { return len(e.Body) + 4*len(e.ID) + len(e.Key) + attemptsRoom }
+
+// Take notes a message taken on.
+func (j *Journal) Take(e *Entry) { j.note(record{Op: opTaken, Entry: e}, e.Body) }
+
+// Begin notes an attempt; it must be committed before the attempt's first byte goes out.
+func (j *Journal) Begin(e *Entry, host string, at time.Time) {
+	j.note(record{Op: opBegun, ID: e.ID, Host: host, At: at}, nil)
+}
+
+// End notes the outcome of a message's last attempt.
+func (j *Journal) End(e *Entry, unrun bool) { j.note(record{Op: opEnded, ID: e.ID, Unrun: unrun}, nil) }
+
+// Owe notes that a message ends by a notice.
+func (j *Journal) Owe(e *Entry, n Notice) { j.note(record{Op: opOwed, ID: e.ID, Notice: &n}, nil) }
+
+// Over notes that nothing more is owed for a message.
+func (j *Journal) Over(e *Entry) { j.note(record{Op: opOver, ID: e.ID}, nil) }
+
+// Remember notes what a later process has to know of a host's outage.
+func (j *Journal) Remember(host string, h Health) {
+	j.note(record{Op: opHealth, Host: host, Health: &h}, nil)
+}
+
+// Forget drops what is remembered of a host that is gone; the file forgets with its next compaction.
+func (j *Journal) Forget(host string) { delete(j.health, host) }
+
+// note applies a record and buffers it.
+func (j *Journal) note(r record, body []byte) {
+	j.apply(r, body)
+	j.pending = appendRecord(j.pending, r, body)
+}
+
+// Commit writes what was noted. After an error nothing that needs a record may go on; the next Commit
+// starts a new file from what is in memory.
+func (j *Journal) Commit() error {
+	j.reserved = 0
+	n := len(j.pending)
+	if n == 0 && !j.broken {
+		return nil
+	}
+	var err error
+	switch full := j.size+n+j.live > j.limit; {
+	case j.broken || full || j.size+n > 2*j.live+slackSize:
+		err = j.compact()
+	default:
+		if _, err = j.file.Write(j.pending); err == nil {
+			j.size += n
+		}
+	}
+	j.pending = j.pending[:0]
+	if j.broken = err != nil; err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	return nil
+}
+
+func (j *Journal) temporary() string { return j.path + ".new" }
+
+// compact writes a new file with what is live and puts it in the old one's place.
+func (j *Journal) compact() error {
+	var b []byte
+	j.order = j.Entries()
+	for _, e := range j.order {
+		b = appendRecord(b, record{Op: opTaken, Entry: e}, e.Body)
+		for _, a := range e.Attempts {
+			b = appendRecord(b, record{Op: opBegun, ID: e.ID, Host: a.Host, At: a.Begun}, nil)
+			if a.Ended {
+				b = appendRecord(b, record{Op: opEnded, ID: e.ID, Unrun: a.Unrun}, nil)
+			}
+		}
+		if e.Owed != nil {
+			b = appendRecord(b, record{Op: opOwed, ID: e.ID, Notice: e.Owed}, nil)
+		}
+	}
+	for host, h := range j.health {
+		b = appendRecord(b, record{Op: opHealth, Host: host, Health: &h}, nil)
+	}
+	f, err := os.OpenFile(j.temporary(), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err = f.Write(b); err == nil {
+		err = os.Rename(j.temporary(), j.path)
+	}
+	if err != nil {
+		_ = f.Close()
+		_ = os.Remove(j.temporary())
+		return err
+	}
+	if j.file != nil {
+		_ = j.file.Close()
+	}
+	j.file, j.size = f, len(b)
+	return nil
+}
+
+// replay applies the records of a file and returns how many bytes at its end can't be read.
+func (j *Journal) replay(raw []byte) int {
+	for len(raw) > 0 {
+		r, body, n, err := readRecord(raw)
+		if err != nil {
+			return len(raw)
+		}
+		j.apply(r, body)
+		raw = raw[n:]
+	}
+	return 0
+}
+
+// apply changes the state in memory by one record.
+func (j *Journal) apply(r record, body []byte) {
+	switch {
+	case r.Op == opTaken && r.Entry != nil:
+		r.Entry.Body = body
+		j.entries[r.Entry.ID] = r.Entry
+		j.order = append(j.order, r.Entry)
+		j.live += need(r.Entry)
+		return
+	case r.Op == opHealth && r.Health != nil:
+		j.health[r.Host] = *r.Health
+		return
+	}
+	e := j.entries[r.ID]
+	if e == nil {
+		return
+	}
+	switch r.Op {
+	case opBegun:
+		e.Attempts = append(e.Attempts, Attempt{Host: r.Host, Begun: r.At})
+	case opEnded:
+		if n := len(e.Attempts); n > 0 {
+			e.Attempts[n-1].Ended, e.Attempts[n-1].Unrun = true, r.Unrun
+		}
+	case opOwed:
+		e.Owed = r.Notice
+	case opOver:
+		delete(j.entries, e.ID)
+		j.live -= need(e)
+	}
+}
+
+// appendRecord adds a record to b: header, JSON, body.
+func appendRecord(b []byte, r record, body []byte) []byte {
+	text, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // no record that we write can fail
+	}
+	start := len(b)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(text)))
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
+	b = append(b, 0, 0, 0, 0)
+	b = append(append(b, text...), body...)
+	sum := crc32.Update(crc32.Checksum(b[start:start+8], castagnoli), castagnoli, b[start+recordHead:])
+	binary.BigEndian.PutUint32(b[start+8:], sum)
+	return b
+}
+
+// readRecord reads the first record of raw and returns its length.
+func readRecord(raw []byte) (r record, body []byte, n int, err error) {
+	if len(raw) < recordHead {
+		return r, nil, 0, errors.New("torn header")
+	}
+	text, rest := int(binary.BigEndian.Uint32(raw)), int(binary.BigEndian.Uint32(raw[4:]))
+	if n = recordHead + text + rest; n > len(raw) {
+		return r, nil, 0, errors.New("torn record")
+	}
+	sum := crc32.Update(crc32.Checksum(raw[:8], castagnoli), castagnoli, raw[recordHead:n])
+	if sum != binary.BigEndian.Uint32(raw[8:]) {
+		return r, nil, 0, errors.New("bad checksum")
+	}
+	if err = json.Unmarshal(raw[recordHead:recordHead+text], &r); err != nil {
+		return r, nil, 0, fmt.Errorf("record: %w", err)
+	}
+	return r, slices.Clone(raw[recordHead+text : n]), n, nil
+}
--- /dev/null
+++ b/internal/relay/loop.go
@@ -0,0 +1,427 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"mallowlead/policy"
+)
+
+// inboxSize events wait for the loop without holding up the goroutines that bring them.
+const inboxSize = 1024
+
+// The events that goroutines send the loop.
+type (
+	// arrival is a message that a client hands in.
+	arrival struct {
+		entry   *Entry
+		verdict chan verdict // room for one
+	}
+	// departure says that a client left before its message was answered.
+	departure struct{ id string }
+	// answered is the end of a call.
+	answered struct {
+		id      string
+		attempt int
+		host    string
+		took    time.Duration
+		result
+	}
+	// told is a list, or a change of it.
+	told struct{ Members }
+	// watchEnded says that the watch on discovery ended or could not be had.
+	watchEnded struct{}
+	// received says that the platform has notices.
+	received struct{ ids []string }
+	// stopSending says that the process is about to end.
+	stopSending struct{}
+	// question asks whether anything is still to be done.
+	question struct{ idle chan bool }
+)
+
+// message is what the loop holds of a message taken on.
+type message struct {
+	*Entry
+	verdict chan verdict       // until it is answered
+	cancel  context.CancelFunc // of the call out; nil while there is none
+	over    bool               // ended, but a call is still out
+}
+
+// loop owns the dispatcher and the journal: nothing else touches their state. It batches events by tick,
+// hands them to the module, and carries out what that decides. It never waits for a socket.
+type loop struct {
+	cfg      *Config
+	d        *policy.Dispatcher
+	journal  *Journal
+	inbox    chan any
+	pool     *pool
+	watch    *watcher
+	notices  *notifier
+	start    time.Time
+	messages map[string]*message
+	hosts    map[string]Member
+	dests    map[int]bool // named by some list
+	wakeAt   time.Duration
+	stepped  time.Duration // when the last batch was handled
+	calls    context.Context
+	events   []policy.Event
+	fresh    []*message // arrivals of this batch
+	sends    []send     // of this batch
+	effects  []func()   // of this batch, once its records are written
+}
+
+// send is a call that the module wants made.
+type send struct {
+	m       *message
+	attempt int
+	host    Member
+	timeout time.Duration
+}
+
+// now is the module's clock: the time since 1970 as of the start, and steady from there on, so that the
+// times in the journal and the module's are of one kind.
+func (l *loop) now() time.Duration { return time.Duration(l.start.UnixNano()) + time.Since(l.start) }
+
+// clock turns a wall time into the module's.
+func (l *loop) clock(t time.Time) time.Duration { return time.Duration(t.UnixNano()) }
+
+// wall turns the module's time into a wall time.
+func (l *loop) wall(t time.Duration) time.Time { return time.Unix(0, int64(t)) }
+
+// put hands the loop an event.
+func (l *loop) put(e any) { l.inbox <- e }
+
+// restore takes up what the journal holds, and the list that the configuration gives.
+func (l *loop) restore() {
+	l.accept(told{Members{Seq: l.cfg.Known.Seq, Whole: true, Hosts: l.cfg.Known.Hosts}})
+	for host, h := range l.journal.Health() {
+		l.events = append(l.events, policy.Recalled{Endpoint: host, Sick: h.Sick, At: l.clock(h.At)})
+	}
+	for _, e := range l.journal.Entries() {
+		m := &message{Entry: e}
+		l.messages[e.ID] = m
+		if e.Owed != nil {
+			m.over = true
+			l.notices.in <- *e.Owed
+			continue
+		}
+		a := policy.Arrived{ID: e.ID, Class: l.class(e.Class), Destination: e.Dest, Resumed: true,
+			Left: l.clock(e.Expires) - l.now()}
+		for _, t := range e.Attempts {
+			// An attempt that was out when the process ended may have run.
+			a.Tried = append(a.Tried, policy.Tried{Endpoint: t.Host, Sent: l.clock(t.Begun), Unrun: t.Ended && t.Unrun})
+		}
+		l.events = append(l.events, a)
+	}
+	l.step()
+}
+
+// class gives the number of a class, or -1.
+func (l *loop) class(name string) int {
+	for i := range l.cfg.policy.Classes {
+		if l.cfg.policy.Classes[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// run serves until ctx ends.
+func (l *loop) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	sweep := time.NewTicker(time.Second)
+	defer sweep.Stop()
+	for {
+		timer.Reset(max(0, l.wakeAt-l.now()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-sweep.C:
+			l.pool.sweep()
+			continue
+		case e := <-l.inbox:
+			l.accept(e)
+		case <-timer.C:
+		}
+		// What comes within a tick of the last batch is one batch.
+		tick := time.NewTimer(l.stepped + l.cfg.policy.Tick - l.now())
+		for more := true; more; {
+			select {
+			case e := <-l.inbox:
+				l.accept(e)
+			case <-tick.C:
+				more = false
+			}
+		}
+		l.step()
+	}
+}
+
+// accept turns one event into the module's terms.
+func (l *loop) accept(e any) {
+	switch e := e.(type) {
+	case *arrival:
+		l.arrive(e)
+	case departure:
+		if m := l.messages[e.id]; m != nil && !m.over {
+			l.events = append(l.events, policy.Withdrawn{ID: e.id})
+			l.end(m)
+		}
+	case answered:
+		l.answered(e)
+	case told:
+		l.told(e.Members)
+	case watchEnded:
+		l.events = append(l.events, policy.ListFailed{})
+	case received:
+		for _, id := range e.ids {
+			if m := l.messages[id]; m != nil {
+				l.end(m)
+			}
+		}
+	case stopSending:
+		l.events = append(l.events, policy.Stopping{})
+	case question:
+		e.idle <- len(l.messages) == 0
+	}
+}
+
+// arrive takes in a message that is handed in.
+func (l *loop) arrive(a *arrival) {
+	if m := l.messages[a.entry.ID]; m != nil {
+		// The same message once more, as after a connection that broke: it is ours already, unless it is over.
+		if m.over {
+			a.verdict <- verdict{status: http.StatusServiceUnavailable}
+		} else {
+			a.verdict <- verdict{status: http.StatusAccepted}
+		}
+		return
+	}
+	if !l.dests[a.entry.Dest] || !l.journal.Reserve(a.entry) {
+		// Guards the module against destinations that no list has named, and the disk against overflow.
+		a.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
+		return
+	}
+	m := &message{Entry: a.entry, verdict: a.verdict}
+	l.messages[m.ID] = m
+	l.fresh = append(l.fresh, m)
+	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest,
+		Left: l.clock(m.Expires) - l.now()})
+}
+
+// answered takes in the end of a call.
+func (l *loop) answered(e answered) {
+	m := l.messages[e.id] // stays as long as a call is out
+	m.cancel = nil
+	unrun := e.outcome == policy.QueueFull || e.outcome == policy.ConnectError || e.outcome == policy.Ignored
+	if l.journal.Get(m.ID) == m.Entry {
+		l.journal.End(m.Entry, unrun)
+	}
+	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.outcome,
+		Wait: e.wait, Took: e.took, Over: e.over, Spent: e.spent, Report: e.report})
+	if e.over || m.over && m.Owed == nil {
+		l.end(m)
+	}
+}
+
+// told takes in a change of the list.
+func (l *loop) told(m Members) {
+	named := map[string]bool{}
+	for _, h := range m.Hosts {
+		named[h.Host] = true
+		old, had := l.hosts[h.Host]
+		if had && (old.Dial != h.Dial || h.Health == deleted) {
+			l.pool.closeIdle(old.Dial)
+		}
+		if h.Health == deleted {
+			l.forget(h.Host)
+			continue
+		}
+		l.hosts[h.Host] = h
+		l.dests[h.Block] = true
+	}
+	if m.Whole {
+		for id, h := range l.hosts {
+			if !named[id] {
+				l.pool.closeIdle(h.Dial)
+				l.forget(id)
+			}
+		}
+	}
+	l.events = append(l.events, m.listed(&l.cfg.Settings))
+}
+
+func (l *loop) forget(host string) {
+	delete(l.hosts, host)
+	l.journal.Forget(host)
+}
+
+// end notes that nothing more is owed for a message.
+func (l *loop) end(m *message) {
+	m.over = true
+	if l.journal.Get(m.ID) == m.Entry {
+		l.journal.Over(m.Entry)
+	}
+	m.Owed = nil
+	if m.cancel == nil {
+		delete(l.messages, m.ID)
+	}
+}
+
+// step lets the module act on a batch, and carries its actions out once what they need is in the journal.
+func (l *loop) step() {
+	now := l.now()
+	l.stepped = now
+	if l.wakeAt <= now {
+		l.wakeAt = now + time.Hour
+		l.events = append(l.events, policy.Woken{})
+	}
+	events := l.events
+	l.events = nil
+	actions := l.d.Handle(now, events)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case policy.Refuse:
+			l.refuse(l.messages[a.ID], verdict{http.StatusTooManyRequests, a.StayAway}, deferred)
+		case policy.Fail:
+			l.refuse(l.messages[a.ID], verdict{status: http.StatusBadGateway}, undeliverable)
+		}
+	}
+	l.admitted()
+	for _, a := range actions {
+		l.act(now, a)
+	}
+	l.commit()
+}
+
+// admitted takes on the arrivals of this batch that were not refused.
+func (l *loop) admitted() {
+	for _, m := range l.fresh {
+		if !m.over {
+			l.journal.Take(m.Entry)
+		}
+	}
+}
+
+// refuse ends a message undelivered: by its answer if that is still due, else by a notice.
+func (l *loop) refuse(m *message, v verdict, status string) {
+	if m == nil || m.over {
+		return
+	}
+	if reply := m.verdict; reply != nil {
+		m.verdict = nil
+		l.effects = append(l.effects, func() { reply <- v })
+		l.end(m)
+		return
+	}
+	m.over = true
+	n := Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
+	l.journal.Owe(m.Entry, n)
+	l.effects = append(l.effects, func() { l.notices.in <- n })
+}
+
+// act carries out one action other than an end.
+func (l *loop) act(now time.Duration, a policy.Action) {
+	switch a := a.(type) {
+	case policy.Send:
+		l.send(now, a)
+	case policy.Cancel:
+		if m := l.messages[a.ID]; m != nil && m.cancel != nil && a.Attempt == len(m.Attempts)-1 {
+			l.effects = append(l.effects, m.cancel)
+		}
+	case policy.CloseIdle:
+		if h, ok := l.hosts[a.Endpoint]; ok {
+			l.effects = append(l.effects, func() { l.pool.closeIdle(h.Dial) })
+		}
+	case policy.Wake:
+		l.wakeAt = min(l.wakeAt, now+a.After)
+	case policy.Subscribe:
+		l.watch.ask()
+	case policy.Remember:
+		if _, ok := l.hosts[a.Endpoint]; ok {
+			l.journal.Remember(a.Endpoint, Health{Sick: a.Sick, At: l.wall(a.At)})
+		}
+	}
+}
+
+// send notes an attempt and makes it ready to go.
+func (l *loop) send(now time.Duration, a policy.Send) {
+	m := l.messages[a.ID]
+	if m == nil || m.over {
+		return
+	}
+	h, ok := l.hosts[a.Endpoint]
+	left := l.clock(m.Expires) - now
+	s := send{m: m, attempt: len(m.Attempts), host: h, timeout: left}
+	if a.Timeout > 0 {
+		s.timeout = min(left, a.Timeout)
+	}
+	l.journal.Begin(m.Entry, a.Endpoint, l.wall(now))
+	if !ok || h.Block != m.Dest {
+		// Guards the protocol's rule that a message goes only to a listed host of its destination.
+		slog.Error("send to a host that is not of the destination", "host", a.Endpoint, "dest", m.Dest)
+		l.unsent(s)
+		return
+	}
+	l.sends = append(l.sends, s)
+}
+
+// unsent reports an attempt that was not made.
+func (l *loop) unsent(s send) {
+	l.answered(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, result: result{outcome: policy.Ignored}})
+	l.wakeAt = 0 // the module has an event to act on
+}
+
+// commit writes the batch's records, and only then answers clients and makes calls: what was answered with
+// 202 and what was sent must be known to a later process.
+func (l *loop) commit() {
+	err := l.journal.Commit()
+	fresh, sends, effects := l.fresh, l.sends, l.effects
+	l.fresh, l.sends, l.effects = nil, nil, nil
+	if err != nil {
+		slog.Error("nothing taken on or sent", "err", err)
+	}
+	for _, m := range fresh {
+		switch reply := m.verdict; {
+		case reply == nil: // refused
+		case err != nil:
+			reply <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
+			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
+			l.wakeAt = 0 // the module has an event to act on
+		default:
+			m.verdict = nil
+			reply <- verdict{status: http.StatusAccepted}
+		}
+	}
+	for _, s := range sends {
+		if err != nil {
+			l.unsent(s)
+			continue
+		}
+		l.call(s)
+	}
+	for _, m := range fresh {
+		if m.verdict != nil { // not taken on after all
+			l.end(m)
+		}
+	}
+	for _, do := range effects {
+		do()
+	}
+}
+
+// call makes a call in a goroutine of its own.
+func (l *loop) call(s send) {
+	ctx, cancel := context.WithCancel(l.calls)
+	s.m.cancel = cancel
+	r := request{addr: s.host.Dial, id: s.m.ID, key: s.m.Key, body: s.m.Body, timeout: s.timeout}
+	go func() {
+		defer cancel()
+		begun := time.Now()
+		res := l.pool.call(ctx, r)
+		l.put(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: time.Since(begun), result: res})
+	}()
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"mallowlead/internal/settings"
+	"mallowlead/policy"
+)
+
+// The stages of a planned end, from the signal on. Connections go on coming for up to 0.4 s, and the process
+// may be killed after 3.7 s.
+const (
+	listenOn  = time.Second             // until then new connections are taken
+	sendOn    = 2900 * time.Millisecond // until then calls begin
+	callsOn   = 3400 * time.Millisecond // until then calls come to their end
+	askIdle   = 50 * time.Millisecond   // between looks whether all is done
+	lastWords = 100 * time.Millisecond  // for answers that are being written
+)
+
+// Run runs a relay until ctx ends, and then brings it to an orderly end: it goes on serving for as long as
+// clients may still come, and leaves what is not delivered by then to the journal in dir.
+func Run(ctx context.Context, cfg *Config, dir string) error {
+	d, err := policy.New(cfg.policy, cfg.seed)
+	if err != nil {
+		return err
+	}
+	journal, err := OpenJournal(dir, cfg.Limits.DiskMB)
+	if err != nil {
+		return err
+	}
+	defer journal.Close()
+
+	live, stop := context.WithCancel(context.Background())
+	defer stop()
+	s := cfg.Settings
+	l := &loop{cfg: cfg, d: d, journal: journal, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
+		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{},
+		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle,
+			max(1, int(hostShare*float64(cfg.Limits.Sockets))))}
+	l.watch = newWatcher(cfg.Discovery, cfg.Known.Seq, func(m Members) { l.put(told{m}) },
+		func() { l.put(watchEnded{}) })
+	// All that is held may come to its end at once, with more from an earlier process.
+	room := len(journal.Entries()) + 2*cfg.policy.HoldRoom
+	l.notices = newNotifier(cfg.Discovery, room, func(ids []string) { l.put(received{ids}) })
+	l.restore()
+
+	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(id string) { l.put(departure{id}) })
+	listener, err := srv.listen(cfg)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	var work sync.WaitGroup
+	work.Go(func() { l.run(live) })
+	work.Go(func() { l.watch.run(live) })
+	work.Go(func() { l.notices.run(live) })
+	served := make(chan error, 1)
+	go func() { served <- srv.http.Serve(listener) }()
+
+	select {
+	case err = <-served:
+	case <-ctx.Done():
+		l.drain(srv, func() { _ = listener.Close() })
+	}
+	stop()
+	work.Wait()
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// drain brings a relay to its end. No request that was read goes unanswered: answers close their
+// connections, and those that stay unused are closed last.
+func (l *loop) drain(srv *server, closeListener func()) {
+	begun := time.Now()
+	until := func(stage time.Duration) time.Duration { return time.Until(begun.Add(stage)) }
+	srv.closing.Store(true)
+	time.Sleep(until(listenOn))
+	closeListener()
+	for until(sendOn) > 0 && !l.idle() {
+		time.Sleep(askIdle)
+	}
+	l.put(stopSending{})
+	for until(callsOn) > 0 && !l.idle() {
+		time.Sleep(askIdle)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	if err := srv.http.Shutdown(ctx); err != nil {
+		slog.Warn("connections left", "err", err)
+	}
+}
+
+// idle tells whether nothing is held.
+func (l *loop) idle() bool {
+	q := question{make(chan bool, 1)}
+	l.put(q)
+	return <-q.idle
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,13 +1,17 @@
-package wire
+// Package settings decodes the settings object that an instance gets at its start, from the simulator's wire
+// or from the configuration of a real relay, and translates it into the terms of package policy.
+package settings
 
 import (
 	"fmt"
+	"math"
+	"time"
 
 	"mallowlead/policy"
 )
 
-// settings are the start-up parameters of the wire that the policy needs.
-type settings struct {
+// Settings are the start-up parameters that the module and the relay need, named as in the object.
+type Settings struct {
 	Az         int `json:"az"`
 	Categories []struct {
 		Name        string  `json:"name"`
@@ -24,14 +28,16 @@
 	Limits    struct {
 		Cancel         bool    `json:"cancel"`
 		ConnIdleS      float64 `json:"conn_idle_s"`
+		ConnTimeoutS   float64 `json:"connect_timeout_s"`
 		MaxAttempts    int     `json:"max_attempts"`
 		MaxOpen        int     `json:"max_open"`
 		MaxRetryAfterS float64 `json:"max_retry_after_s"`
 		RetryAfter     bool    `json:"retry_after"`
 		SecondCopies   bool    `json:"second_copies"`
 	} `json:"limits"`
-	NInstances int     `json:"n_instances"`
-	QuantumS   float64 `json:"quantum_s"`
+	Localities []string `json:"localities"`
+	NInstances int      `json:"n_instances"`
+	QuantumS   float64  `json:"quantum_s"`
 	Rules      struct {
 		ColdShare      float64 `json:"cold_share"`
 		OverloadFactor float64 `json:"overload_factor"`
@@ -47,6 +53,9 @@
 		RouteFee       []float64 `json:"route_fee"`
 		SeparateRoutes []bool    `json:"separate_routes"`
 	} `json:"specifics"`
+	Tenants []struct {
+		Name string `json:"name"`
+	} `json:"tenants"`
 	Weights string `json:"weights"`
 }
 
@@ -56,19 +65,19 @@
 		"rough": policy.WeightsRough}
 )
 
-// policy translates the settings into the policy's terms.
-func (s *settings) policy() (policy.Settings, error) {
+// Policy translates the settings into the policy's terms.
+func (s *Settings) Policy() (policy.Settings, error) {
 	p := policy.Settings{
 		Instances: s.NInstances, Zone: s.Az, ZoneFee: s.Specifics.RouteFee, Slots: s.Specifics.MaxCalls,
 		HoldRoom: s.Limits.MaxOpen, MaxAttempts: s.Limits.MaxAttempts, SecondCopies: s.Limits.SecondCopies,
 		CanCancel: s.Limits.Cancel,
-		Tick:      seconds(s.QuantumS),
-		ColdShare: s.Rules.ColdShare, RampTime: seconds(s.Rules.RampTimeS),
-		OverloadFactor: s.Rules.OverloadFactor, OverloadFor: seconds(s.Rules.OverloadForS),
-		OrderPause: seconds(s.Rules.OrderPauseS), ConnIdle: seconds(s.Limits.ConnIdleS),
+		Tick:      Seconds(s.QuantumS),
+		ColdShare: s.Rules.ColdShare, RampTime: Seconds(s.Rules.RampTimeS),
+		OverloadFactor: s.Rules.OverloadFactor, OverloadFor: Seconds(s.Rules.OverloadForS),
+		OrderPause: Seconds(s.Rules.OrderPauseS), ConnIdle: Seconds(s.Limits.ConnIdleS),
 	}
 	if s.Limits.RetryAfter {
-		p.MaxStayAway = seconds(s.Limits.MaxRetryAfterS)
+		p.MaxStayAway = Seconds(s.Limits.MaxRetryAfterS)
 	}
 	switch s.Discovery {
 	case "subscribe":
@@ -86,10 +95,10 @@
 		if !ok {
 			return p, fmt.Errorf("settings: categories[%d].idempotency: unknown effect %q", i, c.Idempotency)
 		}
-		p.Classes = append(p.Classes, policy.Class{Name: c.Name, Aim: seconds(c.AimS),
-			Deadline: seconds(c.DeadlineS), Worth: c.Points, LateShare: c.LateShare,
+		p.Classes = append(p.Classes, policy.Class{Name: c.Name, Aim: Seconds(c.AimS),
+			Deadline: Seconds(c.DeadlineS), Worth: c.Points, LateShare: c.LateShare,
 			Halving: s.Specifics.LosesWorth == "halving", Effect: effect, ByZone: c.Group != "all",
-			Memory: seconds(c.MemorySpanS), Ordered: c.FifoByKey})
+			Memory: Seconds(c.MemorySpanS), Ordered: c.FifoByKey})
 	}
 	for i := range s.Shapes {
 		k := policy.Kind{Bundle: 1}
@@ -103,3 +112,8 @@
 	}
 	return p, nil
 }
+
+// Seconds gives a number of seconds as a duration.
+func Seconds(v float64) time.Duration {
+	return time.Duration(math.Round(v * float64(time.Second)))
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,7 @@
 	"math"
 	"time"
 
+	"mallowlead/internal/settings"
 	"mallowlead/policy"
 )
 
@@ -109,12 +110,12 @@
 
 func (s *session) begin(f *fields) {
 	id, seed := f.whole(1), f.whole(2)
-	var raw settings
+	var raw settings.Settings
 	f.decode(3, &raw)
 	if f.err != nil {
 		return
 	}
-	set, err := raw.policy()
+	set, err := raw.Policy()
 	if err == nil {
 		var d *policy.Dispatcher
 		if d, err = policy.New(set, seed); err == nil {
@@ -245,7 +246,7 @@
 func (f *fields) number(i int) (v float64) { f.decode(i, &v); return v }
 func (f *fields) truth(i int) (v bool)     { f.decode(i, &v); return v }
 
-func (f *fields) seconds(i int) time.Duration { return seconds(f.number(i)) }
+func (f *fields) seconds(i int) time.Duration { return settings.Seconds(f.number(i)) }
 
 func (f *fields) whole(i int) int64 {
 	var n json.Number
@@ -296,7 +297,3 @@
 	}
 	return list
 }
-
-func seconds(v float64) time.Duration {
-	return time.Duration(math.Round(v * float64(time.Second)))
-}
--- a/policy/api.go
+++ b/policy/api.go
@@ -98,6 +98,13 @@
 	Limit float64 // calls a second; 0 where there is no limit
 }
 
+// Tried is an attempt that an earlier process of this relay made.
+type Tried struct {
+	Endpoint string
+	Sent     time.Duration
+	Unrun    bool // proved never to have run
+}
+
 // Event is something that happened to a dispatcher.
 type Event interface{ event() }
 
@@ -110,6 +117,10 @@
 		Destination int
 		Left        time.Duration // until it is given up
 		Key         string        // of ordered classes, or empty
+		// Resumed says that an earlier process of this relay took the message on: it is not up for
+		// admission again. Tried are that process's attempts, which count as this one's.
+		Resumed bool
+		Tried   []Tried
 	}
 	// Ended reports how an attempt ended.
 	Ended struct {
@@ -120,6 +131,7 @@
 		Wait     time.Duration // told to wait
 		Took     time.Duration
 		Over     bool    // the message has its final answer
+		Spent    bool    // the message has had all its attempts
 		Report   *Report // or nil
 	}
 	// Withdrawn says that nobody wants a message any more; no answer is owed.
@@ -131,6 +143,10 @@
 	}
 	// ListFailed says that a subscription failed or was dropped.
 	ListFailed struct{}
+	// Recalled tells what an earlier process of this relay remembered of a listed endpoint.
+	Recalled Remember
+	// Stopping says that this process is about to end: nothing more is sent.
+	Stopping struct{}
 	// Woken says that a timer fell due.
 	Woken struct{}
 )
@@ -140,6 +156,8 @@
 func (Withdrawn) event()  {}
 func (Listed) event()     {}
 func (ListFailed) event() {}
+func (Recalled) event()   {}
+func (Stopping) event()   {}
 func (Woken) event()      {}
 
 // Action is something that a dispatcher wants done.
@@ -171,6 +189,13 @@
 	Wake struct{ After time.Duration }
 	// Subscribe asks for changes of the list.
 	Subscribe struct{}
+	// Remember is what a later process of this relay has to know of an endpoint: that it is out, or when
+	// it came back.
+	Remember struct {
+		Endpoint string
+		Sick     bool
+		At       time.Duration
+	}
 )
 
 func (Send) action()      {}
@@ -180,3 +205,4 @@
 func (CloseIdle) action() {}
 func (Wake) action()      {}
 func (Subscribe) action() {}
+func (Remember) action()  {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -3,7 +3,7 @@
 //
 // The ordinary path is Hyytiä's admission control for parallel first-come queues: an arriving message is
 // refused at once when the backlog of its destination leaves it no time, tightened by the value-function
-// bound. Everything else here is a guard for what the paper does not treat; docs/design.md lists them.
+// bound. Everything else here is a guard for what the paper does not treat.
 package policy
 
 import (
@@ -111,6 +111,10 @@
 			if d.s.Subscribe {
 				d.resub = d.now + subscribeAgain
 			}
+		case Recalled:
+			d.recall(e)
+		case Stopping:
+			d.stopping = true
 		}
 	}
 	if d.now >= d.resub {
@@ -144,7 +148,7 @@
 		left = math.Min(left, d.lateAge(m.class).Seconds()) // little time left need not be age
 	}
 	room := roomShare * float64(d.s.HoldRoom)
-	crowded := float64(len(d.live)) > room && float64(len(q.held)) > room/2
+	crowded := float64(len(d.live)) > room && float64(len(q.held)) > room/2 || len(d.live) > d.s.HoldRoom
 	if refusing(u, x, left-x, λ-r, len(q.held) > 0) || crowded {
 		d.refuse(m, u+2*x-left)
 		return
@@ -266,7 +270,7 @@
 // dispatch gives free slots in turns to the queues that can send: fewest calls out first, and among these
 // the message whose worth falls first.
 func (d *Dispatcher) dispatch() {
-	for d.out < d.s.Slots {
+	for d.out < d.s.Slots && !d.stopping {
 		var best *queue
 		var ep *endpoint
 		var first *message
@@ -400,9 +404,7 @@
 	switch {
 	case first == nil || m.class.Effect == Safe:
 		return true
-	case m.class.Effect == Unsafe:
-		return false
-	case ep != nil && m.class.ByZone && first.call.ep.Zone != ep.Zone:
+	case m.class.Effect == Unsafe || ep != nil && m.class.ByZone && first.call.ep.Zone != ep.Zone:
 		return false
 	}
 	return d.now+2*d.s.Tick < first.sent+m.class.Memory
@@ -603,7 +605,7 @@
 	case m.over:
 		d.retire(m)
 	case m.open > 0:
-	case d.now >= m.expires-d.s.Tick || len(m.attempts) >= d.s.MaxAttempts || !d.repeatable(m, nil):
+	case e.Spent || len(m.attempts) >= d.s.MaxAttempts, d.now >= m.expires-d.s.Tick || !d.repeatable(m, nil):
 		d.giveUp(m)
 	default:
 		d.hold(d.route(m), m)
@@ -656,18 +658,6 @@
 	}
 }
 
-// observe adds a latency to the means; the first ones weigh more, as what was there is borrowed.
-func (l *latencies) observe(class int, took float64) {
-	l.n++
-	gain := math.Max(latencyGain, 1/float64(l.n+1))
-	for _, mean := range []*float64{&l.mean, &l.class[class]} {
-		if *mean == 0 {
-			*mean = took
-		}
-		*mean += gain * (took - *mean)
-	}
-}
-
 // borrow fills what a queue does not know of its latencies from all destinations of its kind.
 func (d *Dispatcher) borrow(q *queue) {
 	pool := d.pool(q.kind)
@@ -695,6 +685,7 @@
 		d.epTokens(ep)
 		ep.sick, ep.ramping, ep.recovered = false, true, d.now
 		ep.tokens = math.Max(ep.tokens, d.phase(ep))
+		d.act(Remember{Endpoint: ep.ID, At: d.now})
 		for _, other := range q.eps {
 			other.tokens = math.Max(other.tokens, 1) // outages mostly end for a whole destination
 		}
@@ -733,6 +724,7 @@
 	}
 	ep.sick, ep.ramping, ep.sickAt, ep.q.ill = true, false, d.now, true
 	ep.tokens, ep.tokensAt = d.phase(ep), max(d.now, ep.q.waitUntil)
+	d.act(Remember{Endpoint: ep.ID, Sick: true, At: d.now})
 	if ep.q.apart {
 		d.reroute(ep.q)
 	}
@@ -906,8 +898,3 @@
 		d.act(Wake{After: next - d.now})
 	}
 }
-
-// wait is the time in which tokens come at a rate, a little more than less.
-func wait(tokens, rate float64) time.Duration {
-	return time.Duration(math.Min(3600, math.Max(0, tokens)/rate)*float64(time.Second)) + time.Microsecond
-}
--- a/policy/state.go
+++ b/policy/state.go
@@ -31,6 +31,7 @@
 	meanWorth  float64
 	resub      time.Duration // when to subscribe
 	wakeAt     time.Duration // when the next timer is due; 0 for none
+	stopping   bool          // send nothing more
 	actions    []Action
 	chance     *rand.Rand
 	pools      map[int]*latencies // by kind of destination
@@ -80,6 +81,18 @@
 	class []float64
 }
 
+// observe adds a latency to the means; the first ones weigh more, as what was there is borrowed.
+func (l *latencies) observe(class int, took float64) {
+	l.n++
+	gain := math.Max(latencyGain, 1/float64(l.n+1))
+	for _, mean := range []*float64{&l.mean, &l.class[class]} {
+		if *mean == 0 {
+			*mean = took
+		}
+		*mean += gain * (took - *mean)
+	}
+}
+
 // bucket is a token bucket.
 type bucket struct {
 	tokens   float64
@@ -93,6 +106,11 @@
 	return b.tokens
 }
 
+// wait is the time in which tokens come at a rate, a little more than less.
+func wait(tokens, rate float64) time.Duration {
+	return time.Duration(math.Min(3600, math.Max(0, tokens)/rate)*float64(time.Second)) + time.Microsecond
+}
+
 // endpoint is one listed endpoint and what is known of its health.
 type endpoint struct {
 	Endpoint
@@ -177,9 +195,41 @@
 	if m.class.Ordered && m.Key != "" {
 		d.keys[m.Key] = append(d.keys[m.Key], m)
 	}
+	if e.Resumed {
+		d.resume(m)
+		return nil
+	}
 	return m
 }
 
+// resume puts a message that an earlier process admitted back into its queue, with the attempts made for it.
+func (d *Dispatcher) resume(m *message) {
+	for _, t := range m.Tried {
+		ep := d.endpoints[t.Endpoint]
+		if ep == nil {
+			ep = &endpoint{Endpoint: Endpoint{ID: t.Endpoint, Destination: m.Destination, Gone: true}}
+		}
+		m.attempts = append(m.attempts, attempt{call: &call{ep: ep, sent: t.Sent}, sent: t.Sent, unrun: t.Unrun})
+		if !t.Unrun {
+			m.rest = max(m.rest, d.now+d.s.OrderPause)
+		}
+	}
+	d.hold(d.route(m), m)
+}
+
+// recall takes over an endpoint's outage or ramp from an earlier process, so that a restart in the middle of
+// either does not send to a cold destination as to a warm one.
+func (d *Dispatcher) recall(e Recalled) {
+	ep := d.endpoints[e.Endpoint]
+	switch {
+	case ep == nil:
+	case e.Sick:
+		d.sicken(ep)
+	case d.now-e.At < d.s.RampTime:
+		ep.ramping, ep.recovered = true, e.At
+	}
+}
+
 // pool gives what is known of a kind.
 func (d *Dispatcher) pool(kind int) *latencies {
 	if d.pools[kind] == nil {
