--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -24,6 +24,8 @@
 	idleShare = 0.8
 	// drainTime is how long the body of an answer may take before its connection is given up.
 	drainTime = 100 * time.Millisecond
+	// maxAnswer bytes of an answer are read, its head included: what a host sends must not fill the memory.
+	maxAnswer = 2 * maxBody
 	// mostInterim 1xx answers may come ahead of the real one.
 	mostInterim = 8
 )
@@ -62,8 +64,9 @@
 // conn is a connection to a host.
 type conn struct {
 	net.Conn
-	in    *bufio.Reader
-	since time.Time // idle since
+	limit *io.LimitedReader // what may still be read for the call
+	in    *bufio.Reader     // reads from limit
+	since time.Time         // idle since
 }
 
 // newPool keeps at most room idle connections, each for less than hostIdle.
@@ -112,8 +115,8 @@
 	}
 	res = classify(resp)
 	_ = c.SetDeadline(time.Now().Add(drainTime))
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody+1))
-	reuse = err == nil && n <= maxBody && !resp.Close && c.in.Buffered() == 0 && c.SetDeadline(time.Time{}) == nil
+	_, err = io.Copy(io.Discard, resp.Body)
+	reuse = err == nil && !resp.Close && c.in.Buffered() == 0 && c.SetDeadline(time.Time{}) == nil
 	return res, reuse
 }
 
@@ -136,6 +139,7 @@
 
 // answer reads the answer to a request, past any interim ones.
 func (c *conn) answer() (*http.Response, error) {
+	c.limit.N = maxAnswer
 	for range mostInterim {
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodPost})
 		if err != nil || resp.StatusCode >= http.StatusOK {
@@ -210,7 +214,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
-	return &conn{Conn: raw, in: bufio.NewReader(raw)}, nil
+	limit := &io.LimitedReader{R: raw, N: maxAnswer}
+	return &conn{Conn: raw, limit: limit, in: bufio.NewReader(limit)}, nil
 }
 
 // put keeps a connection for the next call.
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -102,6 +102,18 @@
 		{"connection refused", closed.Addr().String(), result{outcome: policy.ConnectError}},
 		{"closed with no answer", readThen(func(net.Conn) {}), result{outcome: policy.Reset}},
 		{"reset", readThen(func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }), result{outcome: policy.Reset}},
+		{"a head without end", readThen(func(c net.Conn) {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			for err == nil {
+				_, err = io.WriteString(c, "X-More: and more\r\n")
+			}
+		}), result{outcome: policy.Reset}},
+		{"a body without end", readThen(func(c net.Conn) {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+			for err == nil {
+				_, err = io.WriteString(c, strings.Repeat("more", 1000))
+			}
+		}), result{outcome: policy.OK, over: true}},
 		{"no HTTP", readThen(func(c net.Conn) { _, _ = io.WriteString(c, "what?\r\n\r\n") }), result{outcome: policy.Reset}},
 	}
 	for _, tt := range tests {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -95,19 +95,21 @@
 
 // restore takes up what the journal holds, and the list that the configuration gives.
 func (l *loop) restore() {
-	l.accept(told{Members{Seq: l.cfg.Known.Seq, Whole: true, Hosts: l.cfg.Known.Hosts}})
-	for host, h := range l.journal.Health() {
-		l.events = append(l.events, policy.Recalled{Endpoint: host, Sick: h.Sick, At: l.clock(h.At)})
-	}
+	l.told(l.cfg.Known)
 	for _, e := range l.journal.Entries() {
 		m := &message{Entry: e}
 		l.messages[e.ID] = m
 		if e.Owed != nil {
 			m.over = true
-			l.notices.in <- *e.Owed
+			l.notices.owe(*e.Owed)
+			continue
+		}
+		class := l.class(e.Class)
+		if class < 0 { // the settings have changed, and the module could not end it
+			l.refuse(m, verdict{}, undeliverable)
 			continue
 		}
-		a := policy.Arrived{ID: e.ID, Class: l.class(e.Class), Destination: e.Dest, Resumed: true,
+		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true,
 			Left: l.clock(e.Expires) - l.now()}
 		for _, t := range e.Attempts {
 			// An attempt that was out when the process ended may have run.
@@ -174,6 +176,13 @@
 		l.answered(e)
 	case told:
 		l.told(e.Members)
+		if e.Whole {
+			for host := range l.journal.Health() {
+				if _, ok := l.hosts[host]; !ok {
+					l.journal.Forget(host)
+				}
+			}
+		}
 	case watchEnded:
 		l.events = append(l.events, policy.ListFailed{})
 	case received:
@@ -230,6 +239,7 @@
 // told takes in a change of the list.
 func (l *loop) told(m Members) {
 	named := map[string]bool{}
+	var recalled []policy.Event
 	for _, h := range m.Hosts {
 		named[h.Host] = true
 		old, had := l.hosts[h.Host]
@@ -242,6 +252,10 @@
 		}
 		l.hosts[h.Host] = h
 		l.dests[h.Block] = true
+		if health, ok := l.journal.Health()[h.Host]; ok && !had {
+			// An earlier process saw it go out; the list that came with the configuration may lack it.
+			recalled = append(recalled, policy.Recalled{Endpoint: h.Host, Sick: health.Sick, At: l.clock(health.At)})
+		}
 	}
 	if m.Whole {
 		for id, h := range l.hosts {
@@ -251,7 +265,7 @@
 			}
 		}
 	}
-	l.events = append(l.events, m.listed(&l.cfg.Settings))
+	l.events = append(append(l.events, m.listed(&l.cfg.Settings)), recalled...)
 }
 
 func (l *loop) forget(host string) {
@@ -320,7 +334,7 @@
 	m.over = true
 	n := Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
 	l.journal.Owe(m.Entry, n)
-	l.effects = append(l.effects, func() { l.notices.in <- n })
+	l.effects = append(l.effects, func() { l.notices.owe(n) })
 }
 
 // act carries out one action other than an end.
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -36,30 +37,49 @@
 type notifier struct {
 	url    string
 	client *http.Client
-	in     chan Notice
 	done   func(ids []string)
+	more   chan struct{} // something is owed
+
+	mu   sync.Mutex
+	owed []Notice // as many as the journal has room for
 }
 
-// newNotifier makes a notifier that can hold room notices without blocking who owes them.
-func newNotifier(discovery string, room int, done func([]string)) *notifier {
-	return &notifier{url: "http://" + discovery + "/v1/outcomes", done: done, in: make(chan Notice, room),
+func newNotifier(discovery string, done func([]string)) *notifier {
+	return &notifier{url: "http://" + discovery + "/v1/outcomes", done: done, more: make(chan struct{}, 1),
 		client: &http.Client{Timeout: noticeTimeout}}
 }
 
+// owe adds a notice; it never blocks, however long the platform may be out of reach.
+func (n *notifier) owe(notice Notice) {
+	n.mu.Lock()
+	n.owed = append(n.owed, notice)
+	n.mu.Unlock()
+	select {
+	case n.more <- struct{}{}:
+	default: // known already
+	}
+}
+
+// take gives the next batch, or nothing.
+func (n *notifier) take() []Notice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	batch := n.owed[:min(len(n.owed), noticeBatch)]
+	n.owed = n.owed[len(batch):]
+	return batch
+}
+
 // run posts what is owed until ctx ends.
 func (n *notifier) run(ctx context.Context) {
 	for {
-		var batch []Notice
 		select {
 		case <-ctx.Done():
 			return
-		case first := <-n.in:
-			batch = append(batch, first)
+		case <-n.more:
 		}
-		for len(batch) < noticeBatch && len(n.in) > 0 {
-			batch = append(batch, <-n.in)
+		for batch := n.take(); len(batch) > 0; batch = n.take() {
+			n.deliver(ctx, batch)
 		}
-		n.deliver(ctx, batch)
 	}
 }
 
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -61,6 +61,7 @@
 	addr      string // the relay's
 	dir       string
 	memory    float64
+	unknown   bool // the configuration lists no host
 
 	mu      sync.Mutex
 	hosts   []Member
@@ -177,7 +178,11 @@
 func (p *platform) config() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known, err := json.Marshal(Members{Seq: 40, Whole: true, Hosts: p.hosts})
+	list := Members{Seq: 40, Whole: true, Hosts: p.hosts}
+	if p.unknown {
+		list.Hosts = nil
+	}
+	known, err := json.Marshal(list)
 	if err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,9 +45,7 @@
 			max(1, int(hostShare*float64(cfg.Limits.Sockets))))}
 	l.watch = newWatcher(cfg.Discovery, cfg.Known.Seq, func(m Members) { l.put(told{m}) },
 		func() { l.put(watchEnded{}) })
-	// All that is held may come to its end at once, with more from an earlier process.
-	room := len(journal.Entries()) + 2*cfg.policy.HoldRoom
-	l.notices = newNotifier(cfg.Discovery, room, func(ids []string) { l.put(received{ids}) })
+	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	l.restore()
 
 	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(id string) { l.put(departure{id}) })
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// readEntries reads a journal that a relay may be writing.
-func readEntries(t *testing.T, dir string) []*Entry {
+// readJournal reads a journal that a relay may be writing.
+func readJournal(t *testing.T, dir string) *Journal {
 	t.Helper()
 	raw, err := os.ReadFile(filepath.Join(dir, journalName))
 	if err != nil {
@@ -37,7 +37,17 @@
 	}
 	j := &Journal{entries: map[string]*Entry{}, health: map[string]Health{}}
 	j.replay(raw)
-	return j.Entries()
+	return j
+}
+
+func readEntries(t *testing.T, dir string) []*Entry {
+	t.Helper()
+	return readJournal(t, dir).Entries()
+}
+
+func readHealth(t *testing.T, dir string) map[string]Health {
+	t.Helper()
+	return readJournal(t, dir).Health()
 }
 
 // Malformed requests get a plain 4xx other than 429, nothing is taken on, and the relay goes on.
@@ -309,6 +319,52 @@
 	}
 }
 
+// An outage that was seen outlasts the process, for a host that the configuration's list lacks as well.
+func TestOutageRememberedThroughRestart(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		p := newPlatform(t)
+		p.addHost("h1", 7)
+		p.hosts[0].Share = 0.05 // a budget of one knock in many seconds
+		up := p.hosts[0]
+		p.hosts[0].Dial = closedAddress(t)
+		c := p.start()
+		p.take("status", "a", "25")
+		p.until("the outage is noted", func() bool { return readHealth(t, p.dir)["h1"].Sick })
+		p.kill(c)
+		p.set(func() { p.hosts[0] = up })
+		if !known {
+			p.set(func() { p.unknown = true })
+		}
+		p.start()
+		resp := p.handIn("status", "b", "25")
+		for ; resp.StatusCode == http.StatusServiceUnavailable; resp = p.handIn("status", "b", "25") {
+			time.Sleep(10 * time.Millisecond) // not listed yet
+		}
+		// A fresh relay would take it on and send at once; in an outage the next knock is too far off.
+		if resp.StatusCode != http.StatusTooManyRequests {
+			t.Errorf("known %v: %s", known, resp.Status)
+		}
+		if got := p.sent(); len(got) > 1 {
+			t.Errorf("known %v: %v sent at once to a destination that was out", known, got)
+		}
+	}
+}
+
+// A message whose class the settings no longer have is ended all the same.
+func TestClassGone(t *testing.T) {
+	dir := t.TempDir()
+	j := openJournal(t, dir, 3)
+	j.Take(&Entry{ID: "m", Class: "parcel", Dest: 7, Expires: time.Now().Add(time.Minute)})
+	commit(t, j)
+	p := newPlatform(t)
+	p.dir = dir
+	p.start()
+	p.until("its notice is received", func() bool { return len(p.told()) == 1 })
+	if n := p.told()[0]; n != (Notice{ID: "m", Status: undeliverable}) {
+		t.Errorf("notice %v", n)
+	}
+}
+
 // closedAddress is an address at which connections are refused.
 func closedAddress(t *testing.T) string {
 	t.Helper()
