Remember through a restart which hosts were told to drain

Cause (by reading): the configuration's list may be older than what discovery told the process before; a relay that restarts while discovery is down, or before its watch answers, would send to a host that drains. Calls out at a planned end get 0.1 s more.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -71,13 +71,13 @@
 	client  *http.Client
 	silence time.Duration // watchSilence, but in tests
 	asked   chan struct{}
-	seq     int64
+	seq     int64 // of the list as it stands; set before run
 	told    func(Members)
 	failed  func()
 }
 
-func newWatcher(discovery string, seq int64, told func(Members), failed func()) *watcher {
-	return &watcher{base: "http://" + discovery + "/catalog/members", seq: seq, told: told, failed: failed, silence: watchSilence,
+func newWatcher(discovery string, told func(Members), failed func()) *watcher {
+	return &watcher{base: "http://" + discovery + "/catalog/members", told: told, failed: failed, silence: watchSilence,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1)}
 }
 
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -22,6 +22,8 @@
 	recordHead = 12
 	// attemptsRoom is set aside for the later records of each message when it is taken on.
 	attemptsRoom = 2048
+	// memberRoom is set aside for each host of the list.
+	memberRoom = 256
 	// slackSize is how far the file may outgrow twice what is live before it is compacted.
 	slackSize = 256 << 10
 )
@@ -64,6 +66,7 @@
 	Unrun  bool      `json:"unrun,omitempty"`
 	Notice *Notice   `json:"notice,omitempty"`
 	Health *Health   `json:"health,omitempty"`
+	List   *Members  `json:"list,omitempty"`
 }
 
 // The kinds of record.
@@ -74,6 +77,7 @@
 	opOwed   = "owed"
 	opOver   = "over"
 	opHealth = "health"
+	opList   = "list"
 )
 
 // Journal keeps what a relay has taken on in a file that outlasts its process. Changes are buffered until
@@ -83,13 +87,15 @@
 	limit    int // bytes of the old and the new file together while it is compacted
 	file     *os.File
 	size     int // of the file
-	live     int // bytes that the entries need, with room for their later records
+	live     int // bytes that the entries and the list need, with room for later records
 	reserved int // for messages that may be taken on before the next Commit
 	broken   bool
 	pending  []byte
 	entries  map[string]*Entry
 	order    []*Entry // as taken; those that are over leave at the next compaction
 	health   map[string]Health
+	list     *Members // as last told; nil for never
+	listLen  int      // of its record
 }
 
 // OpenJournal replays the journal in a folder, drops what can't be read at its end, and makes it ready.
@@ -165,6 +171,12 @@
 // Forget drops what is remembered of a host that is gone; the file forgets with its next compaction.
 func (j *Journal) Forget(host string) { delete(j.health, host) }
 
+// List notes the list of hosts as discovery has now told it.
+func (j *Journal) List(m Members) { j.note(record{Op: opList, List: &m}, nil) }
+
+// Listed is the list as last told to this process or an earlier one, or nil.
+func (j *Journal) Listed() *Members { return j.list }
+
 // note applies a record and buffers it.
 func (j *Journal) note(r record, body []byte) {
 	j.apply(r, body)
@@ -213,6 +225,9 @@
 			b = appendRecord(b, record{Op: opOwed, ID: e.ID, Notice: e.Owed}, nil)
 		}
 	}
+	if j.list != nil {
+		b = appendRecord(b, record{Op: opList, List: j.list}, nil)
+	}
 	for host, h := range j.health {
 		b = appendRecord(b, record{Op: opHealth, Host: host, Health: &h}, nil)
 	}
@@ -260,6 +275,11 @@
 	case r.Op == opHealth && r.Health != nil:
 		j.health[r.Host] = *r.Health
 		return
+	case r.Op == opList && r.List != nil:
+		j.live -= j.listLen
+		j.list, j.listLen = r.List, len(r.List.Hosts)*memberRoom
+		j.live += j.listLen
+		return
 	}
 	e := j.entries[r.ID]
 	if e == nil {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"mallowlead/policy"
@@ -95,7 +97,15 @@
 
 // restore takes up what the journal holds, and the list that the configuration gives.
 func (l *loop) restore() {
-	l.told(l.cfg.Known)
+	list := l.cfg.Known
+	if told := l.journal.Listed(); told != nil && told.Seq > list.Seq {
+		// The configuration's list may be older than what an earlier process was told: a host that drains
+		// gets nothing new from this one either.
+		list = *told
+	}
+	list.Whole = true
+	l.told(list)
+	l.watch.seq = list.Seq
 	for _, e := range l.journal.Entries() {
 		m := &message{Entry: e}
 		l.messages[e.ID] = m
@@ -183,6 +193,7 @@
 				}
 			}
 		}
+		l.journal.List(Members{Seq: e.Seq, Whole: true, Hosts: slices.Collect(maps.Values(l.hosts))})
 	case watchEnded:
 		l.events = append(l.events, policy.ListFailed{})
 	case received:
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -62,6 +62,7 @@
 	dir       string
 	memory    float64
 	unknown   bool // the configuration lists no host
+	down      bool // watches fail
 
 	mu      sync.Mutex
 	hosts   []Member
@@ -148,6 +149,10 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
+	if p.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	line, _ := json.Marshal(Members{Seq: 41, Whole: true, Hosts: p.hosts})
 	_, _ = w.Write(append(line, '\n'))
 	p.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,7 +18,7 @@
 const (
 	listenOn  = time.Second             // until then new connections are taken
 	sendOn    = 2900 * time.Millisecond // until then calls begin
-	callsOn   = 3400 * time.Millisecond // until then calls come to their end
+	callsOn   = 3500 * time.Millisecond // until then calls come to their end
 	askIdle   = 50 * time.Millisecond   // between looks whether all is done
 	lastWords = 100 * time.Millisecond  // for answers that are being written
 )
@@ -43,7 +43,7 @@
 		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{},
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle,
 			max(1, int(hostShare*float64(cfg.Limits.Sockets))))}
-	l.watch = newWatcher(cfg.Discovery, cfg.Known.Seq, func(m Members) { l.put(told{m}) },
+	l.watch = newWatcher(cfg.Discovery, func(m Members) { l.put(told{m}) },
 		func() { l.put(watchEnded{}) })
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	l.restore()
