Move to another discovery on SIGHUP; let clients' connections make room for each other

At fault: no handler for SIGHUP in main; idleTime of 2 min and the limited listener in server.go, which stopped to accept.

Now the watch and the notices move; a connection makes room by what goes on on it; what is unclear about where it ends is refused with a 4xx and a close; a client's leaving is looked at on its own connection when its message is decided on, so that no id withdraws another's message. Notices are posted side by side, 250 ms each.

--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -20,16 +20,19 @@
 const heapShare = 0.6
 
 func main() {
+	// Before all else: a hang-up that is not caught ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	config := flag.String("config", os.Getenv("NODE_CONFIG"), "configuration `file` (default $NODE_CONFIG)")
 	state := flag.String("state", os.Getenv("NODE_STATE"), "`folder` that outlasts the process (default $NODE_STATE)")
 	flag.Parse()
-	if err := run(*config, *state); err != nil {
+	if err := run(*config, *state, hangups); err != nil {
 		fmt.Fprintln(os.Stderr, "frostlink:", err)
 		os.Exit(1)
 	}
 }
 
-func run(config, state string) error {
+func run(config, state string, hangups <-chan os.Signal) error {
 	if state == "" {
 		return fmt.Errorf("no folder for the journal: set NODE_STATE or -state")
 	}
@@ -41,5 +44,5 @@
 	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return relay.Run(ctx, cfg, state)
+	return relay.Run(ctx, cfg, state, relay.Reread(ctx, config, hangups))
 }
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -272,16 +272,6 @@
 	if !ok {
 		return false
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	up := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		up = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && up
+	_, err := peek(sc)
+	return errors.Is(err, syscall.EAGAIN)
 }
--- /dev/null
+++ b/internal/relay/clients.go
@@ -0,0 +1,327 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// silentTime is how long a new connection may say nothing, and firstTime how long its first request may
+	// take from then on: what sends neither is owed an error or a close within 3 s of connecting.
+	silentTime, firstTime = 2 * time.Second, 600 * time.Millisecond
+	// readTime bounds the reading of a later request, from its first byte: clients send at once.
+	readTime = 2500 * time.Millisecond
+	// idleTime is how long a client may keep a connection without a request, where there is room.
+	idleTime = 8 * time.Second
+	// restTime must have passed without a request before a connection is among the first to make room.
+	restTime = 2 * time.Second
+	// stalledTime makes a request that has begun and does not go on one that may make room, last of all.
+	stalledTime = 500 * time.Millisecond
+	// writeTime bounds the writing of an answer: clients read at full speed.
+	writeTime = time.Second
+	// lingerTime and lingerBytes bound what is read after a last answer, so that it arrives: a close with
+	// unread bytes is a reset, which may overtake the answer.
+	lingerTime, lingerBytes = 500 * time.Millisecond, 1 << 20
+	// maxHead bounds a request's head.
+	maxHead = 16 << 10
+	// acceptAgain is the pause after a failed accept.
+	acceptAgain = 5 * time.Millisecond
+)
+
+// stage is where a client's connection stands, in the order in which connections are closed to make room.
+type stage int
+
+const (
+	leaving stage = iota // answered for the last time
+	idle                 // between requests
+	fresh                // nothing has come on it yet
+	reading              // a request has begun
+	open                 // a request was read and is to be answered
+)
+
+// client is a connection from a client.
+type client struct {
+	*net.TCPConn
+	limit *io.LimitedReader // what may still be read for the request
+	in    *bufio.Reader     // reads from limit
+
+	// Guarded by the server's lock.
+	stage   stage
+	since   time.Time
+	evicted bool
+}
+
+// serve takes connections until the listener is closed. It is no http.Server, since that neither tells what
+// lies behind a request (a length that is too short, a second request) nor lets connections make room for
+// others by what is going on on them.
+func (s *server) serve(l net.Listener) error {
+	for {
+		raw, err := l.Accept()
+		switch {
+		case err == nil:
+			s.accept(raw.(*net.TCPConn))
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ECONNABORTED):
+			slog.Warn("connection not accepted", "err", err)
+			s.mu.Lock()
+			s.evict()
+			s.mu.Unlock()
+			time.Sleep(acceptAgain)
+		default:
+			return err
+		}
+	}
+}
+
+// accept serves a connection in a goroutine of its own, once there is room for it.
+func (s *server) accept(raw *net.TCPConn) {
+	limit := &io.LimitedReader{R: raw}
+	c := &client{TCPConn: raw, limit: limit, in: bufio.NewReader(limit), stage: fresh, since: time.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.clients) >= s.room && !s.evict() {
+		s.left.Wait()
+	}
+	s.clients[c] = true
+	go func() {
+		s.talk(c)
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.clients, c)
+		s.mu.Unlock()
+		s.left.Broadcast()
+	}()
+}
+
+// evict closes the connection that is missed least: one that has said its last, then one that rested long
+// enough, one that never said anything, one that rests, one that stalls; never one with a request open. Its
+// place is free at once. The lock is held.
+func (s *server) evict() bool {
+	var worst *client
+	now := time.Now()
+	rank := func(c *client) int {
+		if c.stage == idle && now.Sub(c.since) < restTime {
+			return 2*int(fresh) + 1
+		}
+		return 2 * int(c.stage)
+	}
+	for c := range s.clients {
+		if c.stage == open || c.stage == reading && now.Sub(c.since) < stalledTime {
+			continue
+		}
+		if worst == nil || rank(c) < rank(worst) || rank(c) == rank(worst) && c.since.Before(worst.since) {
+			worst = c
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	s.remove(worst)
+	return true
+}
+
+// remove closes a connection under its goroutine's feet; the lock is held.
+func (s *server) remove(c *client) {
+	c.evicted = true
+	_ = c.Close()
+	delete(s.clients, c)
+}
+
+// enter moves a connection to a stage, and tells whether it is still there.
+func (s *server) enter(c *client, to stage) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.stage, c.since = to, time.Now()
+	if to <= idle {
+		s.left.Broadcast() // it may make room now
+	}
+	return !c.evicted
+}
+
+// talk serves the requests of a connection, one after another.
+func (s *server) talk(c *client) {
+	quiet, wait := silentTime, firstTime
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(quiet))
+		c.limit.N = maxHead
+		if _, err := c.in.Peek(1); err != nil || !s.enter(c, reading) {
+			return
+		}
+		_ = c.SetReadDeadline(time.Now().Add(wait))
+		v := s.request(c)
+		if v.status == 0 {
+			return
+		}
+		v.close = v.close || s.closing.Load()
+		if !c.answer(v) {
+			return
+		}
+		if v.close {
+			if s.enter(c, leaving) {
+				c.linger()
+			}
+			return
+		}
+		if !s.enter(c, idle) {
+			return
+		}
+		quiet, wait = idleTime, readTime
+	}
+}
+
+// request reads one request and has it decided on; a verdict without a status says that nobody waits for one.
+func (s *server) request(c *client) verdict {
+	r, err := http.ReadRequest(c.in)
+	if err != nil {
+		slog.Debug("request not readable", "err", err)
+		return c.unreadable(err)
+	}
+	a, v := s.parse(r)
+	if a == nil {
+		return v
+	}
+	if r.ContentLength > 0 {
+		if !s.memory.take(int(r.ContentLength)) {
+			return verdict{status: http.StatusServiceUnavailable, after: busyAfter, close: true}
+		}
+		defer s.memory.give(int(r.ContentLength))
+		if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+			if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return verdict{}
+			}
+		}
+		c.limit.N = max(0, r.ContentLength-int64(c.in.Buffered()))
+		a.entry.Body = make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(c.in, a.entry.Body); err != nil {
+			slog.Debug("body not readable", "err", err)
+			return c.unreadable(err)
+		}
+	}
+	if !s.enter(c, open) {
+		return verdict{}
+	}
+	if c.in.Buffered() > 0 {
+		return malformed(http.StatusBadRequest) // the length is too short, or requests come unasked
+	}
+	a.quiet = c.quiet
+	s.admit(a)
+	v = <-a.verdict
+	v.close = v.close || r.Close
+	return v
+}
+
+// unreadable is the answer to a request that could not be read.
+func (c *client) unreadable(err error) verdict {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return malformed(http.StatusRequestTimeout)
+	case c.limit.N <= 0:
+		return malformed(http.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed),
+		errors.Is(err, syscall.ECONNRESET):
+		return verdict{} // half a request and a close
+	}
+	return malformed(http.StatusBadRequest)
+}
+
+// quiet tells whether the client waits for its answer and has sent nothing behind its request, and whether
+// it is still there at all.
+func (c *client) quiet() (quiet, there bool) {
+	n, err := peek(c.TCPConn)
+	return errors.Is(err, syscall.EAGAIN), n > 0 || errors.Is(err, syscall.EAGAIN)
+}
+
+// answer writes an answer without a body, and tells whether it went out.
+func (c *client) answer(v verdict) bool {
+	r := http.Response{StatusCode: v.status, ProtoMajor: 1, ProtoMinor: 1, Close: v.close, Header: http.Header{
+		"Date": {time.Now().UTC().Format(http.TimeFormat)}}}
+	if v.after > 0 {
+		r.Header.Set("Retry-After", strconv.FormatFloat(v.after.Seconds(), 'f', 3, 64))
+	}
+	var out bytes.Buffer
+	if err := r.Write(&out); err != nil {
+		return false
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(writeTime))
+	_, err := c.Write(out.Bytes())
+	return err == nil
+}
+
+// linger lets a last answer arrive before the connection is closed.
+func (c *client) linger() {
+	if c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
+	}
+}
+
+// shutdown closes the connections without an open request, and waits for the others until ctx ends.
+func (s *server) shutdown(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.left.Broadcast()
+	})
+	defer stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.room = 0
+	for len(s.clients) > 0 {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if !s.evict() {
+			s.left.Wait()
+		}
+	}
+	return nil
+}
+
+// peek looks at what a connection has to read, without waiting: n > 0 bytes, its end (0), or EAGAIN.
+func peek(c syscall.Conn) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var b [1]byte
+	controlErr := raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n, errors.Join(controlErr, err)
+}
+
+// budget is an amount that many share.
+type budget struct {
+	mu   sync.Mutex
+	left int
+}
+
+// take takes n, if there is so much.
+func (b *budget) take(n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n > b.left {
+		return false
+	}
+	b.left -= n
+	return true
+}
+
+// give gives n back.
+func (b *budget) give(n int) {
+	b.mu.Lock()
+	b.left += n
+	b.mu.Unlock()
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -3,9 +3,12 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
+	"net"
 	"os"
 	"strconv"
 
@@ -35,6 +38,24 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
+// Every descriptor has its owner, so that none runs short because another has much to do: ownDescriptors are
+// for the listener, the journal and its next file, the watch, posts of notices, a configuration that is read
+// again, standard streams and the runtime; clients get clientShare of the rest, and hosts what is left.
+const (
+	ownDescriptors = 24
+	clientShare    = 0.55
+	// clientsPerMB bounds clients' connections by the memory too: one takes about 16 KiB.
+	clientsPerMB = 12
+)
+
+// clientRoom is how many connections clients may have.
+func (c *Config) clientRoom() int {
+	return max(1, min(int(clientShare*float64(c.Limits.Sockets-ownDescriptors)), int(clientsPerMB*c.Limits.MemoryMB)))
+}
+
+// hostRoom is how many connections there may be to hosts, idle or with a call out.
+func (c *Config) hostRoom() int { return max(1, c.Limits.Sockets-ownDescriptors-c.clientRoom()) }
+
 // ReadConfig reads and checks a configuration file.
 func ReadConfig(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
@@ -55,8 +76,6 @@
 	switch {
 	case c.Listen == "":
 		return errors.New("listen: missing")
-	case c.Discovery == "":
-		return errors.New("discovery: missing")
 	case !(c.Limits.Cores > 0):
 		return fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
 	case !(c.Limits.MemoryMB > 0):
@@ -66,6 +85,9 @@
 	case !(c.Limits.DiskMB > 0):
 		return fmt.Errorf("limits.disk_mb: %v is not above 0", c.Limits.DiskMB)
 	}
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
 	seed, err := strconv.ParseUint(c.Seed, 16, 64)
 	if err != nil {
 		return fmt.Errorf("seed: %w", err)
@@ -74,6 +96,31 @@
 	if c.policy, err = c.Settings.Policy(); err != nil {
 		return err
 	}
-	_, err = policy.New(c.policy, c.seed) // its own check of the settings
+	c.policy.Slots = min(c.policy.Slots, c.hostRoom()) // a call needs a connection
+	_, err = policy.New(c.policy, c.seed)              // its own check of the settings
 	return err
 }
+
+// Reread reads the configuration again at each hang-up. One that can't be used changes nothing.
+func Reread(ctx context.Context, path string, hangups <-chan os.Signal) <-chan *Config {
+	read := make(chan *Config)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+			}
+			cfg, err := ReadConfig(path)
+			if err != nil {
+				slog.Error("the old configuration stays", "err", err)
+				continue
+			}
+			select {
+			case read <- cfg:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return read
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"mallowlead/internal/settings"
@@ -26,7 +27,7 @@
 	askAgainMost = 2 * time.Second
 	askAgain     = 250 * time.Millisecond
 	// maxMemberLine bounds one line of a watch.
-	maxMemberLine = 16 << 20
+	maxMemberLine = 1 << 20
 )
 
 // Members is the list of hosts, or a change of it, in discovery's form.
@@ -64,21 +65,40 @@
 	return e
 }
 
+// changed gives the whole list as it stands after a change.
+func (m *Members) changed(by Members) *Members {
+	if by.Whole || m == nil {
+		by.Hosts = slices.Clone(by.Hosts)
+	} else {
+		named := map[string]bool{}
+		for _, h := range by.Hosts {
+			named[h.Host] = true
+		}
+		stay := slices.DeleteFunc(slices.Clone(m.Hosts), func(h Member) bool { return named[h.Host] })
+		by.Hosts = append(stay, by.Hosts...)
+	}
+	by.Whole = true
+	by.Hosts = slices.DeleteFunc(by.Hosts, func(h Member) bool { return h.Health == deleted })
+	return &by
+}
+
 // watcher keeps a watch on discovery's list. It starts one each time that it is asked, and reports when it
 // ends; whether and when to ask again is the module's decision, a back-off while discovery is down ours.
 type watcher struct {
-	base    string
+	from    string // discovery's address
 	client  *http.Client
 	silence time.Duration // watchSilence, but in tests
 	asked   chan struct{}
-	seq     int64 // of the list as it stands; set before run
-	told    func(Members)
+	moved   chan string // where discovery is now
+	seq     int64       // of the list as it stands; set before run
+	told    func(m Members, from string)
 	failed  func()
 }
 
-func newWatcher(discovery string, told func(Members), failed func()) *watcher {
-	return &watcher{base: "http://" + discovery + "/catalog/members", told: told, failed: failed, silence: watchSilence,
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1)}
+func newWatcher(discovery string, told func(m Members, from string), failed func()) *watcher {
+	return &watcher{from: discovery, told: told, failed: failed, silence: watchSilence,
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1),
+		moved: make(chan string)}
 }
 
 // ask wants a watch; it never blocks.
@@ -89,8 +109,35 @@
 	}
 }
 
+// move ends the watch and starts one at another address, at once and without a report.
+func (w *watcher) move(discovery string) { w.moved <- discovery }
+
 // run serves asks until ctx ends.
 func (w *watcher) run(ctx context.Context) {
+	for {
+		here, leave := context.WithCancel(ctx)
+		var follower sync.WaitGroup
+		follower.Go(func() { w.follow(here) })
+		select {
+		case <-ctx.Done():
+		case discovery := <-w.moved:
+			leave()
+			follower.Wait()
+			// Versions of another discovery need not continue those of the last one: only its whole list
+			// tells what has changed.
+			w.from, w.seq = discovery, 0
+			w.ask()
+		}
+		leave()
+		follower.Wait()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// follow serves asks at one address until ctx ends.
+func (w *watcher) follow(ctx context.Context) {
 	backOff := time.Duration(0)
 	for {
 		select {
@@ -121,7 +168,7 @@
 	dead := time.AfterFunc(w.silence, cancel)
 	defer dead.Stop()
 	query := url.Values{"stream": {"1"}, "index": {strconv.FormatInt(w.seq, 10)}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, w.base+"?"+query.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.from+"/catalog/members?"+query.Encode(), nil)
 	if err != nil {
 		return 0, err
 	}
@@ -148,7 +195,7 @@
 			return lines, fmt.Errorf("unreadable line: %w", err)
 		}
 		w.seq = m.Seq
-		w.told(m)
+		w.told(m, w.from)
 		lines++
 	}
 	if err := in.Err(); err != nil {
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -75,7 +75,7 @@
 	old.Health = draining
 	p.lines <- hostLine(t, 42, old)
 	p.until("the change is noted", func() bool {
-		list := readJournal(t, p.dir).Listed()
+		list, _ := readJournal(t, p.dir).Listed()
 		return list != nil && list.Seq == 42
 	})
 	p.kill(c)
@@ -93,7 +93,7 @@
 	t.Helper()
 	s := httptest.NewServer(serve)
 	members, failed := make(chan Members, 10), make(chan bool, 10)
-	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), func(m Members) { members <- m }, func() { failed <- true })
+	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), func(m Members, _ string) { members <- m }, func() { failed <- true })
 	w.silence, w.seq = silence, 40
 	t.Cleanup(func() {
 		s.CloseClientConnections()
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -67,6 +67,7 @@
 	Notice *Notice   `json:"notice,omitempty"`
 	Health *Health   `json:"health,omitempty"`
 	List   *Members  `json:"list,omitempty"`
+	From   string    `json:"from,omitempty"` // the discovery that told List
 }
 
 // The kinds of record.
@@ -95,6 +96,7 @@
 	order    []*Entry // as taken; those that are over leave at the next compaction
 	health   map[string]Health
 	list     *Members // as last told; nil for never
+	from     string   // the discovery that told it
 	listLen  int      // of its record
 }
 
@@ -171,11 +173,11 @@
 // Forget drops what is remembered of a host that is gone; the file forgets with its next compaction.
 func (j *Journal) Forget(host string) { delete(j.health, host) }
 
-// List notes the list of hosts as discovery has now told it.
-func (j *Journal) List(m Members) { j.note(record{Op: opList, List: &m}, nil) }
+// List notes the list of hosts, or a change of it, as a discovery has told it.
+func (j *Journal) List(m Members, from string) { j.note(record{Op: opList, List: &m, From: from}, nil) }
 
-// Listed is the list as last told to this process or an earlier one, or nil.
-func (j *Journal) Listed() *Members { return j.list }
+// Listed is the list as last told to this process or an earlier one, or nil, and which discovery told it.
+func (j *Journal) Listed() (list *Members, from string) { return j.list, j.from }
 
 // note applies a record and buffers it.
 func (j *Journal) note(r record, body []byte) {
@@ -226,7 +228,7 @@
 		}
 	}
 	if j.list != nil {
-		b = appendRecord(b, record{Op: opList, List: j.list}, nil)
+		b = appendRecord(b, record{Op: opList, List: j.list, From: j.from}, nil)
 	}
 	for host, h := range j.health {
 		b = appendRecord(b, record{Op: opHealth, Host: host, Health: &h}, nil)
@@ -277,7 +279,8 @@
 		return
 	case r.Op == opList && r.List != nil:
 		j.live -= j.listLen
-		j.list, j.listLen = r.List, len(r.List.Hosts)*memberRoom
+		j.list, j.from = j.list.changed(*r.List), r.From
+		j.listLen = len(j.list.Hosts) * memberRoom
 		j.live += j.listLen
 		return
 	}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"mallowlead/policy"
@@ -20,9 +18,9 @@
 	arrival struct {
 		entry   *Entry
 		verdict chan verdict // room for one
+		// quiet tells whether the client has sent nothing more and is still there.
+		quiet func() (quiet, there bool)
 	}
-	// departure says that a client left before its message was answered.
-	departure struct{ id string }
 	// answered is the end of a call.
 	answered struct {
 		id      string
@@ -32,7 +30,10 @@
 		result
 	}
 	// told is a list, or a change of it.
-	told struct{ Members }
+	told struct {
+		Members
+		from string // the discovery that told it
+	}
 	// watchEnded says that the watch on discovery ended or could not be had.
 	watchEnded struct{}
 	// received says that the platform has notices.
@@ -46,9 +47,9 @@
 // message is what the loop holds of a message taken on.
 type message struct {
 	*Entry
-	verdict chan verdict       // until it is answered
-	cancel  context.CancelFunc // of the call out; nil while there is none
-	over    bool               // ended, but a call is still out
+	verdicts []chan verdict     // of the requests that brought it, until they are answered
+	cancel   context.CancelFunc // of the call out; nil while there is none
+	over     bool               // ended, but a call is still out
 }
 
 // loop owns the dispatcher and the journal: nothing else touches their state. It batches events by tick,
@@ -98,10 +99,12 @@
 // restore takes up what the journal holds, and the list that the configuration gives.
 func (l *loop) restore() {
 	list := l.cfg.Known
-	if told := l.journal.Listed(); told != nil && told.Seq > list.Seq {
+	if told, from := l.journal.Listed(); told != nil {
 		// The configuration's list may be older than what an earlier process was told: a host that drains
-		// gets nothing new from this one either.
-		list = *told
+		// gets nothing new from this one either. Versions are one discovery's own.
+		if list = *told; from != l.cfg.Discovery {
+			list.Seq = 0
+		}
 	}
 	list.Whole = true
 	l.told(list)
@@ -177,11 +180,6 @@
 	switch e := e.(type) {
 	case *arrival:
 		l.arrive(e)
-	case departure:
-		if m := l.messages[e.id]; m != nil && !m.over {
-			l.events = append(l.events, policy.Withdrawn{ID: e.id})
-			l.end(m)
-		}
 	case answered:
 		l.answered(e)
 	case told:
@@ -193,7 +191,7 @@
 				}
 			}
 		}
-		l.journal.List(Members{Seq: e.Seq, Whole: true, Hosts: slices.Collect(maps.Values(l.hosts))})
+		l.journal.List(e.Members, e.from)
 	case watchEnded:
 		l.events = append(l.events, policy.ListFailed{})
 	case received:
@@ -211,11 +209,24 @@
 
 // arrive takes in a message that is handed in.
 func (l *loop) arrive(a *arrival) {
+	switch quiet, there := a.quiet(); {
+	case !there:
+		// The client left before an answer: it may hand the message in again, and this copy counts for nothing.
+		a.verdict <- verdict{}
+		return
+	case !quiet:
+		// More has come than the request's length says, or a request that nobody is to send yet.
+		a.verdict <- malformed(http.StatusBadRequest)
+		return
+	}
 	if m := l.messages[a.entry.ID]; m != nil {
 		// The same message once more, as after a connection that broke: it is ours already, unless it is over.
-		if m.over {
+		switch {
+		case len(m.verdicts) > 0: // in this batch: the same answer, once it is recorded
+			m.verdicts = append(m.verdicts, a.verdict)
+		case m.over:
 			a.verdict <- verdict{status: http.StatusServiceUnavailable}
-		} else {
+		default:
 			a.verdict <- verdict{status: http.StatusAccepted}
 		}
 		return
@@ -225,7 +236,7 @@
 		a.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
 		return
 	}
-	m := &message{Entry: a.entry, verdict: a.verdict}
+	m := &message{Entry: a.entry, verdicts: []chan verdict{a.verdict}}
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
 	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest,
@@ -310,7 +321,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case policy.Refuse:
-			l.refuse(l.messages[a.ID], verdict{http.StatusTooManyRequests, a.StayAway}, deferred)
+			l.refuse(l.messages[a.ID], verdict{status: http.StatusTooManyRequests, after: a.StayAway}, deferred)
 		case policy.Fail:
 			l.refuse(l.messages[a.ID], verdict{status: http.StatusBadGateway}, undeliverable)
 		}
@@ -336,9 +347,9 @@
 	if m == nil || m.over {
 		return
 	}
-	if reply := m.verdict; reply != nil {
-		m.verdict = nil
-		l.effects = append(l.effects, func() { reply <- v })
+	if replies := m.verdicts; replies != nil {
+		m.verdicts = nil
+		l.effects = append(l.effects, func() { reply(replies, v) })
 		l.end(m)
 		return
 	}
@@ -348,6 +359,13 @@
 	l.effects = append(l.effects, func() { l.notices.owe(n) })
 }
 
+// reply answers all requests that brought a message.
+func reply(to []chan verdict, v verdict) {
+	for _, c := range to {
+		c <- v
+	}
+}
+
 // act carries out one action other than an end.
 func (l *loop) act(now time.Duration, a policy.Action) {
 	switch a := a.(type) {
@@ -410,15 +428,15 @@
 		slog.Error("nothing taken on or sent", "err", err)
 	}
 	for _, m := range fresh {
-		switch reply := m.verdict; {
-		case reply == nil: // refused
+		switch replies := m.verdicts; {
+		case replies == nil: // refused
 		case err != nil:
-			reply <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
+			reply(replies, verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway})
 			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
 			l.wakeAt = 0 // the module has an event to act on
 		default:
-			m.verdict = nil
-			reply <- verdict{status: http.StatusAccepted}
+			m.verdicts = nil
+			reply(replies, verdict{status: http.StatusAccepted})
 		}
 	}
 	for _, s := range sends {
@@ -429,7 +447,7 @@
 		l.call(s)
 	}
 	for _, m := range fresh {
-		if m.verdict != nil { // not taken on after all
+		if m.verdicts != nil { // not taken on after all
 			l.end(m)
 		}
 	}
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,8 +15,10 @@
 const (
 	// noticeTimeout bounds one post, and noticeAgain is the pause after one that failed: a notice has to
 	// be through within 300 ms of the end of its message's time.
-	noticeTimeout = time.Second
+	noticeTimeout = 250 * time.Millisecond
 	noticeAgain   = 50 * time.Millisecond
+	// noticePosts go out at once, so that one that stalls holds up no other.
+	noticePosts = 4
 	// noticeBatch notices go in one post at most.
 	noticeBatch = 500
 )
@@ -35,18 +38,35 @@
 
 // notifier posts notices to the platform until they are received.
 type notifier struct {
-	url    string
 	client *http.Client
 	done   func(ids []string)
-	more   chan struct{} // something is owed
 
-	mu   sync.Mutex
-	owed []Notice // as many as the journal has room for
+	mu    sync.Mutex
+	more  sync.Cond // something is owed, or all is at its end
+	ended bool
+	owed  []Notice // as many as the journal has room for
+	url   string
+	moved chan struct{} // closed when url is no longer right
 }
 
 func newNotifier(discovery string, done func([]string)) *notifier {
-	return &notifier{url: "http://" + discovery + "/v1/outcomes", done: done, more: make(chan struct{}, 1),
-		client: &http.Client{Timeout: noticeTimeout}}
+	n := &notifier{url: outcomesAt(discovery), done: done, moved: make(chan struct{}),
+		client: &http.Client{Timeout: noticeTimeout, Transport: &http.Transport{MaxConnsPerHost: noticePosts,
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}}}
+	n.more.L = &n.mu
+	return n
+}
+
+func outcomesAt(discovery string) string { return "http://" + discovery + "/v1/outcomes" }
+
+// move has notices posted at another address from now on, those that are being posted as well.
+func (n *notifier) move(discovery string) {
+	n.mu.Lock()
+	n.url = outcomesAt(discovery)
+	close(n.moved)
+	n.moved = make(chan struct{})
+	n.mu.Unlock()
+	n.client.CloseIdleConnections()
 }
 
 // owe adds a notice; it never blocks, however long the platform may be out of reach.
@@ -54,33 +74,41 @@
 	n.mu.Lock()
 	n.owed = append(n.owed, notice)
 	n.mu.Unlock()
-	select {
-	case n.more <- struct{}{}:
-	default: // known already
-	}
+	n.more.Signal()
 }
 
-// take gives the next batch, or nothing.
+// take waits for something owed and gives the next batch, or nothing at the end.
 func (n *notifier) take() []Notice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	batch := n.owed[:min(len(n.owed), noticeBatch)]
-	n.owed = n.owed[len(batch):]
+	for len(n.owed) == 0 && !n.ended {
+		n.more.Wait()
+	}
+	if n.ended {
+		return nil
+	}
+	batch := slices.Clone(n.owed[:min(len(n.owed), noticeBatch)])
+	n.owed = slices.Delete(n.owed, 0, len(batch))
 	return batch
 }
 
 // run posts what is owed until ctx ends.
 func (n *notifier) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.more:
-		}
-		for batch := n.take(); len(batch) > 0; batch = n.take() {
-			n.deliver(ctx, batch)
-		}
+	var posters sync.WaitGroup
+	for range noticePosts {
+		posters.Go(func() {
+			for batch := n.take(); len(batch) > 0; batch = n.take() {
+				n.deliver(ctx, batch)
+			}
+		})
 	}
+	<-ctx.Done()
+	n.mu.Lock()
+	n.ended = true
+	n.mu.Unlock()
+	n.more.Broadcast()
+	posters.Wait()
+	n.client.CloseIdleConnections()
 }
 
 // deliver posts a batch until it is received. One that can't be read goes in parts, so that a bad notice
@@ -117,7 +145,19 @@
 			return 0, err
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.url, &body)
+	n.mu.Lock()
+	url, moved := n.url, n.moved
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-moved:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, &body)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -29,11 +29,13 @@
 	if path == "" {
 		os.Exit(m.Run())
 	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	cfg, err := ReadConfig(path)
 	if err == nil {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 		defer stop()
-		err = Run(ctx, cfg, os.Getenv(childState))
+		err = Run(ctx, cfg, os.Getenv(childState), Reread(ctx, path, hangups))
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -57,8 +59,9 @@
 // platform stands for what a relay has round it: discovery, the hosts of destination 7, and its disk.
 type platform struct {
 	t         *testing.T
-	discovery *httptest.Server
-	addr      string // the relay's
+	discovery *httptest.Server // the one that the configuration names
+	path      string           // of the configuration
+	addr      string           // the relay's
 	dir       string
 	memory    float64
 	unknown   bool // the configuration lists no host
@@ -69,8 +72,11 @@
 	answer  func(*http.Request) int // a host's status; 0 for no answer while the call lasts
 	calls   []string                // ids that hosts were sent
 	began   chan string             // the same, as they come
+	watches []string                // address and query of each watch
+	left    []string                // addresses whose watch has ended
 	notices []Notice
-	deaf    int // so many posts of notices fail
+	posted  []string // the address to which each notice came
+	deaf    int      // so many posts of notices fail
 
 	lines    chan string // further lines of the watch
 	released chan bool   // closed at the end
@@ -80,12 +86,9 @@
 	t.Helper()
 	p := &platform{t: t, dir: t.TempDir(), memory: 15, began: make(chan string, 1000), lines: make(chan string, 10),
 		released: make(chan bool), answer: func(*http.Request) int { return http.StatusOK }}
-	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
-	t.Cleanup(func() {
-		close(p.released)
-		p.discovery.CloseClientConnections()
-		p.discovery.Close()
-	})
+	p.path = filepath.Join(t.TempDir(), "config.json")
+	t.Cleanup(func() { close(p.released) })
+	p.addDiscovery()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -95,6 +98,17 @@
 	return p
 }
 
+// addDiscovery starts a discovery, which the next configuration names.
+func (p *platform) addDiscovery() string {
+	s := httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
+	p.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	p.discovery = s
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
 // addHost starts a host of a destination.
 func (p *platform) addHost(id string, dest int) Member {
 	s := httptest.NewServer(http.HandlerFunc(p.serveHost))
@@ -144,7 +158,7 @@
 				w.WriteHeader(http.StatusBadRequest)
 				return
 			}
-			p.notices = append(p.notices, n)
+			p.notices, p.posted = append(p.notices, n), append(p.posted, r.Host)
 		}
 		w.WriteHeader(http.StatusNoContent)
 		return
@@ -153,6 +167,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	p.watches = append(p.watches, r.Host+"?"+r.URL.RawQuery)
+	defer func() { p.left = append(p.left, r.Host) }()
 	line, _ := json.Marshal(Members{Seq: 41, Whole: true, Hosts: p.hosts})
 	_, _ = w.Write(append(line, '\n'))
 	p.mu.Unlock()
@@ -194,11 +210,10 @@
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 	 "limits":{"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":%s,"settings":%s}`,
 		p.addr, strings.TrimPrefix(p.discovery.URL, "http://"), known, testSettings(p.memory))
-	path := filepath.Join(p.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(p.path, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
-	return path
+	return p.path
 }
 
 // child is a relay in a process of its own.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
-	"net/http"
+	"net"
 	"sync"
 	"time"
 
@@ -17,20 +16,25 @@
 // may be killed after 3.7 s.
 const (
 	listenOn  = time.Second             // until then new connections are taken
-	sendOn    = 2900 * time.Millisecond // until then calls begin
-	callsOn   = 3500 * time.Millisecond // until then calls come to their end
+	sendOn    = 2700 * time.Millisecond // until then calls begin
+	callsOn   = 3300 * time.Millisecond // until then calls come to their end
 	askIdle   = 50 * time.Millisecond   // between looks whether all is done
 	lastWords = 100 * time.Millisecond  // for answers that are being written
 )
 
+// journalShare of the memory is what the journal may take at most: files count as memory, and what the file
+// holds is held in memory as well.
+const journalShare = 0.15
+
 // Run runs a relay until ctx ends, and then brings it to an orderly end: it goes on serving for as long as
-// clients may still come, and leaves what is not delivered by then to the journal in dir.
-func Run(ctx context.Context, cfg *Config, dir string) error {
+// clients may still come, and leaves what is not delivered by then to the journal in dir. Configurations that
+// come from reread move it to another discovery; all else in them is for the next start.
+func Run(ctx context.Context, cfg *Config, dir string, reread <-chan *Config) error {
 	d, err := policy.New(cfg.policy, cfg.seed)
 	if err != nil {
 		return err
 	}
-	journal, err := OpenJournal(dir, cfg.Limits.DiskMB)
+	journal, err := OpenJournal(dir, min(cfg.Limits.DiskMB, journalShare*cfg.Limits.MemoryMB))
 	if err != nil {
 		return err
 	}
@@ -42,12 +46,12 @@
 	l := &loop{cfg: cfg, d: d, journal: journal, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
 		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{},
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle,
-			max(1, int(hostShare*float64(cfg.Limits.Sockets))))}
-	l.watch = newWatcher(cfg.Discovery, func(m Members) { l.put(told{m}) },
+			cfg.hostRoom())}
+	l.watch = newWatcher(cfg.Discovery, func(m Members, from string) { l.put(told{m, from}) },
 		func() { l.put(watchEnded{}) })
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
-	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(id string) { l.put(departure{id}) })
-	listener, err := srv.listen(cfg)
+	srv := newServer(cfg, func(a *arrival) { l.put(a) })
+	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -57,16 +61,24 @@
 	work.Go(func() { l.watch.run(live) })
 	work.Go(func() { l.notices.run(live) })
 	served := make(chan error, 1)
-	go func() { served <- srv.http.Serve(listener) }()
+	go func() { served <- srv.serve(listener) }()
 
-	select {
-	case err = <-served:
-	case <-ctx.Done():
-		l.drain(srv, func() { _ = listener.Close() })
+	for serving := true; serving; {
+		select {
+		case err = <-served:
+			serving = false
+		case next := <-reread:
+			slog.Info("configuration read again", "discovery", next.Discovery)
+			l.watch.move(next.Discovery)
+			l.notices.move(next.Discovery)
+		case <-ctx.Done():
+			l.drain(srv, func() { _ = listener.Close() })
+			serving = false
+		}
 	}
 	stop()
 	work.Wait()
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
@@ -89,7 +101,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
-	if err := srv.http.Shutdown(ctx); err != nil {
+	if err := srv.shutdown(ctx); err != nil {
 		slog.Warn("connections left", "err", err)
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -382,7 +382,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := Run(t.Context(), cfg, p.dir); err == nil || !strings.Contains(err.Error(), "listen") {
+	if err := Run(t.Context(), cfg, p.dir, nil); err == nil || !strings.Contains(err.Error(), "listen") {
 		t.Errorf("error %v", err)
 	}
 	if e := readEntries(t, p.dir); len(e) != 1 || len(e[0].Attempts) != 0 {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -3,19 +3,16 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"mallowlead/internal/settings"
 	"mallowlead/policy"
 )
@@ -25,13 +22,10 @@
 	maxBody = 64 << 10
 	// maxName bounds an id or a key that a client sends.
 	maxName = 256
-	// maxHead bounds a request's head, and readTime the time to read a request: clients send at once.
-	maxHead  = 16 << 10
-	readTime = 5 * time.Second
-	// idleTime is how long a client may keep a connection without a request.
-	idleTime = 2 * time.Minute
-	// clientShare of the descriptors is for clients' connections; hosts' get hostShare.
-	clientShare, hostShare = 0.5, 0.25
+	// bodyShare of the memory is for bodies of requests that are being read or decided on, and busyAfter is
+	// when a client for whose body there is no room may come again.
+	bodyShare = 1.0 / 16
+	busyAfter = time.Second
 )
 
 // envelope finds the destination in the X-Envelope header.
@@ -39,103 +33,130 @@
 
 // verdict is the answer to a message that was handed in.
 type verdict struct {
-	status int
+	status int           // 0 where nobody waits for it
 	after  time.Duration // when to come again
+	close  bool          // the connection takes no further request
 }
 
-// server is the side that clients see.
+// malformed is the answer to a request that breaks the protocol. What comes after it on its connection can't
+// be told from a part of it, so that it is the last.
+func malformed(status int) verdict { return verdict{status: status, close: true} }
+
+// server is the side that clients see: what it takes in is checked here, connections are clients.go's.
 type server struct {
 	classes map[string]*policy.Class
 	tenants map[string]bool
 	admit   func(*arrival)
-	gone    func(id string)
 	closing atomic.Bool // answer with Connection: close
-	http    *http.Server
+	memory  budget      // for bodies
+
+	mu      sync.Mutex
+	left    sync.Cond // a connection has left, or may be made to
+	room    int       // connections at most
+	clients map[*client]bool
 }
 
-func newServer(c *Config, admit func(*arrival), gone func(string)) *server {
-	s := &server{classes: map[string]*policy.Class{}, tenants: map[string]bool{}, admit: admit, gone: gone}
+func newServer(c *Config, admit func(*arrival)) *server {
+	s := &server{classes: map[string]*policy.Class{}, tenants: map[string]bool{}, admit: admit,
+		memory: budget{left: max(maxBody, int(bodyShare*c.Limits.MemoryMB*(1<<20)))},
+		room:   c.clientRoom(), clients: map[*client]bool{}}
+	s.left.L = &s.mu
 	for i := range c.policy.Classes {
 		s.classes[c.policy.Classes[i].Name] = &c.policy.Classes[i]
 	}
 	for _, t := range c.Settings.Tenants {
 		s.tenants[t.Name] = true
 	}
-	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
 	return s
 }
 
-// listen opens the address that clients connect to, for a bounded number of connections.
-func (s *server) listen(c *Config) (net.Listener, error) {
-	l, err := net.Listen("tcp", c.Listen)
+// parse checks the head of a request: it gives a message that lacks its body yet, or the answer. What is
+// malformed takes nothing on and gets a plain 4xx.
+func (s *server) parse(r *http.Request) (*arrival, verdict) {
+	if status, err := checkFraming(r); err != nil {
+		slog.Debug("request rejected", "err", err)
+		return nil, malformed(status)
+	}
+	if r.Method == http.MethodGet && r.URL.Path == "/_health" && r.ContentLength == 0 {
+		// Answered 200: the relay listens only once its journal is replayed.
+		return nil, verdict{status: http.StatusOK}
+	}
+	a, status, err := s.message(r)
 	if err != nil {
-		return nil, err
+		slog.Debug("request rejected", "err", err)
+		return nil, malformed(status)
 	}
-	return netutil.LimitListener(l, max(1, int(clientShare*float64(c.Limits.Sockets)))), nil
+	return a, verdict{}
 }
 
-// serve parts messages from health checks. Those are answered 200: the relay listens only once its journal
-// is replayed.
-func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+// checkFraming guards against requests of which it is unclear where they end: net/http drops the length of
+// one that has a Transfer-Encoding as well and reads on, so that what is hidden in its body would be passed
+// on, and HTTP/1.0 ignores that header. Clients send lengths.
+func checkFraming(r *http.Request) (int, error) {
 	switch {
-	case r.URL.Path == "/_health" && r.Method == http.MethodGet:
-		s.finish(w, verdict{status: http.StatusOK})
-	case r.Method != http.MethodPost:
-		s.finish(w, verdict{status: http.StatusMethodNotAllowed})
-	default:
-		s.post(w, r)
-	}
-}
-
-// finish writes an answer without a body.
-func (s *server) finish(w http.ResponseWriter, v verdict) {
-	if s.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	if v.after > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(v.after.Seconds(), 'f', 3, 64))
-	}
-	w.WriteHeader(v.status)
+	case !r.ProtoAtLeast(1, 1) || r.ProtoMajor > 1:
+		return http.StatusBadRequest, fmt.Errorf("protocol %s", r.Proto)
+	case len(r.TransferEncoding) > 0:
+		return http.StatusBadRequest, fmt.Errorf("transfer encoding %v", r.TransferEncoding)
+	case r.Host == "":
+		return http.StatusBadRequest, errors.New("no host")
+	case r.ContentLength > maxBody:
+		return http.StatusRequestEntityTooLarge, fmt.Errorf("%d bytes", r.ContentLength)
+	case r.Method == http.MethodPost && r.Header.Get("Content-Length") == "":
+		return http.StatusLengthRequired, errors.New("no length")
+	}
+	return 0, nil
 }
 
-// post takes a message in, has it decided on, and answers.
-func (s *server) post(w http.ResponseWriter, r *http.Request) {
-	a, status, err := s.parse(w, r)
-	if err != nil {
-		slog.Debug("request rejected", "err", err)
-		s.finish(w, verdict{status: status})
-		return
-	}
-	s.admit(a)
-	select {
-	case v := <-a.verdict:
-		s.finish(w, v)
-	case <-r.Context().Done():
-		// The client left before an answer: it may hand the message in again, and this copy counts for nothing.
-		s.gone(a.entry.ID)
+// one gives a header's only value. It has to be printable ASCII, as ids and keys go on unchanged and through
+// the journal, whose JSON would change others.
+func one(h http.Header, name string) (string, error) {
+	values := h[name]
+	switch {
+	case len(values) == 0:
+		return "", nil
+	case len(values) > 1:
+		return "", fmt.Errorf("%s: %d values", name, len(values))
+	case len(values[0]) > maxName:
+		return "", fmt.Errorf("%s: too long", name)
+	}
+	for _, c := range []byte(values[0]) {
+		if c < ' ' || c > '~' {
+			return "", fmt.Errorf("%s: not printable", name)
+		}
 	}
+	return values[0], nil
 }
 
-// parse checks a request; what is malformed takes nothing on and gets a plain 4xx.
-func (s *server) parse(w http.ResponseWriter, r *http.Request) (*arrival, int, error) {
+// message checks what a request says of its message.
+func (s *server) message(r *http.Request) (*arrival, int, error) {
 	now := time.Now()
+	if r.Method != http.MethodPost {
+		return nil, http.StatusMethodNotAllowed, fmt.Errorf("method %s", r.Method)
+	}
 	name := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")[0]
 	class := s.classes[name]
 	if class == nil {
 		return nil, http.StatusNotFound, fmt.Errorf("unknown class %q", name)
 	}
-	if t := r.Header.Get("Tenant"); len(s.tenants) > 0 && !s.tenants[t] {
-		return nil, http.StatusBadRequest, fmt.Errorf("unknown tenant %q", t)
-	}
-	id, key := r.Header.Get("Request-Id"), r.Header.Get("Idempotency-Key")
-	if id == "" || len(id) > maxName || len(key) > maxName {
-		return nil, http.StatusBadRequest, errors.New("no id, or an id or key too long")
+	value := map[string]string{}
+	for _, name := range []string{"Tenant", "Request-Id", "Idempotency-Key", "X-Envelope", "Request-Timeout"} {
+		v, err := one(r.Header, name)
+		if err != nil {
+			return nil, http.StatusBadRequest, err
+		}
+		value[name] = v
 	}
-	if key == "" && class.Effect == policy.Keyed {
+	id, key := value["Request-Id"], value["Idempotency-Key"]
+	switch {
+	case len(s.tenants) > 0 && !s.tenants[value["Tenant"]]:
+		return nil, http.StatusBadRequest, fmt.Errorf("unknown tenant %q", value["Tenant"])
+	case id == "":
+		return nil, http.StatusBadRequest, errors.New("no id")
+	case key == "" && class.Effect == policy.Keyed:
 		return nil, http.StatusBadRequest, errors.New("no key in a keyed class")
 	}
-	dest := envelope.FindStringSubmatch(r.Header.Get("X-Envelope"))
+	dest := envelope.FindStringSubmatch(value["X-Envelope"])
 	if dest == nil {
 		return nil, http.StatusBadRequest, errors.New("no destination")
 	}
@@ -143,19 +164,12 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, fmt.Errorf("destination: %w", err)
 	}
-	left, err := strconv.ParseFloat(r.Header.Get("Request-Timeout"), 64)
+	left, err := strconv.ParseFloat(value["Request-Timeout"], 64)
 	if err != nil || !(left > 0) || math.IsInf(left, 0) {
-		return nil, http.StatusBadRequest, fmt.Errorf("time-out %q", r.Header.Get("Request-Timeout"))
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-			return nil, http.StatusRequestEntityTooLarge, err
-		}
-		return nil, http.StatusBadRequest, err
+		return nil, http.StatusBadRequest, fmt.Errorf("time-out %q", value["Request-Timeout"])
 	}
 	// The client counts from when it sent; no class gives a message more than its deadline.
 	expires := now.Add(settings.Seconds(min(left, class.Deadline.Seconds())))
 	return &arrival{verdict: make(chan verdict, 1), entry: &Entry{ID: id, Class: name, Dest: no, Key: key,
-		Expires: expires, Body: body}}, 0, nil
+		Expires: expires}}, 0, nil
 }
