--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -108,6 +108,7 @@
 	}
 	list.Whole = true
 	l.told(list)
+	l.journal.List(list, l.cfg.Discovery) // what the watch tells from here on may be changes of it only
 	l.watch.seq = list.Seq
 	for _, e := range l.journal.Entries() {
 		m := &message{Entry: e}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -65,6 +65,7 @@
 	dir       string
 	memory    float64
 	unknown   bool // the configuration lists no host
+	changes   bool // watches begin with no list
 	down      bool // watches fail
 
 	mu      sync.Mutex
@@ -170,6 +171,9 @@
 	p.watches = append(p.watches, r.Host+"?"+r.URL.RawQuery)
 	defer func() { p.left = append(p.left, r.Host) }()
 	line, _ := json.Marshal(Members{Seq: 41, Whole: true, Hosts: p.hosts})
+	if p.changes {
+		line = nil
+	}
 	_, _ = w.Write(append(line, '\n'))
 	p.mu.Unlock()
 	defer p.mu.Lock()
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -101,3 +101,21 @@
 		t.Errorf("watch %s, want the whole list", w)
 	}
 }
+
+// The list that the configuration gave outlasts the process too, where discovery has told changes of it only.
+func TestListOfConfigurationOutlastsProcess(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.changes = true
+	c := p.start()
+	p.lines <- hostLine(t, 41, Member{Host: "h9", Dial: "127.0.0.1:1", Site: "a", Class: "m2", Block: 9, Health: "SERVING"})
+	p.until("the change is noted", func() bool {
+		list, _ := readJournal(t, p.dir).Listed()
+		return list != nil && list.Seq == 41
+	})
+	p.kill(c)
+	p.set(func() { p.unknown = true })
+	p.start()
+	p.take("status", "m", "20")
+	p.called()
+}
