Believe an answer once it was read whole; bound hosts' connections by one budget, kept by host

Suspected from reading and checked by a table of spoilt answers on loopback sockets (8 of 13 cases failed before): a 429, 503 or 410 with a broken head or body counted as proof that a message never ran, a spoilt answer whose first line says 200 as a reset, reports with absurd or doubled values and waits of an hour were believed. A connection that was out when its host went was kept for whoever came to the address, and calls out were in no budget.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,17 +24,25 @@
 	// idleShare of the time after which hosts close an idle connection it is kept here: a request that
 	// crosses the host's close ends as a reset. With 0.95 hosts closed some first, and G gained nothing.
 	idleShare = 0.8
-	// drainTime is how long the body of an answer may take before its connection is given up.
-	drainTime = 100 * time.Millisecond
+	// answerTime is how long an answer may take from its first byte on, and drainTime how long the rest of one
+	// whose first line says 200: hosts write answers at once, and what does not come to its end is spoilt. Both
+	// are far longer than a relay with a part of a core may stand still.
+	answerTime, drainTime = time.Second, 300 * time.Millisecond
 	// maxAnswer bytes of an answer are read, its head included: what a host sends must not fill the memory.
 	maxAnswer = 2 * maxBody
 	// mostInterim 1xx answers may come ahead of the real one.
 	mostInterim = 8
+	// maxLimit is the highest limit, in calls a second, that a report is believed to tell, and maxLeft the
+	// highest share of it that is left: reports are noisy.
+	maxLimit, maxLeft = 1e6, 2
 )
 
+// target is a host at an address: another host may come to the same address.
+type target struct{ host, addr string }
+
 // request is one call to a host.
 type request struct {
-	addr    string
+	target
 	id, key string
 	body    []byte
 	timeout time.Duration
@@ -40,11 +50,17 @@
 
 // result is how a call ended.
 type result struct {
-	outcome policy.Outcome
-	wait    time.Duration
-	over    bool
-	spent   bool
-	report  *policy.Report
+	outcome  policy.Outcome
+	wait     time.Duration
+	over     bool
+	spent    bool
+	doubtful bool // it may have run, whatever the outcome says
+	report   *policy.Report
+}
+
+// unrun tells whether a call is known never to have run.
+func (r result) unrun() bool {
+	return !r.doubtful && (r.outcome == policy.QueueFull || r.outcome == policy.ConnectError || r.outcome == policy.Ignored)
 }
 
 // pool makes calls to hosts over connections that carry one call at a time. It is no http.Transport, since
@@ -54,24 +70,30 @@
 type pool struct {
 	dialer net.Dialer
 	keep   time.Duration
-	room   int // idle connections kept at most
+	room   int           // connections at most, idle or with a call out; no fewer than calls out at once
+	most   time.Duration // the longest wait that is believed: no message lives longer
 
 	mu    sync.Mutex
-	idle  map[string][]*conn // by address, used last at the end
-	count int
+	idle  map[target]*shelf
+	count int // connections, idle or with a call out
 }
 
+// shelf holds the idle connections to a host, used last at the end. It is another one once the host is gone,
+// so that connections that were out then are not kept.
+type shelf struct{ conns []*conn }
+
 // conn is a connection to a host.
 type conn struct {
 	net.Conn
+	home  *shelf
 	limit *io.LimitedReader // what may still be read for the call
 	in    *bufio.Reader     // reads from limit
 	since time.Time         // idle since
 }
 
-// newPool keeps at most room idle connections, each for less than hostIdle.
-func newPool(connect, hostIdle time.Duration, room int) *pool {
-	return &pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[string][]*conn{},
+// newPool has room for so many connections, and keeps idle ones for less than hostIdle.
+func newPool(connect, hostIdle, most time.Duration, room int) *pool {
+	return &pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, most: most, idle: map[target]*shelf{},
 		keep: time.Duration(idleShare * float64(hostIdle))}
 }
 
@@ -79,17 +101,17 @@
 func (p *pool) call(ctx context.Context, r request) result {
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	c, err := p.get(ctx, r.addr)
-	if err != nil {
+	c, err := p.get(ctx, r.target)
+	switch {
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.EADDRNOTAVAIL):
+		slog.Error("call not made", "err", err) // for want of something here: no fault of the host
+		return result{outcome: policy.Ignored}
+	case err != nil:
 		return result{outcome: policy.ConnectError}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	res, reuse := p.exchange(ctx, c, r)
-	if !stop() || !reuse {
-		_ = c.Close()
-		return res
-	}
-	p.put(r.addr, c)
+	p.put(r.target, c, stop() && reuse)
 	return res
 }
 
@@ -103,21 +125,25 @@
 	if n, _ := c.Write(out); n < len(out) {
 		return result{outcome: policy.ConnectError}, false // the last byte never left: it can't have run
 	}
-	resp, err := c.answer()
-	if err != nil {
-		switch ctx.Err() {
-		case nil:
-			return result{outcome: policy.Reset}, false
-		case context.DeadlineExceeded:
-			return result{outcome: policy.TimedOut}, false
-		}
+	resp, ok, err := c.answer(ctx)
+	switch {
+	case err == nil:
+		res = p.classify(resp)
+	case ok:
+		// The first line said so, and it is true whatever came after it.
+		return result{outcome: policy.OK, over: true}, false
+	case ctx.Err() == nil:
+		return result{outcome: policy.Reset}, false
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result{outcome: policy.TimedOut}, false
+	default:
 		return result{outcome: policy.Canceled}, false
 	}
-	res = classify(resp)
-	_ = c.SetDeadline(time.Now().Add(drainTime))
-	_, err = io.Copy(io.Discard, resp.Body)
-	reuse = err == nil && !resp.Close && c.in.Buffered() == 0 && c.SetDeadline(time.Time{}) == nil
-	return res, reuse
+	// What lies behind an answer may be a part of it whose length does not fit: then it is spoilt, and the
+	// request has run.
+	quiet := c.in.Buffered() == 0 && c.up()
+	res.doubtful = !quiet && c.in.Buffered() > 0
+	return res, quiet && !resp.Close && c.SetDeadline(time.Time{}) == nil
 }
 
 // encode writes the request as it goes on the wire.
@@ -137,28 +163,64 @@
 	return out.Bytes(), err
 }
 
-// answer reads the answer to a request, past any interim ones.
-func (c *conn) answer() (*http.Response, error) {
+// answer reads the whole answer to a request, past any interim ones: a status is not believed before that,
+// since a spoilt answer's request has run. ok tells that the first line says 200, which is true all the same.
+func (c *conn) answer(ctx context.Context) (resp *http.Response, ok bool, err error) {
 	c.limit.N = maxAnswer
-	for range mostInterim {
-		resp, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodPost})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+	if _, err = c.in.Peek(1); err != nil {
+		return nil, false, err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(answerTime))
+	for range mostInterim + 1 {
+		if ctx.Err() != nil { // its deadline was overwritten
+			return nil, ok, ctx.Err()
+		}
+		if line, _ := c.in.Peek(len("HTTP/1.1 200 ")); saysOK(line) {
+			ok = true
+			_ = c.SetReadDeadline(time.Now().Add(drainTime))
 		}
+		resp, err = http.ReadResponse(c.in, &http.Request{Method: http.MethodPost})
+		if err != nil {
+			return nil, ok, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, ok, readBody(resp)
+		}
+	}
+	return nil, ok, errors.New("too many interim answers")
+}
+
+// saysOK tells whether the first bytes of an answer are a status line of 200.
+func saysOK(line []byte) bool {
+	return bytes.HasPrefix(line, []byte("HTTP/1.")) && len(line) == len("HTTP/1.1 200 ") &&
+		bytes.Equal(line[len("HTTP/1.1"):len(line)-1], []byte(" 200")) && (line[len(line)-1] == ' ' || line[len(line)-1] == '\r')
+}
+
+// readBody reads the body of an answer, which means nothing, to its end.
+func readBody(resp *http.Response) error {
+	if resp.ContentLength > maxBody {
+		return fmt.Errorf("an answer of %d bytes", resp.ContentLength)
 	}
-	return nil, errors.New("too many interim answers")
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody+1))
+	if err == nil && n > maxBody {
+		err = errors.New("an answer without end")
+	}
+	return err
 }
 
 // classify reads an outcome from an answer, as the protocol has them.
-func classify(resp *http.Response) result {
-	res := result{outcome: policy.Failed, report: parseReport(resp.Header.Get("Server-Load"))}
+func (p *pool) classify(resp *http.Response) result {
+	res := result{outcome: policy.Failed}
+	if loads := resp.Header["Server-Load"]; len(loads) == 1 {
+		res.report = parseReport(loads[0])
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		res.outcome, res.over = policy.OK, true
 	case http.StatusTooManyRequests:
 		res.outcome = policy.QueueFull
 		if ms, err := strconv.ParseFloat(resp.Header.Get("X-Retry-In-Ms"), 64); err == nil && ms > 0 {
-			res.wait = time.Duration(min(ms, float64(time.Hour.Milliseconds())) * float64(time.Millisecond))
+			res.wait = time.Duration(min(ms, float64(p.most.Milliseconds())) * float64(time.Millisecond))
 		}
 	case http.StatusServiceUnavailable:
 		res.outcome = policy.QueueFull
@@ -173,94 +235,131 @@
 	return res
 }
 
-// parseReport reads a load report such as "x0=0.4,x1=25", or gives nil.
+// parseReport reads a load report such as "x0=0.4,x1=25", or gives nil where it is none to believe.
 func parseReport(text string) *policy.Report {
-	r, found := &policy.Report{}, 0
+	r := policy.Report{Left: -1, Limit: -1}
 	for field := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(v >= 0) {
-			continue
-		}
+		into, most := &r.Left, float64(maxLeft)
 		switch name {
 		case "x0":
-			r.Left = v
-			found |= 1
 		case "x1":
-			r.Limit = v
-			found |= 2
+			into, most = &r.Limit, maxLimit
+		default:
+			continue
 		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0 && v <= most) || *into >= 0 {
+			return nil
+		}
+		*into = v
 	}
-	if found != 3 {
+	if r.Left < 0 || r.Limit < 0 {
 		return nil
 	}
-	return r
+	return &r
 }
 
 // get gives an idle connection that is still up, or a new one.
-func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
+func (p *pool) get(ctx context.Context, t target) (*conn, error) {
 	p.mu.Lock()
-	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
-		c := list[len(list)-1]
-		p.drop(addr, len(list)-1)
+	home := p.idle[t]
+	if home == nil {
+		home = &shelf{}
+		p.idle[t] = home
+	}
+	for len(home.conns) > 0 {
+		c := p.take(home, len(home.conns)-1)
 		if c.up() && time.Since(c.since) < p.keep {
 			p.mu.Unlock()
 			return c, nil
 		}
-		_ = c.Close()
+		p.close(c)
 	}
+	if p.count >= p.room {
+		p.closeOldest()
+	}
+	p.count++
 	p.mu.Unlock()
-	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
+	raw, err := p.dialer.DialContext(ctx, "tcp", t.addr)
 	if err != nil {
-		return nil, fmt.Errorf("connect to %s: %w", addr, err)
+		p.mu.Lock()
+		p.count--
+		p.mu.Unlock()
+		return nil, fmt.Errorf("connect to %s: %w", t.addr, err)
 	}
 	limit := &io.LimitedReader{R: raw, N: maxAnswer}
-	return &conn{Conn: raw, limit: limit, in: bufio.NewReader(limit)}, nil
+	return &conn{Conn: raw, home: home, limit: limit, in: bufio.NewReader(limit)}, nil
 }
 
-// put keeps a connection for the next call.
-func (p *pool) put(addr string, c *conn) {
+// put takes a connection back after a call, and keeps it for the next where it may carry one.
+func (p *pool) put(t target, c *conn, reuse bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.count >= p.room {
-		_ = c.Close()
+	if !reuse || p.idle[t] != c.home {
+		p.close(c)
 		return
 	}
 	c.since = time.Now()
-	p.idle[addr] = append(p.idle[addr], c)
-	p.count++
+	c.home.conns = append(c.home.conns, c)
 }
 
-// drop takes connection i out of an address's list; the lock is held.
-func (p *pool) drop(addr string, i int) {
-	list := p.idle[addr]
-	if list = append(list[:i], list[i+1:]...); len(list) > 0 {
-		p.idle[addr] = list
-	} else {
-		delete(p.idle, addr)
-	}
+// take takes a connection from its shelf, and close closes one that is on none; the lock is held.
+func (p *pool) take(s *shelf, i int) *conn {
+	c := s.conns[i]
+	s.conns = slices.Delete(s.conns, i, i+1)
+	return c
+}
+
+func (p *pool) close(c *conn) {
+	_ = c.Close()
 	p.count--
 }
 
-// closeIdle closes the idle connections to an address.
-func (p *pool) closeIdle(addr string) {
-	p.closeIf(func(a string, _ *conn) bool { return a == addr })
+// closeOldest makes room for a new connection; the lock is held.
+func (p *pool) closeOldest() {
+	var oldest *shelf
+	for _, s := range p.idle {
+		if len(s.conns) > 0 && (oldest == nil || s.conns[0].since.Before(oldest.conns[0].since)) {
+			oldest = s
+		}
+	}
+	if oldest != nil {
+		p.close(p.take(oldest, 0))
+	}
 }
 
-// sweep closes idle connections that have stood too long, or that the host has closed.
-func (p *pool) sweep() {
-	p.closeIf(func(_ string, c *conn) bool { return time.Since(c.since) >= p.keep || !c.up() })
+// closeIdle closes the idle connections to a host.
+func (p *pool) closeIdle(t target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.idle[t]; s != nil {
+		p.closeIf(s, func(*conn) bool { return true })
+	}
+}
+
+// forget closes the idle connections to a host that is gone, and keeps none that is out.
+func (p *pool) forget(t target) {
+	p.closeIdle(t)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.idle, t)
 }
 
-func (p *pool) closeIf(unwanted func(string, *conn) bool) {
+// sweep closes idle connections that have stood too long, or that the host has closed.
+func (p *pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, list := range p.idle {
-		for i := len(list) - 1; i >= 0; i-- {
-			if c := list[i]; unwanted(addr, c) {
-				p.drop(addr, i)
-				_ = c.Close()
-			}
+	for _, s := range p.idle {
+		p.closeIf(s, func(c *conn) bool { return time.Since(c.since) >= p.keep || !c.up() })
+	}
+}
+
+// closeIf closes idle connections of a host; the lock is held.
+func (p *pool) closeIf(s *shelf, unwanted func(*conn) bool) {
+	for i := len(s.conns) - 1; i >= 0; i-- {
+		if unwanted(s.conns[i]) {
+			p.close(p.take(s, i))
 		}
 	}
 }
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -64,10 +64,10 @@
 	}
 }
 
-func testPool() *pool { return newPool(time.Second, 10*time.Second, 4) }
+func testPool() *pool { return newPool(time.Second, 10*time.Second, 12*time.Second, 4) }
 
 func testCall(addr string) request {
-	return request{addr: addr, id: "m1", key: "k1", body: []byte("a\x00b"), timeout: long}
+	return request{target: target{"h", addr}, id: "m1", key: "k1", body: []byte("a\x00b"), timeout: long}
 }
 
 func TestOutcomes(t *testing.T) {
@@ -103,7 +103,7 @@
 		{"closed with no answer", readThen(func(net.Conn) {}), result{outcome: policy.Reset}},
 		{"reset", readThen(func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }), result{outcome: policy.Reset}},
 		{"a head without end", readThen(func(c net.Conn) {
-			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			_, err := io.WriteString(c, "HTTP/1.1 503 No\r\n")
 			for err == nil {
 				_, err = io.WriteString(c, "X-More: and more\r\n")
 			}
@@ -123,10 +123,83 @@
 	}
 }
 
+// Spoilt answers have run, but for a first line that says 200, and their connections carry no further call.
+// Before, a broken 503 counted as proof that a message never ran.
+func TestSpoiltAnswers(t *testing.T) {
+	ok, reset := result{outcome: policy.OK, over: true}, result{outcome: policy.Reset}
+	const no, wait = "HTTP/1.1 503 No\r\n", "HTTP/1.1 429 No\r\nX-Retry-In-Ms: 1e18\r\n"
+	tests := []struct {
+		name, text string
+		want       result
+	}{
+		{"a head that can't be read", no + "what?\x00\r\n\r\n", reset},
+		{"a length that is too long", no + "Content-Length: 9\r\n\r\nabc", reset},
+		{"a length that is too short", no + "Content-Length: 1\r\n\r\nabc", result{outcome: policy.QueueFull, doubtful: true}},
+		{"a length that is no number", no + "Content-Length: x\r\n\r\n", reset},
+		{"3 GB", no + "Content-Length: 3000000000\r\n\r\nabc", reset},
+		{"over, but broken", "HTTP/1.1 410 No\r\nContent-Length: 9\r\n\r\nabc", reset},
+		{"delivered, an unreadable head", "HTTP/1.1 200 OK\r\nwhat?\x00\r\n\r\n", ok},
+		{"delivered, 3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc", ok},
+		{"delivered, a head without end", "HTTP/1.1 200 OK\r\nA: b\r\n", ok},
+		{"not quite delivered", "HTTP/1.1 2000 OK\r\n\r\n", reset},
+		{"a good answer and a copy", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+			result{outcome: policy.OK, over: true, doubtful: true}},
+		{"interim ones and an absurd wait", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n" + wait +
+			"Content-Length: 0\r\n\r\n", result{outcome: policy.QueueFull, wait: 12 * time.Second}},
+		{"interim ones without end", strings.Repeat("HTTP/1.1 103 Hints\r\n\r\n", 100), reset},
+	}
+	for _, tt := range tests {
+		p := testPool()
+		if got := p.call(t.Context(), testCall(rawHost(t, answering(tt.text)))); got != tt.want {
+			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
+		}
+		if p.count != 0 && !strings.Contains(tt.name, "absurd wait") {
+			t.Errorf("%s: the connection is kept", tt.name)
+		}
+	}
+}
+
+// A connection that was out when its host went is not kept, and one that is idle is not used for another host
+// at the same address.
+func TestHostGone(t *testing.T) {
+	var conns atomic.Int32
+	release := make(chan bool)
+	addr := rawHost(t, func(c net.Conn) {
+		n := conns.Add(1)
+		for in := bufio.NewReader(c); ; {
+			if _, err := readCall(in); err != nil {
+				return
+			}
+			if n == 1 {
+				<-release
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := testPool()
+	done := make(chan result, 1)
+	go func() { done <- p.call(t.Context(), testCall(addr)) }()
+	for end := time.Now().Add(long); conns.Load() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	p.forget(target{"h", addr})
+	close(release)
+	if got := receive(t, done); got.outcome != policy.OK || p.count != 0 {
+		t.Errorf("%+v, %d connections kept", got, p.count)
+	}
+	p.call(t.Context(), testCall(addr))
+	other := testCall(addr)
+	other.host = "h2"
+	p.call(t.Context(), other)
+	if conns.Load() != 3 {
+		t.Errorf("%d connections for three calls to two hosts and one that went", conns.Load())
+	}
+}
+
 func TestReport(t *testing.T) {
 	for text, want := range map[string]*policy.Report{
 		"x0=0.4,x1=25": {Left: 0.4, Limit: 25}, "x1=3, x0=0": {Limit: 3}, "": nil, "x0=0.4": nil, "x0=NaN,x1=1": nil,
 		"x0=-1,x1=2": nil, "x0=a,x1=2": nil, "x0=1;x1=2": nil,
+		"x0=Inf,x1=1": nil, "x0=0.4,x1=1e300": nil, "x0=1e9,x1=1": nil, "x0=0.4,x0=0.5,x1=1": nil,
 	} {
 		if got := parseReport(text); (got == nil) != (want == nil) || got != nil && *got != *want {
 			t.Errorf("%q: got %v, want %v", text, got, want)
@@ -251,20 +324,27 @@
 	}
 }
 
+// Connections to hosts stay within their room, idle ones and those with a call out together: the one that was
+// used longest ago makes room.
 func TestPoolBounds(t *testing.T) {
-	p := newPool(time.Second, 10*time.Second, 2)
+	p := newPool(time.Second, 10*time.Second, time.Second, 2)
 	var addrs []string
 	for range 3 {
 		addrs = append(addrs, rawHost(t, answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")))
 	}
 	for _, addr := range addrs {
-		p.call(t.Context(), testCall(addr))
+		if got := p.call(t.Context(), testCall(addr)); got.outcome != policy.OK {
+			t.Errorf("outcome %v", got.outcome)
+		}
+		if p.count > 2 {
+			t.Errorf("%d connections, room for 2", p.count)
+		}
 	}
-	if p.count != 2 {
-		t.Errorf("%d idle connections kept, want the 2 that there is room for", p.count)
+	if kept := p.idle[target{"h", addrs[0]}].conns; len(kept) != 0 {
+		t.Error("the oldest was kept")
 	}
-	p.closeIdle(addrs[0])
-	if p.count != 1 || len(p.idle[addrs[0]]) != 0 {
+	p.closeIdle(target{"h", addrs[1]})
+	if p.count != 1 {
 		t.Errorf("after closing one host's: %d", p.count)
 	}
 	p.keep = 0
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"mallowlead/internal/settings"
 	"mallowlead/policy"
@@ -56,6 +57,15 @@
 // hostRoom is how many connections there may be to hosts, idle or with a call out.
 func (c *Config) hostRoom() int { return max(1, c.Limits.Sockets-ownDescriptors-c.clientRoom()) }
 
+// longest is the longest that a message of any class lives.
+func (c *Config) longest() time.Duration {
+	most := time.Duration(0)
+	for _, class := range c.policy.Classes {
+		most = max(most, class.Deadline)
+	}
+	return most
+}
+
 // ReadConfig reads and checks a configuration file.
 func ReadConfig(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -248,12 +248,11 @@
 func (l *loop) answered(e answered) {
 	m := l.messages[e.id] // stays as long as a call is out
 	m.cancel = nil
-	unrun := e.outcome == policy.QueueFull || e.outcome == policy.ConnectError || e.outcome == policy.Ignored
 	if l.journal.Get(m.ID) == m.Entry {
-		l.journal.End(m.Entry, unrun)
+		l.journal.End(m.Entry, e.unrun())
 	}
 	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.outcome,
-		Wait: e.wait, Took: e.took, Over: e.over, Spent: e.spent, Report: e.report})
+		Wait: e.wait, Took: e.took, Over: e.over, Spent: e.spent, Doubtful: e.doubtful, Report: e.report})
 	if e.over || m.over && m.Owed == nil {
 		l.end(m)
 	}
@@ -267,7 +266,7 @@
 		named[h.Host] = true
 		old, had := l.hosts[h.Host]
 		if had && (old.Dial != h.Dial || h.Health == deleted) {
-			l.pool.closeIdle(old.Dial)
+			l.pool.forget(target{h.Host, old.Dial})
 		}
 		if h.Health == deleted {
 			l.forget(h.Host)
@@ -283,7 +282,7 @@
 	if m.Whole {
 		for id, h := range l.hosts {
 			if !named[id] {
-				l.pool.closeIdle(h.Dial)
+				l.pool.forget(target{id, h.Dial})
 				l.forget(id)
 			}
 		}
@@ -378,7 +377,7 @@
 		}
 	case policy.CloseIdle:
 		if h, ok := l.hosts[a.Endpoint]; ok {
-			l.effects = append(l.effects, func() { l.pool.closeIdle(h.Dial) })
+			l.effects = append(l.effects, func() { l.pool.closeIdle(target{h.Host, h.Dial}) })
 		}
 	case policy.Wake:
 		l.wakeAt = min(l.wakeAt, now+a.After)
@@ -461,7 +460,7 @@
 func (l *loop) call(s send) {
 	ctx, cancel := context.WithCancel(l.calls)
 	s.m.cancel = cancel
-	r := request{addr: s.host.Dial, id: s.m.ID, key: s.m.Key, body: s.m.Body, timeout: s.timeout}
+	r := request{target: target{s.host.Host, s.host.Dial}, id: s.m.ID, key: s.m.Key, body: s.m.Body, timeout: s.timeout}
 	go func() {
 		defer cancel()
 		begun := time.Now()
--- a/policy/api.go
+++ b/policy/api.go
@@ -132,6 +132,7 @@
 		Took     time.Duration
 		Over     bool    // the message has its final answer
 		Spent    bool    // the message has had all its attempts
+		Doubtful bool    // it may have run, whatever the outcome proves elsewhere
 		Report   *Report // or nil
 	}
 	// Withdrawn says that nobody wants a message any more; no answer is owed.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -583,7 +583,7 @@
 	a := &m.attempts[e.Attempt]
 	a.open = false
 	m.open--
-	a.unrun = e.Outcome == QueueFull || e.Outcome == ConnectError || e.Outcome == Ignored
+	a.unrun = !e.Doubtful && (e.Outcome == QueueFull || e.Outcome == ConnectError || e.Outcome == Ignored)
 	c := a.call
 	if e.Outcome == QueueFull && e.Wait > 0 {
 		c.ep.q.waitUntil = max(c.ep.q.waitUntil, d.now+min(e.Wait, never-d.now))
