Keep few of the clients' idle connections: answers close when there are many

Ruled out with that: admission, disk, memory, the restarts. At fault: idle connections made room only when all room was taken, which clients never reach.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -49,6 +49,7 @@
 	fresh                // nothing has come on it yet
 	reading              // a request has begun
 	open                 // a request was read and is to be answered
+	stages               // their number
 )
 
 // client is a connection from a client.
@@ -60,7 +61,7 @@
 	// Guarded by the server's lock.
 	stage   stage
 	since   time.Time
-	evicted bool
+	removed bool
 }
 
 // serve takes connections until the listener is closed. It is no http.Server, since that neither tells what
@@ -96,11 +97,11 @@
 		s.left.Wait()
 	}
 	s.clients[c] = true
+	s.count[fresh]++
 	go func() {
 		s.talk(c)
-		_ = c.Close()
 		s.mu.Lock()
-		delete(s.clients, c)
+		s.remove(c)
 		s.mu.Unlock()
 		s.left.Broadcast()
 	}()
@@ -133,22 +134,52 @@
 	return true
 }
 
-// remove closes a connection under its goroutine's feet; the lock is held.
+// remove closes a connection, also under its goroutine's feet; the lock is held.
 func (s *server) remove(c *client) {
-	c.evicted = true
+	if c.removed {
+		return
+	}
+	c.removed = true
 	_ = c.Close()
 	delete(s.clients, c)
+	s.count[c.stage]--
 }
 
 // enter moves a connection to a stage, and tells whether it is still there.
 func (s *server) enter(c *client, to stage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c.removed {
+		return false
+	}
+	s.count[c.stage]--
+	s.count[to]++
 	c.stage, c.since = to, time.Now()
 	if to <= idle {
 		s.left.Broadcast() // it may make room now
 	}
-	return !c.evicted
+	return true
+}
+
+// crowded tells whether an answer should be the last on its connection, since clients keep more connections
+// than they use: they may hold only so many, and those that ask once and stay would leave them none for
+// further requests. Connections that rested long enough go first.
+func (s *server) crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.count[idle] >= s.keep {
+		var oldest *client
+		for c := range s.clients {
+			if c.stage == idle && (oldest == nil || c.since.Before(oldest.since)) {
+				oldest = c
+			}
+		}
+		if time.Since(oldest.since) < restTime {
+			return true
+		}
+		s.remove(oldest)
+	}
+	return false
 }
 
 // talk serves the requests of a connection, one after another.
@@ -165,7 +196,7 @@
 		if v.status == 0 {
 			return
 		}
-		v.close = v.close || s.closing.Load()
+		v.close = v.close || s.closing.Load() || s.crowded()
 		if !c.answer(v) {
 			return
 		}
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -174,6 +174,34 @@
 	}
 }
 
+// Clients that ask once and stay keep so many connections at most: they hold only so many for requests. Before,
+// they kept all that there was room for, and had none left to ask on.
+func TestAskOnceAndStay(t *testing.T) {
+	s, addr, _ := testServer(t, 100)
+	s.keep = 3
+	last := 0
+	for range 20 {
+		c := dial(t, addr)
+		write(t, c, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("answer %v, %v", resp, err)
+		}
+		if resp.Close {
+			last++
+		}
+		s.mu.Lock()
+		kept := s.count[idle]
+		s.mu.Unlock()
+		if kept > s.keep {
+			t.Fatalf("%d idle connections kept, want %d at most", kept, s.keep)
+		}
+	}
+	if last == 0 {
+		t.Error("no answer closed its connection")
+	}
+}
+
 // A client that says nothing or half a request is closed in the time that it is owed an end.
 func TestSilentClientsEnd(t *testing.T) {
 	_, addr, _ := testServer(t, 10)
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -47,6 +47,9 @@
 	clientShare    = 0.55
 	// clientsPerMB bounds clients' connections by the memory too: one takes about 16 KiB.
 	clientsPerMB = 12
+	// clientIdleShare of the descriptors may be clients' idle connections: far less than the third that clients may
+	// hold for requests, and enough to keep one for each request at once of the busiest days.
+	clientIdleShare = 1.0 / 8
 )
 
 // clientRoom is how many connections clients may have.
@@ -54,6 +57,9 @@
 	return max(1, min(int(clientShare*float64(c.Limits.Sockets-ownDescriptors)), int(clientsPerMB*c.Limits.MemoryMB)))
 }
 
+// idleRoom is how many of their connections clients may keep without a request.
+func (c *Config) idleRoom() int { return max(1, int(clientIdleShare*float64(c.Limits.Sockets))) }
+
 // hostRoom is how many connections there may be to hosts, idle or with a call out.
 func (c *Config) hostRoom() int { return max(1, c.Limits.Sockets-ownDescriptors-c.clientRoom()) }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -53,13 +53,15 @@
 	mu      sync.Mutex
 	left    sync.Cond // a connection has left, or may be made to
 	room    int       // connections at most
+	keep    int       // idle ones at most
 	clients map[*client]bool
+	count   [stages]int // of the connections in each stage
 }
 
 func newServer(c *Config, admit func(*arrival)) *server {
 	s := &server{classes: map[string]*policy.Class{}, tenants: map[string]bool{}, admit: admit,
 		memory: budget{left: max(maxBody, int(bodyShare*c.Limits.MemoryMB*(1<<20)))},
-		room:   c.clientRoom(), clients: map[*client]bool{}}
+		room:   c.clientRoom(), keep: c.idleRoom(), clients: map[*client]bool{}}
 	s.left.L = &s.mu
 	for i := range c.policy.Classes {
 		s.classes[c.policy.Classes[i].Name] = &c.policy.Classes[i]
