Answer a copy of a message that is over without taking it on anew

From reading: an id that came again after its message was over (another client's copy, say) was a new message, sent with whatever key it brought. The test's unsafe message was sent twice before; ids are remembered for as long as a message may live.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -52,6 +52,12 @@
 	over     bool               // ended, but a call is still out
 }
 
+// pastEnd is when a message that was taken on came to its end.
+type pastEnd struct {
+	id string
+	at time.Duration
+}
+
 // loop owns the dispatcher and the journal: nothing else touches their state. It batches events by tick,
 // hands them to the module, and carries out what that decides. It never waits for a socket.
 type loop struct {
@@ -65,7 +71,9 @@
 	start    time.Time
 	messages map[string]*message
 	hosts    map[string]Member
-	dests    map[int]bool // named by some list
+	dests    map[int]bool    // named by some list
+	past     map[string]bool // ids of messages taken on that came to their end not long ago
+	ends     []pastEnd       // the same, in that order
 	wakeAt   time.Duration
 	stepped  time.Duration // when the last batch was handled
 	calls    context.Context
@@ -157,6 +165,7 @@
 			return
 		case <-sweep.C:
 			l.pool.sweep()
+			l.forgetEnds()
 			continue
 		case e := <-l.inbox:
 			l.accept(e)
@@ -232,6 +241,11 @@
 		}
 		return
 	}
+	if l.past[a.entry.ID] {
+		// Guards against a copy that comes when its message is over: made anew it could have its effect twice.
+		a.verdict <- verdict{status: http.StatusAccepted}
+		return
+	}
 	if !l.dests[a.entry.Dest] || !l.journal.Reserve(a.entry) {
 		// Guards the module against destinations that no list has named, and the disk against overflow.
 		a.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
@@ -300,6 +314,8 @@
 	m.over = true
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.Over(m.Entry)
+		l.past[m.ID] = true
+		l.ends = append(l.ends, pastEnd{m.ID, l.now()})
 	}
 	m.Owed = nil
 	if m.cancel == nil {
@@ -307,6 +323,14 @@
 	}
 }
 
+// forgetEnds drops the ids of messages whose copies can't come any more.
+func (l *loop) forgetEnds() {
+	for len(l.ends) > 0 && l.now()-l.ends[0].at > l.cfg.longest() {
+		delete(l.past, l.ends[0].id)
+		l.ends = l.ends[1:]
+	}
+}
+
 // step lets the module act on a batch, and carries its actions out once what they need is in the journal.
 func (l *loop) step() {
 	now := l.now()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,7 +44,7 @@
 	defer stop()
 	s := cfg.Settings
 	l := &loop{cfg: cfg, d: d, journal: journal, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
-		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{},
+		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{}, past: map[string]bool{},
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.longest(),
 			cfg.hostRoom())}
 	l.watch = newWatcher(cfg.Discovery, func(m Members, from string) { l.put(told{m, from}) },
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -320,6 +320,22 @@
 	}
 }
 
+// A copy of a message that is over is not taken on as a new one.
+func TestCopyOfDelivered(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.start()
+	p.take("order", "m", "20")
+	p.called()
+	p.until("it is over", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	p.take("order", "m", "20")
+	p.take("order", "n", "20")
+	p.called()
+	if c := p.sent(); !slices.Equal(c, []string{"m", "n"}) {
+		t.Errorf("calls: %v", c)
+	}
+}
+
 // An outage that was seen outlasts the process, for a host that the configuration's list lacks as well.
 func TestOutageRememberedThroughRestart(t *testing.T) {
 	for _, known := range []bool{true, false} {
