--- a/internal/relay/config_test.go
+++ b/internal/relay/config_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -43,3 +44,32 @@
 		t.Error("no file: no error")
 	}
 }
+
+// The shares of the descriptors fit into the limit, clients get the third that they may hold for requests, and
+// calls out fit into the hosts' share.
+func TestDescriptors(t *testing.T) {
+	for _, limits := range []Limits{{Sockets: 256, MemoryMB: 32}, {Sockets: 384, MemoryMB: 64}, {Sockets: 1024, MemoryMB: 32},
+		{Sockets: 1024, MemoryMB: 192}, {Sockets: 30, MemoryMB: 32}} {
+		limits.Cores, limits.DiskMB = 1, 3
+		c := &Config{Listen: "127.0.0.1:1", Discovery: "127.0.0.1:2", Seed: "1", Limits: limits}
+		if err := json.Unmarshal([]byte(testSettings(15)), &c.Settings); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.check(); err != nil {
+			t.Fatal(err)
+		}
+		clients, hosts := c.clientRoom(), c.hostRoom()
+		if clients+hosts+ownDescriptors > limits.Sockets {
+			t.Errorf("%+v: %d for clients and %d for hosts", limits, clients, hosts)
+		}
+		if limits.Sockets >= 256 && clients < limits.Sockets/3 {
+			t.Errorf("%+v: %d for clients", limits, clients)
+		}
+		if c.policy.Slots > hosts {
+			t.Errorf("%+v: %d calls out on %d connections", limits, c.policy.Slots, hosts)
+		}
+		if c.idleRoom() >= limits.Sockets/3 {
+			t.Errorf("%+v: %d idle ones leave none for requests", limits, c.idleRoom())
+		}
+	}
+}
