--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -20,6 +19,9 @@
 const (
 	// maxBody is the protocol's bound on a body.
 	maxBody = 64 << 10
+	// maxTimeout bounds what is taken for a time-out: no class keeps a message for a day, and a client that
+	// says more does not mean it.
+	maxTimeout = 24 * time.Hour
 	// maxName bounds an id or a key that a client sends.
 	maxName = 256
 	// bodyShare of the memory is for bodies of requests that are being read or decided on, and busyAfter is
@@ -167,7 +169,7 @@
 		return nil, http.StatusBadRequest, fmt.Errorf("destination: %w", err)
 	}
 	left, err := strconv.ParseFloat(value["Request-Timeout"], 64)
-	if err != nil || !(left > 0) || math.IsInf(left, 0) {
+	if err != nil || !(left > 0 && left <= maxTimeout.Seconds()) {
 		return nil, http.StatusBadRequest, fmt.Errorf("time-out %q", value["Request-Timeout"])
 	}
 	// The client counts from when it sent; no class gives a message more than its deadline.
