Read the operator's own file: strict TOML, every problem at once with line and key

Later subsystems need a place for what the operator sets, apart from the platform's configuration. The file deploy/frostlink.toml has one section a subsystem, absent = off; -operator names it. Unknown keys, wrong types and bad values are reported together, each with file, line and key, and end the program with 2 before it listens. go-toml stops at the first wrong type and BurntSushi/toml keeps lines to itself, hence internal/strict.

--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"mallowlead/internal/operator"
 	"mallowlead/internal/relay"
 )
 
@@ -25,7 +26,14 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	config := flag.String("config", os.Getenv("NODE_CONFIG"), "configuration `file` (default $NODE_CONFIG)")
 	state := flag.String("state", os.Getenv("NODE_STATE"), "`folder` that outlasts the process (default $NODE_STATE)")
+	own := flag.String("operator", "", "the operator's own `file`, as deploy/frostlink.toml (default none: every section off)")
 	flag.Parse()
+	if *own != "" {
+		if _, err := operator.Read(*own); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
 	if err := run(*config, *state, hangups); err != nil {
 		fmt.Fprintln(os.Stderr, "frostlink:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,35 @@
+// Package operator reads the operator's own file, deploy/frostlink.toml: one section a subsystem, each absent
+// unless the operator wants it, and absent means off. What the platform tells a relay is not in it.
+package operator
+
+import (
+	"mallowlead/internal/strict"
+)
+
+// Version is the form of the file that this program writes and reads.
+const Version = 1
+
+// File is the operator's file. Each subsystem adds its section as a pointer: nil is off.
+type File struct {
+	Version int `toml:"version"`
+}
+
+// Off is the file in which every section is absent.
+func Off() *File { return &File{Version: Version} }
+
+// Read reads and checks a file. Its error is strict.Problems with all that is wrong in the file, or says why it
+// can't be read.
+func Read(path string) (*File, error) {
+	f := Off()
+	doc, err := strict.ReadFile(path, f)
+	if err != nil {
+		return nil, err
+	}
+	if f.Version != Version {
+		doc.Bad("version", "is %d; this program reads version %d", f.Version, Version)
+	}
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,35 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"mallowlead/internal/strict"
+)
+
+func TestShippedFileIsOff(t *testing.T) {
+	f, err := Read("../../deploy/frostlink.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if *f != *Off() {
+		t.Errorf("the shipped file turns something on: %+v", f)
+	}
+}
+
+func TestReadReportsEveryFault(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "f.toml")
+	if err := os.WriteFile(path, []byte("version = 9\nversoin = 1\n\n[nothing]\na = 1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Read(path)
+	var got strict.Problems
+	if !errors.As(err, &got) || len(got) != 3 || got[0].Line != 1 || got[1].Line != 2 || got[2].Line != 4 {
+		t.Errorf("got %v", err)
+	}
+	if _, err := Read(filepath.Join(t.TempDir(), "none")); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a file that is not there: %v", err)
+	}
+}
