--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,53 +10,85 @@
 	"mallowlead/policy"
 )
 
-// Settings are the start-up parameters that the module and the relay need, named as in the object.
+// Settings are the start-up parameters that the module and the relay need, named as in the object, and those by
+// which a rehearsal judges the rules.
 type Settings struct {
-	Az         int `json:"az"`
-	Categories []struct {
-		Name        string  `json:"name"`
-		AimS        float64 `json:"aim_s"`
-		DeadlineS   float64 `json:"deadline_s"`
-		Idempotency string  `json:"idempotency"`
-		Group       string  `json:"group"`
-		FifoByKey   bool    `json:"fifo_by_key"`
-		LateShare   float64 `json:"late_share"`
-		MemorySpanS float64 `json:"memory_span_s"`
-		Points      float64 `json:"points"`
-	} `json:"categories"`
-	Discovery string `json:"discovery"`
-	Limits    struct {
-		Cancel         bool    `json:"cancel"`
-		ConnIdleS      float64 `json:"conn_idle_s"`
-		ConnTimeoutS   float64 `json:"connect_timeout_s"`
-		MaxAttempts    int     `json:"max_attempts"`
-		MaxOpen        int     `json:"max_open"`
-		MaxRetryAfterS float64 `json:"max_retry_after_s"`
-		RetryAfter     bool    `json:"retry_after"`
-		SecondCopies   bool    `json:"second_copies"`
-	} `json:"limits"`
-	Localities []string `json:"localities"`
-	NInstances int      `json:"n_instances"`
-	QuantumS   float64  `json:"quantum_s"`
-	Rules      struct {
-		ColdShare      float64 `json:"cold_share"`
-		OverloadFactor float64 `json:"overload_factor"`
-		OverloadForS   float64 `json:"overload_for_s"`
-		RampTimeS      float64 `json:"ramp_time_s"`
-		OrderPauseS    float64 `json:"order_pause_s"`
-	} `json:"rules"`
-	Shapes    []string `json:"shapes"`
-	Specifics struct {
-		BundleMax      []int     `json:"bundle_max"`
-		LosesWorth     string    `json:"loses_worth"`
-		MaxCalls       int       `json:"max_calls"`
-		RouteFee       []float64 `json:"route_fee"`
-		SeparateRoutes []bool    `json:"separate_routes"`
-	} `json:"specifics"`
-	Tenants []struct {
-		Name string `json:"name"`
-	} `json:"tenants"`
-	Weights string `json:"weights"`
+	Az         int        `json:"az"`
+	Categories []Category `json:"categories"`
+	Discovery  string     `json:"discovery"`
+	Limits     Limits     `json:"limits"`
+	Localities []string   `json:"localities"`
+	NInstances int        `json:"n_instances"`
+	Ordinal    int        `json:"ordinal"`
+	OverShare  float64    `json:"over_share_worth"` // part of a message's worth left beyond its tenant's share
+	QuantumS   float64    `json:"quantum_s"`
+	Report     Report     `json:"report"`
+	Rules      Rules      `json:"rules"`
+	Shapes     []string   `json:"shapes"`
+	Specifics  Specifics  `json:"specifics"`
+	Tenants    []Tenant   `json:"tenants"`
+	Weights    string     `json:"weights"`
+}
+
+// Category is one class of message.
+type Category struct {
+	Name        string  `json:"name"`
+	AimS        float64 `json:"aim_s"`
+	DeadlineS   float64 `json:"deadline_s"`
+	Idempotency string  `json:"idempotency"`
+	Group       string  `json:"group"`
+	FifoByKey   bool    `json:"fifo_by_key"`
+	LateShare   float64 `json:"late_share"`
+	MemorySpanS float64 `json:"memory_span_s"`
+	Points      float64 `json:"points"`
+}
+
+// Limits are what is allowed.
+type Limits struct {
+	Cancel         bool    `json:"cancel"`
+	ConnIdleS      float64 `json:"conn_idle_s"`
+	ConnTimeoutS   float64 `json:"connect_timeout_s"`
+	MaxAttempts    int     `json:"max_attempts"`
+	MaxOpen        int     `json:"max_open"`
+	MaxRetryAfterS float64 `json:"max_retry_after_s"`
+	Peers          bool    `json:"peers"`
+	Probing        bool    `json:"probing"`
+	RetryAfter     bool    `json:"retry_after"`
+	SecondCopies   bool    `json:"second_copies"`
+}
+
+// Report says how destinations tell of their load.
+type Report struct {
+	Columns []string `json:"columns"`
+	Via     string   `json:"via"`
+}
+
+// Rules are the figures of the six rules.
+type Rules struct {
+	AnswerSlackS   float64 `json:"answer_slack_s"`
+	AskWithinS     float64 `json:"ask_within_s"`
+	ColdShare      float64 `json:"cold_share"`
+	DrainGraceS    float64 `json:"drain_grace_s"`
+	OverloadFactor float64 `json:"overload_factor"`
+	OverloadForS   float64 `json:"overload_for_s"`
+	RampTimeS      float64 `json:"ramp_time_s"`
+	OrderPauseS    float64 `json:"order_pause_s"`
+}
+
+// Specifics are what belongs to this kind of service.
+type Specifics struct {
+	BundleMax      []int     `json:"bundle_max"`
+	LosesWorth     string    `json:"loses_worth"`
+	MaxCalls       int       `json:"max_calls"`
+	RouteFee       []float64 `json:"route_fee"`
+	SeparateRoutes []bool    `json:"separate_routes"`
+}
+
+// Tenant is one that shares the service.
+type Tenant struct {
+	Name     string  `json:"name"`
+	QuotaRPS float64 `json:"quota_rps"` // messages a second, for all relays together, within its share
+	Share    float64 `json:"share"`
 }
 
 var (
