--- /dev/null
+++ b/internal/rehearsal/partner/partner.go
@@ -0,0 +1,499 @@
+// Package partner models a partner system: endpoints with slots and queues, a limit on calls, pauses, outages and
+// the cold time after them. It has no sockets and no clock: calls and failures come in with their times, and what
+// is to be answered comes out.
+package partner
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mallowlead/internal/rehearsal/script"
+)
+
+// never is when what is not due is due.
+const never = time.Duration(math.MaxInt64)
+
+// Mode is how an endpoint meets what comes.
+type Mode int
+
+// The modes. What lies between Refusing and Gone answers no call.
+const (
+	Serving  Mode = iota
+	Shut          // answers "full" to all
+	Failing       // answers a share of its calls with an error
+	Refusing      // connections are refused, open ones were reset
+	Silent        // takes connections and says nothing
+	Gone          // as a machine that vanished: nothing comes up
+)
+
+// Outcome is what becomes of a call.
+type Outcome int
+
+// The outcomes.
+const (
+	Delivered Outcome = iota // 200
+	Errored                  // 500; it may have run
+	Full                     // 503
+	Wait                     // 429 with a wait
+	Dropped                  // the connection is reset after the body; it has run
+)
+
+// Call is one call that has come whole.
+type Call struct {
+	ID       string
+	Relay    int
+	Key      string        // keyed classes: a repeat within Memory is dropped
+	Memory   time.Duration // how long the key is kept
+	Work     time.Duration // at a partner of pace 1
+	Chance   float64       // 0 to 1: decides between what happens to a share of calls
+	New      bool          // the first on its connection
+	Overfull bool          // its connection is one more than the endpoint takes
+	Probe    bool
+
+	endpoint int
+	left     time.Duration // of the work
+	since    time.Duration // as of when
+	doomed   Outcome       // what it ends as
+	repeat   bool
+	deserted bool // nobody waits for its answer
+}
+
+// Done is the end of a call.
+type Done struct {
+	Call    *Call
+	At      time.Duration // when it was due
+	Outcome Outcome
+	Wait    time.Duration // with Wait
+	Ran     bool          // it had its effect
+	Report  *Report       // or nil
+}
+
+// Change is a change of an endpoint's mode that the partner made by itself: it fell over, or is back.
+type Change struct {
+	Endpoint int
+	Mode     Mode
+	At       time.Duration
+}
+
+// Action is something to be done: one of the two is set.
+type Action struct {
+	Done   *Done
+	Change *Change
+}
+
+// Report is what a partner tells of its limit.
+type Report struct{ Left, Limit float64 }
+
+// endpoint is one endpoint.
+type endpoint struct {
+	mode     Mode
+	share    float64 // of calls that fail, when Failing
+	resets   float64 // share of calls whose connection is reset after the body
+	slow     float64 // divides the speed
+	paused   bool    // by itself
+	stopped  bool    // by the script
+	nextTurn time.Duration
+	turns    *rand.Rand
+	warmFrom time.Duration // when it came back cold
+	cold     bool
+	draining bool
+	removed  bool
+	conns    int
+	running  []*Call
+	queue    []*Call
+}
+
+// Partner is the model of one partner.
+type Partner struct {
+	spec      *script.Partner
+	script    *script.Script
+	endpoints []*endpoint
+	now       time.Duration
+	actions   []Action
+
+	tokens   float64 // of a rate
+	filled   time.Duration
+	span     int64 // number of the span that count belongs to
+	count    int
+	keys     map[string]time.Duration // until when each is remembered
+	arrivals []time.Duration          // while cold, the last of them
+	fallen   time.Duration            // until when it stays down; 0 for standing
+	falls    int
+
+	reports  *rand.Rand
+	refresh  time.Duration
+	upcoming []shown
+	report   *Report
+}
+
+// shown is a report on its way.
+type shown struct {
+	at time.Duration
+	Report
+}
+
+// Slack is how many calls above the rule's budget a cold partner bears: the rule's "little slack for chance".
+const Slack = 3
+
+// New gives a partner as it is at the start: warm and well.
+func New(s *script.Script, number int, d script.Draws) *Partner {
+	p := &Partner{script: s, spec: &s.Partners[number], keys: map[string]time.Duration{}, refresh: never,
+		reports: d.For("report", number)}
+	for i := range p.spec.Endpoints {
+		p.add(d.For("pause", number, i))
+	}
+	if l := p.spec.Limit; l != nil {
+		p.tokens = l.Burst
+	}
+	if s.Report != nil {
+		p.refresh = script.Millis(s.Report.Every.In(p.reports))
+	}
+	return p
+}
+
+func (p *Partner) add(turns *rand.Rand) int {
+	e := &endpoint{slow: 1, turns: turns, nextTurn: never}
+	if p.spec.Pause.High > 0 {
+		e.nextTurn = p.now + script.Seconds(p.spec.PauseEvery.In(turns))
+	}
+	p.endpoints = append(p.endpoints, e)
+	return len(p.endpoints) - 1
+}
+
+// Add gives the partner a further endpoint, and its number.
+func (p *Partner) Add(now time.Duration, turns *rand.Rand) (int, []Action) {
+	p.advance(now)
+	return p.add(turns), p.flush()
+}
+
+// Mode tells how an endpoint stands.
+func (p *Partner) Mode(e int) Mode { return p.endpoints[e].mode }
+
+// Falls is how often the partner was pushed over.
+func (p *Partner) Falls() int { return p.falls }
+
+// Connect counts a connection to an endpoint, and tells whether it is one more than that takes.
+func (p *Partner) Connect(e int) (overfull bool) {
+	p.endpoints[e].conns++
+	return p.spec.Connections > 0 && p.endpoints[e].conns > p.spec.Connections
+}
+
+// Disconnect counts a connection's end.
+func (p *Partner) Disconnect(e int) { p.endpoints[e].conns-- }
+
+// Connections is how many an endpoint has.
+func (p *Partner) Connections(e int) int { return p.endpoints[e].conns }
+
+// Next is when something is due by itself.
+func (p *Partner) Next() time.Duration {
+	next := p.refresh
+	if len(p.upcoming) > 0 {
+		next = min(next, p.upcoming[0].at)
+	}
+	if p.fallen > 0 {
+		next = min(next, p.fallen)
+	}
+	for _, e := range p.endpoints {
+		next = min(next, e.nextTurn)
+		for _, c := range e.running {
+			next = min(next, p.due(e, c))
+		}
+	}
+	return next
+}
+
+// Advance brings the partner to a time.
+func (p *Partner) Advance(now time.Duration) []Action {
+	p.advance(now)
+	return p.flush()
+}
+
+// flush gives what is to be done, calls that took no time included.
+func (p *Partner) flush() []Action {
+	p.advance(p.now)
+	out := p.actions
+	p.actions = nil
+	return out
+}
+
+func (p *Partner) advance(now time.Duration) {
+	for {
+		at := p.Next()
+		if at > now {
+			break
+		}
+		p.now = max(p.now, at)
+		p.turn()
+	}
+	p.now = max(p.now, now)
+}
+
+// turn does what is due now.
+func (p *Partner) turn() {
+	for i, e := range p.endpoints {
+		for _, c := range slices.Clone(e.running) {
+			if p.due(e, c) <= p.now {
+				p.finish(e, c)
+			}
+		}
+		if e.nextTurn <= p.now {
+			p.settle(e)
+			e.paused = !e.paused
+			if e.paused {
+				e.nextTurn = p.now + script.Millis(p.spec.Pause.In(e.turns))
+			} else {
+				e.nextTurn = p.now + script.Seconds(p.spec.PauseEvery.In(e.turns))
+			}
+		}
+		if p.fallen > 0 && p.fallen <= p.now {
+			p.back(i)
+		}
+	}
+	if p.fallen <= p.now {
+		p.fallen = 0
+	}
+	for len(p.upcoming) > 0 && p.upcoming[0].at <= p.now {
+		r := p.upcoming[0].Report
+		p.report = &r
+		p.upcoming = p.upcoming[1:]
+	}
+	if p.refresh <= p.now {
+		p.tell()
+	}
+}
+
+// tell draws up a report, which is seen after a while.
+func (p *Partner) tell() {
+	rep := p.script.Report
+	noise := func() float64 { return max(0, 1+rep.Noise*p.reports.NormFloat64()) }
+	n1, n2 := noise(), noise()
+	at := p.now + script.Millis(rep.Delay.In(p.reports))
+	p.refresh = p.now + script.Millis(rep.Every.In(p.reports))
+	if p.spec.Limit == nil {
+		return
+	}
+	if k := len(p.upcoming); k > 0 {
+		at = max(at, p.upcoming[k-1].at) // an older one does not overtake
+	}
+	p.upcoming = append(p.upcoming, shown{at, Report{min(1, p.allowance()*n1), p.spec.Limit.PerSecond() * n2}})
+}
+
+// allowance is the share of the limit that is left.
+func (p *Partner) allowance() float64 {
+	l := p.spec.Limit
+	p.refill()
+	if l.Rate > 0 {
+		return max(0, p.tokens/l.Burst)
+	}
+	return max(0, 1-float64(p.count)/float64(l.Count))
+}
+
+// refill brings the limit to the present time.
+func (p *Partner) refill() {
+	l := p.spec.Limit
+	if l.Rate > 0 {
+		p.tokens = min(l.Burst, p.tokens+l.Rate*(p.now-p.filled).Seconds())
+		p.filled = p.now
+		return
+	}
+	if n := int64(p.now / script.Seconds(l.Span)); n != p.span {
+		p.span, p.count = n, 0
+	}
+}
+
+// use takes a call out of the limit, if it has room for it; else it gives the wait until it has.
+func (p *Partner) use() (ok bool, wait time.Duration) {
+	l := p.spec.Limit
+	if l == nil {
+		return true, 0
+	}
+	p.refill()
+	if l.Rate > 0 {
+		if p.tokens >= 1 {
+			p.tokens--
+			return true, 0
+		}
+		if p.spec.RefusedCounted {
+			p.tokens = max(-l.Burst, p.tokens-1)
+		}
+		return false, script.Seconds((1 - p.tokens) / l.Rate)
+	}
+	if p.count < l.Count {
+		p.count++
+		return true, 0
+	}
+	return false, script.Seconds(l.Span*float64(p.span+1)) - p.now
+}
+
+// giveBack undoes use for a call that was refused for another reason, where refused calls do not count.
+func (p *Partner) giveBack() {
+	l := p.spec.Limit
+	switch {
+	case l == nil || p.spec.RefusedCounted:
+	case l.Rate > 0:
+		p.tokens++
+	default:
+		p.count--
+	}
+}
+
+// Arrive takes in a call whose last byte has come.
+func (p *Partner) Arrive(now time.Duration, at int, c *Call) []Action {
+	p.advance(now)
+	p.arrive(at, c)
+	return p.flush()
+}
+
+func (p *Partner) arrive(at int, c *Call) {
+	e := p.endpoints[at]
+	c.endpoint = at
+	p.push()
+	switch {
+	case e.mode >= Refusing:
+		return // nothing comes back
+	case e.mode == Shut || e.draining || e.removed || c.Overfull:
+		p.refuse(c, 0)
+		return
+	}
+	ok, wait := p.use()
+	if !ok {
+		p.refuse(c, wait)
+		return
+	}
+	if c.Probe {
+		p.actions = append(p.actions, Action{Done: &Done{Call: c, At: p.now, Outcome: Delivered, Report: p.report}})
+		return
+	}
+	if until, known := p.keys[c.Key]; known && c.Key != "" && p.now < until {
+		c.repeat, c.Work = true, 0
+	}
+	c.doomed = p.doom(e, c)
+	if len(e.running) >= p.spec.Slots {
+		if len(e.queue) >= p.spec.Queue {
+			p.giveBack()
+			p.refuse(c, p.soonest(e))
+			return
+		}
+		p.remember(c)
+		e.queue = append(e.queue, c)
+		return
+	}
+	p.remember(c)
+	p.begin(e, c)
+}
+
+func (p *Partner) remember(c *Call) {
+	if c.Key != "" && !c.repeat {
+		p.keys[c.Key] = p.now + c.Memory
+	}
+}
+
+// doom draws what a call that is served ends as.
+func (p *Partner) doom(e *endpoint, c *Call) Outcome {
+	failing := p.spec.ErrorRate
+	if e.mode == Failing {
+		failing = max(failing, e.share)
+	}
+	switch {
+	case c.Chance < failing:
+		return Errored
+	case c.Chance < failing+(1-failing)*e.resets:
+		return Dropped
+	}
+	return Delivered
+}
+
+func (p *Partner) refuse(c *Call, wait time.Duration) {
+	d := &Done{Call: c, At: p.now, Outcome: Full, Report: p.report}
+	if wait > 0 && p.spec.Tells == "wait" {
+		d.Outcome, d.Wait = Wait, wait
+	}
+	p.actions = append(p.actions, Action{Done: d})
+}
+
+// soonest is the time until an endpoint's next call is done.
+func (p *Partner) soonest(e *endpoint) time.Duration {
+	next := never
+	for _, c := range e.running {
+		next = min(next, p.due(e, c))
+	}
+	if next == never {
+		return 0 // nobody knows
+	}
+	return max(time.Millisecond, next-p.now)
+}
+
+func (p *Partner) begin(e *endpoint, c *Call) {
+	c.left = time.Duration(float64(c.Work) * p.spec.Pace)
+	if c.New {
+		c.left += script.Millis(p.spec.HandshakeMS)
+	}
+	c.since = p.now
+	e.running = append(e.running, c)
+}
+
+// finish ends a call and begins the next that waits.
+func (p *Partner) finish(e *endpoint, c *Call) {
+	e.running = slices.DeleteFunc(e.running, func(o *Call) bool { return o == c })
+	// Half of the errors come after the effect: nobody can tell from outside.
+	ran := !c.repeat && (c.doomed != Errored || c.Chance < p.errorShare(e)/2)
+	if c.doomed == Errored && !ran && !c.repeat {
+		delete(p.keys, c.Key)
+	}
+	p.actions = append(p.actions, Action{Done: &Done{Call: c, At: p.now, Outcome: c.doomed, Ran: ran, Report: p.report}})
+	p.fill(e)
+}
+
+func (p *Partner) errorShare(e *endpoint) float64 {
+	if e.mode == Failing {
+		return max(p.spec.ErrorRate, e.share)
+	}
+	return p.spec.ErrorRate
+}
+
+func (p *Partner) fill(e *endpoint) {
+	for len(e.queue) > 0 && len(e.running) < p.spec.Slots {
+		c := e.queue[0]
+		e.queue = e.queue[1:]
+		p.begin(e, c)
+	}
+}
+
+// Leave says that nobody waits for a call's answer any more: it is cancelled, timed out, or its connection broke.
+func (p *Partner) Leave(now time.Duration, c *Call) []Action {
+	p.advance(now)
+	c.deserted = true
+	e := p.endpoints[c.endpoint]
+	is := func(o *Call) bool { return o == c }
+	if p.spec.Cancelled != "runs-on" && slices.ContainsFunc(e.queue, is) {
+		e.queue = slices.DeleteFunc(e.queue, is)
+		p.forget(c)
+	}
+	if p.spec.Cancelled == "stops" && slices.ContainsFunc(e.running, is) {
+		e.running = slices.DeleteFunc(e.running, is)
+		p.forget(c)
+		p.fill(e)
+	}
+	return p.flush()
+}
+
+// Deserted tells whether nobody waits for a call's answer.
+func (c *Call) Deserted() bool { return c.deserted }
+
+// forget drops the key of a call that will not have its effect.
+func (p *Partner) forget(c *Call) {
+	if !c.repeat {
+		delete(p.keys, c.Key)
+	}
+}
+
+// Sweep forgets keys whose time is over.
+func (p *Partner) Sweep(now time.Duration) {
+	for k, until := range p.keys {
+		if until <= now {
+			delete(p.keys, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/partner/partner_test.go
@@ -0,0 +1,296 @@
+package partner
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"mallowlead/internal/rehearsal/script"
+	"pgregory.net/rapid"
+)
+
+// parse makes a script with one class of mean service time 100 ms and one partner with the lines given.
+func parse(t testing.TB, partnerLines string) *script.Script {
+	t.Helper()
+	s, err := script.Parse("t", []byte(`version=1
+name="t"
+length_s=100
+relays=1
+[load]
+rate=1
+[[class]]
+name="c"
+aim_s=1
+deadline_s=12
+effect="safe"
+service_ms=100
+[[partner]]
+name="p"
+share=1
+`+partnerLines))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func newPartner(t testing.TB, lines string) *Partner {
+	return New(parse(t, lines), 0, script.NewDraws(1))
+}
+
+// play lets calls come at a mean rate for so many and sums up what became of them.
+func play(p *Partner, rate float64, calls int) (served, full int, meanTime float64) {
+	chance := rand.New(rand.NewPCG(7, 7))
+	began := map[*Call]time.Duration{}
+	now, sum := time.Duration(0), 0.0
+	count := func(actions []Action) {
+		for _, a := range actions {
+			switch d := a.Done; d.Outcome {
+			case Delivered:
+				served++
+				sum += (d.At - began[d.Call]).Seconds()
+			case Full:
+				full++
+			}
+			delete(began, a.Done.Call)
+		}
+	}
+	for range calls {
+		now += script.Seconds(chance.ExpFloat64() / rate)
+		count(p.Advance(now))
+		c := &Call{Work: script.Seconds(0.1 * chance.ExpFloat64()), Chance: chance.Float64()}
+		began[c] = now
+		count(p.Arrive(now, 0, c))
+	}
+	count(p.Advance(now + time.Hour))
+	return served, full, sum / float64(served)
+}
+
+// mmck gives the share turned away and the mean time of those served in an M/M/c/K queue (Erlang), by its
+// stationary distribution.
+func mmck(rate, mean float64, c, k int) (blocked, meanTime float64) {
+	a, p, sum := rate*mean, make([]float64, k+1), 0.0
+	for n := range p {
+		switch {
+		case n == 0:
+			p[n] = 1
+		default:
+			p[n] = p[n-1] * a / float64(min(n, c))
+		}
+		sum += p[n]
+	}
+	l := 0.0
+	for n := range p {
+		p[n] /= sum
+		l += float64(n) * p[n]
+	}
+	return p[k], l / (rate * (1 - p[k]))
+}
+
+// The model check: at 0.5, 0.9 and 1.3 of what it can do a partner does what the arithmetic of its script says.
+func TestPartnerIsAnMMcKQueue(t *testing.T) {
+	const slots, queue, calls = 4, 8, 200_000
+	for _, load := range []float64{0.5, 0.9, 1.3} {
+		rate := load * slots / 0.1
+		p := newPartner(t, fmt.Sprintf("slots=%d\nqueue=%d\n", slots, queue))
+		served, full, mean := play(p, rate, calls)
+		blocked, want := mmck(rate, 0.1, slots, slots+queue)
+		got := float64(full) / calls
+		if math.Abs(got-blocked) > 0.004 || math.Abs(mean/want-1) > 0.02 || served+full != calls {
+			t.Errorf("load %v: %.4f turned away (want %.4f), %.4f s (want %.4f), %d of %d ended", load, got, blocked,
+				mean, want, served+full, calls)
+		}
+	}
+}
+
+// A limit lets through what it says, whatever is asked for.
+func TestLimits(t *testing.T) {
+	for _, c := range []struct {
+		lines string
+		rate  float64
+		want  float64 // calls a second served
+	}{
+		{"slots=50\nlimit={count=20,span_s=1}\n", 60, 20},
+		{"slots=50\nlimit={count=20,span_s=2}\n", 60, 10},
+		{"slots=50\nlimit={rate=20,burst=5}\n", 60, 20},
+		// Each refusal takes from the limit what a call would: a bucket that is sent three times its rate stays empty.
+		{"slots=50\nlimit={rate=20,burst=5}\nrefused_counted=true\n", 60, 0},
+		// Half the limit's calls meet a queue that is full, and use the limit up all the same.
+		{"slots=1\nqueue=0\nlimit={count=20,span_s=1}\nrefused_counted=true\n", 40, 5},
+	} {
+		p := newPartner(t, c.lines)
+		const calls = 30_000
+		served, full, _ := play(p, c.rate, calls)
+		if got := float64(served) / (calls / c.rate); math.Abs(got-c.want) > 0.1*c.want+0.3 || served+full != calls {
+			t.Errorf("%q: %.2f a second served, want %.2f", c.lines, got, c.want)
+		}
+	}
+}
+
+// A wait that is told is honest: a call at its end is taken, and one just before it is not.
+func TestWaitsAreHonest(t *testing.T) {
+	for _, lines := range []string{"slots=9\nlimit={count=2,span_s=1}\n", "slots=9\nlimit={rate=2,burst=2}\n", "slots=2\nqueue=0\n"} {
+		for _, early := range []time.Duration{0, 2 * time.Millisecond} {
+			p := newPartner(t, lines+"tells=\"wait\"\n")
+			at := 300 * time.Millisecond
+			var wait time.Duration
+			for range 3 {
+				for _, a := range p.Arrive(at, 0, &Call{Work: 200 * time.Millisecond, Chance: 1}) {
+					if a.Done.Outcome == Wait {
+						wait = a.Done.Wait
+					}
+				}
+			}
+			if wait <= 0 {
+				t.Fatalf("%q: no wait was told", lines)
+			}
+			refused := false
+			for _, a := range p.Arrive(at+wait-early, 0, &Call{Chance: 1}) {
+				refused = refused || a.Done.Outcome == Wait
+			}
+			if refused != (early > 0) {
+				t.Errorf("%q: %v before the wait's end: refused %v", lines, early, refused)
+			}
+		}
+	}
+}
+
+// After an outage a partner has its cold share, is warm in time, and falls over exactly when it is sent more than
+// the rule's multiple of what it can do.
+func TestColdReturn(t *testing.T) {
+	const lines = "slots=40\nqueue=100\ncold_share=0.2\nwarm_s=10\nfallen_for_s=7\n"
+	p := newPartner(t, lines)
+	p.Fail(0, -1, Refusing, 0)
+	if got := p.Capacity(); got != 0 {
+		t.Errorf("capacity %v while down", got)
+	}
+	p.Recover(time.Second, -1, true)
+	for at, want := range map[time.Duration]float64{time.Second: 80, 6 * time.Second: 240, 11 * time.Second: 400} {
+		q := newPartner(t, lines)
+		q.Recover(time.Second, -1, true)
+		q.Advance(at)
+		if got := q.Capacity(); math.Abs(got-want) > 1e-6 {
+			t.Errorf("capacity at %v is %v, want %v", at, got, want)
+		}
+	}
+	budget := int(2.5*80*1.5) + Slack
+	for i := range budget {
+		if p.Arrive(time.Second, 0, &Call{Work: time.Millisecond, Chance: 1}); p.Falls() > 0 {
+			t.Fatalf("fell over at call %d of %d", i+1, budget)
+		}
+	}
+	changes := 0
+	for _, a := range p.Arrive(time.Second, 0, &Call{Chance: 1}) {
+		if a.Change != nil && a.Change.Mode == Refusing {
+			changes++
+		}
+	}
+	if p.Falls() != 1 || changes != 1 || p.Mode(0) != Refusing {
+		t.Errorf("%d falls, %d changes after one call too many", p.Falls(), changes)
+	}
+	back := p.Advance(8 * time.Second)
+	if len(back) != 1 || back[0].Change == nil || back[0].Change.Mode != Serving || !p.Cold() {
+		t.Errorf("after its fall: %+v", back)
+	}
+}
+
+// However often the speed changes, a call takes as much work as it brought.
+func TestWorkIsKept(t *testing.T) {
+	p := newPartner(t, "slots=1\ncold_share=0.2\nwarm_s=10\n")
+	p.Recover(0, -1, true) // cold: 0.2 + 0.08 t
+	p.Arrive(0, 0, &Call{Work: 2 * time.Second, Chance: 1})
+	p.Slow(time.Second, -1, 2)             // done: 0.24
+	p.Stop(2*time.Second, -1, true)        // + (0.28+0.36)/2/2 = 0.16
+	p.Stop(5*time.Second, -1, false)       // + 0
+	p.Slow(5*time.Second, -1, 1)           // from here 0.6 + 0.08 t, 1.6 to do: t = 2.337 s
+	done := p.Advance(7 * time.Second)     // too early
+	done = append(done, p.Advance(8e9)...) // 8 s
+	if len(done) != 1 || math.Abs(done[0].Done.At.Seconds()-7.31) > 0.03 {
+		t.Errorf("done %+v", done)
+		for _, d := range done {
+			t.Error(d.Done.At)
+		}
+	}
+}
+
+// A key is remembered from the first call on that may have its effect, and a repeat within its time has none.
+func TestKeysAreRemembered(t *testing.T) {
+	p := newPartner(t, "slots=5\n")
+	ran := func(at time.Duration) (n int) {
+		for _, a := range append(p.Arrive(at, 0, &Call{Key: "k", Memory: 15 * time.Second, Work: time.Second, Chance: 1}), p.Advance(at+2*time.Second)...) {
+			if a.Done.Ran {
+				n++
+			}
+		}
+		return n
+	}
+	if a, b, c := ran(0), ran(14*time.Second), ran(17*time.Second); a != 1 || b != 0 || c != 1 {
+		t.Errorf("ran %d, %d, %d times; want once, not, once", a, b, c)
+	}
+	p.Sweep(time.Hour)
+	if len(p.keys) != 0 {
+		t.Error("keys are kept for good")
+	}
+}
+
+// Whatever comes, each call ends at most once, never after it was lost, and time does not stand still.
+func TestEachCallEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lines := rapid.SampledFrom([]string{"", "limit={rate=5,burst=2}\n", "limit={count=3,span_s=1}\ntells=\"wait\"\n",
+			"pause_every_s=0.5\npause_ms=[100,300]\n", "cancelled=\"stops\"\nerror_rate=0.3\n"}).Draw(t, "lines")
+		s, err := script.Parse("t", []byte("version=1\nname=\"t\"\nlength_s=9\nrelays=1\n[load]\nrate=1\n[[class]]\nname=\"c\"\naim_s=1\n"+
+			"deadline_s=9\neffect=\"safe\"\nservice_ms=100\n[[partner]]\nname=\"p\"\nshare=1\nendpoints=2\nslots=2\nqueue=2\n"+lines))
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := New(s, 0, script.NewDraws(1))
+		ended, now := map[*Call]bool{}, time.Duration(0)
+		var out []*Call
+		take := func(actions []Action) {
+			for _, a := range actions {
+				if a.Done == nil {
+					continue
+				}
+				if ended[a.Done.Call] {
+					t.Fatal("a call ended twice")
+				}
+				if a.Done.At > now {
+					t.Fatalf("done at %v before it is due, at %v", now, a.Done.At)
+				}
+				ended[a.Done.Call] = true
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+			at := rapid.IntRange(0, 1).Draw(t, "endpoint")
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			case 0:
+				take(p.Fail(now, at, Mode(rapid.IntRange(1, 5).Draw(t, "mode")), 0.5))
+			case 1:
+				take(p.Recover(now, at, true))
+			case 2:
+				take(p.Slow(now, at, float64(rapid.IntRange(1, 20).Draw(t, "slow"))))
+			case 3:
+				if len(out) > 0 {
+					take(p.Leave(now, out[rapid.IntRange(0, len(out)-1).Draw(t, "leaves")]))
+				}
+			case 4:
+				take(p.Stop(now, at, rapid.Bool().Draw(t, "stop")))
+			default:
+				c := &Call{Work: time.Duration(rapid.IntRange(0, 500).Draw(t, "work")) * time.Millisecond, Chance: rapid.Float64Range(0, 1).Draw(t, "chance")}
+				out = append(out, c)
+				take(p.Arrive(now, at, c))
+			}
+			for _, e := range p.endpoints {
+				if len(e.running) > 2 || len(e.queue) > 2 {
+					t.Fatalf("%d run and %d wait", len(e.running), len(e.queue))
+				}
+			}
+			if next := p.Next(); next <= now {
+				t.Fatalf("something is due at %v, and it is %v", next, now)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/script/check.go
@@ -0,0 +1,338 @@
+package script
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"mallowlead/internal/strict"
+)
+
+// The bounds of one machine.
+const (
+	maxRelays    = 12
+	maxEndpoints = 200 // of all partners, replacements apart: each has a listener for every relay
+	maxMessages  = 400_000
+	maxLength    = 3600 // seconds
+)
+
+// check reports all that makes no sense.
+func (s *Script) check(d *strict.Doc) {
+	if d.Has("version") && s.Version != Version {
+		d.Bad("version", "is %d; this program reads version %d", s.Version, Version)
+	}
+	c := checker{d}
+	c.above("length_s", s.Length, 0)
+	c.most("length_s", s.Length, maxLength)
+	if d.Has("relays") && (s.Relays < 1 || s.Relays > maxRelays) {
+		d.Bad("relays", "is %d, has to be 1 to %d", s.Relays, maxRelays)
+	}
+	c.above("relay.cores", s.Relay.Cores, 0)
+	c.above("relay.memory_mb", s.Relay.MemoryMB, 0)
+	c.above("relay.sockets", float64(s.Relay.Sockets), 0)
+	c.above("relay.disk_mb", s.Relay.DiskMB, 0)
+	c.above("relay.slots", float64(s.Relay.Slots), 0)
+	c.above("relay.hold", float64(s.Relay.Hold), 0)
+	c.above("relay.tick_ms", s.Relay.TickMS, 0)
+	c.above("relay.ready_within_s", s.Relay.Ready, 0)
+	c.above("limits.attempts", float64(s.Limits.Attempts), 0)
+	c.above("limits.connect_timeout_s", s.Limits.ConnectTimeout, 0)
+	c.above("limits.conn_idle_s", s.Limits.ConnIdle, 0)
+	c.least("limits.retry_after_s", s.Limits.RetryAfter, 0)
+	c.above("rules.answer_slack_s", s.Rules.AnswerSlack, 0)
+	c.above("rules.ask_within_s", s.Rules.AskWithin, 0)
+	c.above("rules.drain_grace_s", s.Rules.DrainGrace, 0)
+	c.above("rules.ramp_s", s.Rules.Ramp, 0)
+	c.above("rules.overload_factor", s.Rules.OverloadFactor, 1)
+	c.above("rules.overload_for_s", s.Rules.OverloadFor, 0)
+	c.least("rules.order_pause_s", s.Rules.OrderPause, 0)
+	c.share("rules.cold_share", s.Rules.ColdShare)
+	c.above("register.tell_within_s", s.Register.TellWithin, 0)
+	c.share("network.loss", s.Network.Loss)
+	c.share("network.halved", s.Network.Halved)
+	c.share("clients.honour", s.Clients.Honour)
+	c.least("clients.retries", float64(s.Clients.Retries), 0)
+	c.least("clients.growth", s.Clients.Growth, 1)
+	c.above("clients.answer_ms", s.Clients.AnswerWithin, 0)
+	c.most("clients.body_bytes", s.Clients.Body.High, 64<<10)
+	if d.Has("load.rate") {
+		c.above("load.rate", s.Load.Rate, 0)
+	}
+	if n := s.Load.Rate * s.Length; n > maxMessages {
+		d.Bad("load.rate", "makes %.0f messages in all, %d at most", n, maxMessages)
+	}
+	c.oneOf("load.shape", s.Load.Shape, "steady", "wave", "ramp")
+	c.share("load.swing", s.Load.Swing)
+	c.above("load.period_s", s.Load.Period, 0)
+	c.share("load.clumps", s.Load.Clumps)
+	c.above("load.clump_s", s.Load.Clump.Low, 0)
+	if s.Report != nil {
+		c.above("report.every_ms", s.Report.Every.Low, 0)
+		c.share("report.noise", s.Report.Noise)
+	}
+	s.checkClasses(c)
+	s.checkTenants(c)
+	s.checkPartners(c)
+	for i := range s.Events {
+		s.checkEvent(c, fmt.Sprintf("event[%d]", i+1), &s.Events[i])
+	}
+	s.checkOverlaps(c)
+}
+
+func (s *Script) checkClasses(c checker) {
+	if c.Has("class") && len(s.Classes) == 0 {
+		c.Bad("class", "there is none")
+	}
+	names := map[string]bool{}
+	for i := range s.Classes {
+		k, at := &s.Classes[i], fmt.Sprintf("class[%d].", i+1)
+		c.name(at+"name", k.Name, names)
+		if strings.ContainsAny(k.Name, "/?# ") {
+			c.Bad(at+"name", "%q can't be part of a path", k.Name)
+		}
+		c.above(at+"share", k.Share, 0)
+		c.above(at+"worth", k.Worth, 0)
+		c.share(at+"late_share", k.LateShare)
+		c.above(at+"aim_s", k.Aim, 0)
+		if k.Deadline < k.Aim {
+			c.Bad(at+"deadline_s", "%v s is before the aim, %v s", k.Deadline, k.Aim)
+		}
+		c.above(at+"service_ms", k.Service, 0)
+		c.oneOf(at+"effect", k.Effect, "safe", "keyed", "unsafe")
+		if k.Effect == "keyed" {
+			c.above(at+"memory_s", k.Memory, 0)
+		} else if k.Memory > 0 {
+			c.Bad(at+"memory_s", "only a keyed class has one")
+		}
+		c.oneOf(at+"spread", k.Spread, "exp", "lognormal", "fixed")
+		c.above(at+"cv", k.CV, 0)
+		c.least(at+"noise", k.Noise, 0)
+		if k.Ordered {
+			c.above(at+"keys", float64(k.Keys), 0)
+		}
+	}
+}
+
+func (s *Script) checkTenants(c checker) {
+	names := map[string]bool{}
+	for i := range s.Tenants {
+		t, at := &s.Tenants[i], fmt.Sprintf("tenant[%d].", i+1)
+		c.name(at+"name", t.Name, names)
+		c.above(at+"share", t.Share, 0)
+		c.least(at+"quota", t.Quota, 0)
+		c.share(at+"over_share_worth", t.Over)
+		if t.Over != s.Tenants[0].Over {
+			c.Bad(at+"over_share_worth", "differs from the first tenant's: the settings have one for all")
+		}
+	}
+}
+
+func (s *Script) checkPartners(c checker) {
+	if c.Has("partner") && len(s.Partners) == 0 {
+		c.Bad("partner", "there is none")
+	}
+	names, endpoints := map[string]bool{}, 0
+	for i := range s.Partners {
+		p, at := &s.Partners[i], fmt.Sprintf("partner[%d].", i+1)
+		c.name(at+"name", p.Name, names)
+		c.above(at+"share", p.Share, 0)
+		c.above(at+"endpoints", float64(p.Endpoints), 0)
+		c.above(at+"slots", float64(p.Slots), 0)
+		c.least(at+"queue", float64(p.Queue), 0)
+		c.above(at+"pace", p.Pace, 0)
+		c.least(at+"connections", float64(p.Connections), 0)
+		c.least(at+"handshake_ms", p.HandshakeMS, 0)
+		c.share(at+"error_rate", p.ErrorRate)
+		c.oneOf(at+"tells", p.Tells, "nothing", "wait")
+		c.oneOf(at+"cancelled", p.Cancelled, "runs-on", "leaves-queue", "stops")
+		if p.ColdShare < s.Rules.ColdShare || p.ColdShare > 1 {
+			c.Bad(at+"cold_share", "%v is not from rules.cold_share, %v, to 1", p.ColdShare, s.Rules.ColdShare)
+		}
+		if p.Warm > s.Rules.Ramp || p.Warm < 0 {
+			c.Bad(at+"warm_s", "%v is not from 0 to rules.ramp_s, %v", p.Warm, s.Rules.Ramp)
+		}
+		c.above(at+"fallen_for_s", p.FallenFor, 0)
+		if (p.Pause.High > 0) != (p.PauseEvery.Low > 0) {
+			c.Bad(at+"pause_ms", "pause_ms and pause_every_s go together, both above 0")
+		}
+		if l := p.Limit; l != nil {
+			rate, count := l.Rate > 0, l.Count > 0 && l.Span > 0
+			if rate == count || rate && (l.Count != 0 || l.Span != 0) || count && l.Burst != 0 {
+				c.Bad(at+"limit", "is either a rate (with a burst) or a count in a span_s, all above 0")
+			}
+			if rate && l.Burst < 1 {
+				c.Bad(at+"limit.burst", "%v lets no call through: 1 at least", l.Burst)
+			}
+		}
+		if len(s.Tenants) > 0 && !slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return t.Name == p.Tenant }) {
+			c.Bad(at+"tenant", "%q is no tenant of this script", p.Tenant)
+		}
+		endpoints += p.Endpoints
+	}
+	if endpoints > maxEndpoints {
+		c.Bad("partner", "%d endpoints in all, %d at most", endpoints, maxEndpoints)
+	}
+}
+
+// The kinds of failure, and which keys each takes beside at_s and what. A key with "!" has to be there.
+var kinds = map[string][]string{
+	"refuse":   {"for_s!", "partner!", "endpoint", "warm"},
+	"shut":     {"for_s!", "partner!", "endpoint", "warm"},
+	"silent":   {"for_s!", "partner!", "endpoint", "warm"},
+	"gone":     {"for_s!", "partner!", "endpoint", "warm"},
+	"failing":  {"for_s!", "partner!", "endpoint", "share!", "warm"},
+	"slow":     {"for_s!", "partner!", "endpoint", "factor!"},
+	"reset":    {"for_s!", "partner!", "endpoint", "share!"},
+	"pause":    {"for_s!", "partner!", "endpoint"},
+	"drain":    {"partner!", "endpoint!", "drain_s"},
+	"replace":  {"partner", "share!", "over_s", "drain_s", "reused"},
+	"jump":     {"for_s!", "factor!", "rise_s"},
+	"draw":     {"for_s!", "partner!", "share!"},
+	"kill":     {"relay", "back_s"},
+	"term":     {"relay", "back_s"},
+	"lose":     {"relay!", "back_s"},
+	"hang":     {"relay!", "for_s!"},
+	"move":     {"relay"},
+	"register": {"for_s!", "how"},
+	"split":    {"for_s!", "relays!"},
+	"loss":     {"for_s!", "share!"},
+	"halve":    {"for_s!", "share!"},
+}
+
+// Kinds of outage: what a partner is cold after.
+var outages = map[string]bool{"refuse": true, "shut": true, "silent": true, "gone": true, "failing": true}
+
+// Outage tells whether an event is an outage of its partner's endpoints, after which they are cold.
+func (e *Event) Outage() bool { return outages[e.What] }
+
+func (s *Script) checkEvent(c checker, at string, e *Event) {
+	keys, ok := kinds[e.What]
+	if !ok {
+		var names []string
+		for name := range kinds {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		c.Bad(at+".what", "%q is none of %s", e.What, strings.Join(names, ", "))
+		return
+	}
+	takes := map[string]bool{}
+	for _, k := range keys {
+		name, needed := strings.CutSuffix(k, "!")
+		takes[name] = true
+		if needed && !c.Has(at+"."+name) {
+			c.Bad(at+"."+name, "is missing: %q needs it", e.What)
+		}
+	}
+	for _, name := range []string{"for_s", "partner", "endpoint", "relay", "relays", "factor", "share", "rise_s", "drain_s",
+		"over_s", "reused", "back_s", "how", "warm"} {
+		if c.Has(at+"."+name) && !takes[name] {
+			c.Bad(at+"."+name, "has no meaning for %q", e.What)
+		}
+	}
+	c.least(at+".at_s", e.At, 0)
+	if e.At >= s.Length {
+		c.Bad(at+".at_s", "%v is not before the end, length_s = %v", e.At, s.Length)
+	}
+	if c.Has(at + ".for_s") {
+		c.above(at+".for_s", e.For, 0)
+	}
+	if c.Has(at + ".share") {
+		c.share(at+".share", e.Share)
+		c.above(at+".share", e.Share, 0)
+	}
+	if c.Has(at + ".factor") {
+		c.above(at+".factor", e.Factor, 0)
+	}
+	c.share(at+".reused", e.Reused)
+	c.least(at+".over_s", e.Over, 0)
+	c.least(at+".drain_s", e.Drain, 0)
+	c.least(at+".back_s", e.Back, 0)
+	c.least(at+".rise_s", e.Rise, 0)
+	if e.What == "register" {
+		c.oneOf(at+".how", e.How, "503", "reset", "silent")
+	}
+	if c.Has(at + ".partner") {
+		p := s.Partner(e.Partner)
+		switch {
+		case p < 0:
+			c.Bad(at+".partner", "%q is no partner of this script", e.Partner)
+		case e.Endpoint < 0 || e.Endpoint > s.Partners[p].Endpoints:
+			c.Bad(at+".endpoint", "%s has endpoints 1 to %d", e.Partner, s.Partners[p].Endpoints)
+		}
+	}
+	for _, r := range append([]int{e.Relay}, e.Relays...) {
+		if r < 0 || r > s.Relays || r == 0 && len(e.Relays) > 0 && slices.Contains(e.Relays, 0) {
+			c.Bad(at+".relay", "there are relays 1 to %d", s.Relays)
+			break
+		}
+	}
+	if takes["relay"] && e.Relay == 0 && c.Has(at+".relay") {
+		c.Bad(at+".relay", "there are relays 1 to %d; leave it out for all", s.Relays)
+	}
+}
+
+// checkOverlaps reports outages of one endpoint that overlap: what holds then would be a matter of their order.
+func (s *Script) checkOverlaps(c checker) {
+	for i := range s.Events {
+		a := &s.Events[i]
+		for j := range i {
+			b := &s.Events[j]
+			same := a.Partner == b.Partner && (a.Endpoint == b.Endpoint || a.Endpoint == 0 || b.Endpoint == 0)
+			if a.Outage() && b.Outage() && same && a.At < b.At+b.For && b.At < a.At+a.For {
+				c.Bad(fmt.Sprintf("event[%d].at_s", i+1), "overlaps the outage of event[%d] at %s", j+1, a.Partner)
+			}
+			if a.What == "register" && b.What == "register" && a.At < b.At+b.For && b.At < a.At+a.For {
+				c.Bad(fmt.Sprintf("event[%d].at_s", i+1), "overlaps event[%d]", j+1)
+			}
+		}
+	}
+}
+
+// Partner gives the place of a partner in the list, or -1.
+func (s *Script) Partner(name string) int {
+	return slices.IndexFunc(s.Partners, func(p Partner) bool { return p.Name == name })
+}
+
+// checker has the common checks of a value.
+type checker struct{ *strict.Doc }
+
+func (c checker) above(key string, v, bound float64) {
+	if !(v > bound) {
+		c.Bad(key, "%v is not above %v", v, bound)
+	}
+}
+
+func (c checker) least(key string, v, bound float64) {
+	if !(v >= bound) {
+		c.Bad(key, "%v is below %v", v, bound)
+	}
+}
+
+func (c checker) most(key string, v, bound float64) {
+	if !(v <= bound) {
+		c.Bad(key, "%v is above %v", v, bound)
+	}
+}
+
+func (c checker) share(key string, v float64) {
+	if !(v >= 0 && v <= 1) {
+		c.Bad(key, "%v is not from 0 to 1", v)
+	}
+}
+
+func (c checker) oneOf(key, v string, names ...string) {
+	if !slices.Contains(names, v) {
+		c.Bad(key, "%q is none of %s", v, strings.Join(names, ", "))
+	}
+}
+
+func (c checker) name(key, v string, seen map[string]bool) {
+	if c.Has(key) && v == "" {
+		c.Bad(key, "is empty")
+	}
+	if seen[v] {
+		c.Bad(key, "%q is there twice", v)
+	}
+	seen[v] = true
+}
--- /dev/null
+++ b/internal/rehearsal/script/script.go
@@ -0,0 +1,425 @@
+// Package script reads the scripts of rehearsals: who the partners are, what is sent, how clients behave, and what
+// goes wrong when. It is free of sockets; draws.go draws all that is left to chance from the seed.
+package script
+
+import (
+	"fmt"
+	"time"
+
+	"mallowlead/internal/settings"
+	"mallowlead/internal/strict"
+)
+
+// Version is the form of scripts that this program reads.
+const Version = 1
+
+// Script is a rehearsal. Times are in seconds unless a name says otherwise.
+type Script struct {
+	Version int     `toml:"version,required"`
+	Name    string  `toml:"name,required"`
+	About   string  `toml:"about"`
+	Length  float64 `toml:"length_s,required"` // for which clients send
+	Relays  int     `toml:"relays,required"`
+	Seed    int64   `toml:"seed"`
+
+	Relay    Relay     `toml:"relay"`
+	Limits   Limits    `toml:"limits"`
+	Rules    Rules     `toml:"rules"`
+	Register Register  `toml:"register"`
+	Network  Network   `toml:"network"`
+	Front    Front     `toml:"front"`
+	Clients  Clients   `toml:"clients"`
+	Load     Load      `toml:"load"`
+	Report   *Report   `toml:"report"`
+	Classes  []Class   `toml:"class,required"`
+	Tenants  []Tenant  `toml:"tenant"`
+	Partners []Partner `toml:"partner,required"`
+	Events   []Event   `toml:"event"`
+}
+
+// Relay is what each relay is granted.
+type Relay struct {
+	Cores    float64 `toml:"cores"`
+	MemoryMB float64 `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"`
+	DiskMB   float64 `toml:"disk_mb"`
+	Slots    int     `toml:"slots"` // calls out at once
+	Hold     int     `toml:"hold"`  // messages held
+	TickMS   float64 `toml:"tick_ms"`
+	Ready    float64 `toml:"ready_within_s"` // after a start; later is a crash
+}
+
+// Limits are the platform's allowances.
+type Limits struct {
+	Attempts       int     `toml:"attempts"`
+	ConnectTimeout float64 `toml:"connect_timeout_s"`
+	ConnIdle       float64 `toml:"conn_idle_s"`
+	RetryAfter     float64 `toml:"retry_after_s"` // longest that clients honour; 0: none is told
+	Cancel         bool    `toml:"cancel"`
+	Probes         bool    `toml:"probes"`
+	Peers          bool    `toml:"peers"`
+}
+
+// Rules are the figures of the six rules.
+type Rules struct {
+	AnswerSlack    float64 `toml:"answer_slack_s"` // for an end after the deadline
+	AskWithin      float64 `toml:"ask_within_s"`
+	DrainGrace     float64 `toml:"drain_grace_s"`
+	ColdShare      float64 `toml:"cold_share"` // of its capacity, at least, that a partner has after an outage
+	Ramp           float64 `toml:"ramp_s"`     // and all of it after this at the latest
+	OverloadFactor float64 `toml:"overload_factor"`
+	OverloadFor    float64 `toml:"overload_for_s"`
+	OrderPause     float64 `toml:"order_pause_s"`
+}
+
+// Register is the register of endpoints.
+type Register struct {
+	Lag        Range   `toml:"lag_s"`         // from a change to its being shown
+	TellWithin float64 `toml:"tell_within_s"` // what is shown counts as told after this, while the register is up
+}
+
+// Network is what lies between the relays.
+type Network struct {
+	Delay  Range   `toml:"delay_ms"`
+	Loss   float64 `toml:"loss"`   // share of datagrams
+	Halved float64 `toml:"halved"` // share that arrives cut in half
+}
+
+// Front deals clients' messages out to relays.
+type Front struct {
+	Notices Range `toml:"notices_s"` // from a relay's death to the front's knowing
+}
+
+// Clients are their habits.
+type Clients struct {
+	Retries      int     `toml:"retries"` // after refusals
+	Backoff      Range   `toml:"backoff_ms"`
+	Growth       float64 `toml:"growth"`       // of the back-off with each refusal
+	Honour       float64 `toml:"honour"`       // share that keeps to Retry-After
+	AnswerWithin float64 `toml:"answer_ms"`    // then the connection is closed
+	Again        Range   `toml:"again_s"`      // until what a dead relay had comes to another
+	Body         Range   `toml:"body_bytes"`   //
+	MarkRetries  bool    `toml:"mark_retries"` // Client-Retry: 1
+}
+
+// Load is what is sent.
+type Load struct {
+	Rate   float64 `toml:"rate,required"` // messages a second
+	Shape  string  `toml:"shape"`         // steady, wave or ramp
+	Swing  float64 `toml:"swing"`         // of the rate, up and down
+	Period float64 `toml:"period_s"`      // of a wave
+	Clumps float64 `toml:"clumps"`        // share of messages that come in clumps for one partner
+	Clump  Range   `toml:"clump_s"`       // a clump's size, in seconds of its partner's limit
+}
+
+// Report is how partners tell of their load.
+type Report struct {
+	Every Range   `toml:"every_ms"`
+	Delay Range   `toml:"delay_ms"`
+	Noise float64 `toml:"noise"` // standard deviation as a share
+}
+
+// Class is a class of message.
+type Class struct {
+	Name      string  `toml:"name,required"`
+	Share     float64 `toml:"share"`
+	Worth     float64 `toml:"worth"`
+	LateShare float64 `toml:"late_share"`
+	Aim       float64 `toml:"aim_s,required"`
+	Deadline  float64 `toml:"deadline_s,required"`
+	Effect    string  `toml:"effect,required"` // safe, keyed or unsafe
+	Memory    float64 `toml:"memory_s"`        // keyed: how long partners drop a repeat
+	Ordered   bool    `toml:"ordered"`         // one at a time by key
+	Keys      int     `toml:"keys"`            // ordered: number of different keys
+	Service   float64 `toml:"service_ms,required"`
+	Spread    string  `toml:"spread"` // of the service time: exp, lognormal or fixed
+	CV        float64 `toml:"cv"`     // lognormal's
+	Noise     float64 `toml:"noise"`  // of one attempt against another, standard deviation as a share
+}
+
+// Tenant is one that shares the service.
+type Tenant struct {
+	Name  string  `toml:"name,required"`
+	Share float64 `toml:"share"`
+	Quota float64 `toml:"quota"` // messages a second; 0: no bound
+	Over  float64 `toml:"over_share_worth"`
+}
+
+// Limit is what a partner takes from all relays together: a rate, or a count in each span.
+type Limit struct {
+	Rate  float64 `toml:"rate"` // calls a second
+	Burst float64 `toml:"burst"`
+	Count int     `toml:"count"`
+	Span  float64 `toml:"span_s"`
+}
+
+// Partner is a destination.
+type Partner struct {
+	Name           string  `toml:"name,required"`
+	Kind           string  `toml:"kind"`
+	Tenant         string  `toml:"tenant"`
+	Site           string  `toml:"site"`
+	Share          float64 `toml:"share,required"` // of the traffic, against the other partners' shares
+	Endpoints      int     `toml:"endpoints"`
+	Slots          int     `toml:"slots"` // calls that an endpoint serves at once
+	Queue          int     `toml:"queue"` // that wait there
+	Pace           float64 `toml:"pace"`  // multiplies service times
+	Limit          *Limit  `toml:"limit"`
+	RefusedCounted bool    `toml:"refused_counted"`
+	Connections    int     `toml:"connections"` // an endpoint takes, idle ones counted; 0: any number
+	Tells          string  `toml:"tells"`       // what a refusal tells: nothing, or an honest wait
+	HandshakeMS    float64 `toml:"handshake_ms"`
+	PauseEvery     Range   `toml:"pause_every_s"`
+	Pause          Range   `toml:"pause_ms"`
+	ErrorRate      float64 `toml:"error_rate"`
+	Cancelled      string  `toml:"cancelled"` // what becomes of a cancelled call: runs-on, leaves-queue or stops
+	ColdShare      float64 `toml:"cold_share"`
+	Warm           float64 `toml:"warm_s"`
+	FallenFor      float64 `toml:"fallen_for_s"` // that it stays down when pushed over
+}
+
+// Event is something that goes wrong.
+type Event struct {
+	At       float64 `toml:"at_s,required"`
+	What     string  `toml:"what,required"`
+	For      float64 `toml:"for_s"`
+	Partner  string  `toml:"partner"`
+	Endpoint int     `toml:"endpoint"` // from 1; 0: all
+	Relay    int     `toml:"relay"`    // from 1; 0: all
+	Relays   []int   `toml:"relays"`   // one side of a split
+	Factor   float64 `toml:"factor"`
+	Share    float64 `toml:"share"`
+	Rise     float64 `toml:"rise_s"`
+	Drain    float64 `toml:"drain_s"`
+	Over     float64 `toml:"over_s"`
+	Reused   float64 `toml:"reused"` // share of new endpoints at the address of one that has gone
+	Back     float64 `toml:"back_s"` // until a relay is started again
+	How      string  `toml:"how"`    // register: 503, reset or silent
+	Warm     bool    `toml:"warm"`   // an outage after which the partner is not cold
+}
+
+// Range is a number, or a span from which one is drawn.
+type Range struct{ Low, High float64 }
+
+// FromTOML reads a number or a list of two.
+func (r *Range) FromTOML(v any) error {
+	number := func(v any) (float64, bool) {
+		switch n := v.(type) {
+		case int64:
+			return float64(n), true
+		case float64:
+			return n, n-n == 0 // finite
+		}
+		return 0, false
+	}
+	if n, ok := number(v); ok {
+		*r = Range{n, n}
+	} else if list, _ := v.([]any); len(list) == 2 {
+		low, ok1 := number(list[0])
+		high, ok2 := number(list[1])
+		if !ok1 || !ok2 || low > high {
+			return fmt.Errorf("%v is no span from a number to one no smaller", v)
+		}
+		*r = Range{low, high}
+	} else {
+		return fmt.Errorf("has to be a number, or a list of two")
+	}
+	if r.Low < 0 {
+		return fmt.Errorf("is below 0")
+	}
+	return nil
+}
+
+// Mean is the middle of a range.
+func (r Range) Mean() float64 { return (r.Low + r.High) / 2 }
+
+// defaults are what a script that is silent gets: the figures of the deployment that frostlink was built for.
+func defaults() *Script {
+	return &Script{
+		Seed:     1,
+		Relay:    Relay{Cores: 1, MemoryMB: 192, Sockets: 1024, DiskMB: 3, Slots: 24, Hold: 300, TickMS: 5, Ready: 10},
+		Limits:   Limits{Attempts: 12, ConnectTimeout: 1, ConnIdle: 10, RetryAfter: 3, Cancel: true, Probes: true, Peers: true},
+		Rules:    Rules{AnswerSlack: 0.3, AskWithin: 10, DrainGrace: 1, ColdShare: 0.17, Ramp: 11, OverloadFactor: 2.5, OverloadFor: 1.5},
+		Register: Register{Lag: Range{0.5, 3}, TellWithin: 6},
+		Network:  Network{Delay: Range{2, 36}},
+		Front:    Front{Notices: Range{1.2, 3.6}},
+		Clients: Clients{Retries: 2, Backoff: Range{340, 1500}, Growth: 2, Honour: 0.6, AnswerWithin: 400,
+			Again: Range{0.65, 1.9}, Body: Range{150, 600}},
+		Load: Load{Shape: "steady", Period: 20, Clump: Range{1.2, 3.4}},
+	}
+}
+
+// Read reads and checks a script. Its error is strict.Problems with all that is wrong.
+func Read(path string) (*Script, error) {
+	s := defaults()
+	doc, err := strict.ReadFile(path, s)
+	if err != nil {
+		return nil, err
+	}
+	return finish(s, doc)
+}
+
+// Parse reads a script from memory.
+func Parse(name string, text []byte) (*Script, error) {
+	s := defaults()
+	return finish(s, strict.Decode(name, text, s))
+}
+
+func finish(s *Script, doc *strict.Doc) (*Script, error) {
+	s.fill(doc)
+	s.check(doc)
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// fill gives the elements of lists their defaults.
+func (s *Script) fill(doc *strict.Doc) {
+	for i := range s.Classes {
+		c, at := &s.Classes[i], fmt.Sprintf("class[%d].", i+1)
+		orElse(doc, at+"share", &c.Share, 1)
+		orElse(doc, at+"worth", &c.Worth, 1)
+		orElse(doc, at+"spread", &c.Spread, "exp")
+		orElse(doc, at+"cv", &c.CV, 1)
+		if c.Ordered {
+			orElse(doc, at+"keys", &c.Keys, 100)
+		}
+	}
+	for i := range s.Tenants {
+		t, at := &s.Tenants[i], fmt.Sprintf("tenant[%d].", i+1)
+		orElse(doc, at+"share", &t.Share, 1)
+		orElse(doc, at+"over_share_worth", &t.Over, 0.2)
+	}
+	for i := range s.Partners {
+		p, at := &s.Partners[i], fmt.Sprintf("partner[%d].", i+1)
+		orElse(doc, at+"kind", &p.Kind, "partner")
+		orElse(doc, at+"site", &p.Site, "a")
+		orElse(doc, at+"endpoints", &p.Endpoints, 1)
+		orElse(doc, at+"slots", &p.Slots, 4)
+		orElse(doc, at+"queue", &p.Queue, 8)
+		orElse(doc, at+"pace", &p.Pace, 1)
+		orElse(doc, at+"tells", &p.Tells, "nothing")
+		orElse(doc, at+"cancelled", &p.Cancelled, "runs-on")
+		orElse(doc, at+"cold_share", &p.ColdShare, s.Rules.ColdShare)
+		orElse(doc, at+"warm_s", &p.Warm, s.Rules.Ramp)
+		orElse(doc, at+"fallen_for_s", &p.FallenFor, 15)
+		if p.Limit != nil && p.Limit.Rate > 0 {
+			orElse(doc, at+"limit.burst", &p.Limit.Burst, max(1, p.Limit.Rate/2))
+		}
+	}
+	for i := range s.Events {
+		e, at := &s.Events[i], fmt.Sprintf("event[%d].", i+1)
+		switch e.What {
+		case "replace", "drain":
+			orElse(doc, at+"drain_s", &e.Drain, 3)
+		case "kill", "term", "lose":
+			orElse(doc, at+"back_s", &e.Back, 0.6)
+		case "register":
+			orElse(doc, at+"how", &e.How, "503")
+		}
+	}
+}
+
+func orElse[T any](doc *strict.Doc, key string, v *T, other T) {
+	if !doc.Has(key) {
+		*v = other
+	}
+}
+
+// Seconds turns a figure in seconds into a duration.
+func Seconds(v float64) time.Duration { return settings.Seconds(v) }
+
+// Millis turns a figure in milliseconds into a duration.
+func Millis(v float64) time.Duration { return settings.Seconds(v / 1000) }
+
+// Mean is the mean service time of a partner's calls in seconds, over all classes, when it is well.
+func (s *Script) Mean(p *Partner) float64 {
+	sum, shares := 0.0, 0.0
+	for _, c := range s.Classes {
+		sum += c.Share * c.Service / 1000
+		shares += c.Share
+	}
+	return sum / shares * p.Pace
+}
+
+// Capacity is how many calls a second a partner's endpoints serve when all are well.
+func (s *Script) Capacity(p *Partner) float64 {
+	return float64(p.Endpoints*p.Slots) / s.Mean(p)
+}
+
+// Rate is what a partner's limit lets through, in calls a second, or its capacity where that is less.
+func (s *Script) Rate(p *Partner) float64 {
+	capacity := s.Capacity(p)
+	if p.Limit == nil {
+		return capacity
+	}
+	return min(capacity, p.Limit.PerSecond())
+}
+
+// PerSecond is a limit in calls a second.
+func (l *Limit) PerSecond() float64 {
+	if l.Rate > 0 {
+		return l.Rate
+	}
+	return float64(l.Count) / l.Span
+}
+
+// effects are the names of effects in a script and in the settings object.
+var effects = map[string]string{"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+
+// Settings gives the settings object of a relay, numbered from 0.
+func (s *Script) Settings(relay int) settings.Settings {
+	out := settings.Settings{
+		Discovery: "subscribe", NInstances: s.Relays, Ordinal: relay, QuantumS: s.Relay.TickMS / 1000, Weights: "nominal",
+		Limits: settings.Limits{Cancel: s.Limits.Cancel, ConnIdleS: s.Limits.ConnIdle,
+			ConnTimeoutS: s.Limits.ConnectTimeout, MaxAttempts: s.Limits.Attempts, MaxOpen: s.Relay.Hold,
+			MaxRetryAfterS: s.Limits.RetryAfter, Peers: s.Limits.Peers, Probing: s.Limits.Probes,
+			RetryAfter: s.Limits.RetryAfter > 0},
+		Rules: settings.Rules{AnswerSlackS: s.Rules.AnswerSlack, AskWithinS: s.Rules.AskWithin,
+			ColdShare: s.Rules.ColdShare, DrainGraceS: s.Rules.DrainGrace, OverloadFactor: s.Rules.OverloadFactor,
+			OverloadForS: s.Rules.OverloadFor, RampTimeS: s.Rules.Ramp, OrderPauseS: s.Rules.OrderPause},
+		Report:    settings.Report{Columns: []string{}, Via: "off"},
+		Specifics: settings.Specifics{LosesWorth: "linear", MaxCalls: s.Relay.Slots},
+	}
+	if s.Report != nil {
+		out.Report = settings.Report{Columns: []string{"x0", "x1"}, Via: "inline"}
+	}
+	for _, c := range s.Classes {
+		out.Categories = append(out.Categories, settings.Category{Name: c.Name, AimS: c.Aim, DeadlineS: c.Deadline,
+			Idempotency: effects[c.Effect], Group: "all", FifoByKey: c.Ordered, LateShare: c.LateShare,
+			MemorySpanS: c.Memory, Points: c.Worth})
+	}
+	for _, t := range s.Tenants {
+		out.Tenants = append(out.Tenants, settings.Tenant{Name: t.Name, QuotaRPS: t.Quota, Share: t.Share})
+		out.OverShare = t.Over
+	}
+	for _, kind := range s.Kinds() {
+		out.Shapes = append(out.Shapes, kind)
+		out.Specifics.BundleMax = append(out.Specifics.BundleMax, 1)
+		out.Specifics.SeparateRoutes = append(out.Specifics.SeparateRoutes, false)
+	}
+	for _, site := range s.Sites() {
+		out.Localities = append(out.Localities, site)
+		out.Specifics.RouteFee = append(out.Specifics.RouteFee, 0)
+	}
+	return out
+}
+
+// Kinds are the kinds of partners, in the script's order.
+func (s *Script) Kinds() []string { return s.distinct(func(p *Partner) string { return p.Kind }) }
+
+// Sites are the sites of partners, in the script's order.
+func (s *Script) Sites() []string { return s.distinct(func(p *Partner) string { return p.Site }) }
+
+func (s *Script) distinct(of func(*Partner) string) []string {
+	var names []string
+	seen := map[string]bool{}
+	for i := range s.Partners {
+		if name := of(&s.Partners[i]); !seen[name] {
+			seen[name] = true
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -63,8 +63,12 @@
 	problems Problems
 }
 
-// Bad notes that the value at a key is no good. A key that the file lacks is reported at its table's line.
+// Bad notes that the value at a key is no good. A key that the file lacks is reported at its table's line. One
+// problem a key is enough: what a value of the wrong type would be checked for is not known.
 func (d *Doc) Bad(key, format string, args ...any) {
+	if slices.ContainsFunc(d.problems, func(p Problem) bool { return p.Key == key }) {
+		return
+	}
 	d.problems = append(d.problems, Problem{d.file, d.Line(key), key, fmt.Sprintf(format, args...)})
 }
 
