--- /dev/null
+++ b/internal/rehearsal/audit/audit_test.go
@@ -0,0 +1,498 @@
+package audit
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"mallowlead/internal/settings"
+)
+
+const ms = time.Millisecond
+
+// The classes of the tests.
+const (
+	status  = iota // safe
+	payment        // keyed, remembered for 5 s
+	order          // unsafe
+	lined          // safe, in order
+)
+
+func figures() Figures {
+	class := func(name, effect string) settings.Category {
+		return settings.Category{Name: name, Idempotency: effect, AimS: 2, DeadlineS: 10, LateShare: 0.5, Points: 1, MemorySpanS: 5}
+	}
+	s := settings.Settings{NInstances: 2, Categories: []settings.Category{class("status", "retryable"), class("payment", "dedup"),
+		class("order", "fragile"), class("lined", "retryable")}}
+	s.Categories[lined].FifoByKey = true
+	s.Rules = settings.Rules{AnswerSlackS: 0.3, AskWithinS: 10, ColdShare: 0.2, DrainGraceS: 1, OverloadFactor: 2.5,
+		OverloadForS: 1.5, RampTimeS: 10, OrderPauseS: 0.5}
+	s.Limits.ConnTimeoutS = 1
+	return Figures{Settings: s, TellWithin: 6 * time.Second, Destinations: []Destination{
+		{Name: "bank", Capacity: 20, ColdShare: 0.2, Warm: 10 * time.Second}, {Name: "dealer", Capacity: 20, ColdShare: 0.2}}}
+}
+
+// notes writes a log.
+type notes struct {
+	log   []Event
+	calls int
+}
+
+func (n *notes) add(e Event) { n.log = append(n.log, e) }
+
+// take has relay 0 take a message for destination 0 on.
+func (n *notes) take(at time.Duration, id string, class int) {
+	n.add(Event{At: at, Kind: HandedIn, ID: id, Class: class, For: 10 * time.Second, Item: "k"})
+	n.add(Event{At: at + 5*ms, Kind: Answered, ID: id, Status: 202})
+}
+
+// call makes a call that ends some time later, and gives its number.
+func (n *notes) call(at time.Duration, id, host, outcome string, took time.Duration, change ...func(called, ended *Event)) {
+	n.calls++
+	a := Event{At: at, First: at - ms, Kind: Called, ID: id, Host: host, Call: n.calls}
+	b := Event{At: at + took, Kind: Ended, ID: id, Call: n.calls, Outcome: outcome}
+	for _, c := range change {
+		c(&a, &b)
+	}
+	n.add(a)
+	if outcome != "" {
+		n.add(b)
+	}
+}
+
+func (n *notes) notice(at time.Duration, id, state string) {
+	n.add(Event{At: at, Kind: Noticed, ID: id, State: state})
+}
+
+func dest(d int) func(called, ended *Event) { return func(a, _ *Event) { a.Dest = d } }
+func wait(d time.Duration) func(called, ended *Event) {
+	return func(_, b *Event) { b.For = d }
+}
+
+const sec = time.Second
+
+// Each of these breaks one rule. The auditor has to report that one, once, and no other.
+func TestEachBreachIsReportedAsItself(t *testing.T) {
+	for name, c := range map[string]struct {
+		rule Rule
+		run  func(n *notes)
+	}{
+		"a message is never ended":   {NoEnd, func(n *notes) { n.take(sec, "a", status) }},
+		"it is lost after a refusal": {NoEnd, func(n *notes) { n.take(sec, "a", status); n.call(2*sec, "a", "h", Full, ms) }},
+		"lost in a planned restart":  {NoEnd, func(n *notes) { n.take(sec, "a", status); n.restart(2 * sec) }},
+		"lost by a crash":            {NoEnd, func(n *notes) { n.take(sec, "a", status); n.crash(2 * sec) }},
+		"its notice comes late":      {LateEnd, func(n *notes) { n.take(sec, "a", status); n.notice(11400*ms, "a", Deferred) }},
+		"it is delivered late":       {LateEnd, func(n *notes) { n.take(sec, "a", status); n.call(9*sec, "a", "h", OK, 2400*ms) }},
+		"late after a restart":       {LateEnd, func(n *notes) { n.take(sec, "a", status); n.restart(10 * sec); n.notice(17*sec, "a", Deferred) }},
+		"two notices that differ": {TwoEnds, func(n *notes) {
+			n.take(sec, "a", status)
+			n.notice(2*sec, "a", Deferred)
+			n.notice(3*sec, "a", Undeliverable)
+		}},
+		"a notice after delivery": {TwoEnds, func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", OK, ms)
+			n.notice(3*sec, "a", Undeliverable)
+		}},
+		"delivered after its notice": {TwoEnds, func(n *notes) {
+			n.take(sec, "a", status)
+			n.notice(2*sec, "a", Deferred)
+			n.call(3*sec, "a", "h", OK, ms)
+		}},
+		"sent after its notice": {TwoEnds, func(n *notes) {
+			n.take(sec, "a", status)
+			n.notice(2*sec, "a", Deferred)
+			n.call(3*sec, "a", "h", Full, ms)
+		}},
+		"a payment beyond its memory": {Twice, func(n *notes) {
+			n.take(sec, "a", payment)
+			n.call(2*sec, "a", "h", Left, sec)
+			n.call(7100*ms, "a", "h", OK, ms)
+		}},
+		"the same over a restart": {Twice, func(n *notes) {
+			n.take(sec, "a", payment)
+			n.call(2*sec, "a", "h", Cut, ms)
+			n.restart(3 * sec)
+			n.call(8*sec, "a", "h", OK, ms)
+		}},
+		"unsafe again after an error": {Twice, func(n *notes) {
+			n.take(sec, "a", order)
+			n.call(2*sec, "a", "h", Error, ms)
+			n.call(3*sec, "a", "h", OK, ms)
+		}},
+		"unsafe handed back, may run": {Twice, func(n *notes) {
+			n.take(sec, "a", order)
+			n.call(2*sec, "a", "h", Reset, ms)
+			n.notice(3*sec, "a", Deferred)
+		}},
+		"two effects seen by partners": {Twice, func(n *notes) { n.take(sec, "a", payment); n.call(2*sec, "a", "h", OK, ms); n.effect(2, "a") }},
+		"two copies at once": {SecondCopy, func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", OK, sec)
+			n.call(2500*ms, "a", "g", OK, ms)
+		}},
+		"sent after a drain's grace": {DrainBroken, func(n *notes) {
+			n.told(sec, "h", Draining)
+			n.take(sec, "a", status)
+			n.call(2100*ms, "a", "h", OK, ms)
+		}},
+		"sent to one that is gone": {DrainBroken, func(n *notes) {
+			n.told(sec, "h", Deleted)
+			n.take(sec, "a", status)
+			n.call(2100*ms, "a", "h", Full, ms)
+			n.call(2200*ms, "a", "g", OK, ms)
+		}},
+		"counts as told of a drain": {DrainBroken, func(n *notes) {
+			n.up()
+			n.shown(sec, "h", Draining)
+			n.take(sec, "a", status)
+			n.call(8100*ms, "a", "h", OK, ms)
+		}},
+		"asks too late": {DrainBroken, func(n *notes) {
+			n.up()
+			n.add(Event{At: 500 * ms, Kind: Unwatched})
+			n.regDown(600 * ms)
+			n.shown(sec, "h", Draining)
+			n.take(5*sec, "a", status)
+			n.call(12100*ms, "a", "h", OK, ms)
+		}},
+		"a cold partner is pushed over": {PushedOver, func(n *notes) { n.out(sec, "shut", 3*sec); n.burst(1500*ms, 1, Full, 0); n.burst(3100*ms, 20, Full, 0) }},
+		"pushed, its refusals unseen": {PushedOver, func(n *notes) {
+			n.out(sec, "refuse", 3*sec)
+			n.take(sec, "w", status)
+			n.burst(3100*ms, 20, Full, 0)
+			n.call(3600*ms, "w", "h", OK, ms)
+		}},
+		"pushed by probes": {PushedOver, func(n *notes) { n.out(sec, "shut", 3*sec); n.burst(1500*ms, 1, Full, 0); n.probes(3100*ms, 20) }},
+		"sent out of turn": {OrderBroken, func(n *notes) {
+			n.take(sec, "a", lined)
+			n.take(2*sec, "b", lined)
+			n.call(3*sec, "b", "h", OK, ms)
+			n.call(4*sec, "a", "h", OK, ms)
+		}},
+		"sent while one is out": {OrderBroken, func(n *notes) {
+			n.take(sec, "a", lined)
+			n.take(2*sec, "b", lined)
+			n.call(3*sec, "a", "h", OK, sec)
+			n.call(3500*ms, "b", "h", OK, ms)
+		}},
+		"sent before a key has rested": {OrderBroken, func(n *notes) {
+			n.take(sec, "a", lined)
+			n.take(2*sec, "b", lined)
+			n.call(3*sec, "a", "h", Reset, ms)
+			n.notice(3100*ms, "a", Deferred)
+			n.call(3400*ms, "b", "h", OK, ms)
+		}},
+		"a wait is ignored": {WaitIgnored, func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", Wait, ms, wait(sec))
+			n.call(2900*ms, "a", "g", OK, ms)
+		}},
+		"by another message": {WaitIgnored, func(n *notes) {
+			n.take(sec, "a", status)
+			n.take(sec, "b", status)
+			n.call(2*sec, "a", "h", Wait, ms, wait(sec))
+			n.call(2900*ms, "b", "h", OK, ms)
+			n.call(4*sec, "a", "h", OK, ms)
+		}},
+		"to another partner's host": {WrongHost, func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "d", Full, ms, dest(1))
+			n.call(3*sec, "a", "h", OK, ms)
+		}},
+		"a message out of nothing": {Unknown, func(n *notes) { n.call(2*sec, "zz", "h", Full, ms) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := &notes{}
+			n.add(Event{Kind: Ready})
+			c.run(n)
+			r := Judge(figures(), n.log, 60*sec)
+			if len(r.Breaches) != 1 || r.Breaches[0].Rule != c.rule {
+				t.Errorf("want %q once, got %+v", c.rule, r.Breaches)
+			}
+			for _, b := range r.Breaches {
+				if b.Relay != 1 || b.Text == "" || b.At <= 0 {
+					t.Errorf("the report names too little: %+v", b)
+				}
+			}
+		})
+	}
+}
+
+// None of these breaks a rule, though only just.
+func TestTheEdgesOfTheRulesAreKept(t *testing.T) {
+	for name, run := range map[string]func(n *notes){
+		"ended at the last moment": func(n *notes) { n.take(sec, "a", status); n.notice(11290*ms, "a", Deferred) },
+		"the same notice twice": func(n *notes) {
+			n.take(sec, "a", status)
+			n.notice(2*sec, "a", Deferred)
+			n.notice(3*sec, "a", Deferred)
+		},
+		"refused at once": func(n *notes) {
+			n.add(Event{At: sec, Kind: HandedIn, ID: "a"})
+			n.add(Event{At: sec, Kind: Answered, ID: "a", Status: 429})
+		},
+		"the client never heard": func(n *notes) {
+			n.add(Event{At: sec, Kind: HandedIn, ID: "a"})
+			n.add(Event{At: sec, Kind: Unheard, ID: "a"})
+		},
+		"overdue in a planned restart": func(n *notes) { n.take(sec, "a", status); n.restart(10 * sec); n.notice(16*sec, "a", Deferred) },
+		"overdue while halted": func(n *notes) {
+			n.take(sec, "a", status)
+			n.add(Event{At: 8 * sec, Kind: Halted})
+			n.add(Event{At: 15 * sec, Kind: Resumed})
+			n.notice(16400*ms, "a", Deferred)
+		},
+		"its machine was lost": func(n *notes) {
+			n.take(sec, "a", status)
+			n.add(Event{At: 2 * sec, Kind: Lost})
+			n.add(Event{At: 3 * sec, Kind: Ready})
+		},
+		"an answer crosses its giving up": func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", OK, ms)
+			n.notice(2100*ms, "a", Undeliverable)
+		},
+		"the process died before it noted": func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", OK, ms)
+			n.crash(2050 * ms)
+			n.notice(9*sec, "a", Undeliverable)
+		},
+		"a payment within its memory": func(n *notes) {
+			n.take(sec, "a", payment)
+			n.call(2*sec, "a", "h", Left, sec)
+			n.call(7040*ms, "a", "h", OK, ms)
+		},
+		"a payment never taken by a partner": func(n *notes) {
+			n.take(sec, "a", payment)
+			n.call(2*sec, "a", "h", Full, ms)
+			n.call(9*sec, "a", "h", OK, ms)
+		},
+		"a payment handed back, may run": func(n *notes) {
+			n.take(sec, "a", payment)
+			n.call(2*sec, "a", "h", Left, sec)
+			n.notice(4*sec, "a", Deferred)
+		},
+		"unsafe again after a refusal": func(n *notes) {
+			n.take(sec, "a", order)
+			n.call(2*sec, "a", "h", Full, ms)
+			n.call(3*sec, "a", "h", OK, ms)
+		},
+		"unsafe given up, may run": func(n *notes) {
+			n.take(sec, "a", order)
+			n.call(2*sec, "a", "h", Reset, ms)
+			n.notice(3*sec, "a", Undeliverable)
+		},
+		"status twice": func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", OK, ms)
+			n.call(3*sec, "a", "h", OK, ms)
+			n.effect(2, "a")
+		},
+		"the next call as the last ends": func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", Left, sec)
+			n.call(2960*ms, "a", "h", OK, ms)
+		},
+		"within a drain's grace": func(n *notes) {
+			n.told(sec, "h", Draining)
+			n.take(sec, "a", status)
+			n.call(2040*ms, "a", "h", OK, ms)
+		},
+		"a drain that nobody told of yet": func(n *notes) {
+			n.up()
+			n.shown(sec, "h", Draining)
+			n.take(sec, "a", status)
+			n.call(8*sec, "a", "h", OK, ms)
+		},
+		"a drain while the register is down": func(n *notes) {
+			n.up()
+			n.regDown(1500 * ms)
+			n.shown(sec, "h", Draining)
+			n.take(sec, "a", status)
+			n.call(9*sec, "a", "h", OK, ms)
+			n.add(Event{At: 30 * sec, Kind: RegUp})
+		},
+		"told another relay": func(n *notes) {
+			n.add(Event{At: sec, Kind: Told, Relay: 1, Host: "h", State: Draining})
+			n.take(sec, "a", status)
+			n.call(4*sec, "a", "h", OK, ms)
+		},
+		"as much as a cold partner bears":     func(n *notes) { n.out(sec, "shut", 3*sec); n.burst(1500*ms, 1, Full, 0); n.burst(3*sec, 18, Full, 0) },
+		"pushed over by one that saw nothing": func(n *notes) { n.out(sec, "shut", 3*sec); n.burst(3100*ms, 40, Full, 0) },
+		"more than a third saw nothing": func(n *notes) {
+			n.out(sec, "shut", 3*sec)
+			n.burst(1500*ms, 1, Full, 0)
+			n.burst(3100*ms, 9, Full, 1)
+			n.burst(3100*ms, 12, Full, 0)
+		},
+		"a burst at a warm partner": func(n *notes) { n.out(sec, "shut", 3*sec); n.burst(1500*ms, 1, Full, 0); n.burst(14*sec, 70, Full, 0) },
+		"refused before, while held briefly": func(n *notes) {
+			n.out(sec, "refuse", 3*sec)
+			n.take(2600*ms, "w", status)
+			n.burst(3100*ms, 40, Full, 0)
+			n.call(5*sec, "w", "h", OK, ms)
+		},
+		"in order": func(n *notes) {
+			n.take(sec, "a", lined)
+			n.take(2*sec, "b", lined)
+			n.call(3*sec, "a", "h", OK, sec)
+			n.call(4001*ms, "b", "h", OK, ms)
+		},
+		"taken on at one time": func(n *notes) {
+			n.take(sec, "a", lined)
+			n.take(1003*ms, "b", lined)
+			n.call(3*sec, "b", "h", OK, ms)
+			n.call(4*sec, "a", "h", OK, ms)
+		},
+		"after a key has rested": func(n *notes) {
+			n.take(sec, "a", lined)
+			n.take(2*sec, "b", lined)
+			n.call(3*sec, "a", "h", Reset, ms)
+			n.notice(3100*ms, "a", Deferred)
+			n.call(3510*ms, "b", "h", OK, ms)
+		},
+		"refused out of turn": func(n *notes) {
+			n.take(sec, "a", lined)
+			n.take(2*sec, "b", lined)
+			n.notice(3*sec, "b", Deferred)
+			n.call(4*sec, "a", "h", OK, ms)
+		},
+		"a wait that is over": func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", Wait, ms, wait(sec))
+			n.call(3002*ms, "a", "h", OK, ms)
+		},
+		"a call that crosses the wait": func(n *notes) {
+			n.take(sec, "a", status)
+			n.take(sec, "b", status)
+			n.call(2*sec, "a", "h", Wait, ms, wait(sec))
+			n.call(2090*ms, "b", "h", OK, ms)
+			n.call(4*sec, "a", "h", OK, ms)
+		},
+		"a restart ends a wait": func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", Wait, ms, wait(8*sec))
+			n.crash(2200 * ms)
+			n.call(4*sec, "a", "h", OK, ms)
+		},
+		"a wait at another partner": func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", Wait, ms, wait(sec))
+			n.take2(sec, "b", 1)
+			n.call(2500*ms, "b", "d", OK, ms, dest(1))
+			n.call(4*sec, "a", "h", OK, ms)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := &notes{}
+			n.add(Event{Kind: Ready})
+			run(n)
+			if r := Judge(figures(), n.log, 60*sec); len(r.Breaches) != 0 {
+				t.Errorf("got %+v", r.Breaches)
+			}
+		})
+	}
+}
+
+func (n *notes) take2(at time.Duration, id string, dest int) {
+	n.add(Event{At: at, Kind: HandedIn, ID: id, Dest: dest, For: 10 * sec})
+	n.add(Event{At: at + 5*ms, Kind: Answered, ID: id, Status: 202})
+}
+
+func (n *notes) restart(at time.Duration) {
+	n.add(Event{At: at, Kind: Stopping})
+	n.add(Event{At: at + 3700*ms, Kind: Killed})
+	n.add(Event{At: at + 4600*ms, Kind: Ready})
+}
+
+func (n *notes) crash(at time.Duration) {
+	n.add(Event{At: at, Kind: Killed})
+	n.add(Event{At: at + sec, Kind: Ready})
+}
+
+func (n *notes) effect(times int, id string) {
+	for i := range times {
+		n.add(Event{At: 9*sec + time.Duration(i), Kind: Effect, ID: id})
+	}
+}
+
+func (n *notes) told(at time.Duration, host, state string) {
+	n.add(Event{At: at, Kind: Told, Host: host, State: state})
+}
+
+func (n *notes) up() {
+	for relay := range 2 {
+		n.add(Event{Kind: Ready, Relay: relay})
+		n.add(Event{Kind: Asked, Relay: relay, OK: true})
+	}
+}
+
+func (n *notes) regDown(at time.Duration) { n.add(Event{At: at, Kind: RegDown}) }
+
+func (n *notes) shown(at time.Duration, host, state string) {
+	n.add(Event{At: at, Kind: Shown, Host: host, State: state})
+}
+
+func (n *notes) out(at time.Duration, how string, until time.Duration) {
+	n.add(Event{At: at, Kind: Out, State: how})
+	n.add(Event{At: until, Kind: Back, OK: true})
+}
+
+// burst has a relay send so many messages of their own, each refused by the partner and then ended.
+func (n *notes) burst(at time.Duration, count int, outcome string, relay int) {
+	for i := range count {
+		id := fmt.Sprintf("%v-%d-%d", at, relay, i)
+		n.add(Event{At: at - 50*ms, Kind: HandedIn, ID: id, Relay: relay, For: 10 * sec})
+		n.add(Event{At: at - 40*ms, Kind: Answered, ID: id, Relay: relay, Status: 202})
+		n.call(at+time.Duration(i)*ms, id, "h", outcome, ms, func(a, _ *Event) { a.Relay = relay })
+		n.notice(at+200*ms, id, Deferred)
+	}
+}
+
+func (n *notes) probes(at time.Duration, count int) {
+	for i := range count {
+		n.call(at+time.Duration(i)*ms, "", "h", OK, ms, func(a, _ *Event) { a.Kind = Probed })
+	}
+}
+
+func TestWorth(t *testing.T) {
+	f := figures()
+	f.Settings.Tenants = []settings.Tenant{{Name: "x"}, {Name: "y"}}
+	f.Settings.OverShare = 0.2
+	var asked []Want
+	n := &notes{}
+	for i := range 30 {
+		at := time.Duration(i) * sec
+		asked = append(asked, Want{At: at, Class: status, Tenant: i % 2, OverShare: i == 29})
+		id := fmt.Sprint(i)
+		n.add(Event{At: at, Kind: HandedIn, ID: id, Msg: i, For: 10 * sec})
+		switch {
+		case i < 10: // delivered in time
+			n.add(Event{At: at, Kind: Answered, ID: id, Status: 202})
+			n.call(at+sec, id, "h", OK, ms)
+		case i < 20: // 6 s: half way down to a half
+			n.add(Event{At: at, Kind: Answered, ID: id, Status: 202})
+			n.call(at+6*sec-ms, id, "h", OK, ms)
+		default:
+			n.add(Event{At: at, Kind: Answered, ID: id, Status: 429})
+		}
+	}
+	r := Judge(f, n.log, 60*sec)
+	r.Weigh(f, asked, n.log)
+	near := func(what string, got, want float64) {
+		t.Helper()
+		if math.Abs(got-want) > 1e-9 {
+			t.Errorf("%s %v, want %v", what, got, want)
+		}
+	}
+	near("whole", r.Worth.Whole, (10+7.5)/29.2)
+	near("worst 10 s", r.Worth.Worst10s, 0)
+	near("its begin", r.Worth.WorstFrom.Seconds(), 20)
+	near("tenant", r.Worth.WorstTenant, (5+3.75)/15)
+	if r.Counts.Delivered != 20 || r.Counts.InTime != 10 || r.Counts.Refused != 10 || r.Counts.Taken != 20 {
+		t.Errorf("counts %+v", r.Counts)
+	}
+}
