Play rehearsals on sockets: frostlinkctl rehearse run, check and list

The rig starts real relays as processes and stands round them on loopback: clients behind a front that notices deaths late, partners on listeners of their own for each relay, a register with lag and outages, the platform's ear for notices, and the datagram network. All decisions lie in the pure packages.

--- /dev/null
+++ b/cmd/frostlinkctl/rehearse.go
@@ -0,0 +1,236 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"mallowlead/internal/rehearsal/rig"
+	"mallowlead/internal/rehearsal/script"
+	"mallowlead/internal/strict"
+)
+
+// scriptsDir is where scripts that are named without a path are looked for.
+const scriptsDir = "rehearsals"
+
+func rehearseCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "rehearse",
+		Short: "Rehearse an incident on this machine, against real relay processes",
+		Long: "Rehearse an incident on this machine: real relay processes, with clients, partners, register and network\n" +
+			"stood in for on loopback addresses, and an auditor of the six rules.",
+		Example: "  frostlinkctl rehearse run rehearsals/quiet.toml",
+	}
+	c.AddCommand(rehearseRun(), rehearseCheck(), rehearseList())
+	return c
+}
+
+func rehearseRun() *cobra.Command {
+	var seed int64
+	var jsonPath, relays, keep string
+	var quiet bool
+	c := &cobra.Command{
+		Use:   "run FILE",
+		Short: "Play a script and audit it",
+		Long: "Play a script and audit it. The run lasts as long as the script says, plus what the last messages need.\n" +
+			"Exit codes: 0 all rules kept, 1 a rule broken or a relay crashed, 2 could not run or the machine was too busy.",
+		Example: "  frostlinkctl rehearse run rehearsals/fiscal-year-end.toml --seed 7 --json out.json --keep logs",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := readScript(args[0])
+			if err != nil {
+				return err
+			}
+			if !c.Flags().Changed("seed") {
+				seed = s.Seed
+			}
+			command, err := relayCommand(relays)
+			if err != nil {
+				return err
+			}
+			o := rig.Options{Seed: seed, Command: command, Keep: keep}
+			out := c.OutOrStdout()
+			if jsonPath == "-" {
+				out = io.Discard
+			} else if !quiet {
+				o.Progress = c.ErrOrStderr()
+			}
+			fmt.Fprintf(out, "%s, seed %d: %s\n%d relays, %d partners, %.0f messages a second for %.0f s\n", s.Name, seed, s.About,
+				s.Relays, len(s.Partners), s.Load.Rate, s.Length)
+			res, err := rig.Run(c.Context(), s, o)
+			if err != nil {
+				return err
+			}
+			res.Print(out)
+			if jsonPath != "" {
+				if err := writeJSON(c.OutOrStdout(), jsonPath, res); err != nil {
+					return err
+				}
+			}
+			switch {
+			case res.Void:
+				return fmt.Errorf("void: %.2f%% of the rig's events were later than 5 ms", 100*res.Late)
+			case !res.Good():
+				return errFound
+			}
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.Int64Var(&seed, "seed", 0, "seed of all draws (default the script's)")
+	f.StringVar(&jsonPath, "json", "", "write the result as JSON to this `file`; - is standard output")
+	f.StringVar(&relays, "relays", "", "the relay's `program` (default frostlink beside this program)")
+	f.StringVar(&keep, "keep", "", "keep the event log and the relays' logs in this `folder`")
+	f.BoolVar(&quiet, "quiet", false, "no progress lines")
+	return c
+}
+
+func rehearseCheck() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use:     "check FILE...",
+		Short:   "Check scripts, and name all that is wrong in them",
+		Example: "  frostlinkctl rehearse check rehearsals/*.toml",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			found := strict.Problems{}
+			for _, path := range args {
+				s, err := readScript(path)
+				var bad strict.Problems
+				switch {
+				case errors.As(err, &bad):
+					found = append(found, bad...)
+				case err != nil:
+					return err
+				case !asJSON:
+					fmt.Fprintf(c.OutOrStdout(), "%s: fine; %.0f messages, %d relays, %d partners, %d events\n", path, s.Load.Rate*s.Length,
+						s.Relays, len(s.Partners), len(s.Events))
+				}
+			}
+			if asJSON {
+				if err := writeJSON(c.OutOrStdout(), "-", found); err != nil {
+					return err
+				}
+			} else if len(found) > 0 {
+				fmt.Fprintln(c.OutOrStdout(), found.Error())
+			}
+			if len(found) > 0 {
+				return errFound
+			}
+			return nil
+		},
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print the problems as JSON")
+	return c
+}
+
+func rehearseList() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use:     "list [FOLDER]",
+		Short:   "List the scripts in a folder (default " + scriptsDir + ")",
+		Example: "  frostlinkctl rehearse list",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			dir := scriptsDir
+			if len(args) > 0 {
+				dir = args[0]
+			}
+			if _, err := os.Stat(dir); err != nil {
+				return err
+			}
+			paths, err := filepath.Glob(filepath.Join(dir, "*.toml"))
+			if err != nil {
+				return err
+			}
+			type row struct {
+				File   string  `json:"file"`
+				Name   string  `json:"name"`
+				About  string  `json:"about"`
+				Length float64 `json:"length_s"`
+				Relays int     `json:"relays"`
+			}
+			rows, bad := []row{}, false
+			for _, p := range paths {
+				s, err := script.Read(p)
+				if err != nil {
+					bad = true
+					fmt.Fprintln(c.ErrOrStderr(), err)
+					continue
+				}
+				rows = append(rows, row{p, s.Name, s.About, s.Length, s.Relays})
+			}
+			if asJSON {
+				err = writeJSON(c.OutOrStdout(), "-", rows)
+			} else {
+				t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+				for _, r := range rows {
+					fmt.Fprintf(t, "%s\t%.0f s\t%d relays\t%s\n", r.File, r.Length, r.Relays, r.About)
+				}
+				err = t.Flush()
+			}
+			if err == nil && bad {
+				err = errFound
+			}
+			return err
+		},
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print the list as JSON")
+	return c
+}
+
+// readScript reads a script by its path, or by its name alone.
+func readScript(path string) (*script.Script, error) {
+	if _, err := os.Stat(path); err != nil && !strings.ContainsAny(path, "/.") {
+		if named := filepath.Join(scriptsDir, path+".toml"); fileThere(named) {
+			path = named
+		}
+	}
+	return script.Read(path)
+}
+
+func fileThere(path string) bool {
+	info, err := os.Stat(path)
+	return err == nil && !info.IsDir()
+}
+
+// relayCommand finds the program of a relay.
+func relayCommand(given string) ([]string, error) {
+	path := given
+	if path == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		path = filepath.Join(filepath.Dir(own), "frostlink")
+	}
+	if !fileThere(path) {
+		return nil, fmt.Errorf("no relay program at %s: build it there (go build -o bin/ ./cmd/...), or name one with --relays", path)
+	}
+	path, err := filepath.Abs(path) // it runs in a folder of its own
+	if err != nil {
+		return nil, err
+	}
+	return []string{path}, nil
+}
+
+// writeJSON writes a value to a file, or to out where the path is "-".
+func writeJSON(out io.Writer, path string, v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	raw = append(raw, '\n')
+	if path == "-" {
+		_, err = out.Write(raw)
+		return err
+	}
+	return os.WriteFile(path, raw, 0o644)
+}
--- a/internal/rehearsal/audit/judge.go
+++ b/internal/rehearsal/audit/judge.go
@@ -41,10 +41,12 @@
 }
 
 // mayHaveRun tells what the relay could know: only a refusal proves that a call never ran.
-func (a *attempt) mayHaveRun() bool { return a.outcome != Full && a.outcome != Wait }
+func (a *attempt) mayHaveRun() bool {
+	return a.outcome != Full && a.outcome != Wait && a.outcome != Unsent
+}
 
 // failed tells whether the relay saw the partner fail or refuse.
-func (a *attempt) failed() bool { return a.outcome != OK }
+func (a *attempt) failed() bool { return a.outcome != OK && a.outcome != Unsent }
 
 // charge is a message that a relay was handed.
 type charge struct {
--- a/internal/rehearsal/audit/log.go
+++ b/internal/rehearsal/audit/log.go
@@ -50,14 +50,14 @@
 
 // Outcomes of calls, in Event.Outcome.
 const (
-	OK      = "ok"      // 200 written
-	Error   = "error"   // 500 written
-	Full    = "full"    // 503 written
-	Wait    = "wait"    // 429 with a wait written
-	Reset   = "reset"   // the endpoint reset the connection after the body
-	Cut     = "cut"     // the endpoint died or vanished with the call out
-	Left    = "left"    // the relay ended the connection before an answer
-	Spoiled = "unusual" // anything else
+	OK     = "ok"     // 200 written
+	Error  = "error"  // 500 written
+	Full   = "full"   // 503 written
+	Wait   = "wait"   // 429 with a wait written
+	Reset  = "reset"  // the endpoint reset the connection after the body
+	Cut    = "cut"    // the endpoint died or vanished with the call out
+	Left   = "left"   // the relay ended the connection before an answer
+	Unsent = "unsent" // answered as not sent: no slot, no attempt or no time left, or no message of this run
 )
 
 // States of endpoints, in Event.State.
--- a/internal/rehearsal/audit/worth.go
+++ b/internal/rehearsal/audit/worth.go
@@ -184,7 +184,7 @@
 		p := &r.Partners[a.Dest]
 		p.Asked++
 		if at, ok := first[n]; ok {
-			left := worthAt(k, at-a.At)
+			left := WorthLeft(k, at-a.At)
 			got = full * left
 			times[a.Class] = append(times[a.Class], (at - a.At).Seconds())
 			r.Counts.Delivered++
@@ -262,9 +262,9 @@
 	return p.got / p.asked
 }
 
-// worthAt is the share of its worth that a message has at an age: all of it up to the aim, then evenly less down to
+// WorthLeft is the share of its worth that a message has at an age: all of it up to the aim, then evenly less down to
 // the late share at the deadline, nothing after.
-func worthAt(k *settings.Category, age time.Duration) float64 {
+func WorthLeft(k *settings.Category, age time.Duration) float64 {
 	aim, deadline := settings.Seconds(k.AimS), settings.Seconds(k.DeadlineS)
 	switch {
 	case age <= aim:
--- /dev/null
+++ b/internal/rehearsal/rig/relays.go
@@ -0,0 +1,416 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"mallowlead/internal/rehearsal/audit"
+	"mallowlead/internal/rehearsal/script"
+)
+
+const (
+	// killAfter a planned end was asked for, a relay is killed.
+	killAfter = 3700 * time.Millisecond
+	// readyEvery is between looks whether a relay is ready.
+	readyEvery = 20 * time.Millisecond
+	// endWithin is how long a killed process may take to be gone.
+	endWithin = 5 * time.Second
+	// clockTicks a second is the unit of the times in /proc/PID/stat: USER_HZ, 100 on every Linux.
+	clockTicks = 100
+	quarters   = 4
+)
+
+// Process is what one relay took of its machine.
+type Process struct {
+	Name        string            `json:"name"`
+	Starts      int               `json:"starts"`
+	Crashes     int               `json:"crashes"`
+	MemoryMB    [quarters]float64 `json:"memory_mb"`   // the most resident in each quarter of the run
+	Descriptors [quarters]int     `json:"descriptors"` // the most open in each quarter
+	CPU         float64           `json:"cpu_s"`
+	StateKB     float64           `json:"state_kb"` // the most in the folder that lasts
+}
+
+// relay is one relay: a process that may come and go, and what stays.
+type relay struct {
+	r        *rig
+	number   int
+	name     string
+	listen   string // where clients connect
+	peer     string // where other relays' datagrams arrive
+	peers    []string
+	peersAll string
+	usage    Process
+
+	mu        sync.Mutex
+	discovery string
+	process   *os.Process
+	expected  bool // its end was asked for
+	exited    chan struct{}
+	starts    int
+	cpuBefore float64 // of earlier processes
+}
+
+func newRelay(r *rig, number int) (*relay, error) {
+	rel := &relay{r: r, number: number, name: fmt.Sprintf("relay-%d", number+1)}
+	rel.usage.Name = rel.name
+	ip := net.IPv4(127, byte(100+number), 0, 1)
+	// Reserved for a moment to learn a free port: relays listen where they are told.
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
+	if err != nil {
+		return nil, err
+	}
+	rel.listen = ln.Addr().String()
+	_ = ln.Close()
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: ip})
+	if err != nil {
+		return nil, err
+	}
+	rel.peer = udp.LocalAddr().String()
+	_ = udp.Close()
+	for _, dir := range []string{rel.state(), rel.temp()} {
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return nil, err
+		}
+	}
+	return rel, nil
+}
+
+func (rel *relay) dir() string        { return filepath.Join(rel.r.dir, rel.name) }
+func (rel *relay) state() string      { return filepath.Join(rel.dir(), "state") }
+func (rel *relay) temp() string       { return filepath.Join(rel.dir(), "tmp") }
+func (rel *relay) configPath() string { return filepath.Join(rel.dir(), "config.json") }
+func (rel *relay) logPath() string    { return filepath.Join(rel.dir(), "log") }
+
+func (rel *relay) setDiscovery(addr string) {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	rel.discovery = addr
+}
+
+// configure writes the platform's configuration, in place at once.
+func (rel *relay) configure() error {
+	rel.mu.Lock()
+	discovery, starts := rel.discovery, rel.starts
+	rel.mu.Unlock()
+	s := rel.r.s
+	seed := fmt.Sprintf("%016x", rel.r.d.For("relay", rel.number, starts).Uint64())
+	raw, err := json.MarshalIndent(map[string]any{
+		"name": rel.name, "listen": rel.listen, "discovery": discovery, "seed": seed,
+		"limits": map[string]any{"cores": s.Relay.Cores, "memory_mb": s.Relay.MemoryMB, "sockets": s.Relay.Sockets,
+			"disk_mb": s.Relay.DiskMB},
+		"peer_listen": rel.peer, "peers": rel.peers, "peers_all": rel.peersAll,
+		"known": rel.r.register.known(rel.number), "settings": s.Settings(rel.number)}, "", " ")
+	if err != nil {
+		return err
+	}
+	next := rel.configPath() + ".next"
+	if err := os.WriteFile(next, raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, rel.configPath())
+}
+
+// launcher starts processes from one thread that lives as long as they may: the kernel kills them when it ends, so
+// that no relay outlives a rig that is itself killed.
+type launcher struct{ jobs chan func() }
+
+func newLauncher() *launcher {
+	l := &launcher{jobs: make(chan func())}
+	go func() {
+		runtime.LockOSThread() // never unlocked: the thread ends with the goroutine
+		for do := range l.jobs {
+			do()
+		}
+	}()
+	return l
+}
+
+func (l *launcher) do(f func() error) error {
+	err := make(chan error)
+	l.jobs <- func() { err <- f() }
+	return <-err
+}
+
+// start starts a relay's process and waits until it is ready.
+func (rel *relay) start() error {
+	if err := rel.configure(); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(rel.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	o := &rel.r.o
+	cmd := exec.Command(o.Command[0], o.Command[1:]...)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = rel.dir(), log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	rel.mu.Lock()
+	cmd.Env = append(os.Environ(), "NODE_NAME="+rel.name, "NODE_LISTEN="+rel.listen, "NODE_DISCOVERY="+rel.discovery,
+		"NODE_STATE="+rel.state(), "NODE_CONFIG="+rel.configPath(), "TMPDIR="+rel.temp())
+	rel.mu.Unlock()
+	cmd.Env = append(cmd.Env, o.Env...)
+	if err := rel.r.launcher.do(cmd.Start); err != nil {
+		return fmt.Errorf("%s: %w", rel.name, err)
+	}
+	exited := make(chan struct{})
+	rel.mu.Lock()
+	rel.process, rel.expected, rel.exited = cmd.Process, false, exited
+	rel.starts++
+	rel.usage.Starts++
+	rel.mu.Unlock()
+	rel.r.note(audit.Event{Kind: audit.Started, Relay: rel.number})
+	go rel.wait(cmd, exited)
+	return rel.awaitReady(exited)
+}
+
+// wait notes a process's end.
+func (rel *relay) wait(cmd *exec.Cmd, exited chan struct{}) {
+	err := cmd.Wait()
+	rel.mu.Lock()
+	expected := rel.expected
+	rel.process = nil
+	rel.cpuBefore += (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Seconds()
+	rel.usage.CPU = rel.cpuBefore
+	if !expected {
+		rel.usage.Crashes++
+	}
+	rel.mu.Unlock()
+	if expected {
+		rel.r.note(audit.Event{Kind: audit.Killed, Relay: rel.number})
+	} else {
+		rel.r.note(audit.Event{Kind: audit.Crashed, Relay: rel.number, Status: cmd.ProcessState.ExitCode()})
+		rel.r.fault("%s ended without being asked to: %v; its log ends: %s", rel.name, err, rel.lastWords())
+		rel.r.front.leaves(rel.number, rel.frontNotices())
+	}
+	close(exited)
+}
+
+// lastWords are the end of a relay's log, in one line.
+func (rel *relay) lastWords() string {
+	raw, _ := os.ReadFile(rel.logPath())
+	text := strings.Join(strings.Fields(string(raw[max(0, len(raw)-300):])), " ")
+	return strconv.Quote(text)
+}
+
+func (rel *relay) frontNotices() time.Duration {
+	rel.mu.Lock()
+	starts := rel.starts
+	rel.mu.Unlock()
+	return script.Seconds(rel.r.s.Front.Notices.In(rel.r.d.For("front", rel.number, starts)))
+}
+
+// awaitReady asks a relay for its health until it is well.
+func (rel *relay) awaitReady(exited <-chan struct{}) error {
+	ctx, cancel := context.WithTimeout(rel.r.ctx, script.Seconds(rel.r.s.Relay.Ready))
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+rel.listen+"/_health", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := client.Do(req); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				rel.r.note(audit.Event{Kind: audit.Ready, Relay: rel.number})
+				rel.r.front.ready(rel.number)
+				return nil
+			}
+		}
+		select {
+		case <-exited:
+			return fmt.Errorf("%s ended before it was ready; its log ends: %s", rel.name, rel.lastWords())
+		default:
+		}
+		if !sleep(ctx, readyEvery) {
+			return fmt.Errorf("%s is not ready within %v s; its log ends: %s", rel.name, rel.r.s.Relay.Ready, rel.lastWords())
+		}
+	}
+}
+
+// signal sends a signal to the relay's process and what that started.
+func (rel *relay) signal(sig syscall.Signal, expectEnd bool) (exited <-chan struct{}) {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	if rel.process == nil {
+		return nil
+	}
+	rel.expected = rel.expected || expectEnd
+	to := -rel.process.Pid // its group
+	if sig == syscall.SIGTERM || sig == syscall.SIGHUP {
+		to = rel.process.Pid // the program itself, as the platform does
+	}
+	if err := syscall.Kill(to, sig); err != nil && !errors.Is(err, syscall.ESRCH) {
+		rel.r.fault("%s: %v: %v", rel.name, sig, err)
+	}
+	return rel.exited
+}
+
+// kill ends the process at once and waits until it is gone.
+func (rel *relay) kill() {
+	exited := rel.signal(syscall.SIGKILL, true)
+	if exited == nil {
+		return
+	}
+	select {
+	case <-exited:
+	case <-time.After(endWithin):
+		rel.r.fault("%s does not end on SIGKILL", rel.name)
+	}
+}
+
+// outright kills a relay and starts it again; lose says that its folder is gone too.
+func (rel *relay) outright(back time.Duration, lose bool) {
+	rel.kill()
+	rel.r.front.leaves(rel.number, rel.frontNotices())
+	if lose {
+		rel.r.note(audit.Event{Kind: audit.Lost, Relay: rel.number})
+		if err := rel.empty(); err != nil {
+			rel.r.fault("%s: %v", rel.name, err)
+		}
+		rel.r.clients.lost(rel.number)
+	}
+	rel.again(back)
+}
+
+// empty empties the folder that lasts.
+func (rel *relay) empty() error {
+	if err := os.RemoveAll(rel.state()); err != nil {
+		return err
+	}
+	return os.MkdirAll(rel.state(), 0o700)
+}
+
+// restart ends a relay by plan and starts it again.
+func (rel *relay) restart(back time.Duration) {
+	rel.r.note(audit.Event{Kind: audit.Stopping, Relay: rel.number})
+	exited := rel.signal(syscall.SIGTERM, true)
+	rel.r.front.leaves(rel.number, frontDrains)
+	if exited != nil {
+		select {
+		case <-exited:
+		case <-time.After(killAfter):
+		case <-rel.r.ctx.Done():
+		}
+	}
+	rel.kill()
+	rel.again(back)
+}
+
+func (rel *relay) again(back time.Duration) {
+	if !sleep(rel.r.ctx, back) {
+		return
+	}
+	if err := rel.start(); err != nil && rel.r.ctx.Err() == nil {
+		rel.r.fault("%v", err)
+	}
+}
+
+// hang stops a relay's process for a while.
+func (rel *relay) hang(d time.Duration) {
+	rel.r.note(audit.Event{Kind: audit.Halted, Relay: rel.number})
+	rel.signal(syscall.SIGSTOP, false)
+	rel.r.front.leaves(rel.number, rel.frontNotices())
+	sleep(rel.r.ctx, d)
+	rel.signal(syscall.SIGCONT, false)
+	rel.r.note(audit.Event{Kind: audit.Resumed, Relay: rel.number})
+	rel.r.front.ready(rel.number)
+}
+
+// move tells a relay of another address of its register.
+func (rel *relay) move() error {
+	if err := rel.r.register.move(rel.number); err != nil {
+		return err
+	}
+	if err := rel.configure(); err != nil {
+		return err
+	}
+	rel.r.note(audit.Event{Kind: audit.Moved, Relay: rel.number})
+	rel.signal(syscall.SIGHUP, false)
+	return nil
+}
+
+// finish ends a relay for good.
+func (rel *relay) finish() { rel.kill() }
+
+// startRelays starts all relays at once.
+func (r *rig) startRelays() error {
+	errs := make([]error, len(r.relays))
+	var work sync.WaitGroup
+	for i, rel := range r.relays {
+		work.Go(func() { errs[i] = rel.start() })
+	}
+	work.Wait()
+	return errors.Join(errs...)
+}
+
+// sample looks at the relays' memory, descriptors and disk now and then.
+func (r *rig) sample(ctx context.Context) {
+	for n := 1; r.until(ctx, time.Duration(n)*sampleEvery); n++ {
+		quarter := min(quarters-1, int(float64(quarters)*r.now().Seconds()/r.s.Length))
+		for _, rel := range r.relays {
+			rel.look(quarter)
+		}
+	}
+}
+
+// look takes one sample.
+func (rel *relay) look(quarter int) {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	if rel.process == nil {
+		return
+	}
+	proc := filepath.Join("/proc", strconv.Itoa(rel.process.Pid))
+	status, err := os.ReadFile(filepath.Join(proc, "status"))
+	if err != nil {
+		return // it ended just now
+	}
+	u := &rel.usage
+	for line := range strings.Lines(string(status)) {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == "VmRSS:" {
+			kb, _ := strconv.ParseFloat(f[1], 64)
+			u.MemoryMB[quarter] = max(u.MemoryMB[quarter], kb/1024)
+		}
+	}
+	if fds, err := os.ReadDir(filepath.Join(proc, "fd")); err == nil {
+		u.Descriptors[quarter] = max(u.Descriptors[quarter], len(fds))
+	}
+	if stat, err := os.ReadFile(filepath.Join(proc, "stat")); err == nil {
+		// After the name, which ends with the last parenthesis, user and system time are the 12th and 13th field.
+		if f := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:])); len(f) > 12 {
+			user, _ := strconv.ParseFloat(f[11], 64)
+			system, _ := strconv.ParseFloat(f[12], 64)
+			u.CPU = rel.cpuBefore + (user+system)/clockTicks
+		}
+	}
+	size := int64(0)
+	_ = filepath.WalkDir(rel.state(), func(_ string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() {
+			if info, err := d.Info(); err == nil {
+				size += (info.Size() + 511) / 512 * 512
+			}
+		}
+		return nil // a file that has just gone is no matter
+	})
+	u.StateKB = max(u.StateKB, float64(size)/1000)
+	if float64(size) > rel.r.s.Relay.DiskMB*1e6 {
+		rel.r.fault("%s has %.0f kB in its folder, more than disk_mb allows", rel.name, float64(size)/1000)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/rig/table.go
@@ -0,0 +1,80 @@
+package rig
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"mallowlead/internal/rehearsal/audit"
+)
+
+// mostShown breaches are printed in full; all are in the JSON.
+const mostShown = 20
+
+// Print writes what a run showed, for people.
+func (r *Result) Print(out io.Writer) {
+	if len(r.Timeline) > 0 {
+		fmt.Fprintf(out, "\nWhat happened\n  %s\n", strings.Join(r.Timeline, "\n  "))
+	}
+	t := tabwriter.NewWriter(out, 2, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "\npartner\tasked\tdelivered\tin time\trefused\tfailed\tcalls\tfull\terrors\tcut off\tconnections\tpushed over\t\n")
+	for i, p := range r.Partners {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", r.PartnerNames[i], p.Asked, p.Delivered, p.InTime,
+			p.Refused, p.Failed+p.Unserved, p.Calls, p.Outcomes[audit.Full]+p.Outcomes[audit.Wait],
+			p.Outcomes[audit.Error]+p.Outcomes[audit.Reset], p.Outcomes[audit.Left]+p.Outcomes[audit.Cut], p.Connections,
+			r.Falls[r.PartnerNames[i]])
+	}
+	fmt.Fprintf(t, "\nrelay\thanded in\ttaken on\tgiven back\tgiven up\tcalls\tstarts\tMB by quarter\tdescriptors\tCPU s\tfolder kB\t\n")
+	for i, p := range r.Relays {
+		u := r.Processes[i]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f %.0f %.0f %.0f\t%d\t%.2f\t%.0f\t\n", u.Name, p.HandIns, p.Taken, p.Deferred,
+			p.GivenUp, p.Calls, u.Starts, u.MemoryMB[0], u.MemoryMB[1], u.MemoryMB[2], u.MemoryMB[3],
+			slices.Max(u.Descriptors[:]), u.CPU, u.StateKB)
+	}
+	_ = t.Flush()
+	w := &r.Worth
+	fmt.Fprintf(out, "\nworth  %.3f of what was asked for; worst 10 s %.3f (from %.0f s), worst class %.3f, worst tenant %.3f\n",
+		w.Whole, w.Worst10s, w.WorstFrom.Seconds(), w.WorstClass, w.WorstTenant)
+	for _, name := range slices.Sorted(maps.Keys(r.Waits)) {
+		q := r.Waits[name]
+		fmt.Fprintf(out, "       %s: worth %.3f, delivered after %.2f s (half), %.2f s (99 of 100)\n", name, w.Classes[name], q.Median, q.P99)
+	}
+	c := &r.Counts
+	fmt.Fprintf(out, "counts %d messages, %d hand-ins, %d taken on, %d calls, %d turned away above a limit, %d effects for nothing\n",
+		c.Asked, c.HandIns, c.Taken, c.Calls, c.Outcomes[audit.Full]+c.Outcomes[audit.Wait], c.Wasted)
+	if r.Notes.Sent > 0 {
+		fmt.Fprintf(out, "notes  %d datagrams of %d bytes in all, %d lost, %d halved\n", r.Notes.Sent, r.Notes.Bytes, r.Notes.Lost, r.Notes.Halved)
+	}
+	fmt.Fprintf(out, "rig    %d events, %.2f%% later than 5 ms, the latest by %.1f ms\n", r.Events, 100*r.Late, float64(r.LateMost.Microseconds())/1000)
+	r.printVerdict(out)
+}
+
+func (r *Result) printVerdict(out io.Writer) {
+	for i, b := range r.Breaches {
+		if i == mostShown {
+			fmt.Fprintf(out, "  and %d more\n", len(r.Breaches)-i)
+			break
+		}
+		fmt.Fprintf(out, "BREACH %s: at %.3f s, relay %d, partner %s, message %s: %s\n", b.Rule, b.At.Seconds(), b.Relay, or(b.Dest, "-"),
+			or(b.ID, "-"), b.Text)
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintf(out, "FAULT  %s\n", f)
+	}
+	switch {
+	case r.Void:
+		fmt.Fprintf(out, "VOID: the rig itself was late; this run says nothing of the relays. Give it an idle machine.\n")
+	case r.Good():
+		fmt.Fprintf(out, "all six rules kept\n")
+	}
+}
+
+func or(s, other string) string {
+	if s == "" {
+		return other
+	}
+	return s
+}
