--- a/internal/rehearsal/rig/timeline.go
+++ b/internal/rehearsal/rig/timeline.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"mallowlead/internal/rehearsal/audit"
@@ -71,7 +72,7 @@
 	case "replace":
 		return r.bulk(number, e)
 	case "jump", "draw":
-		return both(fmt.Sprintf("%s %s", e.What, e.Partner), func() {}, func() {}) // the draws have it
+		return both(strings.TrimSpace(e.What+" "+e.Partner), func() {}, func() {}) // the draws have it
 	case "register":
 		return both("register away ("+e.How+")", func() { r.register.fail(e.How) }, func() { r.register.fail("") })
 	case "split":
