--- a/internal/rehearsal/audit/audit_test.go
+++ b/internal/rehearsal/audit/audit_test.go
@@ -470,6 +470,9 @@
 		id := fmt.Sprint(i)
 		n.add(Event{At: at, Kind: HandedIn, ID: id, Msg: i, For: 10 * sec})
 		switch {
+		case i == 0: // delivered before its client heard that it was taken on
+			n.call(at+ms, id, "h", OK, ms)
+			n.add(Event{At: at + 10*ms, Kind: Answered, ID: id, Status: 202})
 		case i < 10: // delivered in time
 			n.add(Event{At: at, Kind: Answered, ID: id, Status: 202})
 			n.call(at+sec, id, "h", OK, ms)
--- a/internal/rehearsal/audit/log.go
+++ b/internal/rehearsal/audit/log.go
@@ -21,7 +21,7 @@
 const (
 	HandedIn  Kind = "handed-in"  // ID Msg Relay Dest Class Item For: a client has sent a message with so long to go
 	Answered  Kind = "answered"   // ID Relay Status For: the client heard the relay's answer, and when to come again
-	Unheard   Kind = "unheard"    // ID Relay: the client waits no more, or the connection ended without an answer
+	Unheard   Kind = "unheard"    // ID Relay State: the client waits no more, or the connection ended without an answer
 	Called    Kind = "called"     // ID Relay Dest Host Call First: a call's last byte has come; First: its first
 	Probed    Kind = "probed"     // Relay Dest Host Call
 	Ended     Kind = "ended"      // Call Outcome For Ran: a call's answer is about to be written, or it ended without
--- a/internal/rehearsal/audit/worth.go
+++ b/internal/rehearsal/audit/worth.go
@@ -138,6 +138,12 @@
 	heard := map[string]int{} // ids taken on, and what message each is
 	ids := map[string]int{}
 	effects := map[int]int{}
+	early := map[string]bool{} // delivered before the client heard that they were taken on
+	deliver := func(m int, at time.Duration) {
+		if _, had := first[m]; !had {
+			first[m] = at
+		}
+	}
 	for _, e := range byTime(log) {
 		switch e.Kind {
 		case HandedIn:
@@ -146,14 +152,17 @@
 			if m, ok := ids[e.ID]; ok && (e.Status == 202 || e.Status == 200) {
 				heard[e.ID] = m
 				word[m] = ""
+				if early[e.ID] {
+					deliver(m, e.At)
+				}
 			} else if ok {
 				word[m] = wordOf(e.Status)
 			}
 		case Ended:
 			if m, ok := heard[e.ID]; ok && e.Outcome == OK {
-				if _, had := first[m]; !had {
-					first[m] = e.At
-				}
+				deliver(m, e.At)
+			} else if e.Outcome == OK {
+				early[e.ID] = true
 			}
 		case Noticed:
 			if m, ok := heard[e.ID]; ok {
