--- a/internal/rehearsal/audit/judge.go
+++ b/internal/rehearsal/audit/judge.go
@@ -97,7 +97,7 @@
 	j.returns(log)
 	j.orders()
 	slices.SortStableFunc(j.breaches, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
-	r := &Report{Breaches: j.breaches}
+	r := &Report{Breaches: append([]Breach{}, j.breaches...)} // never null in JSON
 	j.count(r, log)
 	return r
 }
--- a/internal/rehearsal/rig/rig.go
+++ b/internal/rehearsal/rig/rig.go
@@ -330,7 +330,7 @@
 // judge has the run audited.
 func (r *rig) judge(messages []*script.Message) *Result {
 	r.mu.Lock()
-	res := &Result{Script: r.s.Name, Seed: r.o.Seed, Events: r.events, LateMost: r.most, Faults: slices.Clone(r.faults),
+	res := &Result{Script: r.s.Name, Seed: r.o.Seed, Events: r.events, LateMost: r.most, Faults: append([]string{}, r.faults...),
 		Late: float64(r.late) / math.Max(1, float64(r.events)), Timeline: r.timeline}
 	over := r.now()
 	r.mu.Unlock()
