Decide which undelivered messages may be sent again, in a core without I/O or clock

The next subsystem's heart: what is kept of a message, the one judge of whether it may be sent again (effect, key's memory from the first attempt that may have run, lineage's allowance, attest, superseded subject, clock set back), and the operator's rules.

--- /dev/null
+++ b/internal/undelivered/allowed.go
@@ -0,0 +1,81 @@
+package undelivered
+
+import (
+	"fmt"
+	"time"
+)
+
+// Effect says what a second execution of a message would do, as in the settings.
+type Effect int
+
+// The effects of a class.
+const (
+	Safe Effect = iota
+	Keyed
+	Unsafe
+)
+
+// Class is what the rules need to know of a class of message.
+type Class struct {
+	Name     string
+	Effect   Effect
+	Memory   time.Duration // keyed: how long partners drop a repeat
+	Attempts int           // allowed, over the whole lineage
+	Subject  bool          // its messages have a subject, and the newest of one is not to be overwritten
+}
+
+// keyMargin of a key's memory is not used: the attempt that begins now reaches the partner later, and clocks differ.
+const keyMargin = 2 * time.Second
+
+// Verdict says whether a message may be sent again.
+type Verdict struct {
+	Allowed    bool
+	Superseded string  // by this newer one; then it is over
+	Attest     *Attest // the one that is used up by the resend; nil: none is needed
+	Why        string  // in plain words
+}
+
+// Allowed is the only judge of whether a message may be sent again at a time. newest says what is known of later
+// messages of its subject.
+func Allowed(c *Class, r *Record, newest *Newest, now time.Time) Verdict {
+	no := func(format string, args ...any) Verdict { return Verdict{Why: fmt.Sprintf(format, args...)} }
+	switch {
+	case c == nil:
+		return no("its class %q is not in the relay's settings", r.Class)
+	case r.State.Ended():
+		return no("it is %s already", r.State)
+	case r.State == Out:
+		return no("it is being resent at this moment")
+	case len(r.Lives) == 0:
+		return no("its record has no history")
+	case now.Before(r.latest()):
+		// Guards against a clock that was set back: how long ago an attempt was can't be told.
+		return no("the clock stands before the last that is known of it, %s", r.latest().Format(time.RFC3339))
+	case r.Attempts() >= c.Attempts:
+		return no("it has had %d attempts, and its class is allowed %d", r.Attempts(), c.Attempts)
+	}
+	if c.Subject {
+		switch by, known := newest.After(r); {
+		case by != "":
+			return Verdict{Superseded: by, Why: fmt.Sprintf("a newer message of %q, %s, has overtaken it", r.Subject, by)}
+		case !known:
+			return no("whether a newer message of %q was delivered can't be told", r.Subject)
+		}
+	}
+	ran := r.MayHaveRun()
+	switch {
+	case c.Effect == Safe:
+		return Verdict{Allowed: true, Why: "its class is safe to repeat"}
+	case ran == nil:
+		return Verdict{Allowed: true, Why: "no attempt can have run"}
+	case c.Effect == Keyed && ran.Ran != Did && now.Add(keyMargin).Before(ran.Begun.Add(c.Memory)):
+		return Verdict{Allowed: true, Why: "its partner still remembers its key"}
+	}
+	if a := r.attest(); a != nil {
+		return Verdict{Allowed: true, Attest: a, Why: fmt.Sprintf("%s attests that the partner does not have it", a.By)}
+	}
+	if c.Effect == Keyed {
+		return no("an attempt at %s may have run, and its key is remembered for %v only", ran.Begun.Format(time.RFC3339), c.Memory)
+	}
+	return no("an attempt at %s may have run, and its class may not be repeated", ran.Begun.Format(time.RFC3339))
+}
