Keep undelivered messages in a bbolt file: idempotent by id, checksums, due times, verify

Each record carries its own checksum, since bbolt has none; a damaged page is an error of what lies on it, not the relay's end.

--- /dev/null
+++ b/internal/undelivered/config.go
@@ -0,0 +1,137 @@
+package undelivered
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"mallowlead/internal/strict"
+)
+
+// Section is [undelivered] of the operator's file.
+type Section struct {
+	Folder   string  `toml:"folder,required"` // of the store; mode 0700
+	QuotaMB  float64 `toml:"quota_mb"`        // of the store's file
+	Messages int     `toml:"messages"`        // kept at most
+	Age      float64 `toml:"age_s"`           // since they were first taken on
+	Export   bool    `toml:"export"`          // what leaves by a bound goes into a file of the folder first
+	Refused  bool    `toml:"refused"`         // keep also what was refused at arrival; else it is counted
+	Socket   string  `toml:"socket"`          // Unix socket of the running relay's tool; empty: none
+	Bounds   []Bound `toml:"bound"`
+	Rules    []Rule  `toml:"rule"`
+
+	Subjects      []Subject `toml:"subject"`
+	SubjectsMost  int       `toml:"subjects_most"`  // whose newest is known
+	SubjectsStick bool      `toml:"subjects_stick"` // a subject always comes to the same relay
+}
+
+// Bound is a further bound, on a class, a tenant, or a class of a tenant.
+type Bound struct {
+	Class    string  `toml:"class"`
+	Tenant   string  `toml:"tenant"`
+	Messages int     `toml:"messages"`
+	MB       float64 `toml:"mb"`
+	Age      float64 `toml:"age_s"`
+}
+
+// Subject says where a class's messages tell what they are about, and which of two is the newer.
+type Subject struct {
+	Class   string `toml:"class,required"`
+	Header  string `toml:"header"`  // of the request, or
+	Pointer string `toml:"pointer"` // into a JSON body (RFC 6901)
+	Order   string `toml:"order"`   // number, time (RFC 3339) or arrival
+	// Where the order stands, unless it is arrival.
+	OrderHeader  string `toml:"order_header"`
+	OrderPointer string `toml:"order_pointer"`
+}
+
+// The orders of a subject's messages.
+const (
+	byNumber  = "number"
+	byTime    = "time"
+	byArrival = "arrival"
+)
+
+// Defaults of a section: a bounded store on a disk of its own, and as many subjects as take some 30 MB.
+const (
+	defaultQuotaMB  = 1024
+	defaultMessages = 1_000_000
+	defaultSubjects = 200_000
+	leastQuotaMB    = 0.25
+)
+
+// Check fills in defaults and reports what is wrong; at is the section's key.
+func (s *Section) Check(d *strict.Doc, at string) {
+	if !d.Has(at + ".quota_mb") {
+		s.QuotaMB = defaultQuotaMB
+	}
+	if !d.Has(at + ".messages") {
+		s.Messages = defaultMessages
+	}
+	if !d.Has(at + ".subjects_most") {
+		s.SubjectsMost = defaultSubjects
+	}
+	if d.Has(at+".folder") && s.Folder == "" {
+		d.Bad(at+".folder", "is empty")
+	}
+	if s.QuotaMB < leastQuotaMB {
+		d.Bad(at+".quota_mb", "%v is below %v", s.QuotaMB, leastQuotaMB)
+	}
+	if s.Messages < 1 {
+		d.Bad(at+".messages", "%d keeps none: leave the section out to keep none", s.Messages)
+	}
+	if s.Age < 0 {
+		d.Bad(at+".age_s", "%v is below 0", s.Age)
+	}
+	if s.SubjectsMost < 1 {
+		d.Bad(at+".subjects_most", "%d is below 1", s.SubjectsMost)
+	}
+	for i := range s.Bounds {
+		s.Bounds[i].check(d, fmt.Sprintf("%s.bound[%d]", at, i+1))
+	}
+	for i := range s.Rules {
+		s.Rules[i].Check(d, fmt.Sprintf("%s.rule[%d]", at, i+1))
+	}
+	seen := map[string]bool{}
+	for i := range s.Subjects {
+		key := fmt.Sprintf("%s.subject[%d]", at, i+1)
+		s.Subjects[i].check(d, key)
+		if seen[s.Subjects[i].Class] {
+			d.Bad(key+".class", "%q has a subject already", s.Subjects[i].Class)
+		}
+		seen[s.Subjects[i].Class] = true
+	}
+}
+
+func (b *Bound) check(d *strict.Doc, at string) {
+	if b.Class == "" && b.Tenant == "" {
+		d.Bad(at, "names neither a class nor a tenant")
+	}
+	if b.Messages <= 0 && b.MB <= 0 && b.Age <= 0 {
+		d.Bad(at, "bounds nothing: messages, mb or age_s, above 0")
+	}
+	if b.Messages < 0 || b.MB < 0 || b.Age < 0 {
+		d.Bad(at, "messages, mb and age_s are above 0 where they are given")
+	}
+}
+
+func (s *Subject) check(d *strict.Doc, at string) {
+	one := func(header, pointer, headerKey, pointerKey string) {
+		if (header == "") == (pointer == "") {
+			d.Bad(at+"."+headerKey, "either %s or %s says where it is", headerKey, pointerKey)
+		}
+		if pointer != "" && !strings.HasPrefix(pointer, "/") {
+			d.Bad(at+"."+pointerKey, "%q is no JSON pointer: it begins with a slash", pointer)
+		}
+	}
+	one(s.Header, s.Pointer, "header", "pointer")
+	if !slices.Contains([]string{byNumber, byTime, byArrival}, s.Order) {
+		d.Bad(at+".order", "%q is none of number, time, arrival", s.Order)
+		return
+	}
+	if s.Order != byArrival {
+		one(s.OrderHeader, s.OrderPointer, "order_header", "order_pointer")
+	} else if s.OrderHeader != "" || s.OrderPointer != "" {
+		d.Bad(at+".order", "by arrival, and yet a place for it is named")
+	}
+}
--- a/internal/undelivered/record.go
+++ b/internal/undelivered/record.go
@@ -93,6 +93,7 @@
 	State    State     `json:"state"`
 	Why      string    `json:"why,omitempty"` // of its state, in words
 	Since    time.Time `json:"since"`         // of its state
+	Due      time.Time `json:"due,omitzero"`  // when to look at it again by itself
 	Attests  []Attest  `json:"attests,omitempty"`
 	BodySize int       `json:"body_size"`
 }
--- /dev/null
+++ b/internal/undelivered/store.go
@@ -0,0 +1,658 @@
+package undelivered
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"go.etcd.io/bbolt"
+)
+
+// The store is one bbolt file with these buckets:
+//
+//	meta      "version" -> 4 bytes; "totals" -> Totals as JSON
+//	records   number (8 bytes, big endian, rising) -> checksum (4 bytes, CRC-32C of the rest) + Record as JSON
+//	bodies    number -> checksum + body
+//	ids       id of any life -> number
+//	due       time (8 bytes, Unix milliseconds) + number -> nothing: when to look at an open record again
+//	groups    class 0x00 tenant -> Group as JSON
+//	unkept    id -> why and when, of what could not be kept or left by a bound without an export
+//
+// Nothing is synced: what was written outlasts the process, also SIGKILL, as the journal's records do.
+const (
+	fileName     = "undelivered.db"
+	storeVersion = 1
+	// openWithin is how long another process may hold the file: one that just ends is waited for.
+	openWithin = 300 * time.Millisecond
+)
+
+var (
+	bMeta, bRecords, bBodies = []byte("meta"), []byte("records"), []byte("bodies")
+	bIDs, bDue, bGroups      = []byte("ids"), []byte("due"), []byte("groups")
+	bUnkept                  = []byte("unkept")
+	buckets                  = [][]byte{bMeta, bRecords, bBodies, bIDs, bDue, bGroups, bUnkept}
+	kVersion, kTotals        = []byte("version"), []byte("totals")
+	castagnoli               = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// The errors that callers tell apart.
+var (
+	ErrInUse    = errors.New("the store is in use by another process")
+	ErrUnknown  = errors.New("no such message in the store")
+	ErrFull     = errors.New("the store is full")
+	ErrDamaged  = errors.New("damaged")
+	ErrNewer    = errors.New("the store was written by a newer version")
+	errNoRecord = errors.New("no record")
+)
+
+// Store keeps undelivered messages in a folder. It is safe for concurrent use.
+type Store struct {
+	db    *bbolt.DB
+	path  string
+	limit int64 // bytes of the file; 0: none
+	most  int   // messages; 0: any number
+}
+
+// Totals are what the store holds in all.
+type Totals struct {
+	Messages int            `json:"messages"`
+	Bytes    int64          `json:"bytes"` // of bodies
+	States   map[State]int  `json:"states"`
+	Left     map[string]int `json:"left_by_a_bound"` // by class
+	Unkept   int            `json:"not_kept"`
+}
+
+// Group is what the store holds of one class and tenant.
+type Group struct {
+	Class    string `json:"class"`
+	Tenant   string `json:"tenant"`
+	Messages int    `json:"messages"`
+	Bytes    int64  `json:"bytes"`
+}
+
+// Kept is a message as it is handed over.
+type Kept struct {
+	Record
+	Body []byte
+}
+
+// Open opens the store in a folder, which it makes if need be. A second process gets ErrInUse.
+func Open(dir string, limit int64, most int) (*Store, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, fmt.Errorf("undelivered: %w", err)
+	}
+	return open(dir, limit, most, false)
+}
+
+// OpenToRead opens the store of a relay that is not running, and changes nothing.
+func OpenToRead(dir string) (*Store, error) {
+	if _, err := os.Stat(filepath.Join(dir, fileName)); err != nil {
+		return nil, fmt.Errorf("undelivered: no store: %w", err)
+	}
+	return open(dir, 0, 0, true)
+}
+
+func open(dir string, limit int64, most int, readOnly bool) (*Store, error) {
+	path := filepath.Join(dir, fileName)
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWithin, NoSync: true, NoGrowSync: true,
+		FreelistType: bbolt.FreelistMapType, ReadOnly: readOnly})
+	switch {
+	case errors.Is(err, bbolt.ErrTimeout):
+		return nil, fmt.Errorf("undelivered: %s: %w", path, ErrInUse)
+	case err != nil:
+		return nil, fmt.Errorf("undelivered: %s: %w", path, err)
+	}
+	s := &Store{db: db, path: path, limit: limit, most: most}
+	if err := s.prepare(readOnly); err != nil {
+		_ = db.Close()
+		return nil, fmt.Errorf("undelivered: %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// prepare checks the version, and makes the buckets of a new file.
+func (s *Store) prepare(readOnly bool) error {
+	check := func(tx *bbolt.Tx) error {
+		meta := tx.Bucket(bMeta)
+		if meta == nil {
+			return errNoRecord
+		}
+		v := meta.Get(kVersion)
+		if len(v) != 4 {
+			return fmt.Errorf("its version: %w", ErrDamaged)
+		}
+		if n := binary.BigEndian.Uint32(v); n > storeVersion {
+			return fmt.Errorf("%w: %d, this program knows %d", ErrNewer, n, storeVersion)
+		}
+		return nil
+	}
+	if err := s.db.View(check); !errors.Is(err, errNoRecord) || readOnly {
+		return err
+	}
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		for _, name := range buckets {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		return tx.Bucket(bMeta).Put(kVersion, binary.BigEndian.AppendUint32(nil, storeVersion))
+	})
+}
+
+// Close closes the file.
+func (s *Store) Close() error { return s.db.Close() }
+
+// Size is the file's size in bytes.
+func (s *Store) Size() int64 {
+	info, err := os.Stat(s.path)
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
+// key is a record's key.
+func key(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
+
+// seal puts a checksum before a value.
+func seal(v []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(make([]byte, 0, len(v)+4), crc32.Checksum(v, castagnoli)), v...)
+}
+
+// unseal checks a value and gives it without its checksum. It is valid within its transaction only.
+func unseal(v []byte) ([]byte, error) {
+	if len(v) < 4 || crc32.Checksum(v[4:], castagnoli) != binary.BigEndian.Uint32(v) {
+		return nil, ErrDamaged
+	}
+	return v[4:], nil
+}
+
+// Put keeps messages. One whose id is there already changes nothing: after a crash the journal hands it over again.
+// Where there is no room for all, none is kept, and the error is ErrFull.
+func (s *Store) Put(messages []Kept) error {
+	return s.update(func(tx *bbolt.Tx) error {
+		t, err := readTotals(tx)
+		if err != nil {
+			return err
+		}
+		for i := range messages {
+			if err := s.put(tx, t, &messages[i]); err != nil {
+				return err
+			}
+		}
+		return writeTotals(tx, t)
+	})
+}
+
+// put keeps one message.
+func (s *Store) put(tx *bbolt.Tx, t *Totals, m *Kept) error {
+	ids := tx.Bucket(bIDs)
+	for _, l := range m.Lives {
+		if ids.Get([]byte(l.ID)) != nil {
+			return nil
+		}
+	}
+	if s.most > 0 && t.Messages >= s.most || s.limit > 0 && tx.Size()+int64(len(m.Body)) > s.limit {
+		return ErrFull
+	}
+	records := tx.Bucket(bRecords)
+	n, err := records.NextSequence()
+	if err != nil {
+		return err
+	}
+	m.Version, m.BodySize = Version, len(m.Body)
+	if err := write(records, n, &m.Record); err != nil {
+		return err
+	}
+	if err := tx.Bucket(bBodies).Put(key(n), seal(m.Body)); err != nil {
+		return err
+	}
+	for _, l := range m.Lives {
+		if err := ids.Put([]byte(l.ID), key(n)); err != nil {
+			return err
+		}
+	}
+	t.count(m.State, 1)
+	t.Messages++
+	t.Bytes += int64(len(m.Body))
+	return changeGroup(tx, m.Class, m.Tenant, 1, int64(len(m.Body)))
+}
+
+func write(b *bbolt.Bucket, n uint64, r *Record) error {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	return b.Put(key(n), seal(raw))
+}
+
+func read(b *bbolt.Bucket, k []byte) (*Record, error) {
+	raw, err := unseal(b.Get(k))
+	if err != nil {
+		return nil, err
+	}
+	r := &Record{}
+	if err := json.Unmarshal(raw, r); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	return r, nil
+}
+
+// count changes how many are in a state.
+func (t *Totals) count(s State, by int) {
+	if t.States == nil {
+		t.States = map[State]int{}
+	}
+	if t.States[s] += by; t.States[s] == 0 {
+		delete(t.States, s)
+	}
+}
+
+func readTotals(tx *bbolt.Tx) (*Totals, error) {
+	t := &Totals{}
+	if raw := tx.Bucket(bMeta).Get(kTotals); raw != nil {
+		if err := json.Unmarshal(raw, t); err != nil {
+			return nil, fmt.Errorf("its totals: %w", ErrDamaged)
+		}
+	}
+	return t, nil
+}
+
+func writeTotals(tx *bbolt.Tx, t *Totals) error {
+	raw, err := json.Marshal(t)
+	if err != nil {
+		return err
+	}
+	return tx.Bucket(bMeta).Put(kTotals, raw)
+}
+
+// changeGroup changes what is held of a class and tenant.
+func changeGroup(tx *bbolt.Tx, class, tenant string, messages int, bytes int64) error {
+	b, k := tx.Bucket(bGroups), []byte(class+"\x00"+tenant)
+	g := Group{Class: class, Tenant: tenant}
+	if raw := b.Get(k); raw != nil {
+		if err := json.Unmarshal(raw, &g); err != nil {
+			return fmt.Errorf("its groups: %w", ErrDamaged)
+		}
+	}
+	g.Messages += messages
+	g.Bytes += bytes
+	raw, err := json.Marshal(g)
+	if err != nil {
+		return err
+	}
+	return b.Put(k, raw)
+}
+
+// update runs a transaction. A page that was damaged makes bbolt panic: that is an error of the store, and not the
+// relay's end.
+func (s *Store) update(do func(tx *bbolt.Tx) error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer guard(&err)
+	if err := s.db.Update(do); err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
+
+func (s *Store) view(do func(tx *bbolt.Tx) error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer guard(&err)
+	if err := s.db.View(do); err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
+
+// guard turns a panic into an error. A file that was cut short faults where it is read, as it is mapped into memory.
+func guard(err *error) {
+	if p := recover(); p != nil {
+		*err = fmt.Errorf("undelivered: %w: %v", ErrDamaged, p)
+	}
+}
+
+// find gives the key of a message by the id of any of its lives.
+func find(tx *bbolt.Tx, id string) ([]byte, error) {
+	k := tx.Bucket(bIDs).Get([]byte(id))
+	if k == nil {
+		return nil, fmt.Errorf("%w: %s", ErrUnknown, id)
+	}
+	return k, nil
+}
+
+// Get gives a message by the id of any of its lives.
+func (s *Store) Get(id string) (r *Record, err error) {
+	err = s.view(func(tx *bbolt.Tx) error {
+		k, err := find(tx, id)
+		if err != nil {
+			return err
+		}
+		if r, err = read(tx.Bucket(bRecords), k); err != nil {
+			return fmt.Errorf("%s: %w", id, err)
+		}
+		return nil
+	})
+	return r, err
+}
+
+// Body gives a message's body.
+func (s *Store) Body(id string) (body []byte, err error) {
+	err = s.view(func(tx *bbolt.Tx) error {
+		k, err := find(tx, id)
+		if err != nil {
+			return err
+		}
+		raw, err := unseal(tx.Bucket(bBodies).Get(k))
+		if err != nil {
+			return fmt.Errorf("body of %s: %w", id, err)
+		}
+		body = append([]byte{}, raw...)
+		return nil
+	})
+	return body, err
+}
+
+// Change changes a message in one transaction; due is when to look at it again by itself, zero for never. Where do
+// gives an error nothing is changed.
+func (s *Store) Change(id string, do func(r *Record) (due time.Time, err error)) error {
+	return s.update(func(tx *bbolt.Tx) error {
+		k, err := find(tx, id)
+		if err != nil {
+			return err
+		}
+		records, ids := tx.Bucket(bRecords), tx.Bucket(bIDs)
+		r, err := read(records, k)
+		if err != nil {
+			return fmt.Errorf("%s: %w", id, err)
+		}
+		was, wasDue, lives := r.State, r.Due, len(r.Lives)
+		due, err := do(r)
+		if err != nil {
+			return err
+		}
+		r.Due = due
+		n := binary.BigEndian.Uint64(k)
+		if err := write(records, n, r); err != nil {
+			return err
+		}
+		for _, l := range r.Lives[lives:] {
+			if err := ids.Put([]byte(l.ID), key(n)); err != nil {
+				return err
+			}
+		}
+		if err := moveDue(tx, n, wasDue, due); err != nil {
+			return err
+		}
+		if was == r.State {
+			return nil
+		}
+		t, err := readTotals(tx)
+		if err != nil {
+			return err
+		}
+		t.count(was, -1)
+		t.count(r.State, 1)
+		return writeTotals(tx, t)
+	})
+}
+
+// dueKey is when to look at a record again.
+func dueKey(at time.Time, n uint64) []byte {
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, uint64(at.UnixMilli())), n)
+}
+
+func moveDue(tx *bbolt.Tx, n uint64, from, to time.Time) error {
+	b := tx.Bucket(bDue)
+	if !from.IsZero() {
+		if err := b.Delete(dueKey(from, n)); err != nil {
+			return err
+		}
+	}
+	if to.IsZero() {
+		return nil
+	}
+	return b.Put(dueKey(to, n), nil)
+}
+
+// DueBy gives the first so many messages that are to be looked at by a time, and when the next one after them is.
+func (s *Store) DueBy(at time.Time, most int) (due []*Record, next time.Time, err error) {
+	err = s.view(func(tx *bbolt.Tx) error {
+		c, records := tx.Bucket(bDue).Cursor(), tx.Bucket(bRecords)
+		for k, _ := c.First(); k != nil; k, _ = c.Next() {
+			when := time.UnixMilli(int64(binary.BigEndian.Uint64(k)))
+			if when.After(at) || len(due) == most {
+				next = when
+				return nil
+			}
+			r, err := read(records, k[8:])
+			if err != nil {
+				continue // verify tells of it
+			}
+			due = append(due, r)
+		}
+		return nil
+	})
+	return due, next, err
+}
+
+// Totals gives what the store holds in all, and by class and tenant.
+func (s *Store) Totals() (t *Totals, groups []Group, err error) {
+	err = s.view(func(tx *bbolt.Tx) error {
+		if t, err = readTotals(tx); err != nil {
+			return err
+		}
+		return tx.Bucket(bGroups).ForEach(func(_, raw []byte) error {
+			var g Group
+			if err := json.Unmarshal(raw, &g); err != nil {
+				return fmt.Errorf("its groups: %w", ErrDamaged)
+			}
+			groups = append(groups, g)
+			return nil
+		})
+	})
+	return t, groups, err
+}
+
+// Page gives up to so many messages that pass a filter, from a number on, and the number to go on from; 0 at the end.
+// What is damaged is passed over and counted. It looks at so many at most, so that a filter that few pass does not
+// hold up others.
+func (s *Store) Page(from uint64, most, look int, pass func(r *Record) bool) (page []*Record, next uint64, damaged int, err error) {
+	err = s.view(func(tx *bbolt.Tx) error {
+		records := tx.Bucket(bRecords)
+		c := records.Cursor()
+		for k, _ := c.Seek(key(from)); k != nil; k, _ = c.Next() {
+			n := binary.BigEndian.Uint64(k)
+			if len(page) == most || look == 0 {
+				next = n
+				return nil
+			}
+			look--
+			r, err := read(records, k)
+			if err != nil {
+				damaged++
+				continue
+			}
+			if pass == nil || pass(r) {
+				page = append(page, r)
+			}
+		}
+		return nil
+	})
+	return page, next, damaged, err
+}
+
+// Remove takes messages that leave by a bound out of the store, and counts them by class.
+func (s *Store) Remove(ids []string) error {
+	return s.update(func(tx *bbolt.Tx) error {
+		t, err := readTotals(tx)
+		if err != nil {
+			return err
+		}
+		for _, id := range ids {
+			k, err := find(tx, id)
+			if errors.Is(err, ErrUnknown) {
+				continue
+			}
+			if err != nil {
+				return err
+			}
+			if err := remove(tx, t, append([]byte{}, k...)); err != nil {
+				return err
+			}
+		}
+		return writeTotals(tx, t)
+	})
+}
+
+func remove(tx *bbolt.Tx, t *Totals, k []byte) error {
+	r, err := read(tx.Bucket(bRecords), k)
+	if err != nil {
+		return err
+	}
+	if err := moveDue(tx, binary.BigEndian.Uint64(k), r.Due, time.Time{}); err != nil {
+		return err
+	}
+	for _, l := range r.Lives {
+		if err := tx.Bucket(bIDs).Delete([]byte(l.ID)); err != nil {
+			return err
+		}
+	}
+	if err := errors.Join(tx.Bucket(bRecords).Delete(k), tx.Bucket(bBodies).Delete(k)); err != nil {
+		return err
+	}
+	if t.Left == nil {
+		t.Left = map[string]int{}
+	}
+	t.Left[r.Class]++
+	t.count(r.State, -1)
+	t.Messages--
+	t.Bytes -= int64(r.BodySize)
+	return changeGroup(tx, r.Class, r.Tenant, -1, -int64(r.BodySize))
+}
+
+// Unkept lists by id what could not be kept, with the reason.
+func (s *Store) Unkept(ids []string, why string, at time.Time) error {
+	return s.update(func(tx *bbolt.Tx) error {
+		t, err := readTotals(tx)
+		if err != nil {
+			return err
+		}
+		b := tx.Bucket(bUnkept)
+		for _, id := range ids {
+			if b.Get([]byte(id)) != nil {
+				continue
+			}
+			if err := b.Put([]byte(id), []byte(at.UTC().Format(time.RFC3339)+" "+why)); err != nil {
+				return err
+			}
+			t.Unkept++
+		}
+		return writeTotals(tx, t)
+	})
+}
+
+// Fault is something that Verify found.
+type Fault struct {
+	Where string `json:"where"`
+	What  string `json:"what"`
+}
+
+// Verify reads all there is, past what is damaged, and tells what can't be read.
+func (s *Store) Verify() (good int, faults []Fault) {
+	add := func(where string, err error) { faults = append(faults, Fault{where, err.Error()}) }
+	for from := uint64(0); ; {
+		n, next, err := s.verifyFrom(from, &good, add)
+		if err != nil {
+			// A page could not be read: go on behind it.
+			add(fmt.Sprintf("a page behind record %d", n), err)
+			next = n + 1
+			if behind, ok := s.skip(n); ok {
+				next = behind
+			} else {
+				return good, faults
+			}
+		}
+		if next == 0 {
+			return good, faults
+		}
+		from = next
+	}
+}
+
+// verifyStep is how many records one transaction of Verify reads.
+const verifyStep = 1000
+
+// verifyFrom reads records from a number on; last is the last one that could be reached.
+func (s *Store) verifyFrom(from uint64, good *int, add func(string, error)) (last, next uint64, err error) {
+	last = from
+	err = s.view(func(tx *bbolt.Tx) error {
+		records, bodies := tx.Bucket(bRecords), tx.Bucket(bBodies)
+		c := records.Cursor()
+		steps := 0
+		for k, _ := c.Seek(key(from)); k != nil; k, _ = c.Next() {
+			n := binary.BigEndian.Uint64(k)
+			if steps++; steps > verifyStep {
+				next = n
+				return nil
+			}
+			last = n
+			if _, err := read(records, k); err != nil {
+				add(fmt.Sprintf("record %d", n), err)
+				continue
+			}
+			if err := bodyThere(bodies, k); err != nil {
+				add(fmt.Sprintf("body of record %d", n), err)
+				continue
+			}
+			*good++
+		}
+		return nil
+	})
+	return last, next, err
+}
+
+// bodyThere checks a body; a damaged page under it is a fault of this body alone.
+func bodyThere(b *bbolt.Bucket, k []byte) (err error) {
+	defer guard(&err)
+	_, err = unseal(b.Get(k))
+	return err
+}
+
+// skip finds the next record that can be reached behind one at which a page could not be read: the damaged stretch is
+// first overleapt in growing steps, and then its end is searched for by halves.
+func (s *Store) skip(n uint64) (behind uint64, ok bool) {
+	top := uint64(0)
+	if s.view(func(tx *bbolt.Tx) error { top = tx.Bucket(bRecords).Sequence(); return nil }) != nil {
+		return 0, false
+	}
+	reach := func(from uint64) (found uint64) {
+		_ = s.view(func(tx *bbolt.Tx) error {
+			if k, _ := tx.Bucket(bRecords).Cursor().Seek(key(from)); k != nil {
+				found = binary.BigEndian.Uint64(k)
+			}
+			return nil
+		})
+		return found
+	}
+	for step := uint64(1); n+step <= top; step *= 2 {
+		if behind = reach(n + step); behind == 0 {
+			continue
+		}
+		for lost, there := n+step/2, n+step; lost+1 < there; {
+			middle := (lost + there) / 2
+			if at := reach(middle); at > 0 {
+				there, behind = middle, at
+			} else {
+				lost = middle
+			}
+		}
+		return behind, true
+	}
+	return 0, false
+}
