--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -28,19 +28,21 @@
 	state := flag.String("state", os.Getenv("NODE_STATE"), "`folder` that outlasts the process (default $NODE_STATE)")
 	own := flag.String("operator", "", "the operator's own `file`, as deploy/frostlink.toml (default none: every section off)")
 	flag.Parse()
+	sections := operator.Off()
 	if *own != "" {
-		if _, err := operator.Read(*own); err != nil {
+		var err error
+		if sections, err = operator.Read(*own); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(2)
 		}
 	}
-	if err := run(*config, *state, hangups); err != nil {
+	if err := run(*config, *state, sections, hangups); err != nil {
 		fmt.Fprintln(os.Stderr, "frostlink:", err)
 		os.Exit(1)
 	}
 }
 
-func run(config, state string, hangups <-chan os.Signal) error {
+func run(config, state string, own *operator.File, hangups <-chan os.Signal) error {
 	if state == "" {
 		return fmt.Errorf("no folder for the journal: set NODE_STATE or -state")
 	}
@@ -48,6 +50,7 @@
 	if err != nil {
 		return err
 	}
+	cfg.Own = own
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,6 +4,7 @@
 
 import (
 	"mallowlead/internal/strict"
+	"mallowlead/internal/undelivered"
 )
 
 // Version is the form of the file that this program writes and reads.
@@ -11,7 +12,8 @@
 
 // File is the operator's file. Each subsystem adds its section as a pointer: nil is off.
 type File struct {
-	Version int `toml:"version"`
+	Version     int                  `toml:"version"`
+	Undelivered *undelivered.Section `toml:"undelivered"`
 }
 
 // Off is the file in which every section is absent.
@@ -28,6 +30,9 @@
 	if f.Version != Version {
 		doc.Bad("version", "is %d; this program reads version %d", f.Version, Version)
 	}
+	if f.Undelivered != nil {
+		f.Undelivered.Check(doc, "undelivered")
+	}
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"mallowlead/internal/operator"
 	"mallowlead/internal/settings"
 	"mallowlead/policy"
 )
@@ -27,6 +28,9 @@
 	Known     Members           `json:"known"`
 	Settings  settings.Settings `json:"settings"`
 
+	// Own is the operator's own file; nil stands for one in which every section is off.
+	Own *operator.File `json:"-"`
+
 	policy policy.Settings
 	seed   int64
 }
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -20,8 +20,9 @@
 	diskShare = 0.9
 	// recordHead is the length of a record's header: lengths of its two parts and their checksum.
 	recordHead = 12
-	// attemptsRoom is set aside for the later records of each message when it is taken on.
-	attemptsRoom = 2048
+	// attemptsRoom is set aside for the later records of each message when it is taken on, and detailRoom more where
+	// they tell the outcome and end of each attempt as well.
+	attemptsRoom, detailRoom = 2048, 1536
 	// memberRoom is set aside for each host of the list.
 	memberRoom = 256
 	// slackSize is how far the file may outgrow twice what is live before it is compacted.
@@ -35,11 +36,15 @@
 	ID       string    `json:"id"`
 	Class    string    `json:"class,omitempty"`
 	Dest     int       `json:"dest,omitempty"`
+	Tenant   string    `json:"tenant,omitempty"` // where undelivered messages are kept
+	Taken    time.Time `json:"taken,omitzero"`   // the same
 	Key      string    `json:"key,omitempty"`
 	Expires  time.Time `json:"expires,omitzero"`
 	Body     []byte    `json:"-"`
 	Attempts []Attempt `json:"-"`
 	Owed     *Notice   `json:"-"` // its end, until the platform has it
+	Reason   string    `json:"-"` // of that end, and Over when it came, where undelivered messages are kept
+	Over     time.Time `json:"-"`
 }
 
 // Attempt is one call made for a message.
@@ -48,6 +53,9 @@
 	Begun time.Time
 	Ended bool
 	Unrun bool // proved never to have run
+	// Where undelivered messages are kept:
+	At      time.Time // of its end
+	Outcome string
 }
 
 // Health is what is remembered of a host's outage.
@@ -64,6 +72,7 @@
 	Host   string    `json:"host,omitempty"`
 	At     time.Time `json:"at,omitzero"`
 	Unrun  bool      `json:"unrun,omitempty"`
+	Why    string    `json:"why,omitempty"` // an attempt's outcome, or the reason of a message's end
 	Notice *Notice   `json:"notice,omitempty"`
 	Health *Health   `json:"health,omitempty"`
 	List   *Members  `json:"list,omitempty"`
@@ -85,7 +94,8 @@
 // Commit; a write that returned outlasts SIGKILL, so there is no sync. It is not safe for concurrent use.
 type Journal struct {
 	path     string
-	limit    int // bytes of the old and the new file together while it is compacted
+	detailed bool // note how and when attempts and messages end
+	limit    int  // bytes of the old and the new file together while it is compacted
 	file     *os.File
 	size     int // of the file
 	live     int // bytes that the entries and the list need, with room for later records
@@ -101,8 +111,9 @@
 }
 
 // OpenJournal replays the journal in a folder, drops what can't be read at its end, and makes it ready.
-func OpenJournal(dir string, diskMB float64) (*Journal, error) {
-	j := &Journal{path: filepath.Join(dir, journalName), limit: int(diskShare * diskMB * 1e6),
+// detailed has it note how attempts and messages end, for the store of undelivered ones.
+func OpenJournal(dir string, diskMB float64, detailed bool) (*Journal, error) {
+	j := &Journal{path: filepath.Join(dir, journalName), detailed: detailed, limit: int(diskShare * diskMB * 1e6),
 		entries: map[string]*Entry{}, health: map[string]Health{}}
 	// A process that ended while it compacted leaves a file that was never used.
 	if err := os.Remove(j.temporary()); err != nil && !errors.Is(err, fs.ErrNotExist) {
@@ -138,15 +149,21 @@
 // Reserve tells whether a message may be taken on, and keeps room for it until the next Commit: all that is
 // live must fit twice, or it could not be compacted.
 func (j *Journal) Reserve(e *Entry) bool {
-	if j.broken || 2*(j.live+j.reserved+need(e)) > j.limit {
+	if j.broken || 2*(j.live+j.reserved+j.need(e)) > j.limit {
 		return false
 	}
-	j.reserved += need(e)
+	j.reserved += j.need(e)
 	return true
 }
 
 // need is the room that an entry takes up, with its later records.
-func need(e *Entry) int { return len(e.Body) + 4*len(e.ID) + len(e.Key) + attemptsRoom }
+func (j *Journal) need(e *Entry) int {
+	n := len(e.Body) + 4*len(e.ID) + len(e.Key) + len(e.Tenant) + attemptsRoom
+	if j.detailed {
+		n += detailRoom
+	}
+	return n
+}
 
 // Take notes a message taken on.
 func (j *Journal) Take(e *Entry) { j.note(record{Op: opTaken, Entry: e}, e.Body) }
@@ -156,11 +173,23 @@
 	j.note(record{Op: opBegun, ID: e.ID, Host: host, At: at}, nil)
 }
 
-// End notes the outcome of a message's last attempt.
-func (j *Journal) End(e *Entry, unrun bool) { j.note(record{Op: opEnded, ID: e.ID, Unrun: unrun}, nil) }
+// End notes the outcome of a message's last attempt, and how and when it came where that is kept.
+func (j *Journal) End(e *Entry, unrun bool, outcome string, at time.Time) {
+	r := record{Op: opEnded, ID: e.ID, Unrun: unrun}
+	if j.detailed {
+		r.Why, r.At = outcome, at
+	}
+	j.note(r, nil)
+}
 
-// Owe notes that a message ends by a notice.
-func (j *Journal) Owe(e *Entry, n Notice) { j.note(record{Op: opOwed, ID: e.ID, Notice: &n}, nil) }
+// Owe notes that a message ends by a notice, and why and when where that is kept.
+func (j *Journal) Owe(e *Entry, n Notice, reason string, at time.Time) {
+	r := record{Op: opOwed, ID: e.ID, Notice: &n}
+	if j.detailed {
+		r.Why, r.At = reason, at
+	}
+	j.note(r, nil)
+}
 
 // Over notes that nothing more is owed for a message.
 func (j *Journal) Over(e *Entry) { j.note(record{Op: opOver, ID: e.ID}, nil) }
@@ -220,11 +249,11 @@
 		for _, a := range e.Attempts {
 			b = appendRecord(b, record{Op: opBegun, ID: e.ID, Host: a.Host, At: a.Begun}, nil)
 			if a.Ended {
-				b = appendRecord(b, record{Op: opEnded, ID: e.ID, Unrun: a.Unrun}, nil)
+				b = appendRecord(b, record{Op: opEnded, ID: e.ID, Unrun: a.Unrun, Why: a.Outcome, At: a.At}, nil)
 			}
 		}
 		if e.Owed != nil {
-			b = appendRecord(b, record{Op: opOwed, ID: e.ID, Notice: e.Owed}, nil)
+			b = appendRecord(b, record{Op: opOwed, ID: e.ID, Notice: e.Owed, Why: e.Reason, At: e.Over}, nil)
 		}
 	}
 	if j.list != nil {
@@ -272,7 +301,7 @@
 		r.Entry.Body = body
 		j.entries[r.Entry.ID] = r.Entry
 		j.order = append(j.order, r.Entry)
-		j.live += need(r.Entry)
+		j.live += j.need(r.Entry)
 		return
 	case r.Op == opHealth && r.Health != nil:
 		j.health[r.Host] = *r.Health
@@ -293,13 +322,14 @@
 		e.Attempts = append(e.Attempts, Attempt{Host: r.Host, Begun: r.At})
 	case opEnded:
 		if n := len(e.Attempts); n > 0 {
-			e.Attempts[n-1].Ended, e.Attempts[n-1].Unrun = true, r.Unrun
+			a := &e.Attempts[n-1]
+			a.Ended, a.Unrun, a.Outcome, a.At = true, r.Unrun, r.Why, r.At
 		}
 	case opOwed:
-		e.Owed = r.Notice
+		e.Owed, e.Reason, e.Over = r.Notice, r.Why, r.At
 	case opOver:
 		delete(j.entries, e.ID)
-		j.live -= need(e)
+		j.live -= j.need(e)
 	}
 }
 
--- a/internal/relay/journal_test.go
+++ b/internal/relay/journal_test.go
@@ -11,7 +11,7 @@
 
 func openJournal(t *testing.T, dir string, mb float64) *Journal {
 	t.Helper()
-	j, err := OpenJournal(dir, mb)
+	j, err := OpenJournal(dir, mb, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,9 +36,9 @@
 	j.Over(j.Get("over"))
 	e := j.Get("tried")
 	j.Begin(e, "h1", at)
-	j.End(e, true)
+	j.End(e, true, "", time.Time{})
 	j.Begin(e, "h2", at.Add(time.Second))
-	j.Owe(j.Get("owing"), Notice{ID: "owing", Status: deferred, AgainMS: 30})
+	j.Owe(j.Get("owing"), Notice{ID: "owing", Status: deferred, AgainMS: 30}, "", time.Time{})
 	j.Remember("h2", Health{Sick: true, At: at})
 	commit(t, j)
 }
@@ -130,7 +130,7 @@
 		j.Take(e)
 		for range 12 {
 			j.Begin(e, "a-host-with-a-rather-long-name", time.Now())
-			j.End(e, true)
+			j.End(e, true, "", time.Time{})
 		}
 		commit(t, j)
 		// At worst both the old file and a new one with all that is live.
--- /dev/null
+++ b/internal/relay/keep.go
@@ -0,0 +1,254 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"mallowlead/internal/undelivered"
+	"mallowlead/policy"
+)
+
+const (
+	// keepBatch messages go into the store in one transaction at most.
+	keepBatch = 200
+	// keepAgain is the pause after the store could not take messages, and keepSaid how often that is said.
+	keepAgain, keepSaid = 500 * time.Millisecond, 10 * time.Second
+	// endMargin before its time is up a message that is given up counts as out of time: that much is left when no
+	// further attempt would come to its end.
+	endMargin = time.Second
+)
+
+// keeper hands undelivered messages over to their store. It never holds up the loop: what the store does not take
+// waits here, and in the journal.
+type keeper struct {
+	open  func() (*undelivered.Store, error)
+	store *undelivered.Store // the goroutine's own; nil until it could be opened
+	done  func(ids []string)
+
+	mu    sync.Mutex
+	more  sync.Cond // something waits, or all is at its end
+	ended bool
+	wait  []undelivered.Kept
+	drop  []string // to be listed as not kept
+	lost  int      // listed so far
+}
+
+func newKeeper(s *undelivered.Section, done func(ids []string)) *keeper {
+	k := &keeper{done: done, open: func() (*undelivered.Store, error) {
+		return undelivered.Open(s.Folder, int64(s.QuotaMB*1e6), s.Messages)
+	}}
+	k.more.L = &k.mu
+	return k
+}
+
+// keep wants a message kept.
+func (k *keeper) keep(m undelivered.Kept) {
+	k.mu.Lock()
+	k.wait = append(k.wait, m)
+	k.mu.Unlock()
+	k.more.Signal()
+}
+
+// abandon lists messages as not kept, since the journal has no room for them any more, and says so.
+func (k *keeper) abandon(ids []string) {
+	k.mu.Lock()
+	k.lost += len(ids)
+	k.drop = append(k.drop, ids...)
+	k.letGo(ids)
+	lost := k.lost
+	k.mu.Unlock()
+	k.more.Signal()
+	slog.Error("undelivered messages not kept: the store does not take them, and the journal has no room", "ids", ids, "in all", lost)
+}
+
+// take waits for something to do, and gives the next batch; nothing at the end.
+func (k *keeper) take() (batch []undelivered.Kept, drop []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for len(k.wait) == 0 && len(k.drop) == 0 && !k.ended {
+		k.more.Wait()
+	}
+	if k.ended {
+		return nil, nil
+	}
+	return append([]undelivered.Kept(nil), k.wait[:min(len(k.wait), keepBatch)]...), append([]string(nil), k.drop...)
+}
+
+// run hands over until ctx ends. What is left then a later process hands over from the journal.
+func (k *keeper) run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() {
+		k.mu.Lock()
+		k.ended = true
+		k.mu.Unlock()
+		k.more.Broadcast()
+	})
+	defer stop()
+	defer func() {
+		if k.store != nil {
+			_ = k.store.Close()
+		}
+	}()
+	var said time.Time
+	for {
+		batch, drop := k.take()
+		if batch == nil && drop == nil {
+			return
+		}
+		err := k.hand(batch, drop)
+		if err == nil {
+			continue
+		}
+		if time.Since(said) > keepSaid {
+			said = time.Now()
+			slog.Error("undelivered messages wait for their store", "err", err, "waiting", len(batch))
+		}
+		if !sleep(ctx, keepAgain) {
+			return
+		}
+	}
+}
+
+// hand puts a batch into the store, or parts of it: a message that can't be kept is not to keep back the others.
+func (k *keeper) hand(batch []undelivered.Kept, drop []string) (err error) {
+	if k.store == nil {
+		if k.store, err = k.open(); err != nil {
+			return err
+		}
+	}
+	if len(drop) > 0 {
+		if err := k.store.Unkept(drop, "the store did not take it, and the journal had no room", time.Now()); err != nil {
+			return err
+		}
+		k.mu.Lock()
+		k.drop = k.drop[len(drop):]
+		k.mu.Unlock()
+	}
+	if len(batch) == 0 {
+		return nil
+	}
+	err = k.store.Put(batch)
+	if err != nil && len(batch) > 1 && !errors.Is(err, undelivered.ErrFull) {
+		batch = batch[:1]
+		err = k.store.Put(batch)
+	}
+	if err != nil {
+		return err
+	}
+	ids := make([]string, len(batch))
+	for i := range batch {
+		ids[i] = batch[i].ID
+	}
+	k.took(ids)
+	return nil
+}
+
+// took reports messages that are in the store, and lets go of them here: some may have been abandoned meanwhile.
+func (k *keeper) took(ids []string) {
+	k.mu.Lock()
+	k.letGo(ids)
+	k.mu.Unlock()
+	k.done(ids)
+}
+
+// letGo drops messages from those that wait; the lock is held.
+func (k *keeper) letGo(ids []string) {
+	k.wait = slices.DeleteFunc(k.wait, func(m undelivered.Kept) bool { return slices.Contains(ids, m.ID) })
+}
+
+// kept says that the store has messages.
+type kept struct{ ids []string }
+
+// outcomes are the names of outcomes in records.
+var outcomes = map[policy.Outcome]string{policy.OK: "delivered", policy.Failed: "error", policy.QueueFull: "turned away",
+	policy.TimedOut: "timed out", policy.ConnectError: "no connection", policy.Reset: "reset", policy.Canceled: "given up",
+	policy.Ignored: "not sent"}
+
+// reason says why a message ends undelivered.
+func (l *loop) reason(m *message, status string, now time.Duration) undelivered.Reason {
+	switch {
+	case l.class(m.Class) < 0:
+		return undelivered.Settings
+	case now > l.clock(m.Expires):
+		if m.resumed {
+			return undelivered.ProcessEnded
+		}
+		return undelivered.OutOfTime
+	case len(m.Attempts) >= l.cfg.policy.MaxAttempts:
+		return undelivered.Spent
+	case status == undeliverable:
+		return undelivered.Doubtful
+	case now > l.clock(m.Expires)-endMargin:
+		return undelivered.OutOfTime
+	}
+	return undelivered.RefusedLate
+}
+
+// record makes the store's record of a message that is over.
+func (l *loop) record(m *message) undelivered.Kept {
+	life := undelivered.Life{ID: m.ID, Relay: l.cfg.Name, Taken: m.Taken, Expires: m.Expires, Over: m.Over,
+		Reason: undelivered.Reason(m.Reason), Status: m.Owed.Status}
+	for _, a := range m.Attempts {
+		ran := undelivered.May // also of one that was out when a process ended
+		switch {
+		case a.Ended && a.Unrun:
+			ran = undelivered.Never
+		case a.Outcome == outcomes[policy.OK]:
+			ran = undelivered.Did
+		}
+		life.Attempts = append(life.Attempts, undelivered.Attempt{Host: a.Host, Begun: a.Begun, Ended: a.At, Outcome: a.Outcome, Ran: ran})
+	}
+	return undelivered.Kept{Record: undelivered.Record{ID: m.ID, Class: m.Class, Tenant: m.Tenant, Partner: m.Dest, Key: m.Key,
+		Lives: []undelivered.Life{life}, State: undelivered.Held, Since: m.Over}, Body: m.Body}
+}
+
+// handOver has a message that ends by a notice kept.
+func (l *loop) handOver(m *message) {
+	if l.keeper != nil {
+		l.keeper.keep(l.record(m))
+	}
+}
+
+// noticed notes that the platform has a message's notice: it leaves the journal once the store has it too.
+func (l *loop) noticed(m *message) {
+	if l.keeper == nil || m.kept {
+		l.end(m)
+		return
+	}
+	if !m.noticed {
+		m.noticed = true
+		l.unkept = append(l.unkept, m)
+	}
+}
+
+// inStore notes that the store has a message.
+func (l *loop) inStore(m *message) {
+	m.kept = true
+	if m.noticed {
+		l.end(m)
+	}
+}
+
+// reserve keeps room in the journal for a message. Where there is none, the oldest of those that only wait for the
+// store make room: keeping them is not to stop the relay's main job.
+func (l *loop) reserve(e *Entry) bool {
+	for !l.journal.Reserve(e) {
+		var gone []string
+		for len(l.unkept) > 0 && len(gone) == 0 {
+			m := l.unkept[0]
+			l.unkept = l.unkept[1:]
+			if !m.kept {
+				gone = append(gone, m.ID)
+				l.end(m)
+			}
+		}
+		if len(gone) == 0 {
+			return false
+		}
+		l.keeper.abandon(gone)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/relay/keep_test.go
@@ -0,0 +1,183 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"mallowlead/internal/undelivered"
+)
+
+// keeping has relays keep undelivered messages, and gives the store's folder.
+func (p *platform) keeping(lines string) string {
+	p.t.Helper()
+	folder := filepath.Join(p.t.TempDir(), "kept")
+	p.own = filepath.Join(p.t.TempDir(), "frostlink.toml")
+	text := "version = 1\n[undelivered]\nfolder = \"" + folder + "\"\n" + lines
+	if err := os.WriteFile(p.own, []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	return folder
+}
+
+// stored gives a message from the store of a relay that has ended.
+func (p *platform) stored(folder, id string) (*undelivered.Record, *undelivered.Totals) {
+	p.t.Helper()
+	s, err := undelivered.OpenToRead(folder)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer s.Close()
+	r, err := s.Get(id)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	body, err := s.Body(id)
+	if err != nil || string(body) != "body of "+id {
+		p.t.Errorf("%s: body %q, %v", id, body, err)
+	}
+	t, _, err := s.Totals()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return r, t
+}
+
+// journalled counts what the journal of a running relay holds, in a copy.
+func (p *platform) journalled() int {
+	p.t.Helper()
+	raw, err := os.ReadFile(filepath.Join(p.dir, journalName))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	j := &Journal{entries: map[string]*Entry{}, health: map[string]Health{}}
+	j.replay(raw)
+	return len(j.Entries())
+}
+
+// What is taken on and not delivered is in the store, with its whole history and the reason, once, also where the
+// process is killed as soon as the platform has the notice.
+func TestUndeliveredMessagesAreKept(t *testing.T) {
+	p := newPlatform(t)
+	folder := p.keeping("")
+	p.addHost("h1", 7)
+	p.answer = func(r *http.Request) int {
+		if strings.HasPrefix(r.Header.Get("Request-Id"), "ran") {
+			return http.StatusInternalServerError
+		}
+		return http.StatusServiceUnavailable
+	}
+	c := p.start()
+	p.take("order", "ran", "20")
+	p.take("status", "turned", "1.2")
+	p.until("both have their notices", func() bool { return len(p.told()) == 2 })
+	p.kill(c)
+	// A later process hands over what the store may lack, and finds nothing more to do.
+	c = p.start()
+	p.until("the journal lets go of both", func() bool { return p.journalled() == 0 })
+	p.kill(c)
+	r, totals := p.stored(folder, "ran")
+	if totals.Messages != 2 || totals.States[undelivered.Held] != 2 {
+		t.Errorf("totals %+v", totals)
+	}
+	l := r.Last()
+	if r.Class != "order" || r.Tenant != "acme" || r.Partner != 7 || r.Key != "key-ran" || l.Reason != undelivered.Doubtful ||
+		l.Status != undeliverable || l.Relay != "n1" || len(l.Attempts) != 1 || l.Taken.IsZero() || !l.Over.After(l.Taken) {
+		t.Errorf("record %+v", r)
+	}
+	if a := l.Attempts[0]; a.Host != "h1" || a.Ran != undelivered.May || a.Outcome != "error" || a.Ended.Before(a.Begun) {
+		t.Errorf("attempt %+v", a)
+	}
+	r, _ = p.stored(folder, "turned")
+	l = r.Last()
+	if l.Reason != undelivered.OutOfTime || l.Status != deferred || r.MayHaveRun() != nil || len(l.Attempts) == 0 {
+		t.Errorf("record %+v", r)
+	}
+}
+
+// An attempt that was out when the process was killed may have run, and the record says so.
+func TestAttemptsThatAProcessLeftMayHaveRun(t *testing.T) {
+	p := newPlatform(t)
+	folder := p.keeping("")
+	p.addHost("h1", 7)
+	p.answer = func(*http.Request) int { return 0 }
+	c := p.start()
+	p.take("order", "a", "20")
+	p.called()
+	p.kill(c)
+	c = p.start()
+	p.until("it is given up", func() bool { return len(p.told()) == 1 })
+	p.until("it is kept", func() bool {
+		s, err := os.ReadFile(filepath.Join(folder, "undelivered.db"))
+		return err == nil && strings.Contains(string(s), "body of a")
+	})
+	p.kill(c)
+	r, _ := p.stored(folder, "a")
+	if len(r.Last().Attempts) != 1 || r.MayHaveRun() == nil || r.Last().Reason != undelivered.Doubtful {
+		t.Errorf("record %+v", r)
+	}
+}
+
+// A store that can't be opened, since another process has it, stops nothing: what it does not take waits in the
+// journal, and is in the store once that is free.
+func TestAStoreInUseStopsNothing(t *testing.T) {
+	p := newPlatform(t)
+	folder := p.keeping("")
+	p.addHost("h1", 7)
+	s, err := undelivered.Open(folder, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.answer = func(*http.Request) int { return http.StatusServiceUnavailable }
+	c := p.start()
+	p.take("status", "a", "1")
+	p.until("its notice came all the same", func() bool { return len(p.told()) == 1 })
+	p.set(func() { p.answer = func(*http.Request) int { return http.StatusOK } })
+	p.until("others are delivered", func() bool { return p.handIn("status", "b", "9").StatusCode == http.StatusAccepted })
+	if _, err := s.Get("a"); !errors.Is(err, undelivered.ErrUnknown) {
+		t.Errorf("it is in a store that another process has: %v", err)
+	}
+	_ = s.Close()
+	p.until("it is kept", func() bool {
+		s, err := os.ReadFile(filepath.Join(folder, "undelivered.db"))
+		return err == nil && strings.Contains(string(s), "body of a")
+	})
+	p.kill(c)
+	p.stored(folder, "a")
+}
+
+// Where the store takes nothing and the journal is full of what waits for it, the oldest leave, listed by id, and the
+// relay goes on taking messages.
+func TestAStoreThatTakesNothingDoesNotFillTheJournal(t *testing.T) {
+	p := newPlatform(t)
+	p.disk = 0.06
+	folder := p.keeping("")
+	p.addHost("h1", 7)
+	s, err := undelivered.Open(folder, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.answer = func(*http.Request) int { return http.StatusInternalServerError }
+	c := p.start()
+	const n = 30
+	for i := range n {
+		id := fmt.Sprint("m", i)
+		p.take("order", id, "20")
+		p.until("its notice came", func() bool { return len(p.told()) == i+1 })
+	}
+	_ = s.Close()
+	p.until("the journal lets go", func() bool { return p.journalled() == 0 })
+	p.kill(c)
+	s, err = undelivered.OpenToRead(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if totals, _, err := s.Totals(); err != nil || totals.Unkept == 0 || totals.Messages == 0 || totals.Unkept+totals.Messages != n {
+		t.Errorf("%d kept and %d listed as not kept of %d, %v", totals.Messages, totals.Unkept, n, err)
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -50,6 +50,9 @@
 	verdicts []chan verdict     // of the requests that brought it, until they are answered
 	cancel   context.CancelFunc // of the call out; nil while there is none
 	over     bool               // ended, but a call is still out
+	resumed  bool               // taken on by an earlier process
+	noticed  bool               // the platform has its notice, and it waits for the store
+	kept     bool               // the store of undelivered messages has it
 }
 
 // pastEnd is when a message that was taken on came to its end.
@@ -68,6 +71,8 @@
 	pool     *pool
 	watch    *watcher
 	notices  *notifier
+	keeper   *keeper    // nil: undelivered messages are not kept
+	unkept   []*message // noticed, and not in the store yet
 	start    time.Time
 	messages map[string]*message
 	hosts    map[string]Member
@@ -119,11 +124,12 @@
 	l.journal.List(list, l.cfg.Discovery) // what the watch tells from here on may be changes of it only
 	l.watch.seq = list.Seq
 	for _, e := range l.journal.Entries() {
-		m := &message{Entry: e}
+		m := &message{Entry: e, resumed: true}
 		l.messages[e.ID] = m
 		if e.Owed != nil {
 			m.over = true
 			l.notices.owe(*e.Owed)
+			l.handOver(m)
 			continue
 		}
 		class := l.class(e.Class)
@@ -207,7 +213,13 @@
 	case received:
 		for _, id := range e.ids {
 			if m := l.messages[id]; m != nil {
-				l.end(m)
+				l.noticed(m)
+			}
+		}
+	case kept:
+		for _, id := range e.ids {
+			if m := l.messages[id]; m != nil && m.Owed != nil {
+				l.inStore(m)
 			}
 		}
 	case stopSending:
@@ -246,11 +258,14 @@
 		a.verdict <- verdict{status: http.StatusAccepted}
 		return
 	}
-	if !l.dests[a.entry.Dest] || !l.journal.Reserve(a.entry) {
+	if !l.dests[a.entry.Dest] || !l.reserve(a.entry) {
 		// Guards the module against destinations that no list has named, and the disk against overflow.
 		a.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
 		return
 	}
+	if l.keeper == nil {
+		a.entry.Tenant, a.entry.Taken = "", time.Time{} // nobody will ask
+	}
 	m := &message{Entry: a.entry, verdicts: []chan verdict{a.verdict}}
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
@@ -263,7 +278,7 @@
 	m := l.messages[e.id] // stays as long as a call is out
 	m.cancel = nil
 	if l.journal.Get(m.ID) == m.Entry {
-		l.journal.End(m.Entry, e.unrun())
+		l.journal.End(m.Entry, e.unrun(), outcomes[e.outcome], l.wall(l.now()))
 	}
 	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.outcome,
 		Wait: e.wait, Took: e.took, Over: e.over, Spent: e.spent, Doubtful: e.doubtful, Report: e.report})
@@ -379,8 +394,11 @@
 	}
 	m.over = true
 	n := Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
-	l.journal.Owe(m.Entry, n)
-	l.effects = append(l.effects, func() { l.notices.owe(n) })
+	l.journal.Owe(m.Entry, n, string(l.reason(m, status, l.now())), l.wall(l.now()))
+	l.effects = append(l.effects, func() {
+		l.notices.owe(n)
+		l.handOver(m)
+	})
 }
 
 // reply answers all requests that brought a message.
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -19,10 +19,12 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"mallowlead/internal/operator"
 )
 
-// childConfig and childState make the test program a relay, so that tests can kill one.
-const childConfig, childState = "FROSTLINK_TEST_CONFIG", "FROSTLINK_TEST_STATE"
+// childConfig, childState and childOwn make the test program a relay, so that tests can kill one.
+const childConfig, childState, childOwn = "FROSTLINK_TEST_CONFIG", "FROSTLINK_TEST_STATE", "FROSTLINK_TEST_OPERATOR"
 
 func TestMain(m *testing.M) {
 	path := os.Getenv(childConfig)
@@ -32,6 +34,9 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	cfg, err := ReadConfig(path)
+	if own := os.Getenv(childOwn); err == nil && own != "" {
+		cfg.Own, err = operator.Read(own)
+	}
 	if err == nil {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 		defer stop()
@@ -61,12 +66,14 @@
 	t         *testing.T
 	discovery *httptest.Server // the one that the configuration names
 	path      string           // of the configuration
+	own       string           // of the operator's file; empty: none
 	addr      string           // the relay's
 	dir       string
 	memory    float64
-	unknown   bool // the configuration lists no host
-	changes   bool // watches begin with no list
-	down      bool // watches fail
+	disk      float64 // MB of the folder that lasts
+	unknown   bool    // the configuration lists no host
+	changes   bool    // watches begin with no list
+	down      bool    // watches fail
 
 	mu      sync.Mutex
 	hosts   []Member
@@ -85,7 +92,7 @@
 
 func newPlatform(t *testing.T) *platform {
 	t.Helper()
-	p := &platform{t: t, dir: t.TempDir(), memory: 15, began: make(chan string, 1000), lines: make(chan string, 10),
+	p := &platform{t: t, dir: t.TempDir(), memory: 15, disk: 3, began: make(chan string, 1000), lines: make(chan string, 10),
 		released: make(chan bool), answer: func(*http.Request) int { return http.StatusOK }}
 	p.path = filepath.Join(t.TempDir(), "config.json")
 	t.Cleanup(func() { close(p.released) })
@@ -212,8 +219,8 @@
 		p.t.Fatal(err)
 	}
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-	 "limits":{"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":%s,"settings":%s}`,
-		p.addr, strings.TrimPrefix(p.discovery.URL, "http://"), known, testSettings(p.memory))
+	 "limits":{"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":%v},"known":%s,"settings":%s}`,
+		p.addr, strings.TrimPrefix(p.discovery.URL, "http://"), p.disk, known, testSettings(p.memory))
 	if err := os.WriteFile(p.path, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
@@ -230,7 +237,7 @@
 func (p *platform) start() *child {
 	p.t.Helper()
 	c := &child{Cmd: exec.Command(os.Args[0]), exited: make(chan error, 1)}
-	c.Env = append(os.Environ(), childConfig+"="+p.config(), childState+"="+p.dir)
+	c.Env = append(os.Environ(), childConfig+"="+p.config(), childState+"="+p.dir, childOwn+"="+p.own)
 	c.Stderr = &bytes.Buffer{}
 	if err := c.Start(); err != nil {
 		p.t.Fatal(err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mallowlead/internal/settings"
+	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
 
@@ -34,7 +35,11 @@
 	if err != nil {
 		return err
 	}
-	journal, err := OpenJournal(dir, min(cfg.Limits.DiskMB, journalShare*cfg.Limits.MemoryMB))
+	var keeping *undelivered.Section
+	if cfg.Own != nil {
+		keeping = cfg.Own.Undelivered
+	}
+	journal, err := OpenJournal(dir, min(cfg.Limits.DiskMB, journalShare*cfg.Limits.MemoryMB), keeping != nil)
 	if err != nil {
 		return err
 	}
@@ -50,6 +55,9 @@
 	l.watch = newWatcher(cfg.Discovery, func(m Members, from string) { l.put(told{m, from}) },
 		func() { l.put(watchEnded{}) })
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
+	if keeping != nil {
+		l.keeper = newKeeper(keeping, func(ids []string) { l.put(kept{ids}) })
+	}
 	srv := newServer(cfg, func(a *arrival) { l.put(a) })
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -60,6 +68,9 @@
 	work.Go(func() { l.run(live) })
 	work.Go(func() { l.watch.run(live) })
 	work.Go(func() { l.notices.run(live) })
+	if l.keeper != nil {
+		work.Go(func() { l.keeper.run(live) })
+	}
 	served := make(chan error, 1)
 	go func() { served <- srv.serve(listener) }()
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -175,5 +175,5 @@
 	// The client counts from when it sent; no class gives a message more than its deadline.
 	expires := now.Add(settings.Seconds(min(left, class.Deadline.Seconds())))
 	return &arrival{verdict: make(chan verdict, 1), entry: &Entry{ID: id, Class: name, Dest: no, Key: key,
-		Expires: expires}}, 0, nil
+		Tenant: value["Tenant"], Taken: now, Expires: expires}}, 0, nil
 }
