--- a/internal/undelivered/rules.go
+++ b/internal/undelivered/rules.go
@@ -146,6 +146,9 @@
 // Decide says what the rules make of a message: the first that matches decides, and none that does is hold. A resend
 // that its class forbids is held, whatever the rule says.
 func Decide(rules []Rule, c *Class, rec *Record, newest *Newest, now time.Time) Plan {
+	if rec.Kept {
+		return Plan{Action: Hold, Why: rec.Why}
+	}
 	for i := range rules {
 		r := &rules[i]
 		if !r.matches(rec, now) {
