frostlinkctl undelivered: list, show, stats, verify, export, import, hold, discard, attest

On a running relay by its Unix socket (mode 0600), on a stopped one's folder else, through one handler and one client; a folder that a relay or another tool has gives a clear error.

--- a/cmd/frostlinkctl/main.go
+++ b/cmd/frostlinkctl/main.go
@@ -37,7 +37,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(rehearseCommand())
+	root.AddCommand(rehearseCommand(), undeliveredCommand())
 	root.SetArgs(args)
 	switch err := root.ExecuteContext(ctx); {
 	case err == nil:
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -25,9 +25,11 @@
 // keeper hands undelivered messages over to their store. It never holds up the loop: what the store does not take
 // waits here, and in the journal.
 type keeper struct {
-	open  func() (*undelivered.Store, error)
-	store *undelivered.Store // the goroutine's own; nil until it could be opened
-	done  func(ids []string)
+	open   func() (*undelivered.Store, error)
+	socket string             // for the tool; empty: none
+	tools  sync.WaitGroup     // that serve it
+	store  *undelivered.Store // the goroutine's own; nil until it could be opened
+	done   func(ids []string)
 
 	mu    sync.Mutex
 	more  sync.Cond // something waits, or all is at its end
@@ -38,7 +40,7 @@
 }
 
 func newKeeper(s *undelivered.Section, done func(ids []string)) *keeper {
-	k := &keeper{done: done, open: func() (*undelivered.Store, error) {
+	k := &keeper{done: done, socket: s.Socket, open: func() (*undelivered.Store, error) {
 		return undelivered.Open(s.Folder, int64(s.QuotaMB*1e6), s.Messages)
 	}}
 	k.more.L = &k.mu
@@ -88,17 +90,21 @@
 	})
 	defer stop()
 	defer func() {
+		k.tools.Wait()
 		if k.store != nil {
 			_ = k.store.Close()
 		}
 	}()
 	var said time.Time
+	if err := k.ready(ctx); err != nil { // it is tried again with the first message
+		slog.Error("the store of undelivered messages can't be opened", "err", err)
+	}
 	for {
 		batch, drop := k.take()
 		if batch == nil && drop == nil {
 			return
 		}
-		err := k.hand(batch, drop)
+		err := k.hand(ctx, batch, drop)
 		if err == nil {
 			continue
 		}
@@ -112,12 +118,29 @@
 	}
 }
 
+// ready opens the store, and has the tool answered, where that was not done yet.
+func (k *keeper) ready(ctx context.Context) (err error) {
+	if k.store != nil {
+		return nil
+	}
+	if k.store, err = k.open(); err != nil {
+		k.store = nil
+		return err
+	}
+	if k.socket != "" {
+		k.tools.Go(func() {
+			if err := undelivered.Serve(ctx, k.socket, &undelivered.Admin{Store: k.store, Now: time.Now}); err != nil {
+				slog.Error("the tool for undelivered messages is not answered", "err", err)
+			}
+		})
+	}
+	return nil
+}
+
 // hand puts a batch into the store, or parts of it: a message that can't be kept is not to keep back the others.
-func (k *keeper) hand(batch []undelivered.Kept, drop []string) (err error) {
-	if k.store == nil {
-		if k.store, err = k.open(); err != nil {
-			return err
-		}
+func (k *keeper) hand(ctx context.Context, batch []undelivered.Kept, drop []string) (err error) {
+	if err := k.ready(ctx); err != nil {
+		return err
 	}
 	if len(drop) > 0 {
 		if err := k.store.Unkept(drop, "the store did not take it, and the journal had no room", time.Now()); err != nil {
--- /dev/null
+++ b/internal/undelivered/access.go
@@ -0,0 +1,198 @@
+package undelivered
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+)
+
+const (
+	// askWithin bounds one question of the tool; verify reads all there is.
+	askWithin = 5 * time.Minute
+	// headWithin bounds how long the relay waits for a question's head: only the relay's own user can ask.
+	headWithin = 5 * time.Second
+)
+
+// Serve answers the tool on a Unix socket of mode 0600 until ctx ends. A socket that an earlier process left behind is
+// taken over; one that answers is not.
+func Serve(ctx context.Context, path string, a *Admin) error {
+	if c, err := net.Dial("unix", path); err == nil {
+		_ = c.Close()
+		return fmt.Errorf("undelivered: socket %s: %w", path, ErrInUse)
+	}
+	if info, err := os.Lstat(path); err == nil {
+		if info.Mode()&os.ModeSocket == 0 {
+			return fmt.Errorf("undelivered: socket %s: a file that is no socket is there", path)
+		}
+		if err := os.Remove(path); err != nil {
+			return fmt.Errorf("undelivered: %w", err)
+		}
+	}
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		_ = ln.Close()
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	srv := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: headWithin}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("undelivered: socket %s: %w", path, err)
+	}
+	return nil
+}
+
+// Access is the tool's way to a store: to a running relay's by its socket, or to a stopped one's folder.
+type Access struct {
+	client http.Client
+	store  *Store
+}
+
+// Connect reaches a running relay.
+func Connect(socket string) (*Access, error) {
+	c, err := net.Dial("unix", socket)
+	if err != nil {
+		return nil, fmt.Errorf("no relay answers at %s: %w", socket, err)
+	}
+	_ = c.Close()
+	return &Access{client: http.Client{Timeout: askWithin, Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "unix", socket)
+		}}}}, nil
+}
+
+// OpenFolder reaches the store of a relay that is not running; write says whether anything is to be changed.
+func OpenFolder(dir string, write bool) (*Access, error) {
+	s, err := OpenToRead(dir) // also where it will be written: a wrong folder is not to be made
+	if err == nil && write {
+		_ = s.Close()
+		s, err = Open(dir, 0, 0)
+	}
+	if errors.Is(err, ErrInUse) {
+		err = fmt.Errorf("%w: a relay that runs is asked by its socket", err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	a := &Admin{Store: s, Now: time.Now}
+	return &Access{store: s, client: http.Client{Transport: direct{a.Handler()}}}, nil
+}
+
+// direct answers requests by a handler in this process.
+type direct struct{ http.Handler }
+
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := &answer{header: http.Header{}, status: http.StatusOK}
+	if r.Body == nil {
+		r.Body = http.NoBody
+	}
+	d.ServeHTTP(w, r)
+	return &http.Response{StatusCode: w.status, Header: w.header, Body: io.NopCloser(&w.body), Request: r}, nil
+}
+
+// answer collects what a handler writes.
+type answer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (a *answer) Header() http.Header         { return a.header }
+func (a *answer) WriteHeader(status int)      { a.status = status }
+func (a *answer) Write(b []byte) (int, error) { return a.body.Write(b) }
+
+// Close lets go of a folder.
+func (a *Access) Close() error {
+	if a.store != nil {
+		return a.store.Close()
+	}
+	return nil
+}
+
+// ask makes one request and decodes its answer.
+func (a *Access) ask(ctx context.Context, method, path string, body, into any) error {
+	var in io.Reader
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		in = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://relay"+path, in)
+	if err != nil {
+		return err
+	}
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		var told struct{ Error string }
+		if err := json.NewDecoder(resp.Body).Decode(&told); err != nil || told.Error == "" {
+			return fmt.Errorf("the store answers %d", resp.StatusCode)
+		}
+		if resp.StatusCode == http.StatusNotFound {
+			return fmt.Errorf("%w (%s)", ErrUnknown, told.Error)
+		}
+		return errors.New(told.Error)
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// List gives a page of messages from a number on.
+func (a *Access) List(ctx context.Context, f *Filter, from uint64, most int) (l Listing, err error) {
+	q := f.Query()
+	q.Set("from", fmt.Sprint(from))
+	q.Set("most", fmt.Sprint(most))
+	err = a.ask(ctx, http.MethodGet, "/messages?"+q.Encode(), nil, &l)
+	return l, err
+}
+
+// Get gives a message by the id of any of its lives.
+func (a *Access) Get(ctx context.Context, id string) (r *Record, err error) {
+	r = &Record{}
+	return r, a.ask(ctx, http.MethodGet, "/messages/"+url.PathEscape(id), nil, r)
+}
+
+// Body gives a message's body.
+func (a *Access) Body(ctx context.Context, id string) ([]byte, error) {
+	var b struct{ Body []byte }
+	err := a.ask(ctx, http.MethodGet, "/messages/"+url.PathEscape(id)+"/body", nil, &b)
+	return b.Body, err
+}
+
+// Do has something done with a message: hold, resend, discard or attest.
+func (a *Access) Do(ctx context.Context, what, id string, c Command) (r *Record, err error) {
+	r = &Record{}
+	return r, a.ask(ctx, http.MethodPost, "/messages/"+url.PathEscape(id)+"/"+what, c, r)
+}
+
+// Import hands a message in that was exported, and tells whether it was news.
+func (a *Access) Import(ctx context.Context, e *Exported) (kept bool, err error) {
+	var got struct{ Kept bool }
+	err = a.ask(ctx, http.MethodPost, "/import", e, &got)
+	return got.Kept, err
+}
+
+// Stats gives what the store holds.
+func (a *Access) Stats(ctx context.Context) (s Stats, err error) {
+	return s, a.ask(ctx, http.MethodGet, "/stats", nil, &s)
+}
+
+// Verify reads all there is.
+func (a *Access) Verify(ctx context.Context) (v Verified, err error) {
+	return v, a.ask(ctx, http.MethodGet, "/verify", nil, &v)
+}
