Bound the store of undelivered messages by age, number and bytes, by class and tenant

What leaves by a bound is exported first where the operator wants that, and counted by class and tenant; a full store lets the oldest go that have ended. Pages that become free count as room, so that the file keeps to its quota.

--- a/cmd/frostlinkctl/undelivered.go
+++ b/cmd/frostlinkctl/undelivered.go
@@ -267,8 +267,8 @@
 			for _, g := range s.Groups {
 				fmt.Fprintf(t, "%s of %s\t%d\t%d bytes\n", g.Class, g.Tenant, g.Messages, g.Bytes)
 			}
-			for class, n := range s.Left {
-				fmt.Fprintf(t, "%s that left by a bound\t%d\n", class, n)
+			for group, n := range s.Left {
+				fmt.Fprintf(t, "%s, left by a bound\t%d\n", group, n)
 			}
 			return t.Flush()
 		}),
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -17,6 +17,8 @@
 	keepBatch = 200
 	// keepAgain is the pause after the store could not take messages, and keepSaid how often that is said.
 	keepAgain, keepSaid = 500 * time.Millisecond, 10 * time.Second
+	// boundsEvery is between rounds of the store's bounds.
+	boundsEvery = time.Second
 	// endMargin before its time is up a message that is given up counts as out of time: that much is left when no
 	// further attempt would come to its end.
 	endMargin = time.Second
@@ -25,34 +27,33 @@
 // keeper hands undelivered messages over to their store. It never holds up the loop: what the store does not take
 // waits here, and in the journal.
 type keeper struct {
-	open   func() (*undelivered.Store, error)
-	socket string             // for the tool; empty: none
-	tools  sync.WaitGroup     // that serve it
-	store  *undelivered.Store // the goroutine's own; nil until it could be opened
-	done   func(ids []string)
+	section *undelivered.Section
+	done    func(ids []string)
+
+	// The goroutine's own.
+	store   *undelivered.Store // nil until it could be opened
+	bounds  *undelivered.Bounds
+	bounded time.Time      // when the bounds were last kept
+	tools   sync.WaitGroup // goroutines beside it: the clock of the bounds, and what answers the tool
 
 	mu    sync.Mutex
 	more  sync.Cond // something waits, or all is at its end
 	ended bool
+	tick  bool // time to keep the bounds
 	wait  []undelivered.Kept
 	drop  []string // to be listed as not kept
 	lost  int      // listed so far
 }
 
 func newKeeper(s *undelivered.Section, done func(ids []string)) *keeper {
-	k := &keeper{done: done, socket: s.Socket, open: func() (*undelivered.Store, error) {
-		return undelivered.Open(s.Folder, int64(s.QuotaMB*1e6), s.Messages)
-	}}
+	k := &keeper{done: done, section: s}
 	k.more.L = &k.mu
 	return k
 }
 
 // keep wants a message kept.
 func (k *keeper) keep(m undelivered.Kept) {
-	k.mu.Lock()
-	k.wait = append(k.wait, m)
-	k.mu.Unlock()
-	k.more.Signal()
+	k.set(func() { k.wait = append(k.wait, m) })
 }
 
 // abandon lists messages as not kept, since the journal has no room for them any more, and says so.
@@ -67,28 +68,36 @@
 	slog.Error("undelivered messages not kept: the store does not take them, and the journal has no room", "ids", ids, "in all", lost)
 }
 
-// take waits for something to do, and gives the next batch; nothing at the end.
-func (k *keeper) take() (batch []undelivered.Kept, drop []string) {
+// take waits for something to do, and gives the next batch; ok is false at the end.
+func (k *keeper) take() (batch []undelivered.Kept, drop []string, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for len(k.wait) == 0 && len(k.drop) == 0 && !k.ended {
+	for len(k.wait) == 0 && len(k.drop) == 0 && !k.ended && !k.tick {
 		k.more.Wait()
 	}
-	if k.ended {
-		return nil, nil
+	k.tick = false
+	return append(batch, k.wait[:min(len(k.wait), keepBatch)]...), append(drop, k.drop...), !k.ended
+}
+
+// set changes what take waits for.
+func (k *keeper) set(change func()) {
+	k.mu.Lock()
+	change()
+	k.mu.Unlock()
+	k.more.Broadcast()
+}
+
+// ticks has the bounds kept now and then, until ctx ends.
+func (k *keeper) ticks(ctx context.Context) {
+	for sleep(ctx, boundsEvery) {
+		k.set(func() { k.tick = true })
 	}
-	return append([]undelivered.Kept(nil), k.wait[:min(len(k.wait), keepBatch)]...), append([]string(nil), k.drop...)
+	k.set(func() { k.ended = true })
 }
 
 // run hands over until ctx ends. What is left then a later process hands over from the journal.
 func (k *keeper) run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() {
-		k.mu.Lock()
-		k.ended = true
-		k.mu.Unlock()
-		k.more.Broadcast()
-	})
-	defer stop()
+	k.tools.Go(func() { k.ticks(ctx) })
 	defer func() {
 		k.tools.Wait()
 		if k.store != nil {
@@ -100,11 +109,12 @@
 		slog.Error("the store of undelivered messages can't be opened", "err", err)
 	}
 	for {
-		batch, drop := k.take()
-		if batch == nil && drop == nil {
+		batch, drop, ok := k.take()
+		if !ok {
 			return
 		}
 		err := k.hand(ctx, batch, drop)
+		k.bound(errors.Is(err, undelivered.ErrFull))
 		if err == nil {
 			continue
 		}
@@ -123,13 +133,15 @@
 	if k.store != nil {
 		return nil
 	}
-	if k.store, err = k.open(); err != nil {
+	k.store, err = undelivered.Open(k.section.Folder, int64(k.section.QuotaMB*1e6), k.section.Messages)
+	if err != nil {
 		k.store = nil
 		return err
 	}
-	if k.socket != "" {
+	k.bounds = undelivered.NewBounds(k.store, k.section)
+	if k.section.Socket != "" {
 		k.tools.Go(func() {
-			if err := undelivered.Serve(ctx, k.socket, &undelivered.Admin{Store: k.store, Now: time.Now}); err != nil {
+			if err := undelivered.Serve(ctx, k.section.Socket, &undelivered.Admin{Store: k.store, Now: time.Now}); err != nil {
 				slog.Error("the tool for undelivered messages is not answered", "err", err)
 			}
 		})
@@ -137,6 +149,20 @@
 	return nil
 }
 
+// bound keeps the store's bounds, at most so often.
+func (k *keeper) bound(full bool) {
+	if k.store == nil || time.Since(k.bounded) < boundsEvery && !full {
+		return
+	}
+	k.bounded = time.Now()
+	left, err := k.bounds.Keep(time.Now(), full)
+	if err != nil {
+		slog.Error("bounds of the store of undelivered messages", "err", err)
+	} else if left > 0 {
+		slog.Warn("undelivered messages left by a bound", "messages", left)
+	}
+}
+
 // hand puts a batch into the store, or parts of it: a message that can't be kept is not to keep back the others.
 func (k *keeper) hand(ctx context.Context, batch []undelivered.Kept, drop []string) (err error) {
 	if err := k.ready(ctx); err != nil {
--- /dev/null
+++ b/internal/undelivered/bounds.go
@@ -0,0 +1,135 @@
+package undelivered
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// lookAtOnce is how many records one round of Bounds looks at for each bound, and dropAtOnce how many leave in one
+// transaction: the store serves the hand-over meanwhile.
+const lookAtOnce, dropAtOnce = 20_000, 500
+
+// Bounds drops what is too old or too many, a round at a time.
+type Bounds struct {
+	store   *Store
+	section *Section
+	dir     string
+	next    []uint64 // of each bound, and of the store's own: where the next round goes on
+}
+
+// NewBounds gives the bounds of a section, the store's own first.
+func NewBounds(store *Store, s *Section) *Bounds {
+	return &Bounds{store: store, section: s, dir: s.Folder, next: make([]uint64, len(s.Bounds)+1)}
+}
+
+// Keep drops what the bounds do not allow, a bounded number at once, and tells how many left. full says that the store
+// takes no more: then also messages that have ended leave, the oldest first.
+func (b *Bounds) Keep(now time.Time, full bool) (left int, err error) {
+	totals, groups, err := b.store.Totals()
+	if err != nil {
+		return 0, err
+	}
+	own := Bound{Age: b.section.Age}
+	for i := -1; i < len(b.section.Bounds); i++ {
+		bound, over := own, 0
+		if i >= 0 {
+			bound = b.section.Bounds[i]
+			over = bound.over(groups)
+		}
+		ended := i < 0 && (full || totals.Messages >= b.section.Messages)
+		n, err := b.round(i+1, bound, over, ended, now)
+		left += n
+		if err != nil {
+			return left, err
+		}
+	}
+	return left, nil
+}
+
+// over is how many messages of its groups are more than a bound allows, by number or, at their mean size, by bytes.
+func (b *Bound) over(groups []Group) int {
+	messages, bytes := 0, int64(0)
+	for _, g := range groups {
+		if (b.Class == "" || b.Class == g.Class) && (b.Tenant == "" || b.Tenant == g.Tenant) {
+			messages += g.Messages
+			bytes += g.Bytes
+		}
+	}
+	over := 0
+	if b.Messages > 0 {
+		over = max(over, messages-b.Messages)
+	}
+	if excess := float64(bytes) - b.MB*1e6; b.MB > 0 && excess > 0 && bytes > 0 {
+		over = max(over, int(excess/float64(bytes)*float64(messages))+1)
+	}
+	return over
+}
+
+// round drops what one bound does not allow: too old ones, over of the oldest, and where ended is set those that have
+// ended. A message that is being resent stays.
+func (b *Bounds) round(n int, bound Bound, over int, ended bool, now time.Time) (left int, err error) {
+	if over == 0 && bound.Age == 0 && !ended {
+		return 0, nil
+	}
+	from := b.next[n]
+	if over > 0 {
+		from = 0 // the oldest first
+	}
+	var drop []*Record
+	pass := func(r *Record) bool {
+		if r.State == Out || bound.Class != "" && bound.Class != r.Class || bound.Tenant != "" && bound.Tenant != r.Tenant {
+			return false
+		}
+		old := bound.Age > 0 && now.Sub(r.Lives[0].Taken) > seconds(bound.Age)
+		if !old && over > 0 {
+			over--
+			return true
+		}
+		return old || ended && r.State.Ended()
+	}
+	drop, b.next[n], _, err = b.store.Page(from, dropAtOnce, lookAtOnce, pass)
+	if err != nil || len(drop) == 0 {
+		return 0, err
+	}
+	if b.section.Export {
+		if err := b.export(drop, now); err != nil {
+			return 0, err
+		}
+	}
+	ids := make([]string, len(drop))
+	for i, r := range drop {
+		ids[i] = r.ID
+	}
+	return len(ids), b.store.Remove(ids)
+}
+
+// export appends messages that are about to leave to the day's file. One that was written, and did not leave because
+// the process ended, is written again: import takes it once.
+func (b *Bounds) export(list []*Record, now time.Time) (err error) {
+	path := filepath.Join(b.dir, "left-"+now.UTC().Format("20060102")+".jsonl")
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	out := bufio.NewWriter(f)
+	lines := json.NewEncoder(out)
+	for _, r := range list {
+		body, err := b.store.Body(r.ID)
+		if err != nil && !errors.Is(err, ErrDamaged) {
+			return err
+		}
+		if err := lines.Encode(Exported{*r, body}); err != nil {
+			return fmt.Errorf("undelivered: %w", err)
+		}
+	}
+	if err := out.Flush(); err != nil {
+		return fmt.Errorf("undelivered: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/undelivered/bounds_test.go
@@ -0,0 +1,130 @@
+package undelivered
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// fillStore keeps messages of two classes and tenants in turn, a minute apart, the oldest first.
+func fillStore(t *testing.T, s *Store, n int) {
+	t.Helper()
+	for i := range n {
+		k := kept(fmt.Sprint("m", i))
+		k.Class, k.Tenant = []string{"fee-payment", "parcel-status"}[i%2], []string{"lahore", "sahiwal"}[i/2%2]
+		k.Lives[0].Taken = noon.Add(time.Duration(i-n) * time.Minute)
+		if err := s.Put([]Kept{k}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func here(t *testing.T, s *Store) string {
+	t.Helper()
+	page, _, _, err := s.Page(0, 100, 1000, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ids []string
+	for _, r := range page {
+		ids = append(ids, r.ID)
+	}
+	return strings.Join(ids, " ")
+}
+
+func TestBounds(t *testing.T) {
+	for name, c := range map[string]struct {
+		section Section
+		full    bool
+		want    string
+	}{
+		"none":                 {Section{Messages: 99}, false, "m0 m1 m2 m3 m4 m5 m6 m7"},
+		"age":                  {Section{Messages: 99, Age: 5.5 * 60}, false, "m3 m4 m5 m6 m7"},
+		"a class":              {Section{Messages: 99, Bounds: []Bound{{Class: "fee-payment", Messages: 1}}}, false, "m1 m3 m5 m6 m7"},
+		"a tenant":             {Section{Messages: 99, Bounds: []Bound{{Tenant: "sahiwal", Messages: 3}}}, false, "m0 m1 m3 m4 m5 m6 m7"},
+		"a class of a tenant":  {Section{Messages: 99, Bounds: []Bound{{Class: "parcel-status", Tenant: "lahore", Age: 60}}}, false, "m0 m2 m3 m4 m6 m7"},
+		"bytes":                {Section{Messages: 99, Bounds: []Bound{{Class: "fee-payment", MB: 25e-6}}}, false, "m1 m3 m4 m5 m6 m7"},
+		"full: what has ended": {Section{Messages: 99}, true, "m0 m1 m2 m4 m5 m6 m7"},
+		"many: what has ended": {Section{Messages: 8}, false, "m0 m1 m2 m4 m5 m6 m7"},
+	} {
+		s := openStore(t, t.TempDir())
+		fillStore(t, s, 8)
+		if err := s.Change("m3", func(r *Record) (time.Time, error) { r.State = Discarded; return time.Time{}, nil }); err != nil {
+			t.Fatal(err)
+		}
+		b := NewBounds(s, &c.section)
+		for range 2 { // a second round finds nothing more
+			if _, err := b.Keep(noon, c.full); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := here(t, s); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
+
+// What leaves by a bound is exported first, and can be taken in again.
+func TestWhatLeavesIsExported(t *testing.T) {
+	dir := t.TempDir()
+	s := openStore(t, dir)
+	fillStore(t, s, 4)
+	if n, err := NewBounds(s, &Section{Folder: dir, Messages: 99, Age: 150, Export: true}).Keep(noon, false); err != nil || n != 2 {
+		t.Fatalf("%d left, %v", n, err)
+	}
+	path := filepath.Join(dir, "left-20260630.jsonl")
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if info, _ := os.Stat(path); info.Mode().Perm() != 0o600 {
+		t.Errorf("mode %v", info.Mode())
+	}
+	other := newAdmin(t)
+	for _, line := range strings.Split(strings.TrimSpace(string(raw)), "\n") {
+		if code := ask(t, other, "POST", "/import", line, nil); code != 200 {
+			t.Errorf("import: %d", code)
+		}
+	}
+	if got := here(t, other.Store); got != "m0 m1" {
+		t.Errorf("exported %s", got)
+	}
+	if body, err := other.Store.Body("m1"); err != nil || string(body) != "body of m1" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+// What leaves makes room: the file does not grow past its quota however much goes through it.
+func TestRoomIsUsedAgain(t *testing.T) {
+	dir := t.TempDir()
+	const quota = 1 << 20
+	s, err := Open(dir, quota, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	b := NewBounds(s, &Section{Folder: dir, Messages: 1 << 30})
+	fulls := 0
+	for i := range 4000 {
+		k := kept(fmt.Sprint("m", i))
+		k.State, k.Body = Delivered, make([]byte, 1000)
+		for err = s.Put([]Kept{k}); errors.Is(err, ErrFull); err = s.Put([]Kept{k}) {
+			if fulls++; fulls > 4000 {
+				t.Fatal("nothing makes room")
+			}
+			if _, err := b.Keep(noon, true); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if fulls == 0 || s.Size() > 2*quota {
+		t.Errorf("full %d times, %d bytes at the end", fulls, s.Size())
+	}
+}
--- a/internal/undelivered/store.go
+++ b/internal/undelivered/store.go
@@ -28,6 +28,8 @@
 const (
 	fileName     = "undelivered.db"
 	storeVersion = 1
+	// growBy is by how much the file grows at once, in bytes: a small quota is not to be overshot by much.
+	growBy = 128 << 10
 	// openWithin is how long another process may hold the file: one that just ends is waited for.
 	openWithin = 300 * time.Millisecond
 )
@@ -64,7 +66,7 @@
 	Messages int            `json:"messages"`
 	Bytes    int64          `json:"bytes"` // of bodies
 	States   map[State]int  `json:"states"`
-	Left     map[string]int `json:"left_by_a_bound"` // by class
+	Left     map[string]int `json:"left_by_a_bound"` // by class and tenant
 	Unkept   int            `json:"not_kept"`
 }
 
@@ -108,6 +110,7 @@
 	case err != nil:
 		return nil, fmt.Errorf("undelivered: %s: %w", path, err)
 	}
+	db.AllocSize = growBy
 	s := &Store{db: db, path: path, limit: limit, most: most}
 	if err := s.prepare(readOnly); err != nil {
 		_ = db.Close()
@@ -198,7 +201,7 @@
 			return nil
 		}
 	}
-	if s.most > 0 && t.Messages >= s.most || s.limit > 0 && tx.Size()+int64(len(m.Body)) > s.limit {
+	if s.most > 0 && t.Messages >= s.most || s.limit > 0 && s.used(tx)+int64(len(m.Body)) > s.limit {
 		return ErrFull
 	}
 	records := tx.Bucket(bRecords)
@@ -224,6 +227,12 @@
 	return changeGroup(tx, m.Class, m.Tenant, 1, int64(len(m.Body)))
 }
 
+// used is how much of the file is in use: what was removed leaves pages that are used again.
+func (s *Store) used(tx *bbolt.Tx) int64 {
+	st := s.db.Stats()
+	return tx.Size() - int64(st.FreePageN+st.PendingPageN)*int64(s.db.Info().PageSize)
+}
+
 func write(b *bbolt.Bucket, n uint64, r *Record) error {
 	raw, err := json.Marshal(r)
 	if err != nil {
@@ -487,7 +496,7 @@
 	return page, next, damaged, err
 }
 
-// Remove takes messages that leave by a bound out of the store, and counts them by class.
+// Remove takes messages that leave by a bound out of the store, and counts them by class and tenant.
 func (s *Store) Remove(ids []string) error {
 	return s.update(func(tx *bbolt.Tx) error {
 		t, err := readTotals(tx)
@@ -529,7 +538,7 @@
 	if t.Left == nil {
 		t.Left = map[string]int{}
 	}
-	t.Left[r.Class]++
+	t.Left[r.Class+" of "+r.Tenant]++
 	t.count(r.State, -1)
 	t.Messages--
 	t.Bytes -= int64(r.BodySize)
