Resend undelivered messages by the operator's rules, behind all fresh traffic

A resend goes through the decision module under a new id, with its key and its lineage: sent only where its queue has nothing held, no endpoint that is or was out, and half of the slots free; one attempt, and back. The resender, a core over the store, judges every resend anew, paces each partner, doubles its pauses while one is down, and takes an attest or an allowance only for what left the relay. A kill with a resend out leaves it as one that may have run. Classes with a subject are held until subjects are read.

--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -38,6 +38,7 @@
 	Dest     int       `json:"dest,omitempty"`
 	Tenant   string    `json:"tenant,omitempty"` // where undelivered messages are kept
 	Taken    time.Time `json:"taken,omitzero"`   // the same
+	Resend   bool      `json:"resend,omitempty"` // from the store of undelivered messages: its end goes there, not to the platform
 	Key      string    `json:"key,omitempty"`
 	Expires  time.Time `json:"expires,omitzero"`
 	Body     []byte    `json:"-"`
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -19,6 +19,8 @@
 	keepAgain, keepSaid = 500 * time.Millisecond, 10 * time.Second
 	// boundsEvery is between rounds of the store's bounds.
 	boundsEvery = time.Second
+	// lookEvery is between looks at what is due to be resent.
+	lookEvery = 200 * time.Millisecond
 	// endMargin before its time is up a message that is given up counts as out of time: that much is left when no
 	// further attempt would come to its end.
 	endMargin = time.Second
@@ -27,26 +29,32 @@
 // keeper hands undelivered messages over to their store. It never holds up the loop: what the store does not take
 // waits here, and in the journal.
 type keeper struct {
-	section *undelivered.Section
-	done    func(ids []string)
+	section     *undelivered.Section
+	done        func(ids []string)
+	offer       func(any) // hands the loop an event
+	newResender func(*undelivered.Store) *undelivered.Resender
 
 	// The goroutine's own.
-	store   *undelivered.Store // nil until it could be opened
-	bounds  *undelivered.Bounds
-	bounded time.Time      // when the bounds were last kept
-	tools   sync.WaitGroup // goroutines beside it: the clock of the bounds, and what answers the tool
+	store    *undelivered.Store // nil until it could be opened
+	bounds   *undelivered.Bounds
+	resender *undelivered.Resender
+	bounded  time.Time      // when the bounds were last kept
+	tools    sync.WaitGroup // goroutines beside it: the clock of the bounds, and what answers the tool
 
 	mu    sync.Mutex
 	more  sync.Cond // something waits, or all is at its end
 	ended bool
-	tick  bool // time to keep the bounds
+	tick  bool // time to look at bounds and at what is due
 	wait  []undelivered.Kept
-	drop  []string // to be listed as not kept
-	lost  int      // listed so far
+	back  []undelivered.Result // of resends
+	drop  []string             // to be listed as not kept
+	lost  int                  // listed so far
 }
 
-func newKeeper(s *undelivered.Section, done func(ids []string)) *keeper {
-	k := &keeper{done: done, section: s}
+func newKeeper(cfg *Config, put func(any)) *keeper {
+	s := cfg.Own.Undelivered
+	k := &keeper{section: s, offer: put, done: func(ids []string) { put(kept{ids}) }}
+	k.newResender = func(store *undelivered.Store) *undelivered.Resender { return newResender(cfg, store) }
 	k.more.L = &k.mu
 	return k
 }
@@ -56,6 +64,11 @@
 	k.set(func() { k.wait = append(k.wait, m) })
 }
 
+// result wants what became of a resend noted.
+func (k *keeper) result(r undelivered.Result) {
+	k.set(func() { k.back = append(k.back, r) })
+}
+
 // abandon lists messages as not kept, since the journal has no room for them any more, and says so.
 func (k *keeper) abandon(ids []string) {
 	k.mu.Lock()
@@ -69,14 +82,14 @@
 }
 
 // take waits for something to do, and gives the next batch; ok is false at the end.
-func (k *keeper) take() (batch []undelivered.Kept, drop []string, ok bool) {
+func (k *keeper) take() (batch []undelivered.Kept, back []undelivered.Result, drop []string, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for len(k.wait) == 0 && len(k.drop) == 0 && !k.ended && !k.tick {
+	for len(k.wait) == 0 && len(k.back) == 0 && len(k.drop) == 0 && !k.ended && !k.tick {
 		k.more.Wait()
 	}
 	k.tick = false
-	return append(batch, k.wait[:min(len(k.wait), keepBatch)]...), append(drop, k.drop...), !k.ended
+	return append(batch, k.wait[:min(len(k.wait), keepBatch)]...), append(back, k.back...), append(drop, k.drop...), !k.ended
 }
 
 // set changes what take waits for.
@@ -87,9 +100,9 @@
 	k.more.Broadcast()
 }
 
-// ticks has the bounds kept now and then, until ctx ends.
+// ticks has the bounds kept, and what is due looked at, now and then, until ctx ends.
 func (k *keeper) ticks(ctx context.Context) {
-	for sleep(ctx, boundsEvery) {
+	for sleep(ctx, lookEvery) {
 		k.set(func() { k.tick = true })
 	}
 	k.set(func() { k.ended = true })
@@ -109,12 +122,15 @@
 		slog.Error("the store of undelivered messages can't be opened", "err", err)
 	}
 	for {
-		batch, drop, ok := k.take()
+		batch, back, drop, ok := k.take()
 		if !ok {
 			return
 		}
-		err := k.hand(ctx, batch, drop)
+		err := k.hand(ctx, batch, back, drop)
 		k.bound(errors.Is(err, undelivered.ErrFull))
+		if err == nil {
+			err = k.resend(ctx)
+		}
 		if err == nil {
 			continue
 		}
@@ -139,6 +155,7 @@
 		return err
 	}
 	k.bounds = undelivered.NewBounds(k.store, k.section)
+	k.resender = k.newResender(k.store)
 	if k.section.Socket != "" {
 		k.tools.Go(func() {
 			if err := undelivered.Serve(ctx, k.section.Socket, &undelivered.Admin{Store: k.store, Now: time.Now}); err != nil {
@@ -164,10 +181,23 @@
 }
 
 // hand puts a batch into the store, or parts of it: a message that can't be kept is not to keep back the others.
-func (k *keeper) hand(ctx context.Context, batch []undelivered.Kept, drop []string) (err error) {
+func (k *keeper) hand(ctx context.Context, batch []undelivered.Kept, back []undelivered.Result, drop []string) (err error) {
 	if err := k.ready(ctx); err != nil {
 		return err
 	}
+	if len(back) > 0 {
+		if err := k.resender.Return(back, time.Now()); err != nil {
+			return err
+		}
+		ids := make([]string, len(back))
+		for i := range back {
+			ids[i] = back[i].Life.ID
+		}
+		k.mu.Lock()
+		k.back = k.back[len(back):]
+		k.mu.Unlock()
+		k.done(ids)
+	}
 	if len(drop) > 0 {
 		if err := k.store.Unkept(drop, "the store did not take it, and the journal had no room", time.Now()); err != nil {
 			return err
@@ -236,8 +266,8 @@
 	return undelivered.RefusedLate
 }
 
-// record makes the store's record of a message that is over.
-func (l *loop) record(m *message) undelivered.Kept {
+// life is what this relay knows of one time that a message was taken on.
+func (l *loop) life(m *message) undelivered.Life {
 	life := undelivered.Life{ID: m.ID, Relay: l.cfg.Name, Taken: m.Taken, Expires: m.Expires, Over: m.Over,
 		Reason: undelivered.Reason(m.Reason), Status: m.Owed.Status}
 	for _, a := range m.Attempts {
@@ -250,14 +280,28 @@
 		}
 		life.Attempts = append(life.Attempts, undelivered.Attempt{Host: a.Host, Begun: a.Begun, Ended: a.At, Outcome: a.Outcome, Ran: ran})
 	}
+	return life
+}
+
+// record makes the store's record of a message that is over.
+func (l *loop) record(m *message) undelivered.Kept {
 	return undelivered.Kept{Record: undelivered.Record{ID: m.ID, Class: m.Class, Tenant: m.Tenant, Partner: m.Dest, Key: m.Key,
-		Lives: []undelivered.Life{life}, State: undelivered.Held, Since: m.Over}, Body: m.Body}
+		Lives: []undelivered.Life{l.life(m)}, State: undelivered.Held, Since: m.Over, Due: m.Over}, Body: m.Body}
 }
 
-// handOver has a message that ends by a notice kept.
-func (l *loop) handOver(m *message) {
-	if l.keeper != nil {
-		l.keeper.keep(l.record(m))
+// tellEnd tells the end of a message that owes one: to the platform, and to the store where one is kept; that of a
+// resend to the store alone.
+func (l *loop) tellEnd(m *message) {
+	switch {
+	case m.Resend && l.keeper == nil: // the operator has turned the store off: nobody is left to tell
+		l.end(m)
+	case m.Resend:
+		l.keeper.result(undelivered.Result{Life: l.life(m), Delivered: m.Owed.Status == delivered})
+	default:
+		l.notices.owe(*m.Owed)
+		if l.keeper != nil {
+			l.keeper.keep(l.record(m))
+		}
 	}
 }
 
@@ -276,7 +320,7 @@
 // inStore notes that the store has a message.
 func (l *loop) inStore(m *message) {
 	m.kept = true
-	if m.noticed {
+	if m.noticed || m.Resend {
 		l.end(m)
 	}
 }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -128,8 +128,7 @@
 		l.messages[e.ID] = m
 		if e.Owed != nil {
 			m.over = true
-			l.notices.owe(*e.Owed)
-			l.handOver(m)
+			l.tellEnd(m)
 			continue
 		}
 		class := l.class(e.Class)
@@ -137,7 +136,7 @@
 			l.refuse(m, verdict{}, undeliverable)
 			continue
 		}
-		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true,
+		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true, Background: e.Resend,
 			Left: l.clock(e.Expires) - l.now()}
 		for _, t := range e.Attempts {
 			// An attempt that was out when the process ended may have run.
@@ -216,6 +215,11 @@
 				l.noticed(m)
 			}
 		}
+	case resend:
+		l.resend(e)
+	case holds:
+		m := l.messages[e.id]
+		e.answer <- m != nil && m.Resend
 	case kept:
 		for _, id := range e.ids {
 			if m := l.messages[id]; m != nil && m.Owed != nil {
@@ -282,7 +286,10 @@
 	}
 	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.outcome,
 		Wait: e.wait, Took: e.took, Over: e.over, Spent: e.spent, Doubtful: e.doubtful, Report: e.report})
-	if e.over || m.over && m.Owed == nil {
+	switch {
+	case e.over && m.Resend && !m.over:
+		l.endResend(m, delivered)
+	case e.over && !m.Resend, m.over && m.Owed == nil:
 		l.end(m)
 	}
 }
@@ -386,6 +393,10 @@
 	if m == nil || m.over {
 		return
 	}
+	if m.Resend {
+		l.endResend(m, status)
+		return
+	}
 	if replies := m.verdicts; replies != nil {
 		m.verdicts = nil
 		l.effects = append(l.effects, func() { reply(replies, v) })
@@ -395,10 +406,7 @@
 	m.over = true
 	n := Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
 	l.journal.Owe(m.Entry, n, string(l.reason(m, status, l.now())), l.wall(l.now()))
-	l.effects = append(l.effects, func() {
-		l.notices.owe(n)
-		l.handOver(m)
-	})
+	l.effects = append(l.effects, func() { l.tellEnd(m) })
 }
 
 // reply answers all requests that brought a message.
@@ -471,7 +479,7 @@
 	}
 	for _, m := range fresh {
 		switch replies := m.verdicts; {
-		case replies == nil: // refused
+		case replies == nil && (!m.Resend || m.over || err == nil): // refused, or nobody waits for an answer
 		case err != nil:
 			reply(replies, verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway})
 			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
@@ -489,8 +497,11 @@
 		l.call(s)
 	}
 	for _, m := range fresh {
-		if m.verdicts != nil { // not taken on after all
+		switch { // not taken on after all
+		case m.verdicts != nil:
 			l.end(m)
+		case m.Resend && !m.over && err != nil:
+			l.giveBack(m)
 		}
 	}
 	for _, do := range effects {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,7 +56,12 @@
 		func() { l.put(watchEnded{}) })
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	if keeping != nil {
-		l.keeper = newKeeper(keeping, func(ids []string) { l.put(kept{ids}) })
+		l.keeper = newKeeper(cfg, func(e any) {
+			select {
+			case l.inbox <- e:
+			case <-live.Done(): // nobody takes events any more
+			}
+		})
 	}
 	srv := newServer(cfg, func(a *arrival) { l.put(a) })
 	listener, err := net.Listen("tcp", cfg.Listen)
--- /dev/null
+++ b/internal/relay/resend.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"mallowlead/internal/undelivered"
+	"mallowlead/policy"
+)
+
+// delivered is the end of a resend that the store is told; the platform never hears of one.
+const delivered = "delivered"
+
+// The events of resends.
+type (
+	// resend is an undelivered message that is to be sent again, under a new id.
+	resend struct {
+		entry *Entry
+	}
+	// holds asks whether a resend is held under an id.
+	holds struct {
+		id     string
+		answer chan bool // room for one
+	}
+)
+
+// newResender makes the core that decides what is resent, with the settings' classes.
+func newResender(cfg *Config, store *undelivered.Store) *undelivered.Resender {
+	var classes []undelivered.Class
+	effects := map[policy.Effect]undelivered.Effect{policy.Safe: undelivered.Safe, policy.Keyed: undelivered.Keyed,
+		policy.Unsafe: undelivered.Unsafe}
+	for _, c := range cfg.policy.Classes {
+		subject := false
+		for _, s := range cfg.Own.Undelivered.Subjects {
+			subject = subject || s.Class == c.Name
+		}
+		classes = append(classes, undelivered.Class{Name: c.Name, Effect: effects[c.Effect], Memory: c.Memory,
+			Attempts: cfg.policy.MaxAttempts, Subject: subject})
+	}
+	// No subject is read from messages yet, and none is known: a class that has them is held.
+	newest := undelivered.NewNewest(cfg.Own.Undelivered.SubjectsMost, false)
+	r := undelivered.NewResender(store, cfg.Own.Undelivered.Rules, classes, newest, cfg.Name, newID)
+	rules, err := json.Marshal(cfg.Own.Undelivered.Rules)
+	if err != nil {
+		panic(err) // no rule that was read can fail
+	}
+	digest := sha256.Sum256(rules)
+	if changed, err := store.RulesAre(digest[:]); err != nil {
+		slog.Error("rules for undelivered messages", "err", err)
+	} else if changed {
+		r.Sweep()
+	}
+	return r
+}
+
+// newID makes an id that no client uses: a hundred bits by chance.
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return "again-" + hex.EncodeToString(b[:])
+}
+
+// resend offers the loop what is due.
+func (k *keeper) resend(ctx context.Context) error {
+	offers, err := k.resender.Round(time.Now(), func(id string) bool {
+		q := holds{id, make(chan bool, 1)}
+		k.offer(q)
+		select {
+		case held := <-q.answer:
+			return held
+		case <-ctx.Done():
+			return true // it is not the time to decide
+		}
+	})
+	for _, o := range offers {
+		body, bodyErr := k.store.Body(o.Record.ID)
+		if bodyErr != nil {
+			slog.Error("an undelivered message is not resent", "err", bodyErr)
+			k.result(undelivered.Result{Life: undelivered.Life{ID: o.Life.ID}})
+			continue
+		}
+		k.offer(resend{&Entry{ID: o.Life.ID, Class: o.Record.Class, Dest: o.Record.Partner, Tenant: o.Record.Tenant,
+			Key: o.Record.Key, Taken: o.Life.Taken, Expires: o.Life.Expires, Body: body, Resend: true}})
+	}
+	return err
+}
+
+// resend hands a message from the store to the module, behind all that is fresh.
+func (l *loop) resend(r resend) {
+	m := &message{Entry: r.entry}
+	if l.messages[m.ID] != nil {
+		return
+	}
+	if !l.dests[m.Dest] || !l.journal.Reserve(m.Entry) {
+		l.giveBack(m)
+		return
+	}
+	l.messages[m.ID] = m
+	l.fresh = append(l.fresh, m)
+	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest, Background: true,
+		Left: l.clock(m.Expires) - l.now()})
+}
+
+// giveBack tells the store that a resend never left.
+func (l *loop) giveBack(m *message) {
+	m.over = true
+	if l.messages[m.ID] == m {
+		delete(l.messages, m.ID)
+	}
+	l.keeper.result(undelivered.Result{Life: undelivered.Life{ID: m.ID}})
+}
+
+// endResend ends a resend: the store is told, and only then the journal lets go of it.
+func (l *loop) endResend(m *message, status string) {
+	if l.journal.Get(m.ID) != m.Entry { // refused at its arrival, before it was journalled
+		l.giveBack(m)
+		return
+	}
+	m.over = true
+	now := l.now()
+	reason := undelivered.Reason("")
+	if status != delivered {
+		reason = l.reason(m, status, now)
+	}
+	l.journal.Owe(m.Entry, Notice{ID: m.ID, Status: status}, string(reason), l.wall(now))
+	l.effects = append(l.effects, func() { l.tellEnd(m) })
+}
--- a/internal/undelivered/admin.go
+++ b/internal/undelivered/admin.go
@@ -251,7 +251,7 @@
 	set := func(s State, why string) { r.State, r.Why, r.Since = s, why, now }
 	switch what {
 	case "hold":
-		r.Kept = true
+		r.Kept, r.Asked = true, false
 		set(Held, "held by "+o.By+because(o.Why))
 		return time.Time{}, nil
 	case "discard":
@@ -261,7 +261,7 @@
 		set(Discarded, "discarded by "+o.By+because(o.Why))
 		return time.Time{}, nil
 	case "resend":
-		r.Kept = false
+		r.Kept, r.Asked = false, true
 		set(Due, "to be resent, asked for by "+o.By+because(o.Why))
 		return now, nil
 	case "attest":
@@ -272,7 +272,7 @@
 			return refuse("an attest for it is there already, and serves for one resend")
 		}
 		r.Attests = append(r.Attests, Attest{By: o.By, Evidence: o.Evidence, At: now})
-		return r.Due, nil
+		return now, nil // a rule may want it now
 	}
 	return r.Due, fmt.Errorf("%w: nothing is called %q", errBadRequest, what)
 }
@@ -297,6 +297,7 @@
 	case e.ID == "" || len(e.Lives) == 0 || e.Lives[0].ID != e.ID:
 		return nil, fmt.Errorf("%w: no message with a history", errBadRequest)
 	}
+	e.Due = time.Time{}
 	if _, err := a.Store.Get(e.ID); err == nil {
 		return map[string]bool{"kept": false}, nil
 	}
@@ -305,7 +306,7 @@
 	}
 	if !e.State.Ended() {
 		e.State, e.Why, e.Since = Held, "imported", a.Now()
+		e.Due = e.Since
 	}
-	e.Due = time.Time{}
 	return map[string]bool{"kept": true}, a.Store.Put([]Kept{{e.Record, e.Body}})
 }
--- a/internal/undelivered/record.go
+++ b/internal/undelivered/record.go
@@ -91,10 +91,11 @@
 	Order    *Order    `json:"order,omitempty"`
 	Lives    []Life    `json:"lives"`
 	State    State     `json:"state"`
-	Why      string    `json:"why,omitempty"`  // of its state, in words
-	Since    time.Time `json:"since"`          // of its state
-	Due      time.Time `json:"due,omitzero"`   // when to look at it again by itself
-	Kept     bool      `json:"kept,omitempty"` // by an operator: no rule resends it
+	Why      string    `json:"why,omitempty"`   // of its state, in words
+	Since    time.Time `json:"since"`           // of its state
+	Due      time.Time `json:"due,omitzero"`    // when to look at it again by itself
+	Asked    bool      `json:"asked,omitempty"` // an operator wants it resent
+	Kept     bool      `json:"kept,omitempty"`  // by an operator: no rule resends it
 	Attests  []Attest  `json:"attests,omitempty"`
 	BodySize int       `json:"body_size"`
 }
--- /dev/null
+++ b/internal/undelivered/resend.go
@@ -0,0 +1,293 @@
+package undelivered
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+const (
+	// busyLeast and busyMost bound the pause of a partner's resends after the relay had no room for one, failLeast and
+	// failMost after one that failed: each in a row doubles it, so that a partner that is down sees a few.
+	busyLeast, busyMost = 200 * time.Millisecond, 5 * time.Second
+	failLeast, failMost = 5 * time.Second, 5 * time.Minute
+	// burst is how many resends a partner may get at once after a rest: its rate is kept in the mean.
+	burst = 1.0
+	// mostAtOnce is how many messages of a partner are looked at in one round.
+	mostAtOnce = 20
+	// sweepAtOnce is how many messages one round of a sweep has looked at again.
+	sweepAtOnce = 500
+	// lostAfter its time a message that was to be resent and of which the relay knows nothing counts as returned.
+	lostAfter = 30 * time.Second
+)
+
+// Result is what became of a resend.
+type Result struct {
+	Life      Life // with the id under which it went
+	Delivered bool
+}
+
+// Offer is a message that is to be handed to the decision module as a background message.
+type Offer struct {
+	Record *Record
+	Life   *Life // its new one
+}
+
+// lane is the pace of one partner's resends.
+type lane struct {
+	tokens float64
+	at     time.Time // as of when
+	until  time.Time // paused
+	busy   time.Duration
+	fail   time.Duration
+	out    string    // the life that is out; empty: none
+	lost   time.Time // when that counts as lost
+}
+
+// Resender decides what of a store is resent when: which messages the rules want, in which order, and at which pace.
+// It is not safe for concurrent use; times come in as arguments.
+type Resender struct {
+	store   *Store
+	rules   []Rule
+	classes map[string]*Class
+	newest  *Newest
+	relay   string
+	newID   func() string
+	lanes   map[int]*lane
+	// sweep goes over all records once after the rules have changed; 0: it is through.
+	sweep uint64
+}
+
+// NewResender decides for a store. newID makes ids that nobody else uses.
+func NewResender(store *Store, rules []Rule, classes []Class, newest *Newest, relay string, newID func() string) *Resender {
+	r := &Resender{store: store, rules: rules, classes: map[string]*Class{}, newest: newest, relay: relay, newID: newID,
+		lanes: map[int]*lane{}}
+	for i := range classes {
+		r.classes[classes[i].Name] = &classes[i]
+	}
+	return r
+}
+
+// Sweep has every message that is held looked at again: the rules are others than before.
+func (r *Resender) Sweep() { r.sweep = 1 }
+
+// sweepOn goes on with a sweep.
+func (r *Resender) sweepOn(now time.Time) error {
+	page, next, _, err := r.store.Page(r.sweep, sweepAtOnce, 10*sweepAtOnce, func(rec *Record) bool { return rec.State == Held && rec.Due.IsZero() })
+	if err != nil {
+		return err
+	}
+	for _, rec := range page {
+		if err := r.store.Change(rec.ID, func(*Record) (time.Time, error) { return now, nil }); err != nil {
+			return err
+		}
+	}
+	r.sweep = next
+	return nil
+}
+
+func (r *Resender) lane(partner int, now time.Time) *lane {
+	l := r.lanes[partner]
+	if l == nil {
+		l = &lane{tokens: burst, at: now}
+		r.lanes[partner] = l
+	}
+	return l
+}
+
+// Round looks at what is due, writes down what the rules make of it, and gives what is to be offered to the module.
+// holds says whether the relay still has a message under an id.
+func (r *Resender) Round(now time.Time, holds func(id string) bool) (offers []Offer, err error) {
+	if r.sweep > 0 {
+		if err := r.sweepOn(now); err != nil {
+			return nil, err
+		}
+	}
+	due, err := r.store.Due(now, func(partner int) int {
+		if l := r.lane(partner, now); l.until.After(now) || l.out != "" && l.lost.After(now) {
+			return 0
+		}
+		return mostAtOnce
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, rec := range due {
+		o, err := r.look(rec, now, holds)
+		if err != nil {
+			return offers, err
+		}
+		if o != nil {
+			offers = append(offers, *o)
+		}
+	}
+	return offers, nil
+}
+
+// look decides on one message.
+func (r *Resender) look(rec *Record, now time.Time, holds func(id string) bool) (offer *Offer, err error) {
+	if rec.State == Out {
+		return nil, r.lost(rec, now, holds)
+	}
+	l := r.lane(rec.Partner, now)
+	err = r.store.Change(rec.ID, func(rec *Record) (time.Time, error) {
+		p := r.plan(rec, now)
+		if p.Action != Resend {
+			return r.settle(rec, p, now), nil
+		}
+		if l.out != "" || !l.take(p.Rate, now) {
+			return rec.Due, errLater
+		}
+		life := Life{ID: r.newID(), Relay: r.relay, Taken: now, Expires: now.Add(r.lifeOf(rec))}
+		if p.Use != nil {
+			p.Use.Used = true
+			used := *p.Use
+			life.Attest = &used
+		}
+		rec.Lives = append(rec.Lives, life)
+		rec.State, rec.Since, rec.Why = Out, now, p.Why
+		offer = &Offer{Record: rec, Life: rec.Last()}
+		return life.Expires.Add(lostAfter), nil
+	})
+	if errors.Is(err, errLater) {
+		return nil, nil
+	}
+	if err == nil && offer != nil {
+		l.out, l.lost = offer.Life.ID, offer.Life.Expires.Add(lostAfter)
+	}
+	return offer, err
+}
+
+// errLater says that a message stays as it is for now.
+var errLater = errors.New("later")
+
+// plan is what the rules, or an operator who asked for it, make of a message.
+func (r *Resender) plan(rec *Record, now time.Time) Plan {
+	c := r.classes[rec.Class]
+	if rec.State == Due && rec.Asked {
+		rule := Rule{Action: Resend, Most: len(rec.Lives) + 1, Rate: 1}
+		return rule.resend(c, rec, r.newest, now)
+	}
+	return Decide(r.rules, c, rec, r.newest, now)
+}
+
+// settle writes down a plan other than a resend, and gives when to look again.
+func (r *Resender) settle(rec *Record, p Plan, now time.Time) time.Time {
+	rec.Why, rec.Since, rec.Asked = p.Why, now, false
+	switch p.Action {
+	case Discard:
+		rec.State = Discarded
+		return time.Time{}
+	case string(Superseded):
+		rec.State = Superseded
+		return time.Time{}
+	}
+	rec.State = Held
+	return p.At
+}
+
+// lifeOf is how long a resend may take: as long as the message had when it was first taken on.
+func (r *Resender) lifeOf(rec *Record) time.Duration {
+	return max(time.Second, rec.Lives[0].Expires.Sub(rec.Lives[0].Taken))
+}
+
+// take takes a resend out of a lane's pace.
+func (l *lane) take(rate float64, now time.Time) bool {
+	l.tokens = min(burst, l.tokens+max(0, now.Sub(l.at).Seconds())*rate)
+	l.at = now
+	if l.tokens < 1 {
+		return false
+	}
+	l.tokens--
+	return true
+}
+
+// lost looks at a resend whose time is long over. Where the relay does not have it, it can't be told whether it went:
+// its process was killed before it was journalled, or its machine was lost with the journal.
+func (r *Resender) lost(rec *Record, now time.Time, holds func(id string) bool) error {
+	if holds(rec.Last().ID) {
+		return r.store.Change(rec.ID, func(*Record) (time.Time, error) { return now.Add(lostAfter), nil })
+	}
+	life := *rec.Last()
+	life.Over, life.Reason, life.Status = now, ProcessEnded, "unknown"
+	life.Attempts = append(life.Attempts, Attempt{Begun: life.Taken, Outcome: "unknown", Ran: May})
+	return r.Return([]Result{{Life: life}}, now)
+}
+
+// Return takes in what became of resends. One that is told again changes nothing.
+func (r *Resender) Return(results []Result, now time.Time) error {
+	for i := range results {
+		res := &results[i]
+		partner, news := 0, false
+		err := r.store.Change(res.Life.ID, func(rec *Record) (time.Time, error) {
+			if rec.State != Out || rec.Last().ID != res.Life.ID {
+				return rec.Due, nil // told before
+			}
+			partner, news = rec.Partner, true
+			return rec.returned(res, now), nil
+		})
+		if errors.Is(err, ErrUnknown) {
+			continue // its record left by a bound, or the store is another one
+		}
+		if err != nil {
+			return err
+		}
+		if news {
+			r.lane(partner, now).returned(res, now)
+		}
+	}
+	return nil
+}
+
+// returned changes a record by what became of its resend, and gives when to look at it again.
+func (rec *Record) returned(res *Result, now time.Time) time.Time {
+	last := rec.Last()
+	attest := last.Attest
+	rec.Since, rec.Asked = now, rec.Asked && len(res.Life.Attempts) == 0
+	switch {
+	case res.Delivered:
+		*last = res.Life
+		last.Attest = attest
+		rec.State, rec.Why = Delivered, "delivered as "+last.ID
+		return time.Time{}
+	case len(res.Life.Attempts) == 0:
+		// It never left the relay: that was no life, and no attest is used up by it.
+		rec.Lives = rec.Lives[:len(rec.Lives)-1]
+		if attest != nil {
+			for i := range rec.Attests {
+				if a := &rec.Attests[i]; a.At.Equal(attest.At) && a.By == attest.By {
+					a.Used = false
+				}
+			}
+		}
+		rec.Why = "the relay had no room for it"
+	default:
+		*last = res.Life
+		last.Attest = attest
+		rec.Why = fmt.Sprintf("its resend %s was not delivered: %s", last.ID, last.Reason)
+	}
+	rec.State = Held
+	if rec.Asked {
+		rec.State = Due
+	}
+	return now
+}
+
+// returned paces a lane by what became of a resend.
+func (l *lane) returned(res *Result, now time.Time) {
+	if l.out == res.Life.ID {
+		l.out = ""
+	}
+	grow := func(d *time.Duration, least, most time.Duration) {
+		*d = min(most, max(least, 2**d))
+		l.until = now.Add(*d)
+	}
+	switch {
+	case res.Delivered:
+		l.busy, l.fail = 0, 0
+	case len(res.Life.Attempts) == 0:
+		grow(&l.busy, busyLeast, busyMost)
+	default:
+		grow(&l.fail, failLeast, failMost)
+	}
+}
--- /dev/null
+++ b/internal/undelivered/resend_test.go
@@ -0,0 +1,241 @@
+package undelivered
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// desk is a resender with a store and a relay that the test plays.
+type desk struct {
+	*Resender
+	t    *testing.T
+	now  time.Time
+	held map[string]bool
+}
+
+func newDesk(t *testing.T, effect Effect, rules ...Rule) *desk {
+	t.Helper()
+	n := 0
+	id := func() string { n++; return fmt.Sprint("r", n) }
+	classes := []Class{{Name: "fee-payment", Effect: effect, Memory: 15 * time.Second, Attempts: 12}}
+	return &desk{NewResender(openStore(t, t.TempDir()), rules, classes, NewNewest(9, true), "relay", id), t, noon, map[string]bool{}}
+}
+
+var always = Rule{Action: Resend, Most: 9, Rate: 1000}
+
+// keep puts messages in that were given up at noon without having run.
+func (d *desk) keep(ids ...string) {
+	d.t.Helper()
+	for _, id := range ids {
+		k := kept(id)
+		k.Lives[0].Attempts[0].Ran, k.Due = Never, noon
+		if err := d.store.Put([]Kept{k}); err != nil {
+			d.t.Fatal(err)
+		}
+	}
+}
+
+// round lets some time pass, and gives what is offered.
+func (d *desk) round(pass time.Duration) (ids string) {
+	d.t.Helper()
+	d.now = d.now.Add(pass)
+	offers, err := d.Round(d.now, func(id string) bool { return d.held[id] })
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	for _, o := range offers {
+		ids += o.Record.ID + "=" + o.Life.ID + " "
+	}
+	return ids
+}
+
+func (d *desk) returns(id string, delivered bool, attempts ...Attempt) {
+	d.t.Helper()
+	r := Result{Life: Life{ID: id, Reason: Spent, Over: d.now, Attempts: attempts}, Delivered: delivered}
+	for range 2 { // told twice, as after a crash
+		if err := d.Return([]Result{r}, d.now); err != nil {
+			d.t.Fatal(err)
+		}
+	}
+}
+
+func (d *desk) is(id string, s State, lives int) *Record {
+	d.t.Helper()
+	r, err := d.store.Get(id)
+	if err != nil || r.State != s || len(r.Lives) != lives {
+		d.t.Errorf("%s is %s with %d lives (%s), want %s with %d; %v", id, r.State, len(r.Lives), r.Why, s, lives, err)
+	}
+	return r
+}
+
+func TestAResendIsDelivered(t *testing.T) {
+	d := newDesk(t, Unsafe, always)
+	d.keep("a", "b")
+	if got := d.round(0); got != "a=r1 " {
+		t.Fatalf("offered %q", got)
+	}
+	d.is("a", Out, 2)
+	if got := d.round(time.Minute); got != "" {
+		t.Errorf("offered %q while one is out there", got)
+	}
+	d.returns("r1", true, Attempt{Host: "h", Begun: d.now, Ran: Did})
+	r := d.is("a", Delivered, 2)
+	if r.Last().ID != "r1" || len(r.Last().Attempts) != 1 {
+		t.Errorf("its last life: %+v", r.Last())
+	}
+	if got := d.round(time.Second); got != "b=r2 " {
+		t.Errorf("then %q", got)
+	}
+}
+
+// A resend for which the relay had no room is no life, takes no attest, and is tried again after a short pause.
+func TestAResendWithoutRoom(t *testing.T) {
+	d := newDesk(t, Unsafe, always)
+	k := kept("a") // it may have run
+	k.Due, k.Attests = noon, []Attest{{By: "Amina", Evidence: "ledger", At: noon}}
+	if err := d.store.Put([]Kept{k}); err != nil {
+		t.Fatal(err)
+	}
+	for n := 1; n <= 3; n++ {
+		if got := d.round(10 * time.Second); got != fmt.Sprintf("a=r%d ", n) {
+			t.Fatalf("round %d: %q", n, got)
+		}
+		if r := d.is("a", Out, 2); !r.Attests[0].Used || r.Last().Attest == nil {
+			t.Errorf("it went without its attest: %+v", r)
+		}
+		d.returns(fmt.Sprint("r", n), false)
+		if r := d.is("a", Held, 1); r.Attests[0].Used {
+			t.Error("its attest is used up by nothing")
+		}
+	}
+	if got := d.round(busyLeast / 2); got != "" {
+		t.Errorf("offered %q at once", got)
+	}
+	d.round(10 * time.Second)
+	d.returns("r4", false, Attempt{Host: "h", Begun: d.now, Ran: May})
+	if got := d.round(time.Hour); got != "" {
+		t.Errorf("offered %q again, though it may have run and the attest is used", got)
+	}
+	d.is("a", Held, 2)
+}
+
+// While the partner is still down a few go, further and further apart, and no allowance is burnt.
+func TestAPartnerThatIsStillDown(t *testing.T) {
+	d := newDesk(t, Safe, always)
+	for i := range 50 {
+		d.keep(fmt.Sprint("m", i))
+	}
+	went := 0
+	for range 4 * 60 { // an hour, a look every quarter of a minute
+		got := d.round(15 * time.Second)
+		if got == "" {
+			continue
+		}
+		went++
+		d.returns(fmt.Sprint("r", went), false, Attempt{Host: "h", Begun: d.now, Ran: Never})
+	}
+	if went < 10 || went > 25 {
+		t.Errorf("%d resends in an hour to a partner that is down", went)
+	}
+}
+
+// A resend that comes back undelivered keeps its lineage, counts against the allowance, and does not loop for ever.
+func TestAResendThatComesBack(t *testing.T) {
+	d := newDesk(t, Safe, Rule{Action: Resend, Most: 3, Rate: 1000})
+	d.keep("a")
+	for n := 1; n <= 2; n++ {
+		if got := d.round(time.Hour); got != fmt.Sprintf("a=r%d ", n) {
+			t.Fatalf("round %d: %q", n, got)
+		}
+		d.returns(fmt.Sprint("r", n), false, Attempt{Host: "h", Begun: d.now, Ran: Never})
+	}
+	if got := d.round(time.Hour); got != "" {
+		t.Errorf("offered %q beyond the rule's lives", got)
+	}
+	if r := d.is("a", Held, 3); r.Attempts() != 3 || r.Lives[1].ID != "r1" {
+		t.Errorf("lineage %+v", r.Lives)
+	}
+}
+
+// A resend of which the relay knows nothing, long after its time, may have run.
+func TestALostResend(t *testing.T) {
+	d := newDesk(t, Unsafe, always)
+	d.keep("a")
+	d.round(0)
+	d.held["r1"] = true
+	d.round(time.Hour)
+	d.is("a", Out, 2)         // the relay still has it
+	d.lanes = map[int]*lane{} // another process
+	delete(d.held, "r1")
+	d.round(time.Hour)
+	if r := d.is("a", Held, 2); r.MayHaveRun() == nil || r.Last().Reason != ProcessEnded {
+		t.Errorf("%+v", r)
+	}
+	if got := d.round(time.Hour); got != "" {
+		t.Errorf("offered %q", got)
+	}
+}
+
+func TestRatesAndOtherPartners(t *testing.T) {
+	d := newDesk(t, Safe, Rule{Action: Resend, Most: 9, Rate: 0.5})
+	d.keep("a", "b", "c")
+	other := kept("o")
+	other.Partner, other.Due = 8, noon
+	if err := d.store.Put([]Kept{other}); err != nil {
+		t.Fatal(err)
+	}
+	if got := d.round(0); got != "a=r1 o=r2 " {
+		t.Errorf("offered %q", got)
+	}
+	went := 1
+	for range 60 { // half a minute
+		d.returns(fmt.Sprint("r", len(d.held)+1), true, Attempt{Ran: Did})
+		d.returns("r3", true, Attempt{Ran: Did})
+		if d.round(500*time.Millisecond) != "" {
+			went++
+		}
+	}
+	if went != 3 {
+		t.Errorf("%d of three went", went)
+	}
+}
+
+// What an operator asks for goes once, by the same judge; new rules look at what was held under the old ones.
+func TestAskedForAndNewRules(t *testing.T) {
+	d := newDesk(t, Unsafe)
+	d.keep("a", "b")
+	if got := d.round(0); got != "" {
+		t.Fatalf("offered %q without a rule", got)
+	}
+	ran := kept("ran")
+	if err := d.store.Put([]Kept{ran}); err != nil {
+		t.Fatal(err)
+	}
+	admin := &Admin{Store: d.store, Now: func() time.Time { return d.now }}
+	for _, id := range []string{"a", "ran"} {
+		if code := ask(t, admin, "POST", "/messages/"+id+"/resend", `{"by":"Amina"}`, nil); code != 200 {
+			t.Fatal(code)
+		}
+	}
+	if got := d.round(time.Second); got != "a=r1 " {
+		t.Errorf("asked for: %q", got)
+	}
+	d.returns("r1", true, Attempt{Ran: Did})
+	d.round(time.Second)
+	d.is("ran", Held, 1) // it may have run, whoever asks
+	if changed, err := d.store.RulesAre([]byte("new")); err != nil || !changed {
+		t.Errorf("changed %v, %v", changed, err)
+	}
+	if changed, _ := d.store.RulesAre([]byte("new")); changed {
+		t.Error("the same rules are others")
+	}
+	d.rules = []Rule{always}
+	if got := d.round(time.Second); got != "" {
+		t.Errorf("offered %q before a sweep", got)
+	}
+	d.Sweep()
+	if got := d.round(time.Second); got != "b=r2 " {
+		t.Errorf("after a sweep: %q", got)
+	}
+}
--- a/internal/undelivered/store.go
+++ b/internal/undelivered/store.go
@@ -1,11 +1,13 @@
 package undelivered
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"math"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -16,11 +18,11 @@
 
 // The store is one bbolt file with these buckets:
 //
-//	meta      "version" -> 4 bytes; "totals" -> Totals as JSON
+//	meta      "version" -> 4 bytes; "totals" -> Totals as JSON; "rules" -> a digest of the rules last used
 //	records   number (8 bytes, big endian, rising) -> checksum (4 bytes, CRC-32C of the rest) + Record as JSON
 //	bodies    number -> checksum + body
 //	ids       id of any life -> number
-//	due       time (8 bytes, Unix milliseconds) + number -> nothing: when to look at an open record again
+//	due       partner (4 bytes) + time (8 bytes, Unix milliseconds) + number -> nothing: when to look at a record again
 //	groups    class 0x00 tenant -> Group as JSON
 //	unkept    id -> why and when, of what could not be kept or left by a bound without an export
 //
@@ -40,6 +42,7 @@
 	bUnkept                  = []byte("unkept")
 	buckets                  = [][]byte{bMeta, bRecords, bBodies, bIDs, bDue, bGroups, bUnkept}
 	kVersion, kTotals        = []byte("version"), []byte("totals")
+	kRules                   = []byte("rules")
 	castagnoli               = crc32.MakeTable(crc32.Castagnoli)
 )
 
@@ -221,6 +224,9 @@
 			return err
 		}
 	}
+	if err := moveDue(tx, m.Partner, n, time.Time{}, m.Due); err != nil {
+		return err
+	}
 	t.count(m.State, 1)
 	t.Messages++
 	t.Bytes += int64(len(m.Body))
@@ -390,12 +396,12 @@
 		if err := write(records, n, r); err != nil {
 			return err
 		}
-		for _, l := range r.Lives[lives:] {
+		for _, l := range r.Lives[min(lives, len(r.Lives)):] {
 			if err := ids.Put([]byte(l.ID), key(n)); err != nil {
 				return err
 			}
 		}
-		if err := moveDue(tx, n, wasDue, due); err != nil {
+		if err := moveDue(tx, r.Partner, n, wasDue, due); err != nil {
 			return err
 		}
 		if was == r.State {
@@ -411,43 +417,52 @@
 	})
 }
 
-// dueKey is when to look at a record again.
-func dueKey(at time.Time, n uint64) []byte {
-	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, uint64(at.UnixMilli())), n)
+// dueKey is when to look at a record again. The partner comes first: the many of one that is down are not to stand
+// before the few of another.
+func dueKey(partner int, at time.Time, n uint64) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(partner))
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(b, uint64(at.UnixMilli())), n)
 }
 
-func moveDue(tx *bbolt.Tx, n uint64, from, to time.Time) error {
+func moveDue(tx *bbolt.Tx, partner int, n uint64, from, to time.Time) error {
 	b := tx.Bucket(bDue)
 	if !from.IsZero() {
-		if err := b.Delete(dueKey(from, n)); err != nil {
+		if err := b.Delete(dueKey(partner, from, n)); err != nil {
 			return err
 		}
 	}
 	if to.IsZero() {
 		return nil
 	}
-	return b.Put(dueKey(to, n), nil)
+	return b.Put(dueKey(partner, to, n), nil)
 }
 
-// DueBy gives the first so many messages that are to be looked at by a time, and when the next one after them is.
-func (s *Store) DueBy(at time.Time, most int) (due []*Record, next time.Time, err error) {
+// Due gives messages that are to be looked at by a time: of each partner the first so many as most says for it.
+func (s *Store) Due(at time.Time, most func(partner int) int) (due []*Record, err error) {
 	err = s.view(func(tx *bbolt.Tx) error {
 		c, records := tx.Bucket(bDue).Cursor(), tx.Bucket(bRecords)
-		for k, _ := c.First(); k != nil; k, _ = c.Next() {
-			when := time.UnixMilli(int64(binary.BigEndian.Uint64(k)))
-			if when.After(at) || len(due) == most {
-				next = when
-				return nil
+		for k, _ := c.First(); k != nil; {
+			partner := binary.BigEndian.Uint32(k)
+			left := most(int(partner))
+			for ; k != nil && left > 0 && binary.BigEndian.Uint32(k) == partner; k, _ = c.Next() {
+				if time.UnixMilli(int64(binary.BigEndian.Uint64(k[4:]))).After(at) {
+					break
+				}
+				r, err := read(records, k[12:])
+				if err != nil {
+					continue // verify tells of it
+				}
+				due = append(due, r)
+				left--
 			}
-			r, err := read(records, k[8:])
-			if err != nil {
-				continue // verify tells of it
+			if partner == math.MaxUint32 {
+				return nil
 			}
-			due = append(due, r)
+			k, _ = c.Seek(binary.BigEndian.AppendUint32(nil, partner+1))
 		}
 		return nil
 	})
-	return due, next, err
+	return due, err
 }
 
 // Totals gives what the store holds in all, and by class and tenant.
@@ -524,7 +539,7 @@
 	if err != nil {
 		return err
 	}
-	if err := moveDue(tx, binary.BigEndian.Uint64(k), r.Due, time.Time{}); err != nil {
+	if err := moveDue(tx, r.Partner, binary.BigEndian.Uint64(k), r.Due, time.Time{}); err != nil {
 		return err
 	}
 	for _, l := range r.Lives {
@@ -545,6 +560,15 @@
 	return changeGroup(tx, r.Class, r.Tenant, -1, -int64(r.BodySize))
 }
 
+// RulesAre notes which rules are used, and tells whether they differ from those that were used last.
+func (s *Store) RulesAre(digest []byte) (changed bool, err error) {
+	err = s.update(func(tx *bbolt.Tx) error {
+		changed = !bytes.Equal(tx.Bucket(bMeta).Get(kRules), digest)
+		return tx.Bucket(bMeta).Put(kRules, digest)
+	})
+	return changed, err
+}
+
 // Unkept lists by id what could not be kept, with the reason.
 func (s *Store) Unkept(ids []string, why string, at time.Time) error {
 	return s.update(func(tx *bbolt.Tx) error {
--- a/internal/undelivered/store_test.go
+++ b/internal/undelivered/store_test.go
@@ -80,15 +80,36 @@
 			t.Fatal(err)
 		}
 	}
-	due, next, err := s.DueBy(noon.Add(time.Second), 9)
-	if err != nil || len(due) != 2 || due[0].ID != "c" || due[1].ID != "a" || !next.Equal(noon.Add(2*time.Second)) {
-		t.Errorf("due %v, next %v, %v", due, next, err)
+	by := func(at time.Time, most int) (ids string) {
+		t.Helper()
+		due, err := s.Due(at, func(int) int { return most })
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range due {
+			ids += r.ID
+		}
+		return ids
+	}
+	if got := by(noon.Add(time.Second), 9); got != "ca" {
+		t.Errorf("due %q", got)
 	}
-	if due, _, _ := s.DueBy(noon.Add(time.Hour), 2); len(due) != 2 {
-		t.Errorf("%d of at most two", len(due))
+	if got := by(noon.Add(time.Hour), 2); got != "ca" {
+		t.Errorf("at most two: %q", got)
+	}
+	other := kept("o")
+	other.Partner, other.Due = 9, noon.Add(time.Minute)
+	if err := s.Put([]Kept{other}); err != nil {
+		t.Fatal(err)
+	}
+	if got := by(noon.Add(time.Hour), 1); got != "co" {
+		t.Errorf("one of each partner: %q", got)
+	}
+	if err := s.Remove([]string{"o"}); err != nil {
+		t.Fatal(err)
 	}
 	// A resend takes a new id; the message is found by either.
-	err = s.Change("a", func(r *Record) (time.Time, error) {
+	err := s.Change("a", func(r *Record) (time.Time, error) {
 		r.State, r.Lives = Out, append(r.Lives, Life{ID: "a2"})
 		return time.Time{}, nil
 	})
@@ -102,8 +123,8 @@
 	if totals, _, _ := s.Totals(); totals.Messages != 3 || totals.States[Out] != 1 || totals.States[Held] != 2 {
 		t.Errorf("%+v", totals)
 	}
-	if due, _, _ := s.DueBy(noon.Add(time.Hour), 9); len(due) != 2 {
-		t.Errorf("%d due after one went out", len(due))
+	if got := by(noon.Add(time.Hour), 9); got != "cb" {
+		t.Errorf("due after one went out: %q", got)
 	}
 	if err := s.Change("b", func(r *Record) (time.Time, error) { r.State = Discarded; return noon, errors.New("no") }); err == nil {
 		t.Error("no error")
@@ -115,11 +136,11 @@
 		t.Fatal(err)
 	}
 	totals, groups, _ := s.Totals()
-	if totals.Messages != 1 || totals.Left["fee-payment of lahore"] != 2 || groups[0].Messages != 1 || groups[0].Bytes != int64(len("body of c")) {
+	if totals.Messages != 1 || totals.Left["fee-payment of lahore"] != 3 || groups[0].Messages != 1 || groups[0].Bytes != int64(len("body of c")) {
 		t.Errorf("%+v %+v", totals, groups)
 	}
-	if due, _, _ := s.DueBy(noon.Add(time.Hour), 9); len(due) != 1 {
-		t.Errorf("%d due after two were removed", len(due))
+	if got := by(noon.Add(time.Hour), 9); got != "c" {
+		t.Errorf("due after two were removed: %q", got)
 	}
 }
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -121,6 +121,9 @@
 		// admission again. Tried are that process's attempts, which count as this one's.
 		Resumed bool
 		Tried   []Tried
+		// Background says that it waited elsewhere until nothing else was wanted there, and can do so again: it is
+		// refused unless it can go at once, and after one attempt that did not deliver it.
+		Background bool
 	}
 	// Ended reports how an attempt ended.
 	Ended struct {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -67,6 +67,10 @@
 	// pauseCalls at the pace, and leastPause where no pace is known, is the first pause after a refusal,
 	// longestHold the longest: about the longest span in which receivers count calls.
 	pauseCalls, leastPause, longestHold = 0.5, 100 * time.Millisecond, 2 * time.Second
+	// backgroundShare of the slots may have calls out in all when one with a background message goes, and
+	// backgroundSlots of them with such messages: what is fresh finds a slot all the same. backgroundTokens of
+	// its pace a queue must have.
+	backgroundShare, backgroundSlots, backgroundTokens = 0.5, 1.0 / 8, 2
 	// subscribeAgain is the wait before a failed subscription is asked for again.
 	subscribeAgain = 500 * time.Millisecond
 )
@@ -139,6 +143,15 @@
 // admit refuses an arriving message at once or puts it into a queue.
 func (d *Dispatcher) admit(m *message) {
 	q := d.route(m)
+	if m.Background {
+		// Neither λ nor the copy hears of it: it makes no fresh message late.
+		if d.idle(q) {
+			d.hold(q, m)
+		} else {
+			d.refuse(m, 0)
+		}
+		return
+	}
 	q.arrivals.add(d.now, 1)
 	left := (m.expires - d.now).Seconds()
 	u, x := d.backlog(q), q.class[m.Class]
@@ -156,6 +169,37 @@
 	d.hold(q, m)
 }
 
+// idle tells whether a queue has nothing better to do than to send a background message at once: nothing is
+// held there or out with another one, none of its endpoints is or was out, and slots and pace leave room for
+// what is fresh.
+func (d *Dispatcher) idle(q *queue) bool {
+	if len(q.held) > 0 || d.now < q.waitUntil || d.now < q.holdUntil || d.stopping ||
+		float64(d.out+1) > backgroundShare*float64(d.s.Slots) ||
+		float64(len(d.live)) > backgroundShare*float64(d.s.HoldRoom) {
+		return false
+	}
+	if q.pace > 0 && d.tokens(q) < backgroundTokens {
+		return false
+	}
+	for _, ep := range q.eps {
+		d.epTokens(ep) // ends a ramp that is over
+		if ep.sick || ep.ramping || d.silent(ep) {
+			return false
+		}
+	}
+	out := 0
+	for _, other := range d.active {
+		for _, c := range other.out {
+			if c.msgs[0].Background {
+				if out++; other == q || float64(out+1) > math.Max(1, backgroundSlots*float64(d.s.Slots)) {
+					return false
+				}
+			}
+		}
+	}
+	return q.usable()
+}
+
 // lateAge is the age at which a class, or one worth as much or more that would wait behind it, falls
 // under keepWorth: messages worth little and patient must not fill a queue against urgent ones.
 func (d *Dispatcher) lateAge(c *Class) time.Duration {
@@ -605,7 +649,8 @@
 	case m.over:
 		d.retire(m)
 	case m.open > 0:
-	case e.Spent || len(m.attempts) >= d.s.MaxAttempts, d.now >= m.expires-d.s.Tick || !d.repeatable(m, nil):
+	case m.Background, e.Spent || len(m.attempts) >= d.s.MaxAttempts, d.now >= m.expires-d.s.Tick,
+		!d.repeatable(m, nil):
 		d.giveUp(m)
 	default:
 		d.hold(d.route(m), m)
--- a/policy/state.go
+++ b/policy/state.go
@@ -182,6 +182,9 @@
 	return a.count(now) / (age * (1 - math.Exp(-math.Max(1, (now-a.since).Seconds())/age)))
 }
 
+// behindAll puts a background message behind whatever comes: more than any process takes on.
+const behindAll = 1 << 40
+
 // take notes a new message, or gives nil where it makes no sense.
 func (d *Dispatcher) take(e Arrived) *message {
 	if e.Class < 0 || e.Class >= len(d.s.Classes) || d.messages[e.ID] != nil {
@@ -190,6 +193,9 @@
 	d.seq++
 	m := &message{Arrived: e, class: &d.s.Classes[e.Class], seq: d.seq,
 		expires: d.now + e.Left}
+	if e.Background {
+		m.seq += behindAll
+	}
 	d.messages[e.ID] = m
 	d.live = append(d.live, m)
 	if m.class.Ordered && m.Key != "" {
@@ -214,6 +220,10 @@
 			m.rest = max(m.rest, d.now+d.s.OrderPause)
 		}
 	}
+	if m.Background && len(m.attempts) > 0 {
+		d.giveUp(m) // it had its attempt
+		return
+	}
 	d.hold(d.route(m), m)
 }
 
