--- a/cmd/frostlinkctl/undelivered.go
+++ b/cmd/frostlinkctl/undelivered.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"mallowlead/internal/operator"
+	"mallowlead/internal/relay"
 	"mallowlead/internal/undelivered"
 )
 
@@ -35,7 +36,7 @@
 	f.StringVar(&o.socket, "socket", "", "the running relay's `socket`")
 	f.StringVar(&o.folder, "folder", "", "the stopped relay's `folder`")
 	f.BoolVar(&o.json, "json", false, "print JSON")
-	c.AddCommand(o.list(), o.show(), o.stats(), o.verify(), o.export(), o.bring(),
+	c.AddCommand(o.list(), o.show(), o.stats(), o.check(), o.verify(), o.export(), o.bring(),
 		o.do("hold", "Hold a message: no rule resends it", false),
 		o.do("resend", "Have a message resent, where its class allows it", false),
 		o.do("discard", "Discard a message, with a reason", true),
@@ -275,6 +276,79 @@
 	}
 }
 
+func (o *storeOptions) check() *cobra.Command {
+	var config string
+	c := &cobra.Command{
+		Use:   "check",
+		Short: "Tell what the operator's rules would do with what is in the store now; nothing is changed",
+		Long: "Tell what the operator's rules would do with what is in the store now; nothing is changed. Rules that break a\n" +
+			"class's allowance are refused. A running relay knows its classes; for a stopped one name its configuration.",
+		Example: "  frostlinkctl undelivered check --operator deploy/frostlink.toml --config config.json",
+		Args:    cobra.NoArgs,
+		RunE: o.on(false, func(c *cobra.Command, a *undelivered.Access, _ []string) error {
+			if o.operator == "" {
+				return errors.New("--operator: which rules?")
+			}
+			own, err := operator.Read(o.operator)
+			if err != nil {
+				return err
+			}
+			order := undelivered.CheckOrder{Rules: own.Undelivered.Rules}
+			if config != "" {
+				if order.Classes, err = classesOf(config, own.Undelivered); err != nil {
+					return err
+				}
+			}
+			rules, err := a.Check(c.Context(), order)
+			if err != nil {
+				return err
+			}
+			if o.json {
+				err = writeJSON(c.OutOrStdout(), "-", rules)
+			} else {
+				printChecks(c.OutOrStdout(), rules, own.Undelivered.Rules)
+			}
+			for _, r := range rules {
+				if len(r.Faults) > 0 && err == nil {
+					err = errFound
+				}
+			}
+			return err
+		}),
+	}
+	c.Flags().StringVar(&config, "config", "", "the relay's configuration `file`, as the platform writes it")
+	return c
+}
+
+// classesOf reads a relay's classes from the platform's configuration.
+func classesOf(path string, own *undelivered.Section) ([]undelivered.Class, error) {
+	cfg, err := relay.ReadConfig(path)
+	if err != nil {
+		return nil, err
+	}
+	return cfg.ResendClasses(own), nil
+}
+
+// printChecks says in plain words what each rule would do.
+func printChecks(out io.Writer, checks []undelivered.RuleCheck, rules []undelivered.Rule) {
+	for _, c := range append(checks[1:], checks[0]) {
+		if c.Rule == 0 {
+			fmt.Fprintf(out, "no rule: holds %d messages\n", c.Matches)
+		} else {
+			fmt.Fprintf(out, "rule %d (%s): matches %d messages\n", c.Rule, rules[c.Rule-1].Action, c.Matches)
+		}
+		for _, f := range c.Faults {
+			fmt.Fprintf(out, "  REFUSED: it %s\n", f)
+		}
+		for action, n := range c.Actions {
+			fmt.Fprintf(out, "  %s now: %d\n", action, n)
+		}
+		for _, s := range c.Samples {
+			fmt.Fprintf(out, "  such as %s\n", s)
+		}
+	}
+}
+
 func (o *storeOptions) verify() *cobra.Command {
 	return &cobra.Command{
 		Use:     "verify",
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -33,6 +33,7 @@
 	done        func(ids []string)
 	offer       func(any) // hands the loop an event
 	newResender func(*undelivered.Store) *undelivered.Resender
+	classes     []undelivered.Class
 
 	// The goroutine's own.
 	store    *undelivered.Store // nil until it could be opened
@@ -54,6 +55,7 @@
 func newKeeper(cfg *Config, put func(any)) *keeper {
 	s := cfg.Own.Undelivered
 	k := &keeper{section: s, offer: put, done: func(ids []string) { put(kept{ids}) }}
+	k.classes = cfg.ResendClasses(s)
 	k.newResender = func(store *undelivered.Store) *undelivered.Resender { return newResender(cfg, store) }
 	k.more.L = &k.mu
 	return k
@@ -158,7 +160,7 @@
 	k.resender = k.newResender(k.store)
 	if k.section.Socket != "" {
 		k.tools.Go(func() {
-			if err := undelivered.Serve(ctx, k.section.Socket, &undelivered.Admin{Store: k.store, Now: time.Now}); err != nil {
+			if err := undelivered.Serve(ctx, k.section.Socket, &undelivered.Admin{Store: k.store, Now: time.Now, Classes: k.classes}); err != nil {
 				slog.Error("the tool for undelivered messages is not answered", "err", err)
 			}
 		})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if err := cfg.checkOwn(); err != nil {
+		return err
+	}
 	var keeping *undelivered.Section
 	if cfg.Own != nil {
 		keeping = cfg.Own.Undelivered
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -6,7 +6,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"mallowlead/internal/undelivered"
@@ -29,22 +32,37 @@
 	}
 )
 
-// newResender makes the core that decides what is resent, with the settings' classes.
-func newResender(cfg *Config, store *undelivered.Store) *undelivered.Resender {
-	var classes []undelivered.Class
+// ResendClasses are the settings' classes in the terms of the store of undelivered messages.
+func (cfg *Config) ResendClasses(own *undelivered.Section) (classes []undelivered.Class) {
 	effects := map[policy.Effect]undelivered.Effect{policy.Safe: undelivered.Safe, policy.Keyed: undelivered.Keyed,
 		policy.Unsafe: undelivered.Unsafe}
 	for _, c := range cfg.policy.Classes {
-		subject := false
-		for _, s := range cfg.Own.Undelivered.Subjects {
-			subject = subject || s.Class == c.Name
-		}
+		subject := slices.ContainsFunc(own.Subjects, func(s undelivered.Subject) bool { return s.Class == c.Name })
 		classes = append(classes, undelivered.Class{Name: c.Name, Effect: effects[c.Effect], Memory: c.Memory,
 			Attempts: cfg.policy.MaxAttempts, Subject: subject})
 	}
+	return classes
+}
+
+// checkOwn checks the operator's file against the platform's configuration.
+func (cfg *Config) checkOwn() error {
+	if cfg.Own == nil || cfg.Own.Undelivered == nil {
+		return nil
+	}
+	var errs []error
+	for i, r := range cfg.Own.Undelivered.Rules {
+		for _, fault := range r.Against(cfg.ResendClasses(cfg.Own.Undelivered)) {
+			errs = append(errs, fmt.Errorf("the operator's file: undelivered.rule[%d]: %s", i+1, fault))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// newResender makes the core that decides what is resent.
+func newResender(cfg *Config, store *undelivered.Store) *undelivered.Resender {
 	// No subject is read from messages yet, and none is known: a class that has them is held.
 	newest := undelivered.NewNewest(cfg.Own.Undelivered.SubjectsMost, false)
-	r := undelivered.NewResender(store, cfg.Own.Undelivered.Rules, classes, newest, cfg.Name, newID)
+	r := undelivered.NewResender(store, cfg.Own.Undelivered.Rules, cfg.ResendClasses(cfg.Own.Undelivered), newest, cfg.Name, newID)
 	rules, err := json.Marshal(cfg.Own.Undelivered.Rules)
 	if err != nil {
 		panic(err) // no rule that was read can fail
--- a/internal/relay/resend_test.go
+++ b/internal/relay/resend_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"testing"
 
+	"mallowlead/internal/operator"
 	"mallowlead/internal/undelivered"
 )
 
@@ -123,3 +124,19 @@
 		t.Errorf("%+v, %d calls more", r, len(p.again())-before)
 	}
 }
+
+// A rule that its class can never allow stops the relay before it listens.
+func TestRulesThatTheClassesForbid(t *testing.T) {
+	p := newPlatform(t)
+	p.keeping("[[undelivered.rule]]\nclass = \"order\"\nmay_have_run = true\naction = \"resend\"\nmost = 2\nrate = 1\n")
+	cfg, err := ReadConfig(p.config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.Own, err = operator.Read(p.own); err != nil {
+		t.Fatal(err)
+	}
+	if err := Run(t.Context(), cfg, p.dir, nil); err == nil || !strings.Contains(err.Error(), "undelivered.rule[1]: resends order messages that may have run") {
+		t.Errorf("error %v", err)
+	}
+}
--- a/internal/undelivered/access.go
+++ b/internal/undelivered/access.go
@@ -192,6 +192,11 @@
 	return s, a.ask(ctx, http.MethodGet, "/stats", nil, &s)
 }
 
+// Check tells what rules would do with what is in the store now.
+func (a *Access) Check(ctx context.Context, o CheckOrder) (out []RuleCheck, err error) {
+	return out, a.ask(ctx, http.MethodPost, "/check", o, &out)
+}
+
 // Verify reads all there is.
 func (a *Access) Verify(ctx context.Context) (v Verified, err error) {
 	return v, a.ask(ctx, http.MethodGet, "/verify", nil, &v)
--- a/internal/undelivered/admin.go
+++ b/internal/undelivered/admin.go
@@ -126,6 +126,8 @@
 type Admin struct {
 	Store *Store
 	Now   func() time.Time
+	// Classes are the relay's; nil on a stopped one's folder.
+	Classes []Class
 	// Changed tells the relay that a message was given to it to resend; nil on a stopped one's folder.
 	Changed func()
 }
@@ -155,6 +157,7 @@
 	})
 	handle("POST /messages/{id}/{what}", a.command)
 	handle("POST /import", a.bring)
+	handle("POST /check", a.check)
 	handle("GET /stats", a.stats)
 	handle("GET /verify", func(*http.Request) (any, error) {
 		good, faults := a.Store.Verify()
--- a/internal/undelivered/admin_test.go
+++ b/internal/undelivered/admin_test.go
@@ -144,3 +144,37 @@
 		}
 	}
 }
+
+// A check says what each rule would do, changes nothing, and refuses rules that break a class's allowance.
+func TestCheck(t *testing.T) {
+	a := newAdmin(t)
+	put(t, a.Store, "a", "b")
+	safe := kept("s")
+	safe.Class = "parcel-status"
+	if err := a.Store.Put([]Kept{safe}); err != nil {
+		t.Fatal(err)
+	}
+	yes := true
+	classes := []Class{{Name: "fee-payment", Effect: Keyed, Memory: 15 * time.Second, Attempts: 12}, {Name: "parcel-status", Attempts: 12}}
+	order, err := json.Marshal(CheckOrder{Classes: classes, Rules: []Rule{
+		{Action: Resend, Class: "fee-payment", MayHaveRun: &yes, Most: 3, Rate: 1, After: 60}, {Action: Resend, Most: 3, Rate: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []RuleCheck
+	if code := ask(t, a, "POST", "/check", string(order), &got); code != 200 || len(got) != 3 {
+		t.Fatalf("%d, %+v", code, got)
+	}
+	if got[1].Matches != 2 || got[1].Actions[Hold] != 2 || len(got[1].Faults) != 1 || len(got[1].Samples) != 2 {
+		t.Errorf("a rule that its class forbids: %+v", got[1])
+	}
+	if got[2].Matches != 1 || got[2].Actions[Resend] != 1 || len(got[2].Faults) != 0 {
+		t.Errorf("a rule that resends: %+v", got[2])
+	}
+	if r, _ := a.Store.Get("s"); r.State != Held || len(r.Lives) != 1 {
+		t.Errorf("a dry run left %+v", r)
+	}
+	if code := ask(t, a, "POST", "/check", "{}", nil); code != 400 {
+		t.Errorf("without classes: %d", code)
+	}
+}
