Rehearse undelivered messages: resends on the stand-ins, stores held against the log

A script may give relays an operator's file, and partners that take resends. The auditor judges resends over all ids of a message and holds each store against what the stand-ins saw; twelve logs of resends and eight stores are judged as planted.

--- a/internal/rehearsal/audit/judge.go
+++ b/internal/rehearsal/audit/judge.go
@@ -62,6 +62,7 @@
 	notices             []Event
 	effects             int
 	taken               bool
+	resend              bool
 	excusedUntil, voids time.Duration // end of a restart's excuse; when its machine was lost (-1: not)
 }
 
@@ -92,6 +93,7 @@
 		j.ends(c)
 		j.repeats(c)
 	}
+	j.resends()
 	j.drains(log)
 	j.waits()
 	j.returns(log)
@@ -139,6 +141,11 @@
 				expires: e.At + e.For, answered: -1, delivered: -1, voids: -1}
 			j.charges[e.ID] = c
 			j.order = append(j.order, c)
+		case Resent:
+			c = &charge{id: e.ID, msg: e.Msg, relay: e.Relay, dest: e.Dest, class: e.Class, handed: e.At, resend: true,
+				expires: never, answered: -1, delivered: -1, voids: -1}
+			j.charges[e.ID] = c
+			j.order = append(j.order, c)
 		case Answered:
 			if c != nil && c.answered < 0 {
 				c.answered, c.status = e.At, e.Status
--- a/internal/rehearsal/audit/log.go
+++ b/internal/rehearsal/audit/log.go
@@ -28,6 +28,7 @@
 	Effect    Kind = "effect"     // ID Msg Dest: a call had its effect
 	Shown     Kind = "shown"      // Host Dest State: the register shows a change
 	Told      Kind = "told"       // Relay Host Dest State: the register has written it to a relay
+	Resent    Kind = "resent"     // ID Msg Relay Dest Class: the first call for a message under an id of a relay's making
 	Asked     Kind = "asked"      // Relay OK: a watch began, or failed
 	Unwatched Kind = "unwatched"  // Relay: a watch ended
 	Noticed   Kind = "noticed"    // ID Relay State: the platform has received an end
@@ -125,6 +126,8 @@
 	WaitIgnored Rule = "wait not heeded"
 	WrongHost   Rule = "host of another partner"
 	Unknown     Rule = "message nobody handed in"
+	NotKept     Rule = "undelivered message not kept"
+	KeptWrong   Rule = "undelivered message kept wrongly"
 )
 
 // Breach is a rule that was broken.
--- /dev/null
+++ b/internal/rehearsal/audit/resends_test.go
@@ -0,0 +1,123 @@
+package audit
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+// resend notes a resend of the message that an id stands for, and its call.
+func (n *notes) resend(at time.Duration, id string, class int, outcome string, took time.Duration) {
+	n.add(Event{At: at - ms, Kind: Resent, ID: id, Class: class})
+	n.call(at, id, "h", outcome, took)
+}
+
+// givenUp has a message taken on, called and given up.
+func (n *notes) givenUp(id string, class int, outcome string) {
+	n.take(sec, id, class)
+	n.call(2*sec, id, "h", outcome, ms)
+	n.notice(3*sec, id, Undeliverable)
+}
+
+func TestResendsKeepTheirClass(t *testing.T) {
+	for name, c := range map[string]struct {
+		rule Rule // empty: kept
+		run  func(n *notes)
+	}{
+		"status that may have run":    {"", func(n *notes) { n.givenUp("a", status, Reset); n.resend(20*sec, "r", status, OK, ms) }},
+		"a payment that never ran":    {"", func(n *notes) { n.givenUp("a", payment, Full); n.resend(20*sec, "r", payment, OK, ms) }},
+		"a payment within its memory": {"", func(n *notes) { n.givenUp("a", payment, Reset); n.resend(7*sec, "r", payment, OK, ms) }},
+		"a payment past its memory":   {Twice, func(n *notes) { n.givenUp("a", payment, Reset); n.resend(7100*ms, "r", payment, OK, ms) }},
+		"over two resends": {Twice, func(n *notes) {
+			n.givenUp("a", payment, Full)
+			n.resend(20*sec, "r", payment, Left, ms)
+			n.resend(30*sec, "s", payment, OK, ms)
+		}},
+		"unsafe that may have run": {Twice, func(n *notes) { n.givenUp("a", order, Error); n.resend(4*sec, "r", order, OK, ms) }},
+		"unsafe that never ran":    {"", func(n *notes) { n.givenUp("a", order, Full); n.resend(20*sec, "r", order, OK, ms) }},
+		"a payment that was delivered": {Twice, func(n *notes) {
+			n.take(sec, "a", payment)
+			n.call(2*sec, "a", "h", OK, ms)
+			n.resend(3*sec, "r", payment, OK, ms)
+		}},
+		"status that was delivered": {"", func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", OK, ms)
+			n.resend(3*sec, "r", status, OK, ms)
+		}},
+		"while its first is out": {SecondCopy, func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", OK, 2*sec)
+			n.resend(3*sec, "r", status, OK, ms)
+		}},
+		"into a wait": {WaitIgnored, func(n *notes) {
+			n.take(sec, "a", status)
+			n.call(2*sec, "a", "h", Wait, ms, wait(sec))
+			n.notice(2100*ms, "a", Deferred)
+			n.resend(2900*ms, "r", status, OK, ms)
+		}},
+		"to a drained endpoint": {DrainBroken, func(n *notes) {
+			n.told(sec, "h", Draining)
+			n.take(sec, "a", status)
+			n.notice(1500*ms, "a", Deferred)
+			n.resend(9*sec, "r", status, OK, ms)
+		}},
+	} {
+		n := &notes{}
+		n.add(Event{Kind: Ready})
+		c.run(n)
+		r := Judge(figures(), n.log, 60*sec)
+		if c.rule == "" && len(r.Breaches) > 0 || c.rule != "" && (len(r.Breaches) != 1 || r.Breaches[0].Rule != c.rule) {
+			t.Errorf("%s: want %q, got %+v", name, c.rule, r.Breaches)
+		}
+	}
+}
+
+func TestStoresAreHeldAgainstTheLog(t *testing.T) {
+	base := func() *notes {
+		n := &notes{}
+		n.add(Event{Kind: Ready})
+		n.givenUp("a", payment, Full)
+		n.givenUp("b", payment, Reset)
+		n.add(Event{At: 2 * sec, Kind: Effect, ID: "b"})
+		n.resend(20*sec, "r", payment, OK, ms)
+		for i := range n.log {
+			if n.log[i].ID == "b" {
+				n.log[i].Msg = 1
+			}
+		}
+		return n
+	}
+	whole := func() []Kept {
+		return []Kept{{IDs: []string{"a", "r"}, State: "delivered", Why: "delivered", NeverRan: []string{"a"}},
+			{IDs: []string{"b"}, State: "held", Why: "may have run"}}
+	}
+	for name, c := range map[string]struct {
+		rule   Rule
+		change func(k []Kept) []Kept
+		unkept []string
+		states map[string]int
+	}{
+		"all is there":             {"", func(k []Kept) []Kept { return k }, nil, map[string]int{"delivered": 1, "held": 1}},
+		"one is listed as lost":    {"", func(k []Kept) []Kept { return k[:1] }, []string{"b"}, map[string]int{"delivered": 1, "not kept": 1}},
+		"one is missing":           {NotKept, func(k []Kept) []Kept { return k[:1] }, nil, map[string]int{"delivered": 1}},
+		"one is there twice":       {KeptWrong, func(k []Kept) []Kept { return append(k, k[1]) }, nil, map[string]int{"delivered": 1, "held": 2}},
+		"never run, but it did":    {KeptWrong, func(k []Kept) []Kept { k[1].NeverRan = []string{"b"}; return k }, nil, map[string]int{"delivered": 1, "held": 1}},
+		"delivered, but it wasn't": {KeptWrong, func(k []Kept) []Kept { k[1].State = "delivered"; return k }, nil, map[string]int{"delivered": 2}},
+		"without a reason":         {KeptWrong, func(k []Kept) []Kept { k[1].Why = ""; return k }, nil, map[string]int{"delivered": 1, "held": 1}},
+		"made up":                  {KeptWrong, func(k []Kept) []Kept { return append(k, Kept{IDs: []string{"x"}, State: "held", Why: "y"}) }, nil, map[string]int{"delivered": 1, "held": 2}},
+	} {
+		n := base()
+		r := Judge(figures(), n.log, 60*sec)
+		if len(r.Breaches) > 0 {
+			t.Fatalf("%s: %+v", name, r.Breaches)
+		}
+		states := r.Stores(figures(), n.log, c.change(whole()), c.unkept, 60*sec)
+		if !reflect.DeepEqual(states, c.states) {
+			t.Errorf("%s: states %v, want %v", name, states, c.states)
+		}
+		if c.rule == "" && len(r.Breaches) > 0 || c.rule != "" && (len(r.Breaches) != 1 || r.Breaches[0].Rule != c.rule) {
+			t.Errorf("%s: want %q, got %+v", name, c.rule, r.Breaches)
+		}
+	}
+}
--- a/internal/rehearsal/rig/book.go
+++ b/internal/rehearsal/rig/book.go
@@ -50,6 +50,17 @@
 	b.charges[c.id] = c
 }
 
+// adopt notes a message under an id that no client used, and tells whether it is news.
+func (b *book) adopt(c *charge) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.charges[c.id] != nil {
+		return false
+	}
+	b.charges[c.id] = c
+	return true
+}
+
 // taken notes that a client has heard that its message was taken on.
 func (b *book) taken(c *charge) {
 	b.mu.Lock()
--- a/internal/rehearsal/rig/endpoint.go
+++ b/internal/rehearsal/rig/endpoint.go
@@ -20,6 +20,9 @@
 	"mallowlead/internal/rehearsal/script"
 )
 
+// resendTime is until when a resend may come: the partner does not care.
+const resendTime = 1000 * time.Hour
+
 // maxBody is the protocol's bound on a body, in bytes.
 const maxBody = 64 << 10
 
@@ -220,6 +223,9 @@
 	if c.closed {
 		return false
 	}
+	if h.r.s.Relay.Resends && !probe {
+		h.resent(id, c.relay, body)
+	}
 	number, charge, before := h.r.book.called(id)
 	kind := audit.Called
 	if probe {
@@ -248,6 +254,18 @@
 	return !c.closed
 }
 
+// resent takes note of a call under an id that nobody handed in, where partners take such: the body tells whose it is.
+func (h *host) resent(id string, relay int, body []byte) {
+	var no, to int
+	if n, _ := fmt.Sscanf(string(body), "message %d for partner %d.", &no, &to); n != 2 || no < 0 || no >= len(h.r.clients.messages) {
+		return
+	}
+	m := h.r.clients.messages[no]
+	if h.r.book.adopt(&charge{m: m, id: id, relay: relay, expires: resendTime}) {
+		h.r.note(audit.Event{Kind: audit.Resent, ID: id, Msg: no, Relay: relay, Dest: m.Partner, Class: m.Class})
+	}
+}
+
 // unsent checks a call as the platform does: it gives the status of one that does not reach the partner, or 0.
 func (h *host) unsent(c *charge, at time.Duration, req *http.Request, body []byte) (status int, note string) {
 	switch {
--- a/internal/rehearsal/rig/relays.go
+++ b/internal/rehearsal/rig/relays.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -94,7 +95,10 @@
 func (rel *relay) state() string      { return filepath.Join(rel.dir(), "state") }
 func (rel *relay) temp() string       { return filepath.Join(rel.dir(), "tmp") }
 func (rel *relay) configPath() string { return filepath.Join(rel.dir(), "config.json") }
-func (rel *relay) logPath() string    { return filepath.Join(rel.dir(), "log") }
+func (rel *relay) operatorPath() string {
+	return filepath.Join(rel.dir(), "frostlink.toml")
+}
+func (rel *relay) logPath() string { return filepath.Join(rel.dir(), "log") }
 
 func (rel *relay) setDiscovery(addr string) {
 	rel.mu.Lock()
@@ -157,7 +161,16 @@
 	}
 	defer log.Close()
 	o := &rel.r.o
-	cmd := exec.Command(o.Command[0], o.Command[1:]...)
+	args := o.Command[1:]
+	if rel.r.s.Relay.Operator != "" {
+		path := rel.operatorPath()
+		text := strings.ReplaceAll(rel.r.s.Relay.Operator, "{dir}", rel.dir())
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return err
+		}
+		args = append(slices.Clone(args), "-operator", path)
+	}
+	cmd := exec.Command(o.Command[0], args...)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = rel.dir(), log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	rel.mu.Lock()
--- a/internal/rehearsal/rig/rig.go
+++ b/internal/rehearsal/rig/rig.go
@@ -59,7 +59,8 @@
 	*audit.Report
 	Processes                []Process      `json:"processes"`
 	Notes                    Datagrams      `json:"datagrams"`
-	Falls                    map[string]int `json:"falls,omitempty"` // partners pushed over, by whomever
+	Undelivered              map[string]int `json:"undelivered,omitempty"` // messages in the relays' stores, by state
+	Falls                    map[string]int `json:"falls,omitempty"`       // partners pushed over, by whomever
 	Timeline                 []string       `json:"timeline"`
 	PartnerNames, RelayNames []string       `json:"-"`
 }
@@ -176,7 +177,16 @@
 	if err := ctx.Err(); err != nil {
 		return nil, fmt.Errorf("stopped: %w", err)
 	}
-	res := r.judge(messages)
+	if s.Relay.Operator != "" {
+		sleep(ctx, storesWithin)
+		for _, rel := range r.relays { // the stores are read when nothing changes any more
+			rel.finish()
+		}
+	}
+	res, err := r.judge(messages)
+	if err != nil {
+		return nil, err
+	}
 	res.Took = time.Since(begun)
 	if o.Keep != "" {
 		if err := r.keep(); err != nil {
@@ -328,7 +338,7 @@
 }
 
 // judge has the run audited.
-func (r *rig) judge(messages []*script.Message) *Result {
+func (r *rig) judge(messages []*script.Message) (*Result, error) {
 	r.mu.Lock()
 	res := &Result{Script: r.s.Name, Seed: r.o.Seed, Events: r.events, LateMost: r.most, Faults: append([]string{}, r.faults...),
 		Late: float64(r.late) / math.Max(1, float64(r.events)), Timeline: r.timeline}
@@ -356,7 +366,17 @@
 		}
 		l.mu.Unlock()
 	}
-	return res
+	if r.s.Relay.Operator == "" {
+		return res, nil
+	}
+	kept, unkept, err := r.stores()
+	if err != nil {
+		return nil, err
+	}
+	if len(kept)+len(unkept) > 0 {
+		res.Undelivered = res.Stores(f, log, kept, unkept, over)
+	}
+	return res, nil
 }
 
 // progress prints how the run goes, once a second.
--- a/internal/rehearsal/rig/table.go
+++ b/internal/rehearsal/rig/table.go
@@ -45,6 +45,13 @@
 	c := &r.Counts
 	fmt.Fprintf(out, "counts %d messages, %d hand-ins, %d taken on, %d calls, %d turned away above a limit, %d effects for nothing\n",
 		c.Asked, c.HandIns, c.Taken, c.Calls, c.Outcomes[audit.Full]+c.Outcomes[audit.Wait], c.Wasted)
+	if len(r.Undelivered) > 0 {
+		fmt.Fprintf(out, "kept   undelivered messages in the stores:")
+		for _, state := range slices.Sorted(maps.Keys(r.Undelivered)) {
+			fmt.Fprintf(out, " %d %s", r.Undelivered[state], state)
+		}
+		fmt.Fprintln(out)
+	}
 	if r.Notes.Sent > 0 {
 		fmt.Fprintf(out, "notes  %d datagrams of %d bytes in all, %d lost, %d halved\n", r.Notes.Sent, r.Notes.Bytes, r.Notes.Lost, r.Notes.Halved)
 	}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -47,6 +47,10 @@
 	Hold     int     `toml:"hold"`  // messages held
 	TickMS   float64 `toml:"tick_ms"`
 	Ready    float64 `toml:"ready_within_s"` // after a start; later is a crash
+	// Operator is the text of the operator's file that each relay gets; {dir} in it is a folder of the relay's own.
+	Operator string `toml:"operator"`
+	// Resends says that partners take messages under ids that relays made up, as resends of undelivered ones.
+	Resends bool `toml:"resends"`
 }
 
 // Limits are the platform's allowances.
--- a/internal/undelivered/store.go
+++ b/internal/undelivered/store.go
@@ -590,6 +590,17 @@
 	})
 }
 
+// UnkeptIDs lists what could not be kept.
+func (s *Store) UnkeptIDs() (ids []string, err error) {
+	err = s.view(func(tx *bbolt.Tx) error {
+		return tx.Bucket(bUnkept).ForEach(func(k, _ []byte) error {
+			ids = append(ids, string(k))
+			return nil
+		})
+	})
+	return ids, err
+}
+
 // Fault is something that Verify found.
 type Fault struct {
 	Where string `json:"where"`
