Hold payments that were handed back: their clients may have come again with them

Seen in the rehearsal of undelivered messages: a notice 'deferred' tells the client to come again, and any relay may have delivered what it then handed in, so that a resend of the first would be a second effect under another id. Such a message of a class that may not be repeated at will is resent on an attest only, unless the operator states that clients do not return.

--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -39,7 +39,7 @@
 	for _, c := range cfg.policy.Classes {
 		subject := slices.ContainsFunc(own.Subjects, func(s undelivered.Subject) bool { return s.Class == c.Name })
 		classes = append(classes, undelivered.Class{Name: c.Name, Effect: effects[c.Effect], Memory: c.Memory,
-			Attempts: cfg.policy.MaxAttempts, Subject: subject})
+			Attempts: cfg.policy.MaxAttempts, Subject: subject, Returns: own.ClientsReturn == nil || *own.ClientsReturn})
 	}
 	return classes
 }
--- a/internal/relay/resend_test.go
+++ b/internal/relay/resend_test.go
@@ -10,7 +10,7 @@
 	"mallowlead/internal/undelivered"
 )
 
-const resendRule = `
+const resendRule = `clients_return = false
 [[undelivered.rule]]
 action = "resend"
 after_s = 0.2
--- a/internal/undelivered/allowed.go
+++ b/internal/undelivered/allowed.go
@@ -21,6 +21,7 @@
 	Effect   Effect
 	Memory   time.Duration // keyed: how long partners drop a repeat
 	Attempts int           // allowed, over the whole lineage
+	Returns  bool          // clients come again with what was handed back to them, to this relay or another
 	Subject  bool          // its messages have a subject, and the newest of one is not to be overwritten
 }
 
@@ -66,6 +67,8 @@
 	switch {
 	case c.Effect == Safe:
 		return Verdict{Allowed: true, Why: "its class is safe to repeat"}
+	case c.Returns && r.handedBack():
+		// Guards against an effect by two ids: the client may have handed it in anew, and had it delivered by any relay.
 	case ran == nil:
 		return Verdict{Allowed: true, Why: "no attempt can have run"}
 	case c.Effect == Keyed && ran.Ran != Did && now.Add(keyMargin).Before(ran.Begun.Add(c.Memory)):
@@ -74,6 +77,9 @@
 	if a := r.attest(); a != nil {
 		return Verdict{Allowed: true, Attest: a, Why: fmt.Sprintf("%s attests that the partner does not have it", a.By)}
 	}
+	if c.Returns && r.handedBack() {
+		return no("its client was told that it may come again with it, and may have done so")
+	}
 	if c.Effect == Keyed {
 		return no("an attempt at %s may have run, and its key is remembered for %v only", ran.Begun.Format(time.RFC3339), c.Memory)
 	}
--- a/internal/undelivered/config.go
+++ b/internal/undelivered/config.go
@@ -20,6 +20,10 @@
 	Bounds   []Bound `toml:"bound"`
 	Rules    []Rule  `toml:"rule"`
 
+	// ClientsReturn says that clients come again with what was handed back to them. Then payments and what else may not
+	// be repeated at will are resent only where they were given up for good, or on an attest. True where it is left out.
+	ClientsReturn *bool `toml:"clients_return"`
+
 	Subjects      []Subject `toml:"subject"`
 	SubjectsMost  int       `toml:"subjects_most"`  // whose newest is known
 	SubjectsStick bool      `toml:"subjects_stick"` // a subject always comes to the same relay
--- a/internal/undelivered/core_test.go
+++ b/internal/undelivered/core_test.go
@@ -78,6 +78,31 @@
 	}
 }
 
+// A payment that was handed back may have come again, by any relay: it is resent on an attest only.
+func TestWhatWasHandedBackMayHaveComeAgain(t *testing.T) {
+	for _, c := range []struct {
+		effect  Effect
+		status  string
+		returns bool
+		attest  bool
+		want    bool
+	}{
+		{Keyed, deferred, true, false, false}, {Unsafe, deferred, true, false, false}, {Safe, deferred, true, false, true},
+		{Keyed, deferred, false, false, true}, {Keyed, "undeliverable", true, false, true}, {Keyed, deferred, true, true, true},
+	} {
+		k := class(c.effect)
+		k.Returns = c.returns
+		r := record(life("a", RefusedLate, attempt(20*time.Second, Never)))
+		r.Lives[0].Status = c.status
+		if c.attest {
+			r.Attests = []Attest{{By: "Amina", Evidence: "ledger", At: noon.Add(-time.Second)}}
+		}
+		if v := Allowed(k, r, NewNewest(9, true), noon); v.Allowed != c.want || v.Why == "" || c.attest != (v.Attest != nil) {
+			t.Errorf("%+v: %+v", c, v)
+		}
+	}
+}
+
 func TestSuperseded(t *testing.T) {
 	c := class(Safe)
 	c.Subject = true
--- a/internal/undelivered/record.go
+++ b/internal/undelivered/record.go
@@ -130,6 +130,23 @@
 	return nil
 }
 
+// handedBack tells whether the client was told that it may come again with the message, and nobody has vouched since
+// that it did not.
+func (r *Record) handedBack() bool {
+	if r.Lives[0].Status != deferred {
+		return false
+	}
+	for i := range r.Lives {
+		if r.Lives[i].Attest != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// deferred is the status of a notice that hands a message back.
+const deferred = "deferred"
+
 // latest is the last time that the record knows of.
 func (r *Record) latest() time.Time {
 	t := r.Since
