--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -272,6 +272,9 @@
 func (l *loop) life(m *message) undelivered.Life {
 	life := undelivered.Life{ID: m.ID, Relay: l.cfg.Name, Taken: m.Taken, Expires: m.Expires, Over: m.Over,
 		Reason: undelivered.Reason(m.Reason), Status: m.Owed.Status}
+	if life.Taken.IsZero() { // taken on by a process that kept no undelivered messages
+		life.Taken = m.Over
+	}
 	for _, a := range m.Attempts {
 		ran := undelivered.May // also of one that was out when a process ended
 		switch {
