--- a/internal/rehearsal/partner/partner.go
+++ b/internal/rehearsal/partner/partner.go
@@ -57,7 +57,6 @@
 	since    time.Duration // as of when
 	doomed   Outcome       // what it ends as
 	repeat   bool
-	deserted bool // nobody waits for its answer
 }
 
 // Done is the end of a call.
@@ -183,9 +182,6 @@
 // Disconnect counts a connection's end.
 func (p *Partner) Disconnect(e int) { p.endpoints[e].conns-- }
 
-// Connections is how many an endpoint has.
-func (p *Partner) Connections(e int) int { return p.endpoints[e].conns }
-
 // Next is when something is due by itself.
 func (p *Partner) Next() time.Duration {
 	next := p.refresh
@@ -464,7 +460,6 @@
 // Leave says that nobody waits for a call's answer any more: it is cancelled, timed out, or its connection broke.
 func (p *Partner) Leave(now time.Duration, c *Call) []Action {
 	p.advance(now)
-	c.deserted = true
 	e := p.endpoints[c.endpoint]
 	is := func(o *Call) bool { return o == c }
 	if p.spec.Cancelled != "runs-on" && slices.ContainsFunc(e.queue, is) {
@@ -479,9 +474,6 @@
 	return p.flush()
 }
 
-// Deserted tells whether nobody waits for a call's answer.
-func (c *Call) Deserted() bool { return c.deserted }
-
 // forget drops the key of a call that will not have its effect.
 func (p *Partner) forget(c *Call) {
 	if !c.repeat {
