Read what messages are about, and resend none that a newer one has overtaken

Need: a parcel-status that was given up must not overwrite a newer one. Classes with a subject were held altogether.

The operator says where subject and order stand: a request header or a JSON pointer (RFC 6901), ordered by number (exactly, not as a float), time or arrival (a count that rises also where the clock is set back). What waits in the store counts as well, and in the relay what is out: a resend of which a newer message comes is taken back before it leaves, or given up where it is out.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -247,6 +247,7 @@
 	if c.in.Buffered() > 0 {
 		return malformed(http.StatusBadRequest) // the length is too short, or requests come unasked
 	}
+	s.about(a.entry, r.Header)
 	a.quiet = c.quiet
 	s.admit(a)
 	v = <-a.verdict
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 	"slices"
 	"time"
+
+	"mallowlead/internal/undelivered"
 )
 
 const (
@@ -23,6 +25,8 @@
 	// attemptsRoom is set aside for the later records of each message when it is taken on, and detailRoom more where
 	// they tell the outcome and end of each attempt as well.
 	attemptsRoom, detailRoom = 2048, 1536
+	// orderRoom is set aside for a message's place among those of its topic.
+	orderRoom = 128
 	// memberRoom is set aside for each host of the list.
 	memberRoom = 256
 	// slackSize is how far the file may outgrow twice what is live before it is compacted.
@@ -43,9 +47,14 @@
 	Expires  time.Time `json:"expires,omitzero"`
 	Body     []byte    `json:"-"`
 	Attempts []Attempt `json:"-"`
-	Owed     *Notice   `json:"-"` // its end, until the platform has it
-	Reason   string    `json:"-"` // of that end, and Over when it came, where undelivered messages are kept
-	Over     time.Time `json:"-"`
+	// Subject and Order are what it is about, in classes of which the operator says where that stands.
+	Subject string             `json:"subject,omitempty"`
+	Order   *undelivered.Order `json:"order,omitempty"`
+	// Delivered: it was, and the store is still to know that nothing older of its topic may follow it.
+	Delivered bool      `json:"-"`
+	Owed      *Notice   `json:"-"` // its end, until the platform has it
+	Reason    string    `json:"-"` // of that end, and Over when it came, where undelivered messages are kept
+	Over      time.Time `json:"-"`
 }
 
 // Attempt is one call made for a message.
@@ -77,7 +86,8 @@
 	Notice *Notice   `json:"notice,omitempty"`
 	Health *Health   `json:"health,omitempty"`
 	List   *Members  `json:"list,omitempty"`
-	From   string    `json:"from,omitempty"` // the discovery that told List
+	From   string    `json:"from,omitempty"` // the discovery that told List, or the store's name
+	Count  int64     `json:"count,omitempty"`
 }
 
 // The kinds of record.
@@ -89,6 +99,8 @@
 	opOver   = "over"
 	opHealth = "health"
 	opList   = "list"
+	opDone   = "done"  // delivered, and the store is to know
+	opStore  = "store" // which store knows all that was delivered, and the count of arrivals
 )
 
 // Journal keeps what a relay has taken on in a file that outlasts its process. Changes are buffered until
@@ -109,6 +121,8 @@
 	list     *Members // as last told; nil for never
 	from     string   // the discovery that told it
 	listLen  int      // of its record
+	store    string   // the one that knows all that was delivered, or has it to come from this journal; empty: none
+	arrivals int64    // the highest Order.Arrival of all that was ever taken on
 }
 
 // OpenJournal replays the journal in a folder, drops what can't be read at its end, and makes it ready.
@@ -127,6 +141,9 @@
 	if rest := j.replay(raw); rest > 0 {
 		slog.Warn("journal: unreadable end skipped", "bytes", rest)
 	}
+	if !detailed {
+		j.store = "" // from now on no store is told
+	}
 	if err := j.compact(); err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
@@ -163,6 +180,9 @@
 	if j.detailed {
 		n += detailRoom
 	}
+	if e.Order != nil {
+		n += 2*len(e.Subject) + orderRoom
+	}
 	return n
 }
 
@@ -192,6 +212,14 @@
 	j.note(r, nil)
 }
 
+// Deliver notes that a message was delivered, and that the store is to know.
+func (j *Journal) Deliver(e *Entry) { j.note(record{Op: opDone, ID: e.ID}, nil) }
+
+// Told notes which store knows all that was delivered, or has it to come from this journal; empty for none.
+func (j *Journal) Told(store string) {
+	j.note(record{Op: opStore, From: store, Count: j.arrivals}, nil)
+}
+
 // Over notes that nothing more is owed for a message.
 func (j *Journal) Over(e *Entry) { j.note(record{Op: opOver, ID: e.ID}, nil) }
 
@@ -253,6 +281,9 @@
 				b = appendRecord(b, record{Op: opEnded, ID: e.ID, Unrun: a.Unrun, Why: a.Outcome, At: a.At}, nil)
 			}
 		}
+		if e.Delivered {
+			b = appendRecord(b, record{Op: opDone, ID: e.ID}, nil)
+		}
 		if e.Owed != nil {
 			b = appendRecord(b, record{Op: opOwed, ID: e.ID, Notice: e.Owed, Why: e.Reason, At: e.Over}, nil)
 		}
@@ -260,6 +291,9 @@
 	if j.list != nil {
 		b = appendRecord(b, record{Op: opList, List: j.list, From: j.from}, nil)
 	}
+	if j.store != "" || j.arrivals > 0 {
+		b = appendRecord(b, record{Op: opStore, From: j.store, Count: j.arrivals}, nil)
+	}
 	for host, h := range j.health {
 		b = appendRecord(b, record{Op: opHealth, Host: host, Health: &h}, nil)
 	}
@@ -303,6 +337,12 @@
 		j.entries[r.Entry.ID] = r.Entry
 		j.order = append(j.order, r.Entry)
 		j.live += j.need(r.Entry)
+		if r.Entry.Order != nil {
+			j.arrivals = max(j.arrivals, r.Entry.Order.Arrival)
+		}
+		return
+	case r.Op == opStore:
+		j.store, j.arrivals = r.From, max(j.arrivals, r.Count)
 		return
 	case r.Op == opHealth && r.Health != nil:
 		j.health[r.Host] = *r.Health
@@ -328,6 +368,8 @@
 		}
 	case opOwed:
 		e.Owed, e.Reason, e.Over = r.Notice, r.Why, r.At
+	case opDone:
+		e.Delivered = true
 	case opOver:
 		delete(j.entries, e.ID)
 		j.live -= j.need(e)
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	boundsEvery = time.Second
 	// lookEvery is between looks at what is due to be resent.
 	lookEvery = 200 * time.Millisecond
+	// mostRefused messages that were refused at their arrival wait for the store at most, with all others.
+	mostRefused = 2000
 	// endMargin before its time is up a message that is given up counts as out of time: that much is left when no
 	// further attempt would come to its end.
 	endMargin = time.Second
@@ -33,6 +36,7 @@
 	done        func(ids []string)
 	offer       func(any) // hands the loop an event
 	newResender func(*undelivered.Store) *undelivered.Resender
+	last        string // the store that the journal says was told of all that was delivered
 	classes     []undelivered.Class
 
 	// The goroutine's own.
@@ -46,15 +50,25 @@
 	more  sync.Cond // something waits, or all is at its end
 	ended bool
 	tick  bool // time to look at bounds and at what is due
-	wait  []undelivered.Kept
-	back  []undelivered.Result // of resends
-	drop  []string             // to be listed as not kept
-	lost  int                  // listed so far
+	todo
+	lost   int // listed so far
+	misses int // so often something was not noted: what is known of topics begins anew
+	began  int // misses when it last did
 }
 
-func newKeeper(cfg *Config, put func(any)) *keeper {
+// todo is what is to be written to the store.
+type todo struct {
+	wait    []undelivered.Kept
+	back    []undelivered.Result // of resends
+	drop    []string             // to be listed as not kept
+	notes   []undelivered.Note   // of topics, delivered
+	refused map[string]int       // at arrival, by class and tenant
+}
+
+// newKeeper makes a keeper; last is the store that the journal says was told of all that was delivered.
+func newKeeper(cfg *Config, last string, put func(any)) *keeper {
 	s := cfg.Own.Undelivered
-	k := &keeper{section: s, offer: put, done: func(ids []string) { put(kept{ids}) }}
+	k := &keeper{section: s, last: last, offer: put, done: func(ids []string) { put(kept{ids}) }}
 	k.classes = cfg.ResendClasses(s)
 	k.newResender = func(store *undelivered.Store) *undelivered.Resender { return newResender(cfg, store) }
 	k.more.L = &k.mu
@@ -71,10 +85,37 @@
 	k.set(func() { k.back = append(k.back, r) })
 }
 
-// abandon lists messages as not kept, since the journal has no room for them any more, and says so.
-func (k *keeper) abandon(ids []string) {
+// note wants a message noted that was delivered.
+func (k *keeper) note(n undelivered.Note) {
+	k.set(func() { k.notes = append(k.notes, n) })
+}
+
+// refuse wants a message counted that was refused at its arrival, and kept where the operator wants that: as many as
+// fit, since what is refused is most where there is least room for it.
+func (k *keeper) refuse(m undelivered.Kept) {
+	k.set(func() {
+		if k.section.Refused && len(k.wait) < mostRefused {
+			k.wait = append(k.wait, m)
+		}
+		if k.refused == nil {
+			k.refused = map[string]int{}
+		}
+		k.refused[m.Class+" of "+m.Tenant]++
+	})
+}
+
+// abandon lists a message as not kept, since the journal has no room for it any more, and says so. One that was
+// delivered is not noted.
+func (k *keeper) abandon(m *message) {
+	ids := []string{m.ID}
 	k.mu.Lock()
-	k.lost += len(ids)
+	k.misses++
+	if m.Delivered {
+		k.notes = slices.DeleteFunc(k.notes, func(n undelivered.Note) bool { return n.ID == m.ID })
+		k.mu.Unlock()
+		return
+	}
+	k.lost++
 	k.drop = append(k.drop, ids...)
 	k.letGo(ids)
 	lost := k.lost
@@ -83,15 +124,17 @@
 	slog.Error("undelivered messages not kept: the store does not take them, and the journal has no room", "ids", ids, "in all", lost)
 }
 
-// take waits for something to do, and gives the next batch; ok is false at the end.
-func (k *keeper) take() (batch []undelivered.Kept, back []undelivered.Result, drop []string, ok bool) {
+// take waits for something to do, and gives the next batch; ok is false at the end. What was refused goes with the
+// next batch: where it is counted only, it alone is not worth a transaction.
+func (k *keeper) take() (t todo, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for len(k.wait) == 0 && len(k.back) == 0 && len(k.drop) == 0 && !k.ended && !k.tick {
+	for len(k.wait) == 0 && len(k.back) == 0 && len(k.drop) == 0 && len(k.notes) == 0 && !k.ended && !k.tick {
 		k.more.Wait()
 	}
 	k.tick = false
-	return append(batch, k.wait[:min(len(k.wait), keepBatch)]...), append(back, k.back...), append(drop, k.drop...), !k.ended
+	return todo{wait: slices.Clone(k.wait[:min(len(k.wait), keepBatch)]), back: slices.Clone(k.back), drop: slices.Clone(k.drop),
+		notes: slices.Clone(k.notes[:min(len(k.notes), keepBatch)]), refused: maps.Clone(k.refused)}, !k.ended
 }
 
 // set changes what take waits for.
@@ -124,11 +167,11 @@
 		slog.Error("the store of undelivered messages can't be opened", "err", err)
 	}
 	for {
-		batch, back, drop, ok := k.take()
+		t, ok := k.take()
 		if !ok {
 			return
 		}
-		err := k.hand(ctx, batch, back, drop)
+		err := k.hand(ctx, &t)
 		k.bound(errors.Is(err, undelivered.ErrFull))
 		if err == nil {
 			err = k.resend(ctx)
@@ -138,7 +181,7 @@
 		}
 		if time.Since(said) > keepSaid {
 			said = time.Now()
-			slog.Error("undelivered messages wait for their store", "err", err, "waiting", len(batch))
+			slog.Error("undelivered messages wait for their store", "err", err, "waiting", len(t.wait)+len(t.notes))
 		}
 		if !sleep(ctx, keepAgain) {
 			return
@@ -156,6 +199,11 @@
 		k.store = nil
 		return err
 	}
+	if err := k.topics(); err != nil {
+		_ = k.store.Close()
+		k.store = nil
+		return err
+	}
 	k.bounds = undelivered.NewBounds(k.store, k.section)
 	k.resender = k.newResender(k.store)
 	if k.section.Socket != "" {
@@ -168,6 +216,25 @@
 	return nil
 }
 
+// topics has the store know the newest message of each topic. It begins anew where the journal names another store, or
+// none: then a process ran that told this one nothing, or the folder or the journal is not the one of before.
+func (k *keeper) topics() error {
+	id, err := k.store.ID()
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	misses := k.misses
+	k.mu.Unlock()
+	anew := misses > k.began || id != k.last
+	if err := k.store.Topics(k.section.Subjects, k.section.SubjectsMost, k.section.SubjectsStick, anew, time.Now()); err != nil {
+		return err
+	}
+	k.last, k.began = id, misses
+	k.offer(storeKnows{id, misses})
+	return nil
+}
+
 // bound keeps the store's bounds, at most so often.
 func (k *keeper) bound(full bool) {
 	if k.store == nil || time.Since(k.bounded) < boundsEvery && !full {
@@ -182,40 +249,77 @@
 	}
 }
 
-// hand puts a batch into the store, or parts of it: a message that can't be kept is not to keep back the others.
-func (k *keeper) hand(ctx context.Context, batch []undelivered.Kept, back []undelivered.Result, drop []string) (err error) {
+// hand writes what is to be written, or parts of it: a message that can't be kept is not to keep back the others.
+func (k *keeper) hand(ctx context.Context, t *todo) (err error) {
 	if err := k.ready(ctx); err != nil {
 		return err
 	}
-	if len(back) > 0 {
-		if err := k.resender.Return(back, time.Now()); err != nil {
+	k.mu.Lock()
+	missed := k.misses > k.began
+	k.mu.Unlock()
+	if missed {
+		if err := k.topics(); err != nil {
+			return err
+		}
+	}
+	if len(t.back) > 0 {
+		if err := k.resender.Return(t.back, time.Now()); err != nil {
 			return err
 		}
-		ids := make([]string, len(back))
-		for i := range back {
-			ids[i] = back[i].Life.ID
+		ids := make([]string, len(t.back))
+		for i := range t.back {
+			ids[i] = t.back[i].Life.ID
 		}
-		k.mu.Lock()
-		k.back = k.back[len(back):]
-		k.mu.Unlock()
+		k.set(func() { k.back = k.back[len(ids):] })
 		k.done(ids)
 	}
-	if len(drop) > 0 {
-		if err := k.store.Unkept(drop, "the store did not take it, and the journal had no room", time.Now()); err != nil {
+	if len(t.notes) > 0 {
+		if err := k.store.Delivered(t.notes); err != nil {
 			return err
 		}
-		k.mu.Lock()
-		k.drop = k.drop[len(drop):]
-		k.mu.Unlock()
+		ids := make([]string, len(t.notes))
+		for i := range t.notes {
+			ids[i] = t.notes[i].ID
+		}
+		// Some may have been abandoned meanwhile.
+		k.set(func() {
+			k.notes = slices.DeleteFunc(k.notes, func(n undelivered.Note) bool { return slices.Contains(ids, n.ID) })
+		})
+		k.done(ids)
 	}
-	if len(batch) == 0 {
+	if len(t.drop) > 0 {
+		if err := k.store.Unkept(t.drop, "the store did not take it, and the journal had no room", time.Now()); err != nil {
+			return err
+		}
+		k.set(func() { k.drop = k.drop[len(t.drop):] })
+	}
+	if len(t.refused) > 0 {
+		if err := k.store.Refused(t.refused); err != nil {
+			return err
+		}
+		k.set(func() {
+			for group, n := range t.refused {
+				if k.refused[group] -= n; k.refused[group] == 0 {
+					delete(k.refused, group)
+				}
+			}
+		})
+	}
+	if len(t.wait) == 0 {
 		return nil
 	}
+	batch := t.wait
 	err = k.store.Put(batch)
 	if err != nil && len(batch) > 1 && !errors.Is(err, undelivered.ErrFull) {
 		batch = batch[:1]
 		err = k.store.Put(batch)
 	}
+	if errors.Is(err, undelivered.ErrFull) {
+		// What was refused is not to fill the store before what was taken on.
+		k.set(func() {
+			k.wait = slices.DeleteFunc(k.wait, func(m undelivered.Kept) bool { return m.Last().Reason == undelivered.AtArrival })
+		})
+	}
 	if err != nil {
 		return err
 	}
@@ -240,8 +344,16 @@
 	k.wait = slices.DeleteFunc(k.wait, func(m undelivered.Kept) bool { return slices.Contains(ids, m.ID) })
 }
 
-// kept says that the store has messages.
-type kept struct{ ids []string }
+// The events of the keeper.
+type (
+	// kept says that the store has messages, or knows that they were delivered.
+	kept struct{ ids []string }
+	// storeKnows says which store knows from now on all that is delivered.
+	storeKnows struct {
+		name   string
+		misses int // that it knows of
+	}
+)
 
 // outcomes are the names of outcomes in records.
 var outcomes = map[policy.Outcome]string{policy.OK: "delivered", policy.Failed: "error", policy.QueueFull: "turned away",
@@ -289,9 +401,21 @@
 }
 
 // record makes the store's record of a message that is over.
-func (l *loop) record(m *message) undelivered.Kept {
+func (l *loop) record(m *message, life undelivered.Life) undelivered.Kept {
 	return undelivered.Kept{Record: undelivered.Record{ID: m.ID, Class: m.Class, Tenant: m.Tenant, Partner: m.Dest, Key: m.Key,
-		Lives: []undelivered.Life{l.life(m)}, State: undelivered.Held, Since: m.Over, Due: m.Over}, Body: m.Body}
+		Subject: m.Subject, Order: m.Order, Lives: []undelivered.Life{life}, State: undelivered.Held, Since: life.Over, Due: life.Over},
+		Body: m.Body}
+}
+
+// refusedAt tells the store of a message that is refused at its arrival: it owes the platform nothing, and was in no
+// journal.
+func (l *loop) refusedAt(m *message, status string) {
+	if l.keeper == nil || m.Resend {
+		return
+	}
+	now := l.wall(l.now())
+	l.keeper.refuse(l.record(m, undelivered.Life{ID: m.ID, Relay: l.cfg.Name, Taken: m.Taken, Expires: m.Expires, Over: now,
+		Reason: undelivered.AtArrival, Status: status}))
 }
 
 // tellEnd tells the end of a message that owes one: to the platform, and to the store where one is kept; that of a
@@ -301,11 +425,15 @@
 	case m.Resend && l.keeper == nil: // the operator has turned the store off: nobody is left to tell
 		l.end(m)
 	case m.Resend:
-		l.keeper.result(undelivered.Result{Life: l.life(m), Delivered: m.Owed.Status == delivered})
+		res := undelivered.Result{Life: l.life(m), Delivered: m.Owed.Status == delivered}
+		if m.Owed.Status == overtaken {
+			res.Life.Reason, res.Overtaken = undelivered.Overtaken, m.Reason // which by
+		}
+		l.keeper.result(res)
 	default:
 		l.notices.owe(*m.Owed)
 		if l.keeper != nil {
-			l.keeper.keep(l.record(m))
+			l.keeper.keep(l.record(m, l.life(m)))
 		}
 	}
 }
@@ -325,28 +453,31 @@
 // inStore notes that the store has a message.
 func (l *loop) inStore(m *message) {
 	m.kept = true
-	if m.noticed || m.Resend {
+	l.underway.Ended(m.ID, m.topic()) // the store says now what waits
+	if m.noticed || m.Resend || m.Delivered {
 		l.end(m)
 	}
+	for len(l.unkept) > 0 && l.unkept[0].kept {
+		l.unkept = l.unkept[1:]
+	}
 }
 
 // reserve keeps room in the journal for a message. Where there is none, the oldest of those that only wait for the
 // store make room: keeping them is not to stop the relay's main job.
 func (l *loop) reserve(e *Entry) bool {
 	for !l.journal.Reserve(e) {
-		var gone []string
-		for len(l.unkept) > 0 && len(gone) == 0 {
-			m := l.unkept[0]
+		for len(l.unkept) > 0 && l.unkept[0].kept {
 			l.unkept = l.unkept[1:]
-			if !m.kept {
-				gone = append(gone, m.ID)
-				l.end(m)
-			}
 		}
-		if len(gone) == 0 {
+		if len(l.unkept) == 0 {
 			return false
 		}
-		l.keeper.abandon(gone)
+		m := l.unkept[0]
+		l.unkept = l.unkept[1:]
+		l.misses++
+		l.journal.Told("") // until the store knows that something is missing
+		l.keeper.abandon(m)
+		l.end(m)
 	}
 	return true
 }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
 
@@ -55,6 +56,11 @@
 	kept     bool               // the store of undelivered messages has it
 }
 
+// topic is what a message is about.
+func (m *message) topic() undelivered.Topic {
+	return undelivered.Topic{Class: m.Class, Partner: m.Dest, Subject: m.Subject}
+}
+
 // pastEnd is when a message that was taken on came to its end.
 type pastEnd struct {
 	id string
@@ -71,14 +77,18 @@
 	pool     *pool
 	watch    *watcher
 	notices  *notifier
-	keeper   *keeper    // nil: undelivered messages are not kept
-	unkept   []*message // noticed, and not in the store yet
+	keeper   *keeper              // nil: undelivered messages are not kept
+	unkept   []*message           // noticed or delivered, and the store does not know yet
+	misses   int                  // so many of them were dropped, since the journal had no room
+	underway undelivered.Underway // messages taken on that are about something, until the store knows of their end
+	again    undelivered.Underway // resends that are
 	start    time.Time
 	messages map[string]*message
 	hosts    map[string]Member
 	dests    map[int]bool    // named by some list
 	past     map[string]bool // ids of messages taken on that came to their end not long ago
 	ends     []pastEnd       // the same, in that order
+	arrivals int64           // the last Order.Arrival
 	wakeAt   time.Duration
 	stepped  time.Duration // when the last batch was handled
 	calls    context.Context
@@ -126,10 +136,16 @@
 	for _, e := range l.journal.Entries() {
 		m := &message{Entry: e, resumed: true}
 		l.messages[e.ID] = m
-		if e.Owed != nil {
+		l.begun(m)
+		switch {
+		case e.Owed != nil:
 			m.over = true
 			l.tellEnd(m)
 			continue
+		case e.Delivered:
+			m.over = true
+			l.tellDelivered(m)
+			continue
 		}
 		class := l.class(e.Class)
 		if class < 0 { // the settings have changed, and the module could not end it
@@ -222,10 +238,14 @@
 		e.answer <- m != nil && m.Resend
 	case kept:
 		for _, id := range e.ids {
-			if m := l.messages[id]; m != nil && m.Owed != nil {
+			if m := l.messages[id]; m != nil && (m.Owed != nil || m.Delivered) {
 				l.inStore(m)
 			}
 		}
+	case storeKnows:
+		if e.misses == l.misses {
+			l.journal.Told(e.name)
+		}
 	case stopSending:
 		l.events = append(l.events, policy.Stopping{})
 	case question:
@@ -250,7 +270,7 @@
 		switch {
 		case len(m.verdicts) > 0: // in this batch: the same answer, once it is recorded
 			m.verdicts = append(m.verdicts, a.verdict)
-		case m.over:
+		case m.over && !m.Delivered:
 			a.verdict <- verdict{status: http.StatusServiceUnavailable}
 		default:
 			a.verdict <- verdict{status: http.StatusAccepted}
@@ -270,6 +290,10 @@
 	if l.keeper == nil {
 		a.entry.Tenant, a.entry.Taken = "", time.Time{} // nobody will ask
 	}
+	if a.entry.Order != nil {
+		l.arrivals = max(l.arrivals+1, time.Now().UnixNano())
+		a.entry.Order.Arrival = l.arrivals
+	}
 	m := &message{Entry: a.entry, verdicts: []chan verdict{a.verdict}}
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
@@ -288,7 +312,11 @@
 		Wait: e.wait, Took: e.took, Over: e.over, Spent: e.spent, Doubtful: e.doubtful, Report: e.report})
 	switch {
 	case e.over && m.Resend && !m.over:
-		l.endResend(m, delivered)
+		l.endResend(m, delivered, "")
+	case e.over && m.Order != nil && l.keeper != nil && !m.over:
+		m.over = true
+		l.journal.Deliver(m.Entry)
+		l.effects = append(l.effects, func() { l.tellDelivered(m) })
 	case e.over && !m.Resend, m.over && m.Owed == nil:
 		l.end(m)
 	}
@@ -334,6 +362,10 @@
 // end notes that nothing more is owed for a message.
 func (l *loop) end(m *message) {
 	m.over = true
+	if m.Order != nil {
+		l.underway.Ended(m.ID, m.topic())
+		l.again.Ended(m.ID, m.topic())
+	}
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.Over(m.Entry)
 		l.past[m.ID] = true
@@ -376,6 +408,7 @@
 	for _, a := range actions {
 		l.act(now, a)
 	}
+	l.overtake()
 	l.commit()
 }
 
@@ -384,6 +417,7 @@
 	for _, m := range l.fresh {
 		if !m.over {
 			l.journal.Take(m.Entry)
+			l.begun(m)
 		}
 	}
 }
@@ -394,10 +428,11 @@
 		return
 	}
 	if m.Resend {
-		l.endResend(m, status)
+		l.endResend(m, status, "")
 		return
 	}
 	if replies := m.verdicts; replies != nil {
+		l.refusedAt(m, status)
 		m.verdicts = nil
 		l.effects = append(l.effects, func() { reply(replies, v) })
 		l.end(m)
@@ -501,7 +536,7 @@
 		case m.verdicts != nil:
 			l.end(m)
 		case m.Resend && !m.over && err != nil:
-			l.giveBack(m)
+			l.giveBack(m, "")
 		}
 	}
 	for _, do := range effects {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,7 +59,8 @@
 		func() { l.put(watchEnded{}) })
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	if keeping != nil {
-		l.keeper = newKeeper(cfg, func(e any) {
+		l.arrivals = journal.arrivals
+		l.keeper = newKeeper(cfg, journal.store, func(e any) {
 			select {
 			case l.inbox <- e:
 			case <-live.Done(): // nobody takes events any more
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -16,8 +16,8 @@
 	"mallowlead/policy"
 )
 
-// delivered is the end of a resend that the store is told; the platform never hears of one.
-const delivered = "delivered"
+// delivered and overtaken are ends of a resend that the store is told; the platform never hears of them.
+const delivered, overtaken = "delivered", "overtaken"
 
 // The events of resends.
 type (
@@ -60,9 +60,7 @@
 
 // newResender makes the core that decides what is resent.
 func newResender(cfg *Config, store *undelivered.Store) *undelivered.Resender {
-	// No subject is read from messages yet, and none is known: a class that has them is held.
-	newest := undelivered.NewNewest(cfg.Own.Undelivered.SubjectsMost, false)
-	r := undelivered.NewResender(store, cfg.Own.Undelivered.Rules, cfg.ResendClasses(cfg.Own.Undelivered), newest, cfg.Name, newID)
+	r := undelivered.NewResender(store, cfg.Own.Undelivered.Rules, cfg.ResendClasses(cfg.Own.Undelivered), cfg.Name, newID)
 	rules, err := json.Marshal(cfg.Own.Undelivered.Rules)
 	if err != nil {
 		panic(err) // no rule that was read can fail
@@ -103,7 +101,8 @@
 			continue
 		}
 		k.offer(resend{&Entry{ID: o.Life.ID, Class: o.Record.Class, Dest: o.Record.Partner, Tenant: o.Record.Tenant,
-			Key: o.Record.Key, Taken: o.Life.Taken, Expires: o.Life.Expires, Body: body, Resend: true}})
+			Key: o.Record.Key, Subject: o.Record.Subject, Order: o.Record.Order, Taken: o.Life.Taken, Expires: o.Life.Expires,
+			Body: body, Resend: true}})
 	}
 	return err
 }
@@ -114,8 +113,16 @@
 	if l.messages[m.ID] != nil {
 		return
 	}
+	if m.Order != nil {
+		// What came since the store decided on it is known here alone.
+		by, known := l.underway.After(m.topic(), *m.Order)
+		if by != "" || !known {
+			l.giveBack(m, by)
+			return
+		}
+	}
 	if !l.dests[m.Dest] || !l.journal.Reserve(m.Entry) {
-		l.giveBack(m)
+		l.giveBack(m, "")
 		return
 	}
 	l.messages[m.ID] = m
@@ -124,27 +131,80 @@
 		Left: l.clock(m.Expires) - l.now()})
 }
 
-// giveBack tells the store that a resend never left.
-func (l *loop) giveBack(m *message) {
+// giveBack tells the store that a resend never left, and by which newer message it was overtaken if it was.
+func (l *loop) giveBack(m *message, by string) {
 	m.over = true
+	if m.Order != nil {
+		l.again.Ended(m.ID, m.topic())
+	}
 	if l.messages[m.ID] == m {
 		delete(l.messages, m.ID)
 	}
-	l.keeper.result(undelivered.Result{Life: undelivered.Life{ID: m.ID}})
+	l.keeper.result(undelivered.Result{Life: undelivered.Life{ID: m.ID}, Overtaken: by})
 }
 
-// endResend ends a resend: the store is told, and only then the journal lets go of it.
-func (l *loop) endResend(m *message, status string) {
+// endResend ends a resend: the store is told, and only then the journal lets go of it. by is the newer message that has
+// overtaken it, for that end.
+func (l *loop) endResend(m *message, status, by string) {
 	if l.journal.Get(m.ID) != m.Entry { // refused at its arrival, before it was journalled
-		l.giveBack(m)
+		l.giveBack(m, by)
 		return
 	}
 	m.over = true
 	now := l.now()
-	reason := undelivered.Reason("")
-	if status != delivered {
+	reason := undelivered.Reason(by)
+	if status != delivered && status != overtaken {
 		reason = l.reason(m, status, now)
 	}
 	l.journal.Owe(m.Entry, Notice{ID: m.ID, Status: status}, string(reason), l.wall(now))
 	l.effects = append(l.effects, func() { l.tellEnd(m) })
 }
+
+// begun notes what a message that was taken on is about, where the operator says where that stands.
+func (l *loop) begun(m *message) {
+	switch {
+	case m.Order == nil || l.keeper == nil:
+	case m.Resend:
+		l.again.Taken(m.ID, m.topic(), *m.Order)
+	default:
+		l.underway.Taken(m.ID, m.topic(), *m.Order)
+	}
+}
+
+// overtake takes back resends of which a newer message came in this batch: those that would leave now do not, and those
+// that are out are given up.
+func (l *loop) overtake() {
+	for _, newer := range l.fresh {
+		if newer.Order == nil || newer.Resend || newer.over || l.keeper == nil {
+			continue
+		}
+		for _, id := range l.again.Before(newer.topic(), *newer.Order) {
+			m := l.messages[id]
+			if m == nil || m.over {
+				continue
+			}
+			l.sends = slices.DeleteFunc(l.sends, func(s send) bool {
+				if s.m == m {
+					l.unsent(s)
+				}
+				return s.m == m
+			})
+			l.endResend(m, overtaken, newer.ID)
+			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
+			l.wakeAt = 0 // the module has an event to act on
+			if m.cancel != nil {
+				l.effects = append(l.effects, m.cancel)
+			}
+		}
+	}
+}
+
+// tellDelivered has the store know of a message of a topic that was delivered; until it does the journal holds it.
+func (l *loop) tellDelivered(m *message) {
+	if l.keeper == nil {
+		l.end(m)
+		return
+	}
+	l.unkept = append(l.unkept, m)
+	l.keeper.note(undelivered.Note{ID: m.ID, Topic: m.topic(), Order: *m.Order})
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"mallowlead/internal/settings"
+	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
 
@@ -51,6 +52,8 @@
 	admit   func(*arrival)
 	closing atomic.Bool // answer with Connection: close
 	memory  budget      // for bodies
+	// subjects say what messages of a class are about, where undelivered ones are kept.
+	subjects map[string]*undelivered.Subject
 
 	mu      sync.Mutex
 	left    sync.Cond // a connection has left, or may be made to
@@ -63,7 +66,13 @@
 func newServer(c *Config, admit func(*arrival)) *server {
 	s := &server{classes: map[string]*policy.Class{}, tenants: map[string]bool{}, admit: admit,
 		memory: budget{left: max(maxBody, int(bodyShare*c.Limits.MemoryMB*(1<<20)))},
-		room:   c.clientRoom(), keep: c.idleRoom(), clients: map[*client]bool{}}
+		room:   c.clientRoom(), keep: c.idleRoom(), clients: map[*client]bool{}, subjects: map[string]*undelivered.Subject{}}
+	if c.Own != nil && c.Own.Undelivered != nil {
+		for i := range c.Own.Undelivered.Subjects {
+			subject := &c.Own.Undelivered.Subjects[i]
+			s.subjects[subject.Class] = subject
+		}
+	}
 	s.left.L = &s.mu
 	for i := range c.policy.Classes {
 		s.classes[c.policy.Classes[i].Name] = &c.policy.Classes[i]
@@ -177,3 +186,17 @@
 	return &arrival{verdict: make(chan verdict, 1), entry: &Entry{ID: id, Class: name, Dest: no, Key: key,
 		Tenant: value["Tenant"], Taken: now, Expires: expires}}, 0, nil
 }
+
+// about reads what a message is about. One of which that can't be told is served as any other; while it may have been
+// delivered, no older one of its class and partner is resent.
+func (s *server) about(e *Entry, h http.Header) {
+	subject := s.subjects[e.Class]
+	if subject == nil {
+		return
+	}
+	name, order, err := subject.Read(h, e.Body)
+	if err != nil {
+		slog.Debug("what a message is about can't be read", "id", e.ID, "err", err)
+	}
+	e.Subject, e.Order = name, &order
+}
--- a/internal/undelivered/allowed.go
+++ b/internal/undelivered/allowed.go
@@ -36,9 +36,11 @@
 	Why        string  // in plain words
 }
 
-// Allowed is the only judge of whether a message may be sent again at a time. newest says what is known of later
-// messages of its subject.
-func Allowed(c *Class, r *Record, newest *Newest, now time.Time) Verdict {
+// Newer tells which message of the same topic has overtaken one, or "", and whether an empty answer can be relied on.
+type Newer func(r *Record) (by string, known bool)
+
+// Allowed is the only judge of whether a message may be sent again at a time.
+func Allowed(c *Class, r *Record, newer Newer, now time.Time) Verdict {
 	no := func(format string, args ...any) Verdict { return Verdict{Why: fmt.Sprintf(format, args...)} }
 	switch {
 	case c == nil:
@@ -56,9 +58,11 @@
 		return no("it has had %d attempts, and its class is allowed %d", r.Attempts(), c.Attempts)
 	}
 	if c.Subject {
-		switch by, known := newest.After(r); {
+		switch by, known := newer(r); {
 		case by != "":
 			return Verdict{Superseded: by, Why: fmt.Sprintf("a newer message of %q, %s, has overtaken it", r.Subject, by)}
+		case r.Subject == "":
+			return no("its subject can't be read from it, and a newer message of it may have been delivered")
 		case !known:
 			return no("whether a newer message of %q was delivered can't be told", r.Subject)
 		}
--- a/internal/undelivered/check.go
+++ b/internal/undelivered/check.go
@@ -56,14 +56,14 @@
 		}
 		out[i+1].Rule, out[i+1].Faults = i+1, rule.Against(classes)
 	}
-	newest, now := NewNewest(1, false), a.Now()
+	now := a.Now()
 	for from, first := uint64(0), true; first || from > 0; first = false {
 		page, next, _, err := a.Store.Page(from, checkPage, checkPage, func(rec *Record) bool { return !rec.State.Ended() })
 		if err != nil {
 			return nil, err
 		}
 		for _, rec := range page {
-			p := Decide(o.Rules, by[rec.Class], rec, newest, now)
+			p := Decide(o.Rules, by[rec.Class], rec, a.Store.Newer, now)
 			c := &out[p.Rule]
 			if c.Actions == nil {
 				c.Actions = map[string]int{}
--- a/internal/undelivered/config.go
+++ b/internal/undelivered/config.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 
 	"mallowlead/internal/strict"
 )
@@ -124,8 +123,10 @@
 		if (header == "") == (pointer == "") {
 			d.Bad(at+"."+headerKey, "either %s or %s says where it is", headerKey, pointerKey)
 		}
-		if pointer != "" && !strings.HasPrefix(pointer, "/") {
-			d.Bad(at+"."+pointerKey, "%q is no JSON pointer: it begins with a slash", pointer)
+		if pointer != "" {
+			if _, err := tokens(pointer); err != nil {
+				d.Bad(at+"."+pointerKey, "%v", err)
+			}
 		}
 	}
 	one(s.Header, s.Pointer, "header", "pointer")
--- /dev/null
+++ b/internal/undelivered/newest_test.go
@@ -0,0 +1,222 @@
+package undelivered
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// plainShelf is a shelf in memory.
+type plainShelf struct {
+	eras  map[string]*era
+	all   map[Topic]latest
+	order []Topic // put longest ago first
+	wait  map[Topic][]latest
+}
+
+func newPlainShelf() *plainShelf {
+	return &plainShelf{eras: map[string]*era{}, all: map[Topic]latest{}, wait: map[Topic][]latest{}}
+}
+
+func (s *plainShelf) era(class string) *era       { return s.eras[class] }
+func (s *plainShelf) setEra(class string, e *era) { s.eras[class] = e }
+func (s *plainShelf) size() int                   { return len(s.all) }
+
+func (s *plainShelf) latest(t Topic) *latest {
+	if l, ok := s.all[t]; ok {
+		return &l
+	}
+	return nil
+}
+
+func (s *plainShelf) put(t Topic, l latest) {
+	s.order = append(slices.DeleteFunc(s.order, func(o Topic) bool { return o == t }), t)
+	s.all[t] = l
+}
+
+func (s *plainShelf) oldest() (string, *latest) {
+	t := s.order[0]
+	l := s.all[t]
+	s.order = s.order[1:]
+	delete(s.all, t)
+	return t.Class, &l
+}
+
+func (s *plainShelf) waiting(t Topic, version int) (best *latest) {
+	for _, l := range s.wait[t] {
+		if l.Version == version && (best == nil || l.Order.compare(best.Order) > 0) {
+			best = &l
+		}
+	}
+	return best
+}
+
+// known gives what knows of class c, read since an hour before noon.
+func known(most int) (*Newest, *plainShelf) {
+	s := newPlainShelf()
+	n := &Newest{on: s, most: most, alone: true}
+	n.Begin(map[string]string{"c": "by number"}, false, noon.Add(-time.Hour))
+	return n, s
+}
+
+func at(v int64) Order { return Order{Whole: v} }
+
+// about is a message of a topic of partner 3, first taken on a minute before noon.
+func about(subject string, o Order) *Record {
+	r := record(life("a", OutOfTime))
+	r.Subject, r.Order, r.Partner = subject, &o, 3
+	return r
+}
+
+// fill has an index of four topics forget all it knew.
+func fill(n *Newest, value int64) {
+	for i := range 4 {
+		n.Delivered(fmt.Sprint(i), Topic{"c", 9, fmt.Sprint("other ", i)}, at(value))
+	}
+}
+
+func TestSuperseded(t *testing.T) {
+	c := class(Safe)
+	c.Subject = true
+	s := Topic{"c", 3, "s"}
+	for name, x := range map[string]struct {
+		tell    func(n *Newest, shelf *plainShelf)
+		rec     *Record
+		by      string
+		allowed bool
+	}{
+		"nothing newer":                   {func(n *Newest, _ *plainShelf) { n.Delivered("b", s, at(4)) }, about("s", at(5)), "", true},
+		"a newer one was delivered":       {func(n *Newest, _ *plainShelf) { n.Delivered("b", s, at(6)) }, about("s", at(5)), "b", false},
+		"and an older one after it":       {func(n *Newest, _ *plainShelf) { n.Delivered("b", s, at(6)); n.Delivered("d", s, at(2)) }, about("s", at(5)), "b", false},
+		"a newer one waits":               {func(_ *Newest, p *plainShelf) { p.wait[s] = []latest{{ID: "b", Order: at(6)}} }, about("s", at(5)), "b", false},
+		"an older one waits":              {func(_ *Newest, p *plainShelf) { p.wait[s] = []latest{{ID: "b", Order: at(4)}} }, about("s", at(5)), "", true},
+		"it waits itself":                 {func(_ *Newest, p *plainShelf) { p.wait[s] = []latest{{ID: "a", Order: at(5)}} }, about("s", at(5)), "", true},
+		"a newer one, of another partner": {func(n *Newest, _ *plainShelf) { n.Delivered("b", Topic{"c", 4, "s"}, at(6)) }, about("s", at(5)), "", true},
+		"a newer one, of another class":   {func(n *Newest, _ *plainShelf) { n.Delivered("b", Topic{"d", 3, "s"}, at(6)) }, about("s", at(5)), "", true},
+		"other relays may have delivered": {func(n *Newest, _ *plainShelf) { n.alone = false }, about("s", at(5)), "", false},
+		"they may, but a newer one is known": {func(n *Newest, _ *plainShelf) { n.alone = false; n.Delivered("b", s, at(6)) },
+			about("s", at(5)), "b", false},
+		"no subject in the message":  {func(*Newest, *plainShelf) {}, record(life("a", OutOfTime)), "", false},
+		"its class is not read":      {func(_ *Newest, p *plainShelf) { p.eras["c"] = nil }, about("s", at(5)), "", false},
+		"a newer one was forgotten":  {func(n *Newest, _ *plainShelf) { n.Delivered("b", s, at(6)); fill(n, 0) }, about("s", at(5)), "", false},
+		"newer than all forgotten":   {func(n *Newest, _ *plainShelf) { n.Delivered("b", s, at(6)); fill(n, 0) }, about("s", at(7)), "", true},
+		"equal orders go by arrival": {func(n *Newest, _ *plainShelf) { n.Delivered("b", s, Order{Whole: 5, Arrival: 7}) }, about("s", Order{Whole: 5, Arrival: 6}), "b", false},
+		"one unread went after it":   {func(n *Newest, _ *plainShelf) { n.Delivered("b", Topic{"c", 3, ""}, Order{Arrival: 9}) }, about("s", at(5)), "", false},
+		"one unread went before it": {func(n *Newest, _ *plainShelf) {
+			n.Delivered("b", Topic{"c", 3, ""}, Order{Arrival: 9})
+		}, about("s", Order{Whole: 5, Arrival: 10}), "", true},
+		"one unread, another partner": {func(n *Newest, _ *plainShelf) { n.Delivered("b", Topic{"c", 4, ""}, Order{Arrival: 9}) }, about("s", at(5)), "", true},
+		"forgotten, and an older one came": {func(n *Newest, _ *plainShelf) {
+			n.Delivered("b", s, at(6))
+			fill(n, 0)
+			n.Delivered("d", s, at(2))
+		}, about("s", at(5)), "", false},
+		"forgotten, and two older ones came": {func(n *Newest, _ *plainShelf) {
+			n.Delivered("b", s, at(6))
+			fill(n, 0)
+			n.Delivered("d", s, at(2))
+			n.Delivered("e", s, at(3))
+		}, about("s", at(5)), "", false},
+		"something may have been missed": {func(n *Newest, _ *plainShelf) {
+			n.Begin(map[string]string{"c": "by number"}, true, noon.Add(-5*time.Minute))
+		}, about("s", at(5)), "", false},
+		"read otherwise than before": {func(n *Newest, _ *plainShelf) {
+			n.Delivered("b", s, at(6))
+			n.Begin(map[string]string{"c": "by time"}, false, noon.Add(-30*time.Minute))
+		}, about("s", at(5)), "", true},
+		"read otherwise of late": {func(n *Newest, _ *plainShelf) {
+			n.Begin(map[string]string{"c": "by time"}, false, noon.Add(-5*time.Minute))
+		}, about("s", at(5)), "", false},
+		"read as before, restarted": {func(n *Newest, _ *plainShelf) {
+			n.Begin(map[string]string{"c": "by number"}, false, noon.Add(-2*time.Minute))
+		}, about("s", at(5)), "", true},
+		"waits, read otherwise": {func(_ *Newest, p *plainShelf) { p.wait[s] = []latest{{ID: "b", Order: at(6), Version: 7}} }, about("s", at(5)), "", true},
+	} {
+		n, shelf := known(4)
+		x.tell(n, shelf)
+		if v := Allowed(c, x.rec, n.After, noon); v.Superseded != x.by || v.Allowed != x.allowed || v.Why == "" {
+			t.Errorf("%s: %+v", name, v)
+		}
+	}
+}
+
+// Whatever is delivered in whatever order, and whatever is forgotten: no message is let through that a newer one of its
+// topic was delivered before. The shelf of the store tells the same as one in memory.
+func TestNoNewerOneIsOverwritten(t *testing.T) {
+	c := class(Safe)
+	c.Subject = true
+	through := 0
+	rapid.Check(t, func(t *rapid.T) {
+		most := rapid.IntRange(1, 5).Draw(t, "most")
+		n, _ := known(most)
+		s, err := Open(tempDir(t), 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		if err := s.Topics([]Subject{{Class: "c", Order: byNumber}}, most, true, false, noon.Add(-time.Hour)); err != nil {
+			t.Fatal(err)
+		}
+		best := map[Topic]Order{}
+		for i := range rapid.IntRange(0, 25).Draw(t, "delivered") {
+			topic := Topic{"c", rapid.IntRange(1, 2).Draw(t, "partner"), fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "subject"))}
+			o := at(int64(rapid.IntRange(0, 30).Draw(t, "order")))
+			n.Delivered(fmt.Sprint(i), topic, o)
+			if err := s.Delivered([]Note{{fmt.Sprint(i), topic, o}}); err != nil {
+				t.Fatal(err)
+			}
+			if was, ok := best[topic]; !ok || o.compare(was) > 0 {
+				best[topic] = o
+			}
+		}
+		r := about(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "of")), at(int64(rapid.IntRange(0, 30).Draw(t, "at"))))
+		r.Partner = rapid.IntRange(1, 2).Draw(t, "to")
+		v := Allowed(c, r, n.After, noon)
+		if w := Allowed(c, r, s.Newer, noon); w != v {
+			t.Fatalf("in the store %+v, in memory %+v", w, v)
+		}
+		if newest, ok := best[r.topic()]; ok && v.Allowed && newest.compare(*r.Order) > 0 {
+			t.Fatalf("%+v is let through, and %+v was delivered", r.Order, newest)
+		}
+		if v.Allowed {
+			through++
+		}
+	})
+	if through == 0 {
+		t.Error("nothing was ever let through")
+	}
+}
+
+func TestUnderway(t *testing.T) {
+	var u Underway
+	s := Topic{"c", 3, "s"}
+	after := func(o Order, want string, known bool) {
+		t.Helper()
+		if got, ok := u.After(s, o); got != want || ok != known {
+			t.Errorf("after %v: %q, %v", o.Whole, got, ok)
+		}
+	}
+	after(at(1), "", true)
+	u.Taken("b", s, at(4))
+	u.Taken("d", s, at(6))
+	u.Taken("e", Topic{"c", 4, "s"}, at(9))
+	after(at(5), "d", true)
+	after(at(6), "", true)
+	if got := u.Before(s, at(5)); len(got) != 1 || got[0] != "b" {
+		t.Errorf("before 5: %v", got)
+	}
+	u.Taken("x", Topic{"c", 3, ""}, Order{})
+	after(at(6), "", false)
+	after(at(3), "d", true)
+	u.Ended("d", s)
+	u.Ended("x", Topic{"c", 3, ""})
+	after(at(5), "", true)
+	u.Ended("b", s)
+	u.Ended("e", Topic{"c", 4, "s"})
+	if len(u.by) != 0 {
+		t.Errorf("left: %v", u.by)
+	}
+}
--- a/internal/undelivered/record.go
+++ b/internal/undelivered/record.go
@@ -28,10 +28,12 @@
 	Doubtful     Reason = "may-have-run"     // it may have run, and may not be repeated
 	Settings     Reason = "settings-changed" // its class or partner is no longer known
 	ProcessEnded Reason = "process-ended"    // it was over when a later process took it up
+	Overtaken    Reason = "overtaken"        // a newer message came before its resend, or while that was out
+	AtArrival    Reason = "refused"          // never taken on: refused at its arrival
 )
 
 // reasons are all of them, as rules may name them.
-var reasons = []Reason{RefusedLate, OutOfTime, Spent, Doubtful, Settings, ProcessEnded}
+var reasons = []Reason{RefusedLate, OutOfTime, Spent, Doubtful, Settings, ProcessEnded, Overtaken, AtArrival}
 
 // Attempt is one call that was made for a message.
 type Attempt struct {
@@ -100,6 +102,9 @@
 	BodySize int       `json:"body_size"`
 }
 
+// topic is what a message is about.
+func (r *Record) topic() Topic { return Topic{r.Class, r.Partner, r.Subject} }
+
 // Last is the latest life.
 func (r *Record) Last() *Life { return &r.Lives[len(r.Lives)-1] }
 
@@ -133,7 +138,7 @@
 // handedBack tells whether the client was told that it may come again with the message, and nobody has vouched since
 // that it did not.
 func (r *Record) handedBack() bool {
-	if r.Lives[0].Status != deferred {
+	if r.Lives[0].Status != deferred && r.Lives[0].Reason != AtArrival {
 		return false
 	}
 	for i := range r.Lives {
@@ -144,6 +149,9 @@
 	return true
 }
 
+// refused tells whether a message was never taken on.
+func (r *Record) refused() bool { return len(r.Lives) == 1 && r.Lives[0].Reason == AtArrival }
+
 // deferred is the status of a notice that hands a message back.
 const deferred = "deferred"
 
--- a/internal/undelivered/resend.go
+++ b/internal/undelivered/resend.go
@@ -25,6 +25,7 @@
 type Result struct {
 	Life      Life // with the id under which it went
 	Delivered bool
+	Overtaken string // by this newer message, which was taken on before the resend left
 }
 
 // Offer is a message that is to be handed to the decision module as a background message.
@@ -50,7 +51,6 @@
 	store   *Store
 	rules   []Rule
 	classes map[string]*Class
-	newest  *Newest
 	relay   string
 	newID   func() string
 	lanes   map[int]*lane
@@ -59,8 +59,8 @@
 }
 
 // NewResender decides for a store. newID makes ids that nobody else uses.
-func NewResender(store *Store, rules []Rule, classes []Class, newest *Newest, relay string, newID func() string) *Resender {
-	r := &Resender{store: store, rules: rules, classes: map[string]*Class{}, newest: newest, relay: relay, newID: newID,
+func NewResender(store *Store, rules []Rule, classes []Class, relay string, newID func() string) *Resender {
+	r := &Resender{store: store, rules: rules, classes: map[string]*Class{}, relay: relay, newID: newID,
 		lanes: map[int]*lane{}}
 	for i := range classes {
 		r.classes[classes[i].Name] = &classes[i]
@@ -130,8 +130,9 @@
 		return nil, r.lost(rec, now, holds)
 	}
 	l := r.lane(rec.Partner, now)
+	newer := r.newer(rec)
 	err = r.store.Change(rec.ID, func(rec *Record) (time.Time, error) {
-		p := r.plan(rec, now)
+		p := r.plan(rec, newer, now)
 		if p.Action != Resend {
 			return r.settle(rec, p, now), nil
 		}
@@ -161,14 +162,24 @@
 // errLater says that a message stays as it is for now.
 var errLater = errors.New("later")
 
+// newer looks up what has overtaken a message: before the transaction that changes it, as a store can't be read by
+// another one within that.
+func (r *Resender) newer(rec *Record) Newer {
+	if c := r.classes[rec.Class]; c == nil || !c.Subject {
+		return nil // nobody will ask
+	}
+	by, known := r.store.Newer(rec)
+	return func(*Record) (string, bool) { return by, known }
+}
+
 // plan is what the rules, or an operator who asked for it, make of a message.
-func (r *Resender) plan(rec *Record, now time.Time) Plan {
+func (r *Resender) plan(rec *Record, newer Newer, now time.Time) Plan {
 	c := r.classes[rec.Class]
 	if rec.State == Due && rec.Asked {
 		rule := Rule{Action: Resend, Most: len(rec.Lives) + 1, Rate: 1}
-		return rule.resend(c, rec, r.newest, now)
+		return rule.resend(c, rec, newer, now)
 	}
-	return Decide(r.rules, c, rec, r.newest, now)
+	return Decide(r.rules, c, rec, newer, now)
 }
 
 // settle writes down a plan other than a resend, and gives when to look again.
@@ -250,6 +261,11 @@
 		last.Attest = attest
 		rec.State, rec.Why = Delivered, "delivered as "+last.ID
 		return time.Time{}
+	case res.Overtaken != "" && len(res.Life.Attempts) > 0: // it was out already: what came of it can't be told
+		*last = res.Life
+		last.Attest = attest
+		rec.State, rec.Why = Superseded, fmt.Sprintf("%s, newer of %q, came while its resend was out", res.Overtaken, rec.Subject)
+		return time.Time{}
 	case len(res.Life.Attempts) == 0:
 		// It never left the relay: that was no life, and no attest is used up by it.
 		rec.Lives = rec.Lives[:len(rec.Lives)-1]
@@ -261,6 +277,10 @@
 			}
 		}
 		rec.Why = "the relay had no room for it"
+		if res.Overtaken != "" {
+			rec.State, rec.Why = Superseded, fmt.Sprintf("a newer message of %q, %s, has overtaken it", rec.Subject, res.Overtaken)
+			return time.Time{}
+		}
 	default:
 		*last = res.Life
 		last.Attest = attest
@@ -283,6 +303,7 @@
 		l.until = now.Add(*d)
 	}
 	switch {
+	case res.Overtaken != "": // that says nothing of the partner
 	case res.Delivered:
 		l.busy, l.fail = 0, 0
 	case len(res.Life.Attempts) == 0:
--- a/internal/undelivered/rules.go
+++ b/internal/undelivered/rules.go
@@ -145,7 +145,7 @@
 
 // Decide says what the rules make of a message: the first that matches decides, and none that does is hold. A resend
 // that its class forbids is held, whatever the rule says.
-func Decide(rules []Rule, c *Class, rec *Record, newest *Newest, now time.Time) Plan {
+func Decide(rules []Rule, c *Class, rec *Record, newer Newer, now time.Time) Plan {
 	if rec.Kept {
 		return Plan{Action: Hold, Why: rec.Why}
 	}
@@ -154,7 +154,7 @@
 		if !r.matches(rec, now) {
 			continue
 		}
-		p := r.plan(c, rec, newest, now)
+		p := r.plan(c, rec, newer, now)
 		p.Rule = i + 1
 		return p
 	}
@@ -171,7 +171,7 @@
 	return at
 }
 
-func (r *Rule) plan(c *Class, rec *Record, newest *Newest, now time.Time) Plan {
+func (r *Rule) plan(c *Class, rec *Record, newer Newer, now time.Time) Plan {
 	switch r.Action {
 	case Discard:
 		due := rec.Lives[0].Taken.Add(seconds(r.Age))
@@ -180,13 +180,13 @@
 		}
 		return Plan{Action: Discard, At: now, Why: fmt.Sprintf("it is older than %v", seconds(r.Age))}
 	case Resend:
-		return r.resend(c, rec, newest, now)
+		return r.resend(c, rec, newer, now)
 	}
 	return Plan{Action: Hold, Why: "a rule holds it"}
 }
 
-func (r *Rule) resend(c *Class, rec *Record, newest *Newest, now time.Time) Plan {
-	v := Allowed(c, rec, newest, now)
+func (r *Rule) resend(c *Class, rec *Record, newer Newer, now time.Time) Plan {
+	v := Allowed(c, rec, newer, now)
 	switch {
 	case v.Superseded != "":
 		return Plan{Action: string(Superseded), At: now, Why: v.Why}
