--- /dev/null
+++ b/internal/relay/killed_test.go
@@ -0,0 +1,202 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mallowlead/internal/undelivered"
+)
+
+// killings is how often the real program is killed, and gaps how long it lives until then at least and at most.
+const killings = 50
+
+var gaps = [2]time.Duration{20 * time.Millisecond, 450 * time.Millisecond}
+
+// ledger is what the hosts and the clients saw.
+type ledger struct {
+	mu        sync.Mutex
+	taken     map[string]bool // ids that were answered 202
+	delivered map[string]bool // keys that a host answered 200
+	effects   map[string]int  // by key: of calls that had their effect, but for repeats that a keyed host drops
+	ran       map[string]time.Time
+}
+
+// serve is a host's answer, drawn: it delivers, turns away, fails after its effect, or hangs.
+func (l *ledger) serve(r *http.Request, draw float64) int {
+	key := r.Header.Get("Idempotency-Key")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if draw < 0.25 {
+		return http.StatusServiceUnavailable
+	}
+	if last, ok := l.ran[key]; !ok || !strings.HasPrefix(key, "key-payment") || time.Since(last) > keyMemory {
+		l.effects[key]++
+	}
+	if _, ok := l.ran[key]; !ok {
+		l.ran[key] = time.Now()
+	}
+	switch {
+	case draw < 0.28:
+		return 0
+	case draw < 0.36:
+		return http.StatusInternalServerError
+	}
+	l.delivered[key] = true
+	return http.StatusOK
+}
+
+// keyMemory is how long the hosts drop a repeat, as the settings say.
+const keyMemory = 15 * time.Second
+
+// The real program is killed at 50 drawn moments, while it takes on, delivers, gives up, hands over and resends: nothing
+// is lost, nothing is in the store twice, and nothing that may not be repeated has its effect twice.
+func TestKilledAtFiftyDrawnMoments(t *testing.T) {
+	p := newPlatform(t)
+	p.program = filepath.Join(t.TempDir(), "frostlink")
+	if out, err := exec.Command("go", "build", "-o", p.program, "mallowlead/cmd/frostlink").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	p.memory = keyMemory.Seconds()
+	folder := p.keeping(strings.Replace(resendRule, "after_s = 0.2", "after_s = 0.05", 1))
+	p.addHost("h1", 7)
+	p.addHost("h2", 7)
+	draw := rand.New(rand.NewPCG(20261201, 8))
+	l := &ledger{taken: map[string]bool{}, delivered: map[string]bool{}, effects: map[string]int{}, ran: map[string]time.Time{}}
+	var drawing sync.Mutex
+	next := func() float64 {
+		drawing.Lock()
+		defer drawing.Unlock()
+		return draw.Float64()
+	}
+	p.answer = func(r *http.Request) int { return l.serve(r, next()) }
+	go func() { // nobody waits for single calls
+		for {
+			select {
+			case <-p.began:
+			case <-p.released:
+				return
+			}
+		}
+	}()
+	stop := make(chan bool)
+	var clients sync.WaitGroup
+	for n := range 3 {
+		clients.Go(func() {
+			class := []string{"status", "payment", "order"}[n]
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(6 * time.Millisecond):
+				}
+				if id := fmt.Sprint(class, i); p.offer(class, id, fmt.Sprint(0.1+next())) == http.StatusAccepted {
+					l.mu.Lock()
+					l.taken[id] = true
+					l.mu.Unlock()
+				}
+			}
+		})
+	}
+	for i := range killings {
+		var other *undelivered.Store
+		if i%2 == 1 {
+			// Another process has the store for this life: the notices go, and what is kept waits in the journal.
+			var err error
+			if other, err = undelivered.Open(folder, 0, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c := p.start()
+		time.Sleep(gaps[0] + time.Duration(next()*float64(gaps[1]-gaps[0])))
+		p.kill(c)
+		if other != nil {
+			_ = other.Close()
+		}
+	}
+	close(stop)
+	clients.Wait()
+	p.set(func() { p.answer = func(r *http.Request) int { return l.serve(r, 1) } })
+	c := p.start()
+	p.until("a few resends came", func() bool { return len(p.again()) >= 20 })
+	p.until("the journal lets go of all", func() bool { return p.journalled() == 0 })
+	p.kill(c)
+	p.readStore(folder, func(s *undelivered.Store) { l.audit(t, p, s) })
+}
+
+// offer hands a message in, also where nobody listens, and gives the status of its answer; 0 for none.
+func (p *platform) offer(class, id, timeout string) int {
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.addr+"/"+class, strings.NewReader("body of "+id))
+	if err != nil {
+		return 0
+	}
+	for name, v := range map[string]string{"Request-Id": id, "Tenant": "acme", "Request-Timeout": timeout, "X-Envelope": "dest=7",
+		"Idempotency-Key": "key-" + id} {
+		r.Header.Set(name, v)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// audit holds the store against what hosts and clients saw.
+func (l *ledger) audit(t *testing.T, p *platform, s *undelivered.Store) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	told := map[string]bool{}
+	for _, n := range p.told() {
+		told[n.ID] = true
+	}
+	kept, resent, delivered := map[string]*undelivered.Record{}, 0, 0
+	for from, first := uint64(0), true; first || from > 0; first = false {
+		page, following, damaged, err := s.Page(from, 1000, 1000, nil)
+		if err != nil || damaged > 0 {
+			t.Fatalf("%d damaged, %v", damaged, err)
+		}
+		for _, r := range page {
+			if kept[r.ID] != nil {
+				t.Errorf("%s is kept twice", r.ID)
+			}
+			kept[r.ID] = r
+			resent += len(r.Lives) - 1
+			if body, err := s.Body(r.ID); err != nil || string(body) != "body of "+r.ID {
+				t.Errorf("%s: body %q, %v", r.ID, body, err)
+			}
+		}
+		from = following
+	}
+	for id := range l.taken {
+		r := kept[id]
+		switch {
+		case r == nil && !l.delivered["key-"+id]:
+			t.Errorf("%s was taken on, and is neither delivered nor kept", id)
+		case r == nil:
+			delivered++
+		case r.State == undelivered.Delivered && !l.delivered["key-"+id]:
+			t.Errorf("%s is kept as delivered, and no host had it: %+v", id, r)
+		case !told[id]:
+			t.Errorf("%s is kept, and the platform was not told", id)
+		}
+		if told[id] && r == nil {
+			t.Errorf("%s was given up, and is not kept", id)
+		}
+	}
+	for key, n := range l.effects {
+		if n > 1 && !strings.HasPrefix(key, "key-status") {
+			t.Errorf("%s had its effect %d times: %+v", key, n, kept[strings.TrimPrefix(key, "key-")])
+		}
+	}
+	t.Logf("%d taken on, %d of them delivered and not kept, %d kept, %d resends", len(l.taken), delivered, len(kept), resent)
+	if len(kept) < 50 || resent < 20 || delivered < 50 {
+		t.Errorf("%d kept, %d resends, %d delivered: the test sees too little", len(kept), resent, delivered)
+	}
+}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -67,6 +67,7 @@
 	discovery *httptest.Server // the one that the configuration names
 	path      string           // of the configuration
 	own       string           // of the operator's file; empty: none
+	program   string           // the real program; empty: this one as a relay
 	addr      string           // the relay's
 	dir       string
 	memory    float64
@@ -237,6 +238,9 @@
 func (p *platform) start() *child {
 	p.t.Helper()
 	c := &child{Cmd: exec.Command(os.Args[0]), exited: make(chan error, 1)}
+	if p.program != "" {
+		c.Cmd = exec.Command(p.program, "-config", p.config(), "-state", p.dir, "-operator", p.own)
+	}
 	c.Env = append(os.Environ(), childConfig+"="+p.config(), childState+"="+p.dir, childOwn+"="+p.own)
 	c.Stderr = &bytes.Buffer{}
 	if err := c.Start(); err != nil {
