--- a/cmd/frostlinkctl/main.go
+++ b/cmd/frostlinkctl/main.go
@@ -1,10 +1,12 @@
-// Command frostlinkctl is the operator's tool: it rehearses incidents, a sub-command a subsystem.
+// Command frostlinkctl is the operator's tool: it rehearses incidents and decides on undelivered messages, a sub-command a
+// subsystem.
 package main
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -24,12 +26,12 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	code := run(ctx, os.Args[1:])
+	code := run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
 }
 
-func run(ctx context.Context, args []string) int {
+func run(ctx context.Context, args []string, in io.Reader, out, errs io.Writer) int {
 	root := &cobra.Command{
 		Use:           "frostlinkctl",
 		Short:         "The operator's tool for frostlink relays",
@@ -39,13 +41,16 @@
 	}
 	root.AddCommand(rehearseCommand(), undeliveredCommand())
 	root.SetArgs(args)
+	root.SetIn(in)
+	root.SetOut(out)
+	root.SetErr(errs)
 	switch err := root.ExecuteContext(ctx); {
 	case err == nil:
 		return exitFine
 	case errors.Is(err, errFound):
 		return exitFound
 	default:
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(errs, err)
 		return exitFail
 	}
 }
--- a/cmd/frostlinkctl/undelivered.go
+++ b/cmd/frostlinkctl/undelivered.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/user"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -271,6 +272,9 @@
 			for group, n := range s.Left {
 				fmt.Fprintf(t, "%s, left by a bound\t%d\n", group, n)
 			}
+			for group, n := range s.Refused {
+				fmt.Fprintf(t, "%s, refused at arrival\t%d\n", group, n)
+			}
 			return t.Flush()
 		}),
 	}
@@ -475,7 +479,7 @@
 func (o *storeOptions) do(what, short string, why bool) *cobra.Command {
 	var order undelivered.Command
 	c := &cobra.Command{
-		Use:     what + " ID...",
+		Use:     what + " ID... | -",
 		Short:   short,
 		Example: fmt.Sprintf("  frostlinkctl undelivered %s 4f0c2a9d1b770000 --folder store --why \"the bank has booked it\"", what),
 		Args:    cobra.MinimumNArgs(1),
@@ -491,8 +495,15 @@
 	return c
 }
 
-// each does something to each message, and goes on where one is refused.
+// each does something to each message, and goes on where one is refused. The id - stands for those on standard input: a
+// list that staff have checked against a partner's ledger.
 func (o *storeOptions) each(c *cobra.Command, a *undelivered.Access, what string, ids []string, order undelivered.Command) error {
+	if len(ids) == 1 && ids[0] == "-" {
+		ids = nil
+		for words := bufio.NewScanner(c.InOrStdin()); words.Scan(); {
+			ids = append(ids, strings.Fields(words.Text())...)
+		}
+	}
 	refused := false
 	done := []*undelivered.Record{}
 	for _, id := range ids {
@@ -521,12 +532,12 @@
 func (o *storeOptions) attest() *cobra.Command {
 	var order undelivered.Command
 	c := &cobra.Command{
-		Use:   "attest ID",
+		Use:   "attest ID... | -",
 		Short: "State by name that the partner does not have a message that may have run",
 		Long: "State by name that the partner does not have a message that may have run. It is kept and shown for ever, and\n" +
-			"allows one resend.",
+			"allows one resend. - stands for ids on standard input, as from a list that was checked against a ledger.",
 		Example: "  frostlinkctl undelivered attest 4f0c2a9d1b770000 --folder store --by \"Amina Khan\" --evidence \"ledger of 30 June, page 7\"",
-		Args:    cobra.ExactArgs(1),
+		Args:    cobra.MinimumNArgs(1),
 		RunE: o.on(true, func(c *cobra.Command, a *undelivered.Access, ids []string) error {
 			return o.each(c, a, "attest", ids, order)
 		}),
--- a/internal/rehearsal/audit/judge.go
+++ b/internal/rehearsal/audit/judge.go
@@ -63,6 +63,8 @@
 	effects             int
 	taken               bool
 	resend              bool
+	before              bool // given up before the run
+	subject             string
 	excusedUntil, voids time.Duration // end of a restart's excuse; when its machine was lost (-1: not)
 }
 
@@ -94,6 +96,7 @@
 		j.repeats(c)
 	}
 	j.resends()
+	j.overwritten()
 	j.drains(log)
 	j.waits()
 	j.returns(log)
@@ -137,13 +140,13 @@
 		c := j.charges[e.ID]
 		switch e.Kind {
 		case HandedIn:
-			c = &charge{id: e.ID, msg: e.Msg, relay: e.Relay, dest: e.Dest, class: e.Class, item: e.Item, handed: e.At,
+			c = &charge{id: e.ID, msg: e.Msg, relay: e.Relay, dest: e.Dest, class: e.Class, item: e.Item, subject: e.Subject, handed: e.At,
 				expires: e.At + e.For, answered: -1, delivered: -1, voids: -1}
 			j.charges[e.ID] = c
 			j.order = append(j.order, c)
-		case Resent:
-			c = &charge{id: e.ID, msg: e.Msg, relay: e.Relay, dest: e.Dest, class: e.Class, handed: e.At, resend: true,
-				expires: never, answered: -1, delivered: -1, voids: -1}
+		case Resent, Before:
+			c = &charge{id: e.ID, msg: e.Msg, relay: e.Relay, dest: e.Dest, class: e.Class, subject: e.Subject, handed: e.At,
+				resend: e.Kind == Resent, before: e.Kind == Before, expires: never, answered: -1, delivered: -1, voids: -1}
 			j.charges[e.ID] = c
 			j.order = append(j.order, c)
 		case Answered:
--- a/internal/rehearsal/audit/log.go
+++ b/internal/rehearsal/audit/log.go
@@ -19,7 +19,7 @@
 
 // The kinds of event, with the fields that each has beside At.
 const (
-	HandedIn  Kind = "handed-in"  // ID Msg Relay Dest Class Item For: a client has sent a message with so long to go
+	HandedIn  Kind = "handed-in"  // ID Msg Relay Dest Class Item Subject For: a client has sent a message with so long to go
 	Answered  Kind = "answered"   // ID Relay Status For: the client heard the relay's answer, and when to come again
 	Unheard   Kind = "unheard"    // ID Relay State: the client waits no more, or the connection ended without an answer
 	Called    Kind = "called"     // ID Relay Dest Host Call First: a call's last byte has come; First: its first
@@ -28,7 +28,8 @@
 	Effect    Kind = "effect"     // ID Msg Dest: a call had its effect
 	Shown     Kind = "shown"      // Host Dest State: the register shows a change
 	Told      Kind = "told"       // Relay Host Dest State: the register has written it to a relay
-	Resent    Kind = "resent"     // ID Msg Relay Dest Class: the first call for a message under an id of a relay's making
+	Resent    Kind = "resent"     // ID Msg Relay Dest Class Subject: the first call for a message under an id of a relay's making
+	Before    Kind = "before"     // ID Msg Relay Dest Class Subject: it was given up before the run, and never ran
 	Asked     Kind = "asked"      // Relay OK: a watch began, or failed
 	Unwatched Kind = "unwatched"  // Relay: a watch ended
 	Noticed   Kind = "noticed"    // ID Relay State: the platform has received an end
@@ -85,7 +86,8 @@
 	Host    string        `json:"host,omitempty"`
 	Class   int           `json:"class,omitempty"`
 	Item    string        `json:"item,omitempty"`
-	Call    int           `json:"call,omitempty"` // number of the call, over all relays
+	Subject string        `json:"subject,omitempty"` // of what a message is a status: of two, the higher number is the newer
+	Call    int           `json:"call,omitempty"`    // number of the call, over all relays
 	First   time.Duration `json:"first,omitempty"`
 	For     time.Duration `json:"for,omitempty"`
 	Status  int           `json:"status,omitempty"`
@@ -127,6 +129,7 @@
 	WrongHost   Rule = "host of another partner"
 	Unknown     Rule = "message nobody handed in"
 	NotKept     Rule = "undelivered message not kept"
+	Overwritten Rule = "newer status overwritten"
 	KeptWrong   Rule = "undelivered message kept wrongly"
 )
 
--- a/internal/rehearsal/audit/resends.go
+++ b/internal/rehearsal/audit/resends.go
@@ -66,6 +66,35 @@
 	}
 }
 
+// overwritten checks that no resend began to be delivered after a newer message of its subject had been.
+func (j *judge) overwritten() {
+	type subject struct {
+		dest, class int
+		name        string
+	}
+	by := map[subject][]*charge{}
+	for _, c := range j.order {
+		if c.subject != "" && c.delivered >= 0 {
+			s := subject{c.dest, c.class, c.subject}
+			by[s] = append(by[s], c)
+		}
+	}
+	for _, c := range j.order {
+		if !c.resend || c.subject == "" {
+			continue
+		}
+		for _, newer := range by[subject{c.dest, c.class, c.subject}] {
+			for _, a := range c.attempts {
+				if newer.msg > c.msg && a.mayHaveRun() && newer.delivered < a.first {
+					j.breach(Overwritten, a.first, c.id, a.relay, c.dest, "a status of %s resent after a newer one, %s, was delivered at %s",
+						c.subject, newer.id, clock(newer.delivered))
+					return
+				}
+			}
+		}
+	}
+}
+
 // Kept is a message as a relay's store of undelivered ones has it at the end of a run.
 type Kept struct {
 	Relay    int
@@ -105,6 +134,8 @@
 			j.breach(KeptWrong, over, k.IDs[0], k.Relay, -1, "kept, and nobody handed it in")
 		case k.State == "delivered" && !delivered:
 			j.breach(KeptWrong, over, k.IDs[0], k.Relay, first.dest, "kept as delivered, and no partner answered so")
+		case first.taken && !first.resend && len(first.notices) == 0 && first.voids < 0:
+			j.breach(KeptWrong, over, k.IDs[0], k.Relay, first.dest, "kept as %s, and it was not given up", k.State)
 		case k.Why == "":
 			j.breach(KeptWrong, over, k.IDs[0], k.Relay, first.dest, "kept as %s without a reason", k.State)
 		}
@@ -115,6 +146,8 @@
 	}
 	for _, c := range j.order {
 		switch given := c.taken && len(c.notices) > 0 && c.voids < 0; {
+		case c.before && in[c.id] == 0:
+			j.breach(NotKept, over, c.id, c.relay, c.dest, "it was in the store before the run, and is no more")
 		case given && in[c.id] == 0:
 			j.breach(NotKept, c.notices[0].At, c.id, c.relay, c.dest, "given up as %s, and in no store", c.notices[0].State)
 		case in[c.id] > 1:
--- a/internal/rehearsal/audit/resends_test.go
+++ b/internal/rehearsal/audit/resends_test.go
@@ -73,6 +73,48 @@
 	}
 }
 
+// parcel notes a status of a parcel: the number is the message's, and of two the higher one is the newer.
+func (n *notes) parcel(kind Kind, at time.Duration, id string, number int) {
+	n.add(Event{At: at, Kind: kind, ID: id, Msg: number, Class: status, Subject: "parcel-1", For: 30 * sec})
+	if kind == HandedIn {
+		n.add(Event{At: at + ms, Kind: Answered, ID: id, Status: 202})
+	}
+}
+
+func TestNewerStatusesAreNotOverwritten(t *testing.T) {
+	newer := func(n *notes, number int) {
+		n.parcel(HandedIn, 4*sec, "new", number)
+		n.call(5*sec, "new", "h", OK, ms)
+	}
+	resent := func(n *notes, outcome string) {
+		n.parcel(Resent, 6*sec, "r", 3)
+		n.call(6*sec+ms, "r", "h", outcome, ms)
+	}
+	for name, c := range map[string]struct {
+		rule Rule
+		run  func(n *notes)
+	}{
+		"a newer one was delivered":        {Overwritten, func(n *notes) { newer(n, 7); resent(n, OK) }},
+		"and its answer did not come back": {Overwritten, func(n *notes) { newer(n, 7); resent(n, Left) }},
+		"it was turned away":               {"", func(n *notes) { newer(n, 7); resent(n, Full) }},
+		"an older one was delivered":       {"", func(n *notes) { newer(n, 2); resent(n, OK) }},
+		"a newer one came while it was out": {"", func(n *notes) {
+			n.parcel(Resent, 3*sec, "r", 3)
+			n.call(3*sec+ms, "r", "h", OK, 3*sec)
+			newer(n, 7)
+		}},
+	} {
+		n := &notes{}
+		n.add(Event{Kind: Ready})
+		n.parcel(Before, 0, "old", 3)
+		c.run(n)
+		r := Judge(figures(), n.log, 60*sec)
+		if c.rule == "" && len(r.Breaches) > 0 || c.rule != "" && (len(r.Breaches) != 1 || r.Breaches[0].Rule != c.rule) {
+			t.Errorf("%s: want %q, got %+v", name, c.rule, r.Breaches)
+		}
+	}
+}
+
 func TestStoresAreHeldAgainstTheLog(t *testing.T) {
 	base := func() *notes {
 		n := &notes{}
@@ -104,10 +146,19 @@
 		"one is there twice":       {KeptWrong, func(k []Kept) []Kept { return append(k, k[1]) }, nil, map[string]int{"delivered": 1, "held": 2}},
 		"never run, but it did":    {KeptWrong, func(k []Kept) []Kept { k[1].NeverRan = []string{"b"}; return k }, nil, map[string]int{"delivered": 1, "held": 1}},
 		"delivered, but it wasn't": {KeptWrong, func(k []Kept) []Kept { k[1].State = "delivered"; return k }, nil, map[string]int{"delivered": 2}},
+		"it was not given up":      {KeptWrong, func(k []Kept) []Kept { return append(k, Kept{IDs: []string{"on"}, State: "held", Why: "y"}) }, nil, map[string]int{"delivered": 1, "held": 2}},
+		"one of before is gone":    {NotKept, func(k []Kept) []Kept { return k }, nil, map[string]int{"delivered": 1, "held": 1}},
 		"without a reason":         {KeptWrong, func(k []Kept) []Kept { k[1].Why = ""; return k }, nil, map[string]int{"delivered": 1, "held": 1}},
 		"made up":                  {KeptWrong, func(k []Kept) []Kept { return append(k, Kept{IDs: []string{"x"}, State: "held", Why: "y"}) }, nil, map[string]int{"delivered": 1, "held": 2}},
 	} {
 		n := base()
+		switch name {
+		case "it was not given up":
+			n.take(30*sec, "on", status)
+			n.call(31*sec, "on", "h", OK, ms)
+		case "one of before is gone":
+			n.add(Event{Kind: Before, ID: "early", Msg: 9})
+		}
 		r := Judge(figures(), n.log, 60*sec)
 		if len(r.Breaches) > 0 {
 			t.Fatalf("%s: %+v", name, r.Breaches)
--- a/internal/rehearsal/rig/clients.go
+++ b/internal/rehearsal/rig/clients.go
@@ -251,7 +251,7 @@
 	}
 	c.r.book.handedIn(k)
 	k.handed = c.r.note(audit.Event{Kind: audit.HandedIn, ID: k.id, Msg: k.m.No, Relay: k.relay, Dest: k.m.Partner,
-		Class: k.m.Class, Item: k.m.Item, For: left})
+		Class: k.m.Class, Item: k.m.Item, Subject: k.m.Subject, For: left})
 }
 
 // errEmpty says that a connection ended with nothing on it.
@@ -269,6 +269,9 @@
 	if k.m.Tenant >= 0 {
 		fmt.Fprintf(&out, "\r\nTenant: %s", c.r.s.Tenants[k.m.Tenant].Name)
 	}
+	if k.m.Subject != "" {
+		fmt.Fprintf(&out, "\r\nSubject: %s\r\nSequence: %d", k.m.Subject, k.m.No)
+	}
 	if k.m.Key != "" {
 		fmt.Fprintf(&out, "\r\nIdempotency-Key: %s", k.m.Key)
 	}
--- a/internal/rehearsal/rig/endpoint.go
+++ b/internal/rehearsal/rig/endpoint.go
@@ -262,7 +262,7 @@
 	}
 	m := h.r.clients.messages[no]
 	if h.r.book.adopt(&charge{m: m, id: id, relay: relay, expires: resendTime}) {
-		h.r.note(audit.Event{Kind: audit.Resent, ID: id, Msg: no, Relay: relay, Dest: m.Partner, Class: m.Class})
+		h.r.note(audit.Event{Kind: audit.Resent, ID: id, Msg: no, Relay: relay, Dest: m.Partner, Class: m.Class, Subject: m.Subject})
 	}
 }
 
--- a/internal/rehearsal/rig/measure_test.go
+++ b/internal/rehearsal/rig/measure_test.go
@@ -7,6 +7,8 @@
 	"math"
 	"net/http"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"runtime"
 	"sync"
 	"testing"
@@ -128,3 +130,45 @@
 		t.Errorf("only %d calls", res.Counts.Outcomes[audit.OK])
 	}
 }
+
+// What a backlog of 100,000 messages that is being resent costs fresh traffic: the quiet script with it and without, in
+// turn, on the real program.
+func TestMeasureBacklog(t *testing.T) {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	program := filepath.Join(t.TempDir(), "frostlink")
+	if out, err := exec.Command("go", "build", "-o", program, "mallowlead/cmd/frostlink").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	const all, seeds = 100_000, 3
+	var with, without []float64
+	for seed := range int64(seeds) {
+		for _, backlog := range []int{0, all} {
+			s, err := script.Read("../../../rehearsals/quiet.toml")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Relay.Resends, s.Relay.Backlog = true, backlog/s.Relays
+			s.Relay.Operator = "version = 1\n[undelivered]\nfolder = \"{dir}/undelivered\"\n[[undelivered.rule]]\naction = \"resend\"\nmost = 8\nrate = 100\n"
+			res, err := Run(t.Context(), s, Options{Seed: 1 + seed, Command: []string{program}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if backlog == 0 {
+				without = append(without, res.Worth.Whole)
+			} else {
+				with = append(with, res.Worth.Whole)
+			}
+			t.Logf("seed %d, %6d messages in the stores: worth %.4f, %d resent and delivered, %d breaches, relays' memory %.0f MB", 1+seed, backlog,
+				res.Worth.Whole, res.Undelivered["delivered"], len(res.Breaches), res.Processes[0].MemoryMB[quarters-1])
+			if len(res.Breaches) > 0 {
+				t.Errorf("%+v", res.Breaches[0])
+			}
+			if backlog > 0 && res.Undelivered["delivered"] == 0 {
+				t.Error("nothing was resent")
+			}
+		}
+	}
+	t.Logf("with %.4v, without %.4v", with, without)
+}
--- a/internal/rehearsal/rig/relays.go
+++ b/internal/rehearsal/rig/relays.go
@@ -98,6 +98,13 @@
 func (rel *relay) operatorPath() string {
 	return filepath.Join(rel.dir(), "frostlink.toml")
 }
+
+// writeOperator writes the operator's file that the script gives.
+func (rel *relay) writeOperator() error {
+	text := strings.ReplaceAll(rel.r.s.Relay.Operator, "{dir}", rel.dir())
+	return os.WriteFile(rel.operatorPath(), []byte(text), 0o600)
+}
+
 func (rel *relay) logPath() string { return filepath.Join(rel.dir(), "log") }
 
 func (rel *relay) setDiscovery(addr string) {
@@ -163,12 +170,10 @@
 	o := &rel.r.o
 	args := o.Command[1:]
 	if rel.r.s.Relay.Operator != "" {
-		path := rel.operatorPath()
-		text := strings.ReplaceAll(rel.r.s.Relay.Operator, "{dir}", rel.dir())
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		if err := rel.writeOperator(); err != nil {
 			return err
 		}
-		args = append(slices.Clone(args), "-operator", path)
+		args = append(slices.Clone(args), "-operator", rel.operatorPath())
 	}
 	cmd := exec.Command(o.Command[0], args...)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = rel.dir(), log, log
--- a/internal/rehearsal/rig/rig.go
+++ b/internal/rehearsal/rig/rig.go
@@ -167,7 +167,11 @@
 		return nil, err
 	}
 	messages := s.Messages(r.d)
-	r.clients = newClients(r, messages)
+	before := s.Before(r.d, len(messages), s.Relays*s.Relay.Backlog)
+	r.clients = newClients(r, append(slices.Clone(messages), before...))
+	if err := r.fillStores(before); err != nil {
+		return nil, err
+	}
 	if err := r.startRelays(); err != nil {
 		return nil, err
 	}
--- a/internal/rehearsal/rig/stores.go
+++ b/internal/rehearsal/rig/stores.go
@@ -2,17 +2,79 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"mallowlead/internal/operator"
 	"mallowlead/internal/rehearsal/audit"
+	"mallowlead/internal/rehearsal/script"
 	"mallowlead/internal/undelivered"
 )
 
 // storesWithin is how long relays have, at the end of a run, to hand over to their stores and to come to rest.
 const storesWithin = 2 * time.Second
 
+// beforeRun is how long before the run a backlog was given up.
+const beforeRun = time.Hour
+
+// fillStores puts what was given up before the run into the relays' stores, to each as much.
+func (r *rig) fillStores(before []*script.Message) error {
+	for _, rel := range r.relays {
+		mine := before[rel.number*r.s.Relay.Backlog:][:r.s.Relay.Backlog]
+		if len(mine) == 0 {
+			continue
+		}
+		if err := rel.writeOperator(); err != nil {
+			return err
+		}
+		own, err := operator.Read(rel.operatorPath())
+		if err != nil {
+			return err
+		}
+		if own.Undelivered == nil {
+			return errors.New("relay.backlog: the operator's file keeps no undelivered messages")
+		}
+		s, err := undelivered.Open(own.Undelivered.Folder, 0, 0)
+		if err != nil {
+			return err
+		}
+		err = rel.fill(s, mine)
+		if err = errors.Join(err, s.Close()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fill puts messages into a relay's store.
+func (rel *relay) fill(s *undelivered.Store, list []*script.Message) error {
+	const batch = 500
+	at := time.Now().Add(-beforeRun)
+	for part := range slices.Chunk(list, batch) {
+		var all []undelivered.Kept
+		for _, m := range part {
+			id, class := fmt.Sprintf("before-%d", m.No), &rel.r.s.Classes[m.Class]
+			k := undelivered.Kept{Body: bodyOf(&charge{m: m}), Record: undelivered.Record{ID: id, Class: class.Name, Partner: m.Partner, Key: m.Key,
+				State: undelivered.Held, Since: at, Due: at, Lives: []undelivered.Life{{ID: id, Relay: rel.name, Taken: at.Add(-script.Seconds(class.Deadline)),
+					Expires: at, Over: at, Reason: undelivered.OutOfTime, Status: "undeliverable"}}}}
+			if m.Tenant >= 0 {
+				k.Tenant = rel.r.s.Tenants[m.Tenant].Name
+			}
+			if m.Subject != "" {
+				k.Subject, k.Order = m.Subject, &undelivered.Order{Whole: int64(m.No)}
+			}
+			all = append(all, k)
+			rel.r.note(audit.Event{Kind: audit.Before, ID: id, Msg: m.No, Relay: rel.number, Dest: m.Partner, Class: m.Class, Subject: m.Subject})
+		}
+		if err := s.Put(all); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // stores reads what the relays' stores of undelivered messages hold, once the relays have ended.
 func (r *rig) stores() (kept []audit.Kept, unkept []string, err error) {
 	for _, rel := range r.relays {
--- a/internal/rehearsal/script/check.go
+++ b/internal/rehearsal/script/check.go
@@ -72,6 +72,7 @@
 	}
 	s.checkClasses(c)
 	s.checkTenants(c)
+	s.checkRelay(c)
 	s.checkPartners(c)
 	for i := range s.Events {
 		s.checkEvent(c, fmt.Sprintf("event[%d]", i+1), &s.Events[i])
@@ -106,6 +107,7 @@
 		}
 		c.oneOf(at+"spread", k.Spread, "exp", "lognormal", "fixed")
 		c.above(at+"cv", k.CV, 0)
+		c.least(at+"subjects", float64(k.Subjects), 0)
 		c.least(at+"noise", k.Noise, 0)
 		if k.Ordered {
 			c.above(at+"keys", float64(k.Keys), 0)
@@ -113,6 +115,16 @@
 	}
 }
 
+// checkRelay checks what relays are given beside their machine.
+func (s *Script) checkRelay(c checker) {
+	switch {
+	case s.Relay.Backlog < 0:
+		c.Bad("relay.backlog", "%d is below 0", s.Relay.Backlog)
+	case s.Relay.Backlog > 0 && (s.Relay.Operator == "" || !s.Relay.Resends):
+		c.Bad("relay.backlog", "wants an operator's file that keeps undelivered messages, and resends = true")
+	}
+}
+
 func (s *Script) checkTenants(c checker) {
 	names := map[string]bool{}
 	for i := range s.Tenants {
--- a/internal/rehearsal/script/draws.go
+++ b/internal/rehearsal/script/draws.go
@@ -22,6 +22,7 @@
 	Deal      float64 // 0 to 1: which of the relays gets it
 	Key       string  // keyed classes
 	Item      string  // ordered classes: what it is about
+	Subject   string  // of what it is a status; its number says which of two is the newer
 	Body      int     // bytes
 	Honours   bool    // keeps to Retry-After
 	Backoff   []time.Duration
@@ -146,35 +147,56 @@
 	}
 	all = append(all, s.clumps(d)...)
 	slices.SortStableFunc(all, func(a, b *Message) int { return cmp.Compare(a.At, b.At) })
-	var classes []float64
-	for _, c := range s.Classes {
-		classes = append(classes, c.Share)
-	}
 	shares := s.newShares()
 	for i, m := range all {
 		m.No = i
-		chance := d.For("message", i)
-		m.Class = pick(chance, classes)
 		m.Tenant = s.tenant(m.Partner)
 		m.OverShare = !shares.take(m.Tenant, m.At)
-		m.Deal = chance.Float64()
-		m.Body = int(s.Clients.Body.In(chance))
-		m.Honours = chance.Float64() < s.Clients.Honour
-		m.Again = Seconds(s.Clients.Again.In(chance))
-		for n, base := 0, s.Clients.Backoff.In(chance); n < s.Clients.Retries; n++ {
-			m.Backoff = append(m.Backoff, Millis(base*math.Pow(s.Clients.Growth, float64(n))*(0.5+chance.Float64())))
-		}
-		c := &s.Classes[m.Class]
-		if c.Effect == "keyed" {
-			m.Key = fmt.Sprintf("%016x%016x", chance.Uint64(), chance.Uint64())
-		}
-		if c.Ordered {
-			m.Item = fmt.Sprintf("item-%d", chance.IntN(c.Keys))
-		}
+		s.describe(d, m)
+	}
+	return all
+}
+
+// Before draws so many messages that came before the run; their numbers begin at first.
+func (s *Script) Before(d Draws, first, n int) []*Message {
+	partners, shares := d.For("partners before"), s.sharesAt(0)
+	all := make([]*Message, n)
+	for i := range all {
+		m := &Message{No: first + i, Partner: pick(partners, shares)}
+		m.Tenant = s.tenant(m.Partner)
+		s.describe(d, m)
+		all[i] = m
 	}
 	return all
 }
 
+// describe draws what a message is by itself.
+func (s *Script) describe(d Draws, m *Message) {
+	var classes []float64
+	for _, c := range s.Classes {
+		classes = append(classes, c.Share)
+	}
+	chance := d.For("message", m.No)
+	m.Class = pick(chance, classes)
+	m.Deal = chance.Float64()
+	m.Body = int(s.Clients.Body.In(chance))
+	m.Honours = chance.Float64() < s.Clients.Honour
+	m.Again = Seconds(s.Clients.Again.In(chance))
+	for n, base := 0, s.Clients.Backoff.In(chance); n < s.Clients.Retries; n++ {
+		m.Backoff = append(m.Backoff, Millis(base*math.Pow(s.Clients.Growth, float64(n))*(0.5+chance.Float64())))
+	}
+	c := &s.Classes[m.Class]
+	if c.Effect == "keyed" {
+		m.Key = fmt.Sprintf("%016x%016x", chance.Uint64(), chance.Uint64())
+	}
+	if c.Ordered {
+		m.Item = fmt.Sprintf("item-%d", chance.IntN(c.Keys))
+	}
+	if c.Subjects > 0 {
+		m.Subject = fmt.Sprintf("parcel-%d", d.For("subject", m.No).IntN(c.Subjects))
+	}
+}
+
 // clumps draws the messages that come in clumps for one partner.
 func (s *Script) clumps(d Draws) []*Message {
 	if s.Load.Clumps == 0 {
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -51,6 +51,8 @@
 	Operator string `toml:"operator"`
 	// Resends says that partners take messages under ids that relays made up, as resends of undelivered ones.
 	Resends bool `toml:"resends"`
+	// Backlog is how many undelivered messages lie in each relay's store before the run, none of which can have run.
+	Backlog int `toml:"backlog"`
 }
 
 // Limits are the platform's allowances.
@@ -135,6 +137,7 @@
 	Memory    float64 `toml:"memory_s"`        // keyed: how long partners drop a repeat
 	Ordered   bool    `toml:"ordered"`         // one at a time by key
 	Keys      int     `toml:"keys"`            // ordered: number of different keys
+	Subjects  int     `toml:"subjects"`        // number of things that messages are a status of, each overtaken by the next; 0: none
 	Service   float64 `toml:"service_ms,required"`
 	Spread    string  `toml:"spread"` // of the service time: exp, lognormal or fixed
 	CV        float64 `toml:"cv"`     // lognormal's
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -227,7 +227,7 @@
 	misses := k.misses
 	k.mu.Unlock()
 	anew := misses > k.began || id != k.last
-	if err := k.store.Topics(k.section.Subjects, k.section.SubjectsMost, k.section.SubjectsStick, anew, time.Now()); err != nil {
+	if err := k.store.Topics(k.section, anew, time.Now()); err != nil {
 		return err
 	}
 	k.last, k.began = id, misses
--- a/internal/relay/subjects_test.go
+++ b/internal/relay/subjects_test.go
@@ -19,8 +19,9 @@
 order_header = "Seq"
 `
 
-// parcelsSubject is the same, in the store's terms.
-var parcelsSubject = []undelivered.Subject{{Class: "status", Header: "Parcel", Order: "number", OrderHeader: "Seq"}}
+// parcelsSection is the same, in the store's terms.
+var parcelsSection = undelivered.Section{SubjectsMost: 200_000, SubjectsStick: true, SubjectsSettle: 600,
+	Subjects: []undelivered.Subject{{Class: "status", Header: "Parcel", Order: "number", OrderHeader: "Seq"}}}
 
 // of makes a message one of a parcel.
 func of(parcel, seq string) func(*http.Request) {
@@ -38,7 +39,7 @@
 		p.t.Fatal(err)
 	}
 	defer s.Close()
-	if err := s.Topics(parcelsSubject, 200_000, true, false, time.Now().Add(-time.Hour)); err != nil {
+	if err := s.Topics(&parcelsSection, false, time.Now().Add(-time.Hour)); err != nil {
 		p.t.Fatal(err)
 	}
 	id, err := s.ID()
@@ -221,7 +222,7 @@
 		}
 		defer s.Close()
 		now := time.Now()
-		if err := s.Topics(parcelsSubject, 200_000, true, false, now); err != nil {
+		if err := s.Topics(&parcelsSection, false, now); err != nil {
 			t.Fatal(err)
 		}
 		_, known = s.Newer(&undelivered.Record{Class: "status", Partner: 7, Subject: "k-9", Order: &undelivered.Order{Arrival: now.UnixNano()},
@@ -274,3 +275,41 @@
 		})
 	}
 }
+
+// The journal knows the highest arrival, which store was told, and what it is still to be told, also when compacted.
+func TestTheJournalKnowsWhatTheStoreWasTold(t *testing.T) {
+	dir := t.TempDir()
+	open := func(detailed bool) *Journal {
+		t.Helper()
+		j, err := OpenJournal(dir, 3, detailed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = j.Close() })
+		return j
+	}
+	j := open(true)
+	over := &Entry{ID: "a", Class: "status", Subject: "k-1", Order: &undelivered.Order{Whole: 4, Arrival: 900}}
+	owed := &Entry{ID: "b", Class: "status", Subject: "k-1", Order: &undelivered.Order{Whole: 5, Arrival: 800}}
+	j.Told("store")
+	j.Take(over)
+	j.Over(over)
+	j.Take(owed)
+	j.Deliver(owed)
+	if err := j.Commit(); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // as written, and as compacted
+		j = open(true)
+		e := j.Get("b")
+		if j.arrivals != 900 || j.store != "store" || e == nil || !e.Delivered || e.Subject != "k-1" || *e.Order != *owed.Order {
+			t.Errorf("arrivals %d, store %q, %+v", j.arrivals, j.store, e)
+		}
+	}
+	if j = open(false); j.store != "" {
+		t.Errorf("a process that tells no store leaves %q", j.store)
+	}
+	if j = open(true); j.store != "" || j.arrivals != 900 {
+		t.Errorf("after it %q, %d", j.store, j.arrivals)
+	}
+}
--- a/internal/undelivered/config.go
+++ b/internal/undelivered/config.go
@@ -26,6 +26,9 @@
 	Subjects      []Subject `toml:"subject"`
 	SubjectsMost  int       `toml:"subjects_most"`  // whose newest is known
 	SubjectsStick bool      `toml:"subjects_stick"` // a subject always comes to the same relay
+	// SubjectsSettle is how long after a subject's messages were first read a newer one may still have been delivered
+	// before, in seconds: how far out of their order clients hand them in at most.
+	SubjectsSettle float64 `toml:"subjects_settle_s"`
 }
 
 // Bound is a further bound, on a class, a tenant, or a class of a tenant.
@@ -60,6 +63,7 @@
 	defaultQuotaMB  = 1024
 	defaultMessages = 1_000_000
 	defaultSubjects = 200_000
+	defaultSettle   = 600.0
 	leastQuotaMB    = 0.25
 )
 
@@ -74,6 +78,12 @@
 	if !d.Has(at + ".subjects_most") {
 		s.SubjectsMost = defaultSubjects
 	}
+	if !d.Has(at + ".subjects_settle_s") {
+		s.SubjectsSettle = defaultSettle
+	}
+	if s.SubjectsSettle < 0 {
+		d.Bad(at+".subjects_settle_s", "%v is below 0", s.SubjectsSettle)
+	}
 	if d.Has(at+".folder") && s.Folder == "" {
 		d.Bad(at+".folder", "is empty")
 	}
--- a/internal/undelivered/newest.go
+++ b/internal/undelivered/newest.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// settle after a class's subjects were first read, what can be told of them begins to be relied on: until then a message
-// may have a newer one that was delivered before. No client hands messages of one topic in so far out of their order.
-const settle = 10 * time.Minute
-
 // latest is the newest message of a topic that was delivered, or may have been.
 type latest struct {
 	ID    string `json:"id"`
@@ -47,6 +43,10 @@
 type Newest struct {
 	on   shelf
 	most int // 0: any number, for a tool that ends a message of a stopped relay's
+	// settle after a class's subjects were first read, what can be told of them begins to be relied on: until then a
+	// message may have a newer one that was delivered before. No client hands messages of one topic in so far out of
+	// their order.
+	settle time.Duration
 	// alone says that no other relay can have delivered a message of a topic.
 	alone bool
 }
@@ -126,7 +126,7 @@
 	if l := n.on.waiting(t, e.Version); l != nil && l.Order.compare(best.Order) > 0 {
 		best = *l
 	}
-	known = known && n.alone && !r.Lives[0].Taken.Before(e.Since.Add(settle)) && r.Order.Arrival >= e.Unread[t.Partner]
+	known = known && n.alone && !r.Lives[0].Taken.Before(e.Since.Add(n.settle)) && r.Order.Arrival >= e.Unread[t.Partner]
 	return best.ID, known || best.ID != ""
 }
 
--- a/internal/undelivered/newest_test.go
+++ b/internal/undelivered/newest_test.go
@@ -57,7 +57,7 @@
 // known gives what knows of class c, read since an hour before noon.
 func known(most int) (*Newest, *plainShelf) {
 	s := newPlainShelf()
-	n := &Newest{on: s, most: most, alone: true}
+	n := &Newest{on: s, most: most, alone: true, settle: 10 * time.Minute}
 	n.Begin(map[string]string{"c": "by number"}, false, noon.Add(-time.Hour))
 	return n, s
 }
@@ -157,7 +157,7 @@
 			t.Fatal(err)
 		}
 		defer s.Close()
-		if err := s.Topics([]Subject{{Class: "c", Order: byNumber}}, most, true, false, noon.Add(-time.Hour)); err != nil {
+		if err := s.Topics(parcels(func(s *Section) { s.SubjectsMost = most }), false, noon.Add(-time.Hour)); err != nil {
 			t.Fatal(err)
 		}
 		best := map[Topic]Order{}
--- a/internal/undelivered/resend_test.go
+++ b/internal/undelivered/resend_test.go
@@ -239,3 +239,57 @@
 		t.Errorf("after a sweep: %q", got)
 	}
 }
+
+// A bank is back cold, and all of its messages are due at once: one is out at a time, at the rule's pace, a failure has
+// the pace of a partner that is down, and the few messages of another partner are not behind it.
+func TestAllOfOnePartnerDueAtOnce(t *testing.T) {
+	const all, rate, minute = 5_000, 5.0, 300 // rounds of 200 ms
+	d := newDesk(t, Safe, Rule{Action: Resend, Most: 9, Rate: rate})
+	var batch []Kept
+	for i := range all {
+		k := kept(fmt.Sprint("m", i))
+		k.Due = noon
+		batch = append(batch, k)
+	}
+	if err := d.store.Put(batch); err != nil {
+		t.Fatal(err)
+	}
+	other := kept("o")
+	other.Partner, other.Due = 8, noon
+	if err := d.store.Put([]Kept{other}); err != nil {
+		t.Fatal(err)
+	}
+	play := func(delivered bool) (went int, others bool) {
+		for range minute {
+			d.now = d.now.Add(200 * time.Millisecond)
+			offers, err := d.Round(d.now, func(id string) bool { return d.held[id] })
+			if err != nil {
+				t.Fatal(err)
+			}
+			mine := 0
+			for _, o := range offers {
+				ran := Attempt{Begun: d.now, Ran: Did}
+				if o.Record.Partner == 8 {
+					others = true
+					d.returns(o.Life.ID, true, ran)
+					continue
+				}
+				mine++
+				if !delivered {
+					ran.Ran = Never
+				}
+				d.returns(o.Life.ID, delivered, ran)
+			}
+			if went += mine; mine > 1 {
+				t.Fatalf("%d are out at once", mine)
+			}
+		}
+		return went, others
+	}
+	if went, others := play(true); went < 250 || went > 60*rate+1 || !others {
+		t.Errorf("in a minute %d went, the other partner's %v", went, others)
+	}
+	if went, _ := play(false); went > 5 { // after 5, 10, 20 and 40 s
+		t.Errorf("%d went in a minute to a partner that is down", went)
+	}
+}
--- a/internal/undelivered/store.go
+++ b/internal/undelivered/store.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -63,8 +64,7 @@
 	limit int64 // bytes of the file; 0: none
 	most  int   // messages; 0: any number
 
-	topics int  // whose newest message is known
-	alone  bool // no other relay delivers messages of the same topics
+	known atomic.Pointer[Section] // how topics are known; nil where they are not
 }
 
 // Kept is a message as it is handed over.
--- a/internal/undelivered/subjects.go
+++ b/internal/undelivered/subjects.go
@@ -159,13 +159,19 @@
 }
 
 // newest gives what knows the topics, within a transaction.
-func (s *Store) newest(on shelf) *Newest { return &Newest{on: on, most: s.topics, alone: s.alone} }
+func (s *Store) newest(on shelf) *Newest {
+	known := s.known.Load()
+	if known == nil {
+		known = &Section{}
+	}
+	return &Newest{on: on, most: known.SubjectsMost, alone: known.SubjectsStick, settle: seconds(known.SubjectsSettle)}
+}
 
-// Topics has the store know the newest message of each topic, of so many topics, for the classes whose subjects are
-// read. alone says that no other relay delivers messages of the same topics; anew, that messages may have been delivered
-// of which the store was not told.
-func (s *Store) Topics(subjects []Subject, most int, alone, anew bool, now time.Time) error {
-	s.topics, s.alone = most, alone
+// Topics has the store know the newest message of each topic for the classes of a section whose subjects are read. anew
+// says that messages may have been delivered of which the store was not told.
+func (s *Store) Topics(section *Section, anew bool, now time.Time) error {
+	s.known.Store(section)
+	subjects := section.Subjects
 	reading := map[string]string{}
 	for i := range subjects {
 		raw, err := json.Marshal(subjects[i])
--- a/internal/undelivered/subjects_test.go
+++ b/internal/undelivered/subjects_test.go
@@ -8,12 +8,18 @@
 	"go.etcd.io/bbolt"
 )
 
-var parcels = []Subject{{Class: "c", Header: "Parcel", Order: byNumber, OrderHeader: "Seq"}}
+// parcels is a section that reads class c's subjects; change makes it another.
+func parcels(change func(s *Section)) *Section {
+	s := &Section{SubjectsMost: 100, SubjectsStick: true, SubjectsSettle: defaultSettle,
+		Subjects: []Subject{{Class: "c", Header: "Parcel", Order: byNumber, OrderHeader: "Seq"}}}
+	change(s)
+	return s
+}
 
 // topics has a store know of 100 topics since some time before noon.
 func topics(t *testing.T, s *Store, ago time.Duration) {
 	t.Helper()
-	if err := s.Topics(parcels, 100, true, false, noon.Add(-ago)); err != nil {
+	if err := s.Topics(parcels(func(*Section) {}), false, noon.Add(-ago)); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -87,10 +93,14 @@
 			k.Subject, k.Order = "", &Order{Arrival: 9}
 			return s.Put([]Kept{k})
 		},
-		"something may be missing":   func(s *Store) error { return s.Topics(parcels, 100, true, true, noon) },
-		"other relays deliver too":   func(s *Store) error { return s.Topics(parcels, 100, false, false, noon) },
-		"not read for a while":       func(s *Store) error { return s.Topics(nil, 100, true, false, noon) },
-		"read otherwise than before": func(s *Store) error { return s.Topics([]Subject{{Class: "c", Order: byTime}}, 100, true, false, noon) },
+		"something may be missing": func(s *Store) error { return s.Topics(parcels(func(*Section) {}), true, noon) },
+		"other relays deliver too": func(s *Store) error {
+			return s.Topics(parcels(func(s *Section) { s.SubjectsStick = false }), false, noon)
+		},
+		"not read for a while": func(s *Store) error { return s.Topics(parcels(func(s *Section) { s.Subjects = nil }), false, noon) },
+		"read otherwise than before": func(s *Store) error {
+			return s.Topics(parcels(func(s *Section) { s.Subjects[0].Order = byTime }), false, noon)
+		},
 		"a bucket can't be read": func(s *Store) error {
 			return s.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bEras).Put([]byte("c"), []byte("{")) })
 		},
