--- a/internal/rehearsal/rig/rig_test.go
+++ b/internal/rehearsal/rig/rig_test.go
@@ -22,6 +22,9 @@
 [limits]
 retry_after_s = 1
 
+[relay]
+resends = true
+
 [rules]
 answer_slack_s = 1.5
 overload_for_s = 1.5
@@ -41,6 +44,7 @@
 aim_s = 1
 deadline_s = 3
 effect = "safe"
+subjects = 2
 service_ms = 150
 spread = "fixed"
 
@@ -153,6 +157,9 @@
 		"out of order":   audit.OrderBroken,
 		"ignores waits":  audit.WaitIgnored,
 		"wrong host":     audit.WrongHost,
+		"resends":        audit.Twice,
+		"overwrites":     audit.Overwritten,
+		"makes up ids":   audit.Unknown,
 		"keeps":          "",
 		"edges":          "",
 	} {
--- a/internal/rehearsal/rig/standin_test.go
+++ b/internal/rehearsal/rig/standin_test.go
@@ -62,6 +62,7 @@
 	last    map[int]time.Time    // when the last call went there
 	lines   map[string]chan bool // of ordered keys: room for one
 	counted int
+	newest  map[string]*standInMessage // delivered, by destination and subject
 }
 
 // The partners of the script that stand-ins are played against.
@@ -81,6 +82,7 @@
 // standInMessage is one message that it holds.
 type standInMessage struct {
 	id, key, item, class string
+	subject              string
 	dest, number         int
 	body                 []byte
 	until                time.Time
@@ -90,7 +92,7 @@
 }
 
 func standIn(kind string) error {
-	s := &relayStandIn{kind: kind, hosts: map[string]*standInHost{}, free: map[int]time.Time{}, careful: map[int]bool{}, last: map[int]time.Time{}, lines: map[string]chan bool{},
+	s := &relayStandIn{kind: kind, hosts: map[string]*standInHost{}, free: map[int]time.Time{}, careful: map[int]bool{}, last: map[int]time.Time{}, newest: map[string]*standInMessage{}, lines: map[string]chan bool{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}}
 	raw, err := os.ReadFile(os.Getenv("NODE_CONFIG"))
 	if err == nil {
@@ -161,6 +163,9 @@
 	left, _ := strconv.ParseFloat(r.Header.Get("Request-Timeout"), 64)
 	m := &standInMessage{id: r.Header.Get("Request-Id"), key: r.Header.Get("Idempotency-Key"), dest: dest, body: body,
 		class: r.URL.Path[1:], until: time.Now().Add(time.Duration(left * float64(time.Second)))}
+	if subject := r.Header.Get("Subject"); subject != "" {
+		m.subject = fmt.Sprint(dest, " ", subject)
+	}
 	if len(envelope) > 1 {
 		m.item = strings.TrimPrefix(envelope[1], "item=")
 	}
@@ -287,6 +292,9 @@
 		over := !s.enter(m, end) || try >= 12 && s.kind != "pushes over"
 		if !mayRun.IsZero() && (m.effect == "fragile" || m.effect == "dedup" && s.kind != "doubles" && time.Since(mayRun) > m.memory-200*time.Millisecond) {
 			s.notice(m.id, "undeliverable")
+			if s.kind == "resends" && m.effect == "fragile" {
+				s.again(m, try)
+			}
 			return
 		}
 		at := s.host(m, try)
@@ -306,6 +314,7 @@
 				time.Sleep(600 * time.Millisecond)
 				s.notice(m.id, "undeliverable")
 			}
+			s.overwrite(m)
 			return
 		case status == 429:
 			s.holdBack(m.dest, wait)
@@ -326,6 +335,39 @@
 	}
 }
 
+// again sends a message again under an id that nobody handed in.
+func (s *relayStandIn) again(m *standInMessage, try int) {
+	copied := *m
+	copied.id = "again-" + m.id
+	if at := s.host(m, try); at != "" {
+		s.call(&copied, at, time.Now().Add(time.Second))
+	}
+}
+
+// overwrite sends what was newest of a subject again when a newer one was delivered, and a message that is none.
+func (s *relayStandIn) overwrite(m *standInMessage) {
+	if m.dest != other {
+		return
+	}
+	if s.kind == "makes up ids" {
+		made := *m
+		made.body = []byte("nothing that a client sent")
+		s.again(&made, 0)
+	}
+	if s.kind != "overwrites" || m.subject == "" {
+		return
+	}
+	s.mu.Lock()
+	older := s.newest[m.subject]
+	if older == nil || older.number < m.number {
+		s.newest[m.subject] = m
+	}
+	s.mu.Unlock()
+	if older != nil && older.number < m.number {
+		s.again(older, 0)
+	}
+}
+
 // call makes one call; 0 is for one that may have run.
 func (s *relayStandIn) call(m *standInMessage, at string, end time.Time) (status int, wait time.Duration) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
