Look again at held messages when an earlier rule comes to match, or the clock has caught up

A message that was held because the clock stood before its history was never looked at again either.

--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -61,7 +61,8 @@
 // newResender makes the core that decides what is resent.
 func newResender(cfg *Config, store *undelivered.Store) *undelivered.Resender {
 	r := undelivered.NewResender(store, cfg.Own.Undelivered.Rules, cfg.ResendClasses(cfg.Own.Undelivered), cfg.Name, newID)
-	rules, err := json.Marshal(cfg.Own.Undelivered.Rules)
+	own := cfg.Own.Undelivered
+	rules, err := json.Marshal([]any{own.Rules, own.Subjects, own.SubjectsStick, own.SubjectsSettle, cfg.ResendClasses(own)})
 	if err != nil {
 		panic(err) // no rule that was read can fail
 	}
--- a/internal/undelivered/allowed.go
+++ b/internal/undelivered/allowed.go
@@ -31,9 +31,10 @@
 // Verdict says whether a message may be sent again.
 type Verdict struct {
 	Allowed    bool
-	Superseded string  // by this newer one; then it is over
-	Attest     *Attest // the one that is used up by the resend; nil: none is needed
-	Why        string  // in plain words
+	Superseded string    // by this newer one; then it is over
+	Attest     *Attest   // the one that is used up by the resend; nil: none is needed
+	Why        string    // in plain words
+	Again      time.Time // not allowed: when to look at it again; zero: time alone changes nothing
 }
 
 // Newer tells which message of the same topic has overtaken one, or "", and whether an empty answer can be relied on.
@@ -53,7 +54,9 @@
 		return no("its record has no history")
 	case now.Before(r.latest()):
 		// Guards against a clock that was set back: how long ago an attempt was can't be told.
-		return no("the clock stands before the last that is known of it, %s", r.latest().Format(time.RFC3339))
+		v := no("the clock stands before the last that is known of it, %s", r.latest().Format(time.RFC3339))
+		v.Again = r.latest()
+		return v
 	case r.Attempts() >= c.Attempts:
 		return no("it has had %d attempts, and its class is allowed %d", r.Attempts(), c.Attempts)
 	}
--- a/internal/undelivered/core_test.go
+++ b/internal/undelivered/core_test.go
@@ -167,7 +167,8 @@
 		rule   int
 		next   time.Time
 	}{
-		"none matches":                {with(func(r *Record) {}), noon, Hold, 0, noon.Add(99 * time.Second)},
+		"none matches":                {with(func(r *Record) {}), noon, Hold, 0, time.Time{}},
+		"none matches yet":            {with(func(r *Record) { r.Tenant = "lahore" }), noon, Hold, 0, noon.Add(99 * time.Second)},
 		"held by a rule":              {with(func(r *Record) { r.Partner = 4 }), noon, Hold, 4, time.Time{}},
 		"resend not due yet":          {with(late), noon, Hold, 2, noon.Add(29 * time.Second)},
 		"resend outside its hours":    {with(late), noon.Add(time.Minute), Hold, 2, noon.Add(10 * time.Hour)},
@@ -175,6 +176,8 @@
 		"and after midnight":          {with(late), noon.Add(17 * time.Hour), Resend, 2, noon.Add(17 * time.Hour)},
 		"discard not due yet":         {with(func(r *Record) { r.Tenant = "lahore" }), noon.Add(2 * time.Minute), Hold, 3, noon.Add(59 * time.Minute)},
 		"discard":                     {with(func(r *Record) { r.Tenant = "lahore" }), noon.Add(time.Hour), Discard, 3, noon.Add(time.Hour)},
+		"an earlier rule will match":  {with(func(r *Record) { r.Partner, r.Tenant = 4, "lahore" }), noon, Hold, 4, noon.Add(99 * time.Second)},
+		"the clock was set back":      {with(late), noon.Add(-time.Hour), Hold, 2, noon.Add(-time.Second)},
 		"it had all the rule's lives": {with(func(r *Record) { late(r); r.Lives = append(r.Lives, r.Lives[0], r.Lives[0]) }), noon.Add(11 * time.Hour), Hold, 2, time.Time{}},
 	} {
 		p := Decide(all, class(Safe), c.rec, nil, c.at)
--- a/internal/undelivered/rules.go
+++ b/internal/undelivered/rules.go
@@ -116,16 +116,20 @@
 	return false, midnight.Add(from)
 }
 
-// matches tells whether a rule is for a message.
+// matches tells whether a rule is for a message, old as it is.
 func (r *Rule) matches(rec *Record, now time.Time) bool {
+	return r.means(rec) && (r.OlderThan == 0 || now.Sub(rec.Last().Over) >= seconds(r.OlderThan))
+}
+
+// means tells whether a rule is for a message once that is old enough.
+func (r *Rule) means(rec *Record) bool {
 	last := rec.Last()
 	switch {
 	case r.Class != "" && r.Class != rec.Class,
 		r.Tenant != "" && r.Tenant != rec.Tenant,
 		r.Partner != nil && *r.Partner != rec.Partner,
 		r.Reason != "" && Reason(r.Reason) != last.Reason,
-		r.MayHaveRun != nil && *r.MayHaveRun != (rec.MayHaveRun() != nil),
-		r.OlderThan > 0 && now.Sub(last.Over) < seconds(r.OlderThan):
+		r.MayHaveRun != nil && *r.MayHaveRun != (rec.MayHaveRun() != nil):
 		return false
 	}
 	return true
@@ -156,6 +160,10 @@
 		}
 		p := r.plan(c, rec, newer, now)
 		p.Rule = i + 1
+		// A rule before it may come to match when the message is older.
+		if at := nextMatch(rules[:i], rec, now); p.Action == Hold && !at.IsZero() && (p.At.IsZero() || at.Before(p.At)) {
+			p.At = at
+		}
 		return p
 	}
 	return Plan{Action: Hold, Why: "no rule matches it", At: nextMatch(rules, rec, now)}
@@ -164,7 +172,7 @@
 // nextMatch is when a rule may come to match that does not yet, since it waits for an age.
 func nextMatch(rules []Rule, rec *Record, now time.Time) (at time.Time) {
 	for i := range rules {
-		if due := rec.Last().Over.Add(seconds(rules[i].OlderThan)); rules[i].OlderThan > 0 && due.After(now) && (at.IsZero() || due.Before(at)) {
+		if due := rec.Last().Over.Add(seconds(rules[i].OlderThan)); rules[i].OlderThan > 0 && rules[i].means(rec) && due.After(now) && (at.IsZero() || due.Before(at)) {
 			at = due
 		}
 	}
@@ -191,7 +199,7 @@
 	case v.Superseded != "":
 		return Plan{Action: string(Superseded), At: now, Why: v.Why}
 	case !v.Allowed:
-		return Plan{Action: Hold, Why: v.Why}
+		return Plan{Action: Hold, At: v.Again, Why: v.Why}
 	case len(rec.Lives) >= r.Most:
 		return Plan{Action: Hold, Why: fmt.Sprintf("it has had %d lives, the rule's most", len(rec.Lives))}
 	}
