Move the watch and the notices out of the relay's package

Moves only: internal/discovery, internal/notices, and internal/wait for the one function that both share. Names that other packages use are exported, tests of what was moved go along; no behaviour changed.

--- a/internal/relay/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,5 @@
-package relay
+// Package discovery follows the list of hosts by a watch on the platform's discovery.
+package discovery
 
 import (
 	"bufio"
@@ -16,6 +17,7 @@
 	"time"
 
 	"mallowlead/internal/settings"
+	"mallowlead/internal/wait"
 	"mallowlead/policy"
 )
 
@@ -50,23 +52,23 @@
 
 // The states of a host that mean that it wants nothing new.
 const (
-	draining = "DRAINING"
-	deleted  = "DELETED"
+	Draining = "DRAINING"
+	Deleted  = "DELETED"
 )
 
-// listed translates a list into the policy's terms.
-func (m Members) listed(s *settings.Settings) policy.Listed {
+// Listed translates a list into the policy's terms.
+func (m Members) Listed(s *settings.Settings) policy.Listed {
 	e := policy.Listed{Whole: m.Whole}
 	for _, h := range m.Hosts {
 		e.Endpoints = append(e.Endpoints, policy.Endpoint{ID: h.Host, Destination: h.Block,
 			Kind: slices.Index(s.Shapes, h.Class), Zone: slices.Index(s.Localities, h.Site), Weight: h.Share,
-			Draining: h.Health == draining, Gone: h.Health == deleted})
+			Draining: h.Health == Draining, Gone: h.Health == Deleted})
 	}
 	return e
 }
 
-// changed gives the whole list as it stands after a change.
-func (m *Members) changed(by Members) *Members {
+// Changed gives the whole list as it stands after a change.
+func (m *Members) Changed(by Members) *Members {
 	if by.Whole || m == nil {
 		by.Hosts = slices.Clone(by.Hosts)
 	} else {
@@ -78,42 +80,44 @@
 		by.Hosts = append(stay, by.Hosts...)
 	}
 	by.Whole = true
-	by.Hosts = slices.DeleteFunc(by.Hosts, func(h Member) bool { return h.Health == deleted })
+	by.Hosts = slices.DeleteFunc(by.Hosts, func(h Member) bool { return h.Health == Deleted })
 	return &by
 }
 
-// watcher keeps a watch on discovery's list. It starts one each time that it is asked, and reports when it
+// Watcher keeps a watch on discovery's list. It starts one each time that it is asked, and reports when it
 // ends; whether and when to ask again is the module's decision, a back-off while discovery is down ours.
-type watcher struct {
+type Watcher struct {
 	from    string // discovery's address
 	client  *http.Client
 	silence time.Duration // watchSilence, but in tests
 	asked   chan struct{}
 	moved   chan string // where discovery is now
-	seq     int64       // of the list as it stands; set before run
+	Seq     int64       // of the list as it stands; set before run
 	told    func(m Members, from string)
 	failed  func()
 }
 
-func newWatcher(discovery string, told func(m Members, from string), failed func()) *watcher {
-	return &watcher{from: discovery, told: told, failed: failed, silence: watchSilence,
+// NewWatcher watches at an address once it runs: told gets each list, or change of it, with the address that it came from,
+// failed the end of each watch.
+func NewWatcher(discovery string, told func(m Members, from string), failed func()) *Watcher {
+	return &Watcher{from: discovery, told: told, failed: failed, silence: watchSilence,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1),
 		moved: make(chan string)}
 }
 
-// ask wants a watch; it never blocks.
-func (w *watcher) ask() {
+// Ask wants a watch; it never blocks.
+func (w *Watcher) Ask() {
 	select {
 	case w.asked <- struct{}{}:
 	default: // one is wanted already
 	}
 }
 
-// move ends the watch and starts one at another address, at once and without a report.
-func (w *watcher) move(discovery string) { w.moved <- discovery }
+// Move ends the watch and starts one at another address, at once and without a report.
+func (w *Watcher) Move(discovery string) { w.moved <- discovery }
 
-// run serves asks until ctx ends.
-func (w *watcher) run(ctx context.Context) {
+// Run serves asks until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
 	for {
 		here, leave := context.WithCancel(ctx)
 		var follower sync.WaitGroup
@@ -125,8 +129,8 @@
 			follower.Wait()
 			// Versions of another discovery need not continue those of the last one: only its whole list
 			// tells what has changed.
-			w.from, w.seq = discovery, 0
-			w.ask()
+			w.from, w.Seq = discovery, 0
+			w.Ask()
 		}
 		leave()
 		follower.Wait()
@@ -137,7 +141,7 @@
 }
 
 // follow serves asks at one address until ctx ends.
-func (w *watcher) follow(ctx context.Context) {
+func (w *Watcher) follow(ctx context.Context) {
 	backOff := time.Duration(0)
 	for {
 		select {
@@ -145,7 +149,7 @@
 			return
 		case <-w.asked:
 		}
-		if !sleep(ctx, backOff) {
+		if !wait.For(ctx, backOff) {
 			return
 		}
 		lines, err := w.watch(ctx)
@@ -161,13 +165,13 @@
 }
 
 // watch follows one watch to its end and returns how many lists it brought.
-func (w *watcher) watch(ctx context.Context) (lines int, err error) {
+func (w *Watcher) watch(ctx context.Context) (lines int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// Guards against a watch that has gone silent: a cut link ends no connection.
 	dead := time.AfterFunc(w.silence, cancel)
 	defer dead.Stop()
-	query := url.Values{"stream": {"1"}, "index": {strconv.FormatInt(w.seq, 10)}}
+	query := url.Values{"stream": {"1"}, "index": {strconv.FormatInt(w.Seq, 10)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.from+"/catalog/members?"+query.Encode(), nil)
 	if err != nil {
 		return 0, err
@@ -191,10 +195,10 @@
 		var m Members
 		if err := json.Unmarshal(line, &m); err != nil {
 			// What an unreadable line held is lost to the changes that follow: ask for the whole list.
-			w.seq = 0
+			w.Seq = 0
 			return lines, fmt.Errorf("unreadable line: %w", err)
 		}
-		w.seq = m.Seq
+		w.Seq = m.Seq
 		w.told(m, w.from)
 		lines++
 	}
@@ -203,15 +207,3 @@
 	}
 	return lines, errors.New("end of the answer")
 }
-
-// sleep waits for d, and tells whether ctx is still alive after it.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/relay/notices.go
+++ b/internal/notices/notices.go
@@ -1,4 +1,5 @@
-package relay
+// Package notices posts the ends of messages to the platform until they are received.
+package notices
 
 import (
 	"bytes"
@@ -10,6 +11,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"mallowlead/internal/wait"
 )
 
 const (
@@ -19,6 +22,8 @@
 	noticeAgain   = 50 * time.Millisecond
 	// noticePosts go out at once, so that one that stalls holds up no other.
 	noticePosts = 4
+	// maxAnswer bytes of an answer are read.
+	maxAnswer = 64 << 10
 	// noticeBatch notices go in one post at most.
 	noticeBatch = 500
 )
@@ -32,12 +37,12 @@
 
 // The states of a notice.
 const (
-	undeliverable = "undeliverable"
-	deferred      = "deferred"
+	Undeliverable = "undeliverable"
+	Deferred      = "deferred"
 )
 
-// notifier posts notices to the platform until they are received.
-type notifier struct {
+// Notifier posts notices to the platform until they are received.
+type Notifier struct {
 	client *http.Client
 	done   func(ids []string)
 
@@ -49,8 +54,9 @@
 	moved chan struct{} // closed when url is no longer right
 }
 
-func newNotifier(discovery string, done func([]string)) *notifier {
-	n := &notifier{url: outcomesAt(discovery), done: done, moved: make(chan struct{}),
+// New posts to a discovery's address once it runs; done gets the ids of what was received.
+func New(discovery string, done func([]string)) *Notifier {
+	n := &Notifier{url: outcomesAt(discovery), done: done, moved: make(chan struct{}),
 		client: &http.Client{Timeout: noticeTimeout, Transport: &http.Transport{MaxConnsPerHost: noticePosts,
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}}}
 	n.more.L = &n.mu
@@ -59,8 +65,8 @@
 
 func outcomesAt(discovery string) string { return "http://" + discovery + "/v1/outcomes" }
 
-// move has notices posted at another address from now on, those that are being posted as well.
-func (n *notifier) move(discovery string) {
+// Move has notices posted at another address from now on, those that are being posted as well.
+func (n *Notifier) Move(discovery string) {
 	n.mu.Lock()
 	n.url = outcomesAt(discovery)
 	close(n.moved)
@@ -69,8 +75,8 @@
 	n.client.CloseIdleConnections()
 }
 
-// owe adds a notice; it never blocks, however long the platform may be out of reach.
-func (n *notifier) owe(notice Notice) {
+// Owe adds a notice; it never blocks, however long the platform may be out of reach.
+func (n *Notifier) Owe(notice Notice) {
 	n.mu.Lock()
 	n.owed = append(n.owed, notice)
 	n.mu.Unlock()
@@ -78,7 +84,7 @@
 }
 
 // take waits for something owed and gives the next batch, or nothing at the end.
-func (n *notifier) take() []Notice {
+func (n *Notifier) take() []Notice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for len(n.owed) == 0 && !n.ended {
@@ -92,8 +98,8 @@
 	return batch
 }
 
-// run posts what is owed until ctx ends.
-func (n *notifier) run(ctx context.Context) {
+// Run posts what is owed until ctx ends.
+func (n *Notifier) Run(ctx context.Context) {
 	var posters sync.WaitGroup
 	for range noticePosts {
 		posters.Go(func() {
@@ -113,7 +119,7 @@
 
 // deliver posts a batch until it is received. One that can't be read goes in parts, so that a bad notice
 // keeps back no other, and a single one is dropped.
-func (n *notifier) deliver(ctx context.Context, batch []Notice) {
+func (n *Notifier) deliver(ctx context.Context, batch []Notice) {
 	for ctx.Err() == nil {
 		status, err := n.post(ctx, batch)
 		switch {
@@ -133,11 +139,11 @@
 			return
 		}
 		slog.Warn("notices not received", "status", status, "err", err)
-		sleep(ctx, noticeAgain)
+		wait.For(ctx, noticeAgain)
 	}
 }
 
-func (n *notifier) post(ctx context.Context, batch []Notice) (int, error) {
+func (n *Notifier) post(ctx context.Context, batch []Notice) (int, error) {
 	var body bytes.Buffer
 	lines := json.NewEncoder(&body)
 	for _, b := range batch {
@@ -166,6 +172,6 @@
 		return 0, err
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer))
 	return resp.StatusCode, err
 }
--- /dev/null
+++ b/internal/notices/notices_test.go
@@ -0,0 +1,46 @@
+package notices
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// long is longer than anything that the test waits for in vain.
+const long = 20 * time.Second
+
+// A notice that stalls at discovery holds up no other, and goes to the new address once discovery moves.
+func TestStalledNotice(t *testing.T) {
+	serve := func(answer http.HandlerFunc) string {
+		s := httptest.NewServer(answer)
+		t.Cleanup(func() {
+			s.CloseClientConnections()
+			s.Close()
+		})
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	stalled := serve(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-t.Context().Done():
+		}
+	})
+	prompt := serve(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	done := make(chan []string, 2)
+	n := New(stalled, func(ids []string) { done <- ids })
+	n.client.Timeout = long
+	go n.Run(t.Context())
+	n.Owe(Notice{ID: "m", Status: Deferred})
+	n.Move(prompt)
+	select {
+	case ids := <-done:
+		if !slices.Equal(ids, []string{"m"}) {
+			t.Errorf("received %v", ids)
+		}
+	case <-time.After(long):
+		t.Fatal("waited in vain")
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"mallowlead/internal/discovery"
 	"mallowlead/internal/operator"
 	"mallowlead/internal/settings"
 	"mallowlead/policy"
@@ -25,7 +26,7 @@
 	Discovery string            `json:"discovery"`
 	Seed      string            `json:"seed"` // hexadecimal
 	Limits    Limits            `json:"limits"`
-	Known     Members           `json:"known"`
+	Known     discovery.Members `json:"known"`
 	Settings  settings.Settings `json:"settings"`
 
 	// Own is the operator's own file; nil stands for one in which every section is off.
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -13,6 +13,8 @@
 	"slices"
 	"time"
 
+	"mallowlead/internal/discovery"
+	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
 )
 
@@ -51,10 +53,10 @@
 	Subject string             `json:"subject,omitempty"`
 	Order   *undelivered.Order `json:"order,omitempty"`
 	// Delivered: it was, and the store is still to know that nothing older of its topic may follow it.
-	Delivered bool      `json:"-"`
-	Owed      *Notice   `json:"-"` // its end, until the platform has it
-	Reason    string    `json:"-"` // of that end, and Over when it came, where undelivered messages are kept
-	Over      time.Time `json:"-"`
+	Delivered bool            `json:"-"`
+	Owed      *notices.Notice `json:"-"` // its end, until the platform has it
+	Reason    string          `json:"-"` // of that end, and Over when it came, where undelivered messages are kept
+	Over      time.Time       `json:"-"`
 }
 
 // Attempt is one call made for a message.
@@ -76,18 +78,18 @@
 
 // record is one line of the journal. Times in it are those of the wall clock, since another process reads it.
 type record struct {
-	Op     string    `json:"op"`
-	Entry  *Entry    `json:"entry,omitempty"`
-	ID     string    `json:"id,omitempty"`
-	Host   string    `json:"host,omitempty"`
-	At     time.Time `json:"at,omitzero"`
-	Unrun  bool      `json:"unrun,omitempty"`
-	Why    string    `json:"why,omitempty"` // an attempt's outcome, or the reason of a message's end
-	Notice *Notice   `json:"notice,omitempty"`
-	Health *Health   `json:"health,omitempty"`
-	List   *Members  `json:"list,omitempty"`
-	From   string    `json:"from,omitempty"` // the discovery that told List, or the store's name
-	Count  int64     `json:"count,omitempty"`
+	Op     string             `json:"op"`
+	Entry  *Entry             `json:"entry,omitempty"`
+	ID     string             `json:"id,omitempty"`
+	Host   string             `json:"host,omitempty"`
+	At     time.Time          `json:"at,omitzero"`
+	Unrun  bool               `json:"unrun,omitempty"`
+	Why    string             `json:"why,omitempty"` // an attempt's outcome, or the reason of a message's end
+	Notice *notices.Notice    `json:"notice,omitempty"`
+	Health *Health            `json:"health,omitempty"`
+	List   *discovery.Members `json:"list,omitempty"`
+	From   string             `json:"from,omitempty"` // the discovery that told List, or the store's name
+	Count  int64              `json:"count,omitempty"`
 }
 
 // The kinds of record.
@@ -118,11 +120,11 @@
 	entries  map[string]*Entry
 	order    []*Entry // as taken; those that are over leave at the next compaction
 	health   map[string]Health
-	list     *Members // as last told; nil for never
-	from     string   // the discovery that told it
-	listLen  int      // of its record
-	store    string   // the one that knows all that was delivered, or has it to come from this journal; empty: none
-	arrivals int64    // the highest Order.Arrival of all that was ever taken on
+	list     *discovery.Members // as last told; nil for never
+	from     string             // the discovery that told it
+	listLen  int                // of its record
+	store    string             // the one that knows all that was delivered, or has it to come from this journal; empty: none
+	arrivals int64              // the highest Order.Arrival of all that was ever taken on
 }
 
 // OpenJournal replays the journal in a folder, drops what can't be read at its end, and makes it ready.
@@ -204,7 +206,7 @@
 }
 
 // Owe notes that a message ends by a notice, and why and when where that is kept.
-func (j *Journal) Owe(e *Entry, n Notice, reason string, at time.Time) {
+func (j *Journal) Owe(e *Entry, n notices.Notice, reason string, at time.Time) {
 	r := record{Op: opOwed, ID: e.ID, Notice: &n}
 	if j.detailed {
 		r.Why, r.At = reason, at
@@ -232,10 +234,12 @@
 func (j *Journal) Forget(host string) { delete(j.health, host) }
 
 // List notes the list of hosts, or a change of it, as a discovery has told it.
-func (j *Journal) List(m Members, from string) { j.note(record{Op: opList, List: &m, From: from}, nil) }
+func (j *Journal) List(m discovery.Members, from string) {
+	j.note(record{Op: opList, List: &m, From: from}, nil)
+}
 
 // Listed is the list as last told to this process or an earlier one, or nil, and which discovery told it.
-func (j *Journal) Listed() (list *Members, from string) { return j.list, j.from }
+func (j *Journal) Listed() (list *discovery.Members, from string) { return j.list, j.from }
 
 // note applies a record and buffers it.
 func (j *Journal) note(r record, body []byte) {
@@ -349,7 +353,7 @@
 		return
 	case r.Op == opList && r.List != nil:
 		j.live -= j.listLen
-		j.list, j.from = j.list.changed(*r.List), r.From
+		j.list, j.from = j.list.Changed(*r.List), r.From
 		j.listLen = len(j.list.Hosts) * memberRoom
 		j.live += j.listLen
 		return
--- a/internal/relay/journal_test.go
+++ b/internal/relay/journal_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"mallowlead/internal/notices"
 )
 
 func openJournal(t *testing.T, dir string, mb float64) *Journal {
@@ -38,7 +40,7 @@
 	j.Begin(e, "h1", at)
 	j.End(e, true, "", time.Time{})
 	j.Begin(e, "h2", at.Add(time.Second))
-	j.Owe(j.Get("owing"), Notice{ID: "owing", Status: deferred, AgainMS: 30}, "", time.Time{})
+	j.Owe(j.Get("owing"), notices.Notice{ID: "owing", Status: notices.Deferred, AgainMS: 30}, "", time.Time{})
 	j.Remember("h2", Health{Sick: true, At: at})
 	commit(t, j)
 }
@@ -61,7 +63,7 @@
 			!e.Attempts[1].Begun.Equal(at.Add(time.Second)) {
 			t.Errorf("attempts: %+v", e.Attempts)
 		}
-		if n := list[1].Owed; n == nil || *n != (Notice{ID: "owing", Status: deferred, AgainMS: 30}) {
+		if n := list[1].Owed; n == nil || *n != (notices.Notice{ID: "owing", Status: notices.Deferred, AgainMS: 30}) {
 			t.Errorf("notice: %v", n)
 		}
 		if h := j.Health()["h2"]; !h.Sick || !h.At.Equal(at) {
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -9,7 +9,9 @@
 	"sync"
 	"time"
 
+	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
+	"mallowlead/internal/wait"
 	"mallowlead/policy"
 )
 
@@ -147,7 +149,7 @@
 
 // ticks has the bounds kept, and what is due looked at, now and then, until ctx ends.
 func (k *keeper) ticks(ctx context.Context) {
-	for sleep(ctx, lookEvery) {
+	for wait.For(ctx, lookEvery) {
 		k.set(func() { k.tick = true })
 	}
 	k.set(func() { k.ended = true })
@@ -183,7 +185,7 @@
 			said = time.Now()
 			slog.Error("undelivered messages wait for their store", "err", err, "waiting", len(t.wait)+len(t.notes))
 		}
-		if !sleep(ctx, keepAgain) {
+		if !wait.For(ctx, keepAgain) {
 			return
 		}
 	}
@@ -372,7 +374,7 @@
 		return undelivered.OutOfTime
 	case len(m.Attempts) >= l.cfg.policy.MaxAttempts:
 		return undelivered.Spent
-	case status == undeliverable:
+	case status == notices.Undeliverable:
 		return undelivered.Doubtful
 	case now > l.clock(m.Expires)-endMargin:
 		return undelivered.OutOfTime
@@ -431,7 +433,7 @@
 		}
 		l.keeper.result(res)
 	default:
-		l.notices.owe(*m.Owed)
+		l.notices.Owe(*m.Owed)
 		if l.keeper != nil {
 			l.keeper.keep(l.record(m, l.life(m)))
 		}
--- a/internal/relay/keep_test.go
+++ b/internal/relay/keep_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
 )
 
@@ -86,7 +87,7 @@
 	}
 	l := r.Last()
 	if r.Class != "order" || r.Tenant != "acme" || r.Partner != 7 || r.Key != "key-ran" || l.Reason != undelivered.Doubtful ||
-		l.Status != undeliverable || l.Relay != "n1" || len(l.Attempts) != 1 || l.Taken.IsZero() || !l.Over.After(l.Taken) {
+		l.Status != notices.Undeliverable || l.Relay != "n1" || len(l.Attempts) != 1 || l.Taken.IsZero() || !l.Over.After(l.Taken) {
 		t.Errorf("record %+v", r)
 	}
 	if a := l.Attempts[0]; a.Host != "h1" || a.Ran != undelivered.May || a.Outcome != "error" || a.Ended.Before(a.Begun) {
@@ -94,7 +95,7 @@
 	}
 	r, _ = p.stored(folder, "turned")
 	l = r.Last()
-	if l.Reason != undelivered.OutOfTime || l.Status != deferred || r.MayHaveRun() != nil || len(l.Attempts) == 0 {
+	if l.Reason != undelivered.OutOfTime || l.Status != notices.Deferred || r.MayHaveRun() != nil || len(l.Attempts) == 0 {
 		t.Errorf("record %+v", r)
 	}
 }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"mallowlead/internal/discovery"
+	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
@@ -32,7 +34,7 @@
 	}
 	// told is a list, or a change of it.
 	told struct {
-		Members
+		discovery.Members
 		from string // the discovery that told it
 	}
 	// watchEnded says that the watch on discovery ended or could not be had.
@@ -75,8 +77,8 @@
 	journal  *Journal
 	inbox    chan any
 	pool     *pool
-	watch    *watcher
-	notices  *notifier
+	watch    *discovery.Watcher
+	notices  *notices.Notifier
 	keeper   *keeper              // nil: undelivered messages are not kept
 	unkept   []*message           // noticed or delivered, and the store does not know yet
 	misses   int                  // so many of them were dropped, since the journal had no room
@@ -84,7 +86,7 @@
 	again    undelivered.Underway // resends that are
 	start    time.Time
 	messages map[string]*message
-	hosts    map[string]Member
+	hosts    map[string]discovery.Member
 	dests    map[int]bool    // named by some list
 	past     map[string]bool // ids of messages taken on that came to their end not long ago
 	ends     []pastEnd       // the same, in that order
@@ -102,7 +104,7 @@
 type send struct {
 	m       *message
 	attempt int
-	host    Member
+	host    discovery.Member
 	timeout time.Duration
 }
 
@@ -132,7 +134,7 @@
 	list.Whole = true
 	l.told(list)
 	l.journal.List(list, l.cfg.Discovery) // what the watch tells from here on may be changes of it only
-	l.watch.seq = list.Seq
+	l.watch.Seq = list.Seq
 	for _, e := range l.journal.Entries() {
 		m := &message{Entry: e, resumed: true}
 		l.messages[e.ID] = m
@@ -149,7 +151,7 @@
 		}
 		class := l.class(e.Class)
 		if class < 0 { // the settings have changed, and the module could not end it
-			l.refuse(m, verdict{}, undeliverable)
+			l.refuse(m, verdict{}, notices.Undeliverable)
 			continue
 		}
 		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true, Background: e.Resend,
@@ -323,16 +325,16 @@
 }
 
 // told takes in a change of the list.
-func (l *loop) told(m Members) {
+func (l *loop) told(m discovery.Members) {
 	named := map[string]bool{}
 	var recalled []policy.Event
 	for _, h := range m.Hosts {
 		named[h.Host] = true
 		old, had := l.hosts[h.Host]
-		if had && (old.Dial != h.Dial || h.Health == deleted) {
+		if had && (old.Dial != h.Dial || h.Health == discovery.Deleted) {
 			l.pool.forget(target{h.Host, old.Dial})
 		}
-		if h.Health == deleted {
+		if h.Health == discovery.Deleted {
 			l.forget(h.Host)
 			continue
 		}
@@ -351,7 +353,7 @@
 			}
 		}
 	}
-	l.events = append(append(l.events, m.listed(&l.cfg.Settings)), recalled...)
+	l.events = append(append(l.events, m.Listed(&l.cfg.Settings)), recalled...)
 }
 
 func (l *loop) forget(host string) {
@@ -399,9 +401,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case policy.Refuse:
-			l.refuse(l.messages[a.ID], verdict{status: http.StatusTooManyRequests, after: a.StayAway}, deferred)
+			l.refuse(l.messages[a.ID], verdict{status: http.StatusTooManyRequests, after: a.StayAway}, notices.Deferred)
 		case policy.Fail:
-			l.refuse(l.messages[a.ID], verdict{status: http.StatusBadGateway}, undeliverable)
+			l.refuse(l.messages[a.ID], verdict{status: http.StatusBadGateway}, notices.Undeliverable)
 		}
 	}
 	l.admitted()
@@ -439,7 +441,7 @@
 		return
 	}
 	m.over = true
-	n := Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
+	n := notices.Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
 	l.journal.Owe(m.Entry, n, string(l.reason(m, status, l.now())), l.wall(l.now()))
 	l.effects = append(l.effects, func() { l.tellEnd(m) })
 }
@@ -467,7 +469,7 @@
 	case policy.Wake:
 		l.wakeAt = min(l.wakeAt, now+a.After)
 	case policy.Subscribe:
-		l.watch.ask()
+		l.watch.Ask()
 	case policy.Remember:
 		if _, ok := l.hosts[a.Endpoint]; ok {
 			l.journal.Remember(a.Endpoint, Health{Sick: a.Sick, At: l.wall(a.At)})
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -20,6 +20,8 @@
 	"testing"
 	"time"
 
+	"mallowlead/internal/discovery"
+	"mallowlead/internal/notices"
 	"mallowlead/internal/operator"
 )
 
@@ -77,13 +79,13 @@
 	down      bool    // watches fail
 
 	mu      sync.Mutex
-	hosts   []Member
+	hosts   []discovery.Member
 	answer  func(*http.Request) int // a host's status; 0 for no answer while the call lasts
 	calls   []string                // ids that hosts were sent
 	began   chan string             // the same, as they come
 	watches []string                // address and query of each watch
 	left    []string                // addresses whose watch has ended
-	notices []Notice
+	notices []notices.Notice
 	posted  []string // the address to which each notice came
 	deaf    int      // so many posts of notices fail
 
@@ -119,13 +121,13 @@
 }
 
 // addHost starts a host of a destination.
-func (p *platform) addHost(id string, dest int) Member {
+func (p *platform) addHost(id string, dest int) discovery.Member {
 	s := httptest.NewServer(http.HandlerFunc(p.serveHost))
 	p.t.Cleanup(func() {
 		s.CloseClientConnections()
 		s.Close()
 	})
-	m := Member{Host: id, Dial: strings.TrimPrefix(s.URL, "http://"), Site: "a", Class: "m2", Block: dest,
+	m := discovery.Member{Host: id, Dial: strings.TrimPrefix(s.URL, "http://"), Site: "a", Class: "m2", Block: dest,
 		Health: "SERVING", Share: 100}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -162,7 +164,7 @@
 			return
 		}
 		for lines := bufio.NewScanner(r.Body); lines.Scan(); {
-			var n Notice
+			var n notices.Notice
 			if err := json.Unmarshal(lines.Bytes(), &n); err != nil {
 				w.WriteHeader(http.StatusBadRequest)
 				return
@@ -178,7 +180,7 @@
 	}
 	p.watches = append(p.watches, r.Host+"?"+r.URL.RawQuery)
 	defer func() { p.left = append(p.left, r.Host) }()
-	line, _ := json.Marshal(Members{Seq: 41, Whole: true, Hosts: p.hosts})
+	line, _ := json.Marshal(discovery.Members{Seq: 41, Whole: true, Hosts: p.hosts})
 	if p.changes {
 		line = nil
 	}
@@ -211,7 +213,7 @@
 func (p *platform) config() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := Members{Seq: 40, Whole: true, Hosts: p.hosts}
+	list := discovery.Members{Seq: 40, Whole: true, Hosts: p.hosts}
 	if p.unknown {
 		list.Hosts = nil
 	}
@@ -296,10 +298,10 @@
 	return append([]string(nil), p.calls...)
 }
 
-func (p *platform) told() []Notice {
+func (p *platform) told() []notices.Notice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]Notice(nil), p.notices...)
+	return append([]notices.Notice(nil), p.notices...)
 }
 
 // handIn hands a message in and returns the answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"mallowlead/internal/discovery"
+	"mallowlead/internal/notices"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
@@ -52,12 +54,12 @@
 	defer stop()
 	s := cfg.Settings
 	l := &loop{cfg: cfg, d: d, journal: journal, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
-		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{}, past: map[string]bool{},
+		messages: map[string]*message{}, hosts: map[string]discovery.Member{}, dests: map[int]bool{}, past: map[string]bool{},
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.longest(),
 			cfg.hostRoom())}
-	l.watch = newWatcher(cfg.Discovery, func(m Members, from string) { l.put(told{m, from}) },
+	l.watch = discovery.NewWatcher(cfg.Discovery, func(m discovery.Members, from string) { l.put(told{m, from}) },
 		func() { l.put(watchEnded{}) })
-	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
+	l.notices = notices.New(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	if keeping != nil {
 		l.arrivals = journal.arrivals
 		l.keeper = newKeeper(cfg, journal.store, func(e any) {
@@ -75,8 +77,8 @@
 	l.restore() // clients wait to be served until this is done
 	var work sync.WaitGroup
 	work.Go(func() { l.run(live) })
-	work.Go(func() { l.watch.run(live) })
-	work.Go(func() { l.notices.run(live) })
+	work.Go(func() { l.watch.Run(live) })
+	work.Go(func() { l.notices.Run(live) })
 	if l.keeper != nil {
 		work.Go(func() { l.keeper.run(live) })
 	}
@@ -89,8 +91,8 @@
 			serving = false
 		case next := <-reread:
 			slog.Info("configuration read again", "discovery", next.Discovery)
-			l.watch.move(next.Discovery)
-			l.notices.move(next.Discovery)
+			l.watch.Move(next.Discovery)
+			l.notices.Move(next.Discovery)
 		case <-ctx.Done():
 			l.drain(srv, func() { _ = listener.Close() })
 			serving = false
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"mallowlead/internal/notices"
 )
 
 func TestDelivery(t *testing.T) {
@@ -136,7 +138,7 @@
 	p.start()
 	p.take("order", "m", "0.4")
 	p.until("the notice is received", func() bool { return len(p.told()) > 0 })
-	if n := p.told(); len(n) != 1 || n[0] != (Notice{ID: "m", Status: undeliverable}) {
+	if n := p.told(); len(n) != 1 || n[0] != (notices.Notice{ID: "m", Status: notices.Undeliverable}) {
 		t.Errorf("notices: %v", n)
 	}
 	if p.deaf != 0 {
@@ -154,7 +156,7 @@
 		p.start()
 		p.take("status", "m", "20")
 		p.until("it is over", func() bool { return len(p.sent()) > 0 && len(readEntries(t, p.dir)) == 0 })
-		if n := p.told(); len(n) != want || want > 0 && n[0].Status != deferred {
+		if n := p.told(); len(n) != want || want > 0 && n[0].Status != notices.Deferred {
 			t.Errorf("%d: notices %v", status, n)
 		}
 		if c := p.sent(); len(c) != 1 {
@@ -208,7 +210,7 @@
 			}
 			if n := p.told(); len(n) != map[bool]int{true: 0, false: 1}[tt.again] {
 				t.Errorf("notices %v", n)
-			} else if tt.class == "order" && n[0].Status != undeliverable {
+			} else if tt.class == "order" && n[0].Status != notices.Undeliverable {
 				t.Errorf("an unsafe message that may have run was handed back: %v", n)
 			}
 		})
@@ -378,7 +380,7 @@
 	p.dir = dir
 	p.start()
 	p.until("its notice is received", func() bool { return len(p.told()) == 1 })
-	if n := p.told()[0]; n != (Notice{ID: "m", Status: undeliverable}) {
+	if n := p.told()[0]; n != (notices.Notice{ID: "m", Status: notices.Undeliverable}) {
 		t.Errorf("notice %v", n)
 	}
 }
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -1,13 +1,14 @@
 package relay
 
 import (
-	"net"
 	"net/http"
 	"os"
 	"slices"
 	"strings"
 	"syscall"
 	"testing"
+
+	"mallowlead/internal/discovery"
 )
 
 // A hang-up moves the watch, which asks for the whole list, and the notices to the discovery that the
@@ -67,29 +68,14 @@
 	}
 }
 
-// A notice that stalls at discovery holds up no other, and goes to the new address once discovery moves.
-func TestStalledNotice(t *testing.T) {
-	stalled := rawHost(t, func(c net.Conn) { _, _ = c.Read(make([]byte, 1)); <-t.Context().Done() })
-	prompt := rawHost(t, answering("HTTP/1.1 204 No Content\r\n\r\n"))
-	done := make(chan []string, 2)
-	n := newNotifier(stalled, func(ids []string) { done <- ids })
-	n.client.Timeout = long
-	go n.run(t.Context())
-	n.owe(Notice{ID: "m", Status: deferred})
-	n.move(prompt)
-	if ids := receive(t, done); !slices.Equal(ids, []string{"m"}) {
-		t.Errorf("received %v", ids)
-	}
-}
-
 // A list of a discovery that told an earlier process is kept through a restart, but its version is not asked
 // for at another one.
 func TestListOfAnotherDiscovery(t *testing.T) {
 	p := newPlatform(t)
 	h := p.addHost("h1", 7)
 	j := openJournal(t, p.dir, 3)
-	h.Health = draining
-	j.List(Members{Seq: 70, Whole: true, Hosts: []Member{h}}, "127.0.0.1:1")
+	h.Health = discovery.Draining
+	j.List(discovery.Members{Seq: 70, Whole: true, Hosts: []discovery.Member{h}}, "127.0.0.1:1")
 	commit(t, j)
 	p.start()
 	p.until("the watch is on", func() bool {
@@ -108,7 +94,7 @@
 	p.addHost("h1", 7)
 	p.changes = true
 	c := p.start()
-	p.lines <- hostLine(t, 41, Member{Host: "h9", Dial: "127.0.0.1:1", Site: "a", Class: "m2", Block: 9, Health: "SERVING"})
+	p.lines <- hostLine(t, 41, discovery.Member{Host: "h9", Dial: "127.0.0.1:1", Site: "a", Class: "m2", Block: 9, Health: "SERVING"})
 	p.until("the change is noted", func() bool {
 		list, _ := readJournal(t, p.dir).Listed()
 		return list != nil && list.Seq == 41
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
@@ -157,7 +158,7 @@
 	if status != delivered && status != overtaken {
 		reason = l.reason(m, status, now)
 	}
-	l.journal.Owe(m.Entry, Notice{ID: m.ID, Status: status}, string(reason), l.wall(now))
+	l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: status}, string(reason), l.wall(now))
 	l.effects = append(l.effects, func() { l.tellEnd(m) })
 }
 
--- a/internal/relay/subjects_test.go
+++ b/internal/relay/subjects_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
 )
 
@@ -269,7 +270,7 @@
 				t.Errorf("%+v, %v", totals, err)
 			}
 			r, err := s.Get("a")
-			if keep != (err == nil) || keep && (r.Last().Reason != undelivered.AtArrival || r.Last().Status != deferred || len(r.Last().Attempts) > 0) {
+			if keep != (err == nil) || keep && (r.Last().Reason != undelivered.AtArrival || r.Last().Status != notices.Deferred || len(r.Last().Attempts) > 0) {
 				t.Errorf("kept %v: %+v, %v", keep, r, err)
 			}
 		})
