--- a/internal/relay/journal.go
+++ b/internal/journal/journal.go
@@ -1,4 +1,5 @@
-package relay
+// Package journal keeps what a relay has taken on in a file that outlasts its process.
+package journal
 
 import (
 	"encoding/binary"
@@ -19,7 +20,8 @@
 )
 
 const (
-	journalName = "journal"
+	// Name is the file's, in the folder that lasts.
+	Name = "journal"
 	// diskShare of the folder's limit is used: the rest is for whole blocks and for what else lies there.
 	diskShare = 0.9
 	// recordHead is the length of a record's header: lengths of its two parts and their checksum.
@@ -127,10 +129,10 @@
 	arrivals int64              // the highest Order.Arrival of all that was ever taken on
 }
 
-// OpenJournal replays the journal in a folder, drops what can't be read at its end, and makes it ready.
+// Open replays the journal in a folder, drops what can't be read at its end, and makes it ready.
 // detailed has it note how attempts and messages end, for the store of undelivered ones.
-func OpenJournal(dir string, diskMB float64, detailed bool) (*Journal, error) {
-	j := &Journal{path: filepath.Join(dir, journalName), detailed: detailed, limit: int(diskShare * diskMB * 1e6),
+func Open(dir string, diskMB float64, detailed bool) (*Journal, error) {
+	j := &Journal{path: filepath.Join(dir, Name), detailed: detailed, limit: int(diskShare * diskMB * 1e6),
 		entries: map[string]*Entry{}, health: map[string]Health{}}
 	// A process that ended while it compacted leaves a file that was never used.
 	if err := os.Remove(j.temporary()); err != nil && !errors.Is(err, fs.ErrNotExist) {
@@ -152,6 +154,17 @@
 	return j, nil
 }
 
+// Look reads the journal in a folder as it stands, also that of a running process. Nothing can be written to it.
+func Look(dir string) (*Journal, error) {
+	raw, err := os.ReadFile(filepath.Join(dir, Name))
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	j := &Journal{entries: map[string]*Entry{}, health: map[string]Health{}}
+	j.replay(raw)
+	return j, nil
+}
+
 // Close closes the file.
 func (j *Journal) Close() error { return j.file.Close() }
 
@@ -222,6 +235,12 @@
 	j.note(record{Op: opStore, From: store, Count: j.arrivals}, nil)
 }
 
+// Store names the store that knows all that was delivered, or has it to come from this journal; empty for none.
+func (j *Journal) Store() string { return j.store }
+
+// Arrivals is the highest Order.Arrival of all that was ever taken on.
+func (j *Journal) Arrivals() int64 { return j.arrivals }
+
 // Over notes that nothing more is owed for a message.
 func (j *Journal) Over(e *Entry) { j.note(record{Op: opOver, ID: e.ID}, nil) }
 
--- a/internal/relay/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -1,4 +1,4 @@
-package relay
+package journal
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 
 func openJournal(t *testing.T, dir string, mb float64) *Journal {
 	t.Helper()
-	j, err := OpenJournal(dir, mb, false)
+	j, err := Open(dir, mb, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,7 +81,7 @@
 	whole := j.size
 	j.Take(&Entry{ID: "b", Body: []byte("2")})
 	commit(t, j)
-	raw, err := os.ReadFile(filepath.Join(dir, journalName))
+	raw, err := os.ReadFile(filepath.Join(dir, Name))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -94,7 +94,7 @@
 		}
 		for i, tail := range damaged {
 			other := t.TempDir()
-			if err := os.WriteFile(filepath.Join(other, journalName), tail, 0o600); err != nil {
+			if err := os.WriteFile(filepath.Join(other, Name), tail, 0o600); err != nil {
 				t.Fatal(err)
 			}
 			want := 1
@@ -122,7 +122,7 @@
 	j := openJournal(t, dir, mb)
 	refused := 0
 	for i := range 100 {
-		e := &Entry{ID: fmt.Sprint("m", i), Body: make([]byte, maxBody)}
+		e := &Entry{ID: fmt.Sprint("m", i), Body: make([]byte, 64<<10)}
 		if !j.Reserve(e) {
 			refused++
 			j.Over(j.Entries()[0])
@@ -152,12 +152,12 @@
 func TestJournalReserves(t *testing.T) {
 	j := openJournal(t, t.TempDir(), 1)
 	n := 0
-	for j.Reserve(&Entry{ID: "m", Body: make([]byte, maxBody)}) {
+	for j.Reserve(&Entry{ID: "m", Body: make([]byte, 64<<10)}) {
 		if n++; n > 100 {
 			t.Fatal("no end")
 		}
 	}
-	if n == 0 || 2*n*maxBody > 1e6 {
+	if n == 0 || 2*n*64<<10 > 1e6 {
 		t.Errorf("%d reserved at once", n)
 	}
 }
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
 	"mallowlead/internal/wait"
@@ -466,7 +467,7 @@
 
 // reserve keeps room in the journal for a message. Where there is none, the oldest of those that only wait for the
 // store make room: keeping them is not to stop the relay's main job.
-func (l *loop) reserve(e *Entry) bool {
+func (l *loop) reserve(e *journal.Entry) bool {
 	for !l.journal.Reserve(e) {
 		for len(l.unkept) > 0 && l.unkept[0].kept {
 			l.unkept = l.unkept[1:]
--- a/internal/relay/keep_test.go
+++ b/internal/relay/keep_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
 )
@@ -51,12 +52,10 @@
 // journalled counts what the journal of a running relay holds, in a copy.
 func (p *platform) journalled() int {
 	p.t.Helper()
-	raw, err := os.ReadFile(filepath.Join(p.dir, journalName))
+	j, err := journal.Look(p.dir)
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	j := &Journal{entries: map[string]*Entry{}, health: map[string]Health{}}
-	j.replay(raw)
 	return len(j.Entries())
 }
 
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mallowlead/internal/discovery"
+	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
@@ -19,7 +20,7 @@
 type (
 	// arrival is a message that a client hands in.
 	arrival struct {
-		entry   *Entry
+		entry   *journal.Entry
 		verdict chan verdict // room for one
 		// quiet tells whether the client has sent nothing more and is still there.
 		quiet func() (quiet, there bool)
@@ -49,7 +50,7 @@
 
 // message is what the loop holds of a message taken on.
 type message struct {
-	*Entry
+	*journal.Entry
 	verdicts []chan verdict     // of the requests that brought it, until they are answered
 	cancel   context.CancelFunc // of the call out; nil while there is none
 	over     bool               // ended, but a call is still out
@@ -74,7 +75,7 @@
 type loop struct {
 	cfg      *Config
 	d        *policy.Dispatcher
-	journal  *Journal
+	journal  *journal.Journal
 	inbox    chan any
 	pool     *pool
 	watch    *discovery.Watcher
@@ -472,7 +473,7 @@
 		l.watch.Ask()
 	case policy.Remember:
 		if _, ok := l.hosts[a.Endpoint]; ok {
-			l.journal.Remember(a.Endpoint, Health{Sick: a.Sick, At: l.wall(a.At)})
+			l.journal.Remember(a.Endpoint, journal.Health{Sick: a.Sick, At: l.wall(a.At)})
 		}
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mallowlead/internal/discovery"
+	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/undelivered"
@@ -44,16 +45,16 @@
 	if cfg.Own != nil {
 		keeping = cfg.Own.Undelivered
 	}
-	journal, err := OpenJournal(dir, min(cfg.Limits.DiskMB, journalShare*cfg.Limits.MemoryMB), keeping != nil)
+	kept, err := journal.Open(dir, min(cfg.Limits.DiskMB, journalShare*cfg.Limits.MemoryMB), keeping != nil)
 	if err != nil {
 		return err
 	}
-	defer journal.Close()
+	defer kept.Close()
 
 	live, stop := context.WithCancel(context.Background())
 	defer stop()
 	s := cfg.Settings
-	l := &loop{cfg: cfg, d: d, journal: journal, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
+	l := &loop{cfg: cfg, d: d, journal: kept, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
 		messages: map[string]*message{}, hosts: map[string]discovery.Member{}, dests: map[int]bool{}, past: map[string]bool{},
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.longest(),
 			cfg.hostRoom())}
@@ -61,8 +62,8 @@
 		func() { l.put(watchEnded{}) })
 	l.notices = notices.New(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	if keeping != nil {
-		l.arrivals = journal.arrivals
-		l.keeper = newKeeper(cfg, journal.store, func(e any) {
+		l.arrivals = kept.Arrivals()
+		l.keeper = newKeeper(cfg, kept.Store(), func(e any) {
 			select {
 			case l.inbox <- e:
 			case <-live.Done(): // nobody takes events any more
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,14 +4,13 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 )
 
@@ -32,23 +31,39 @@
 }
 
 // readJournal reads a journal that a relay may be writing.
-func readJournal(t *testing.T, dir string) *Journal {
+func readJournal(t *testing.T, dir string) *journal.Journal {
 	t.Helper()
-	raw, err := os.ReadFile(filepath.Join(dir, journalName))
+	j, err := journal.Look(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	j := &Journal{entries: map[string]*Entry{}, health: map[string]Health{}}
-	j.replay(raw)
 	return j
 }
 
-func readEntries(t *testing.T, dir string) []*Entry {
+// earlier is the journal of an earlier process.
+func earlier(t *testing.T, dir string) *journal.Journal {
+	t.Helper()
+	j, err := journal.Open(dir, 3, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = j.Close() })
+	return j
+}
+
+func commit(t *testing.T, j *journal.Journal) {
+	t.Helper()
+	if err := j.Commit(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func readEntries(t *testing.T, dir string) []*journal.Entry {
 	t.Helper()
 	return readJournal(t, dir).Entries()
 }
 
-func readHealth(t *testing.T, dir string) map[string]Health {
+func readHealth(t *testing.T, dir string) map[string]journal.Health {
 	t.Helper()
 	return readJournal(t, dir).Health()
 }
@@ -373,8 +388,8 @@
 // A message whose class the settings no longer have is ended all the same.
 func TestClassGone(t *testing.T) {
 	dir := t.TempDir()
-	j := openJournal(t, dir, 3)
-	j.Take(&Entry{ID: "m", Class: "parcel", Dest: 7, Expires: time.Now().Add(time.Minute)})
+	j := earlier(t, dir)
+	j.Take(&journal.Entry{ID: "m", Class: "parcel", Dest: 7, Expires: time.Now().Add(time.Minute)})
 	commit(t, j)
 	p := newPlatform(t)
 	p.dir = dir
@@ -389,8 +404,8 @@
 func TestCannotListen(t *testing.T) {
 	p := newPlatform(t)
 	p.addHost("h1", 7)
-	j := openJournal(t, p.dir, 3)
-	j.Take(&Entry{ID: "m", Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)})
+	j := earlier(t, p.dir)
+	j.Take(&journal.Entry{ID: "m", Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)})
 	commit(t, j)
 	taken, err := net.Listen("tcp", p.addr)
 	if err != nil {
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -73,7 +73,7 @@
 func TestListOfAnotherDiscovery(t *testing.T) {
 	p := newPlatform(t)
 	h := p.addHost("h1", 7)
-	j := openJournal(t, p.dir, 3)
+	j := earlier(t, p.dir)
 	h.Health = discovery.Draining
 	j.List(discovery.Members{Seq: 70, Whole: true, Hosts: []discovery.Member{h}}, "127.0.0.1:1")
 	commit(t, j)
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
@@ -24,7 +25,7 @@
 type (
 	// resend is an undelivered message that is to be sent again, under a new id.
 	resend struct {
-		entry *Entry
+		entry *journal.Entry
 	}
 	// holds asks whether a resend is held under an id.
 	holds struct {
@@ -102,7 +103,7 @@
 			k.result(undelivered.Result{Life: undelivered.Life{ID: o.Life.ID}})
 			continue
 		}
-		k.offer(resend{&Entry{ID: o.Life.ID, Class: o.Record.Class, Dest: o.Record.Partner, Tenant: o.Record.Tenant,
+		k.offer(resend{&journal.Entry{ID: o.Life.ID, Class: o.Record.Class, Dest: o.Record.Partner, Tenant: o.Record.Tenant,
 			Key: o.Record.Key, Subject: o.Record.Subject, Order: o.Record.Order, Taken: o.Life.Taken, Expires: o.Life.Expires,
 			Body: body, Resend: true}})
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"mallowlead/internal/journal"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
@@ -183,13 +184,13 @@
 	}
 	// The client counts from when it sent; no class gives a message more than its deadline.
 	expires := now.Add(settings.Seconds(min(left, class.Deadline.Seconds())))
-	return &arrival{verdict: make(chan verdict, 1), entry: &Entry{ID: id, Class: name, Dest: no, Key: key,
+	return &arrival{verdict: make(chan verdict, 1), entry: &journal.Entry{ID: id, Class: name, Dest: no, Key: key,
 		Tenant: value["Tenant"], Taken: now, Expires: expires}}, 0, nil
 }
 
 // about reads what a message is about. One of which that can't be told is served as any other; while it may have been
 // delivered, no older one of its class and partner is resent.
-func (s *server) about(e *Entry, h http.Header) {
+func (s *server) about(e *journal.Entry, h http.Header) {
 	subject := s.subjects[e.Class]
 	if subject == nil {
 		return
