Move calls out of the relay's package, behind the terms that every protocol will share

A move: internal/hosts has a call's request and result, internal/hosts/http1 what makes it, internal/socket the look at a socket that both sides take, internal/wait/waittest what tests wait with. No behaviour changed; all tests of these packages pass.

--- /dev/null
+++ b/internal/hosts/hosts.go
@@ -0,0 +1,34 @@
+// Package hosts has the terms in which calls to hosts are made, whatever their protocol.
+package hosts
+
+import (
+	"time"
+
+	"mallowlead/policy"
+)
+
+// Target is a host at an address: another host may come to the same address.
+type Target struct{ Host, Addr string }
+
+// Request is one call to a host.
+type Request struct {
+	Target
+	ID, Key string
+	Body    []byte
+	Timeout time.Duration
+}
+
+// Result is how a call ended.
+type Result struct {
+	Outcome  policy.Outcome
+	Wait     time.Duration
+	Over     bool
+	Spent    bool
+	Doubtful bool // it may have run, whatever the outcome says
+	Report   *policy.Report
+}
+
+// Unrun tells whether a call is known never to have run.
+func (r Result) Unrun() bool {
+	return !r.Doubtful && (r.Outcome == policy.QueueFull || r.Outcome == policy.ConnectError || r.Outcome == policy.Ignored)
+}
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"mallowlead/internal/socket"
 )
 
 const (
@@ -272,7 +274,7 @@
 // quiet tells whether the client waits for its answer and has sent nothing behind its request, and whether
 // it is still there at all.
 func (c *client) quiet() (quiet, there bool) {
-	n, err := peek(c.TCPConn)
+	n, err := socket.Peek(c.TCPConn)
 	return errors.Is(err, syscall.EAGAIN), n > 0 || errors.Is(err, syscall.EAGAIN)
 }
 
@@ -321,19 +323,6 @@
 	return nil
 }
 
-// peek looks at what a connection has to read, without waiting: n > 0 bytes, its end (0), or EAGAIN.
-func peek(c syscall.Conn) (n int, err error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var b [1]byte
-	controlErr := raw.Control(func(fd uintptr) {
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n, errors.Join(controlErr, err)
-}
-
 // budget is an amount that many share.
 type budget struct {
 	mu   sync.Mutex
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"mallowlead/internal/discovery"
+	"mallowlead/internal/hosts"
+	"mallowlead/internal/hosts/http1"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
@@ -31,7 +33,7 @@
 		attempt int
 		host    string
 		took    time.Duration
-		result
+		hosts.Result
 	}
 	// told is a list, or a change of it.
 	told struct {
@@ -77,7 +79,7 @@
 	d        *policy.Dispatcher
 	journal  *journal.Journal
 	inbox    chan any
-	pool     *pool
+	pool     *http1.Pool
 	watch    *discovery.Watcher
 	notices  *notices.Notifier
 	keeper   *keeper              // nil: undelivered messages are not kept
@@ -188,7 +190,7 @@
 		case <-ctx.Done():
 			return
 		case <-sweep.C:
-			l.pool.sweep()
+			l.pool.Sweep()
 			l.forgetEnds()
 			continue
 		case e := <-l.inbox:
@@ -309,18 +311,18 @@
 	m := l.messages[e.id] // stays as long as a call is out
 	m.cancel = nil
 	if l.journal.Get(m.ID) == m.Entry {
-		l.journal.End(m.Entry, e.unrun(), outcomes[e.outcome], l.wall(l.now()))
+		l.journal.End(m.Entry, e.Unrun(), outcomes[e.Outcome], l.wall(l.now()))
 	}
-	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.outcome,
-		Wait: e.wait, Took: e.took, Over: e.over, Spent: e.spent, Doubtful: e.doubtful, Report: e.report})
+	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.Outcome,
+		Wait: e.Wait, Took: e.took, Over: e.Over, Spent: e.Spent, Doubtful: e.Doubtful, Report: e.Report})
 	switch {
-	case e.over && m.Resend && !m.over:
+	case e.Over && m.Resend && !m.over:
 		l.endResend(m, delivered, "")
-	case e.over && m.Order != nil && l.keeper != nil && !m.over:
+	case e.Over && m.Order != nil && l.keeper != nil && !m.over:
 		m.over = true
 		l.journal.Deliver(m.Entry)
 		l.effects = append(l.effects, func() { l.tellDelivered(m) })
-	case e.over && !m.Resend, m.over && m.Owed == nil:
+	case e.Over && !m.Resend, m.over && m.Owed == nil:
 		l.end(m)
 	}
 }
@@ -333,7 +335,7 @@
 		named[h.Host] = true
 		old, had := l.hosts[h.Host]
 		if had && (old.Dial != h.Dial || h.Health == discovery.Deleted) {
-			l.pool.forget(target{h.Host, old.Dial})
+			l.pool.Forget(hosts.Target{Host: h.Host, Addr: old.Dial})
 		}
 		if h.Health == discovery.Deleted {
 			l.forget(h.Host)
@@ -349,7 +351,7 @@
 	if m.Whole {
 		for id, h := range l.hosts {
 			if !named[id] {
-				l.pool.forget(target{id, h.Dial})
+				l.pool.Forget(hosts.Target{Host: id, Addr: h.Dial})
 				l.forget(id)
 			}
 		}
@@ -465,7 +467,7 @@
 		}
 	case policy.CloseIdle:
 		if h, ok := l.hosts[a.Endpoint]; ok {
-			l.effects = append(l.effects, func() { l.pool.closeIdle(target{h.Host, h.Dial}) })
+			l.effects = append(l.effects, func() { l.pool.CloseIdle(hosts.Target{Host: h.Host, Addr: h.Dial}) })
 		}
 	case policy.Wake:
 		l.wakeAt = min(l.wakeAt, now+a.After)
@@ -502,7 +504,7 @@
 
 // unsent reports an attempt that was not made.
 func (l *loop) unsent(s send) {
-	l.answered(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, result: result{outcome: policy.Ignored}})
+	l.answered(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, Result: hosts.Result{Outcome: policy.Ignored}})
 	l.wakeAt = 0 // the module has an event to act on
 }
 
@@ -551,11 +553,12 @@
 func (l *loop) call(s send) {
 	ctx, cancel := context.WithCancel(l.calls)
 	s.m.cancel = cancel
-	r := request{target: target{s.host.Host, s.host.Dial}, id: s.m.ID, key: s.m.Key, body: s.m.Body, timeout: s.timeout}
+	r := hosts.Request{Target: hosts.Target{Host: s.host.Host, Addr: s.host.Dial}, ID: s.m.ID, Key: s.m.Key, Body: s.m.Body,
+		Timeout: s.timeout}
 	go func() {
 		defer cancel()
 		begun := time.Now()
-		res := l.pool.call(ctx, r)
-		l.put(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: time.Since(begun), result: res})
+		res := l.pool.Call(ctx, r)
+		l.put(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: time.Since(begun), Result: res})
 	}()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mallowlead/internal/discovery"
+	"mallowlead/internal/hosts/http1"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/settings"
@@ -56,7 +57,7 @@
 	s := cfg.Settings
 	l := &loop{cfg: cfg, d: d, journal: kept, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
 		messages: map[string]*message{}, hosts: map[string]discovery.Member{}, dests: map[int]bool{}, past: map[string]bool{},
-		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.longest(),
+		pool: http1.New(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.longest(),
 			cfg.hostRoom())}
 	l.watch = discovery.NewWatcher(cfg.Discovery, func(m discovery.Members, from string) { l.put(told{m, from}) },
 		func() { l.put(watchEnded{}) })
