Move the clients' side out of the relay's package, with one check of messages for every protocol

A move: internal/clients has what is handed in, its verdict and its check, internal/clients/http1 the connections. Its tests go along and make the check themselves; the one that needs a whole relay stays there.

--- a/internal/relay/clients.go
+++ b/internal/clients/http1/conns.go
@@ -1,4 +1,4 @@
-package relay
+package http1
 
 import (
 	"bufio"
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"mallowlead/internal/clients"
 	"mallowlead/internal/socket"
 )
 
@@ -66,10 +67,10 @@
 	removed bool
 }
 
-// serve takes connections until the listener is closed. It is no http.Server, since that neither tells what
+// Serve takes connections until the listener is closed. It is no http.Server, since that neither tells what
 // lies behind a request (a length that is too short, a second request) nor lets connections make room for
 // others by what is going on on them.
-func (s *server) serve(l net.Listener) error {
+func (s *Server) Serve(l net.Listener) error {
 	for {
 		raw, err := l.Accept()
 		switch {
@@ -90,7 +91,7 @@
 }
 
 // accept serves a connection in a goroutine of its own, once there is room for it.
-func (s *server) accept(raw *net.TCPConn) {
+func (s *Server) accept(raw *net.TCPConn) {
 	limit := &io.LimitedReader{R: raw}
 	c := &client{TCPConn: raw, limit: limit, in: bufio.NewReader(limit), stage: fresh, since: time.Now()}
 	s.mu.Lock()
@@ -112,7 +113,7 @@
 // evict closes the connection that is missed least: one that has said its last, then one that rested long
 // enough, one that never said anything, one that rests, one that stalls; never one with a request open. Its
 // place is free at once. The lock is held.
-func (s *server) evict() bool {
+func (s *Server) evict() bool {
 	var worst *client
 	now := time.Now()
 	rank := func(c *client) int {
@@ -137,7 +138,7 @@
 }
 
 // remove closes a connection, also under its goroutine's feet; the lock is held.
-func (s *server) remove(c *client) {
+func (s *Server) remove(c *client) {
 	if c.removed {
 		return
 	}
@@ -148,7 +149,7 @@
 }
 
 // enter moves a connection to a stage, and tells whether it is still there.
-func (s *server) enter(c *client, to stage) bool {
+func (s *Server) enter(c *client, to stage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.removed {
@@ -166,7 +167,7 @@
 // crowded tells whether an answer should be the last on its connection, since clients keep more connections
 // than they use: they may hold only so many, and those that ask once and stay would leave them none for
 // further requests. Connections that rested long enough go first.
-func (s *server) crowded() bool {
+func (s *Server) crowded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.count[idle] >= s.keep {
@@ -185,7 +186,7 @@
 }
 
 // talk serves the requests of a connection, one after another.
-func (s *server) talk(c *client) {
+func (s *Server) talk(c *client) {
 	quiet, wait := silentTime, firstTime
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(quiet))
@@ -195,14 +196,14 @@
 		}
 		_ = c.SetReadDeadline(time.Now().Add(wait))
 		v := s.request(c)
-		if v.status == 0 {
+		if v.Status == 0 {
 			return
 		}
-		v.close = v.close || s.closing.Load() || s.crowded()
+		v.Close = v.Close || s.Closing.Load() || s.crowded()
 		if !c.answer(v) {
 			return
 		}
-		if v.close {
+		if v.Close {
 			if s.enter(c, leaving) {
 				c.linger()
 			}
@@ -216,7 +217,7 @@
 }
 
 // request reads one request and has it decided on; a verdict without a status says that nobody waits for one.
-func (s *server) request(c *client) verdict {
+func (s *Server) request(c *client) clients.Verdict {
 	r, err := http.ReadRequest(c.in)
 	if err != nil {
 		slog.Debug("request not readable", "err", err)
@@ -228,47 +229,47 @@
 	}
 	if r.ContentLength > 0 {
 		if !s.memory.take(int(r.ContentLength)) {
-			return verdict{status: http.StatusServiceUnavailable, after: busyAfter, close: true}
+			return clients.Verdict{Status: http.StatusServiceUnavailable, After: busyAfter, Close: true}
 		}
 		defer s.memory.give(int(r.ContentLength))
 		if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 			if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-				return verdict{}
+				return clients.Verdict{}
 			}
 		}
 		c.limit.N = max(0, r.ContentLength-int64(c.in.Buffered()))
-		a.entry.Body = make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(c.in, a.entry.Body); err != nil {
+		a.Entry.Body = make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(c.in, a.Entry.Body); err != nil {
 			slog.Debug("body not readable", "err", err)
 			return c.unreadable(err)
 		}
 	}
 	if !s.enter(c, open) {
-		return verdict{}
+		return clients.Verdict{}
 	}
 	if c.in.Buffered() > 0 {
-		return malformed(http.StatusBadRequest) // the length is too short, or requests come unasked
+		return clients.Malformed(http.StatusBadRequest) // the length is too short, or requests come unasked
 	}
-	s.about(a.entry, r.Header)
-	a.quiet = c.quiet
+	s.check.About(a.Entry, r.Header)
+	a.Quiet = c.quiet
 	s.admit(a)
-	v = <-a.verdict
-	v.close = v.close || r.Close
+	v = <-a.Verdict
+	v.Close = v.Close || r.Close
 	return v
 }
 
 // unreadable is the answer to a request that could not be read.
-func (c *client) unreadable(err error) verdict {
+func (c *client) unreadable(err error) clients.Verdict {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return malformed(http.StatusRequestTimeout)
+		return clients.Malformed(http.StatusRequestTimeout)
 	case c.limit.N <= 0:
-		return malformed(http.StatusRequestHeaderFieldsTooLarge)
+		return clients.Malformed(http.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed),
 		errors.Is(err, syscall.ECONNRESET):
-		return verdict{} // half a request and a close
+		return clients.Verdict{} // half a request and a close
 	}
-	return malformed(http.StatusBadRequest)
+	return clients.Malformed(http.StatusBadRequest)
 }
 
 // quiet tells whether the client waits for its answer and has sent nothing behind its request, and whether
@@ -279,11 +280,11 @@
 }
 
 // answer writes an answer without a body, and tells whether it went out.
-func (c *client) answer(v verdict) bool {
-	r := http.Response{StatusCode: v.status, ProtoMajor: 1, ProtoMinor: 1, Close: v.close, Header: http.Header{
+func (c *client) answer(v clients.Verdict) bool {
+	r := http.Response{StatusCode: v.Status, ProtoMajor: 1, ProtoMinor: 1, Close: v.Close, Header: http.Header{
 		"Date": {time.Now().UTC().Format(http.TimeFormat)}}}
-	if v.after > 0 {
-		r.Header.Set("Retry-After", strconv.FormatFloat(v.after.Seconds(), 'f', 3, 64))
+	if v.After > 0 {
+		r.Header.Set("Retry-After", strconv.FormatFloat(v.After.Seconds(), 'f', 3, 64))
 	}
 	var out bytes.Buffer
 	if err := r.Write(&out); err != nil {
@@ -301,8 +302,8 @@
 	}
 }
 
-// shutdown closes the connections without an open request, and waits for the others until ctx ends.
-func (s *server) shutdown(ctx context.Context) error {
+// Shutdown closes the connections without an open request, and waits for the others until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/relay/clients_test.go
+++ b/internal/clients/http1/http1_test.go
@@ -1,4 +1,4 @@
-package relay
+package http1
 
 import (
 	"bufio"
@@ -11,26 +11,24 @@
 	"testing"
 	"time"
 
+	"mallowlead/internal/clients"
 	"mallowlead/internal/wait/waittest"
+	"mallowlead/policy"
 )
 
 // testServer is the clients' side alone, with so much room; taken gets what it takes in.
-func testServer(t *testing.T, room int) (s *server, addr string, taken chan *arrival) {
+func testServer(t *testing.T, room int) (s *Server, addr string, taken chan *clients.Arrival) {
 	t.Helper()
-	p := newPlatform(t)
-	cfg, err := ReadConfig(p.config())
-	if err != nil {
-		t.Fatal(err)
-	}
-	taken = make(chan *arrival, 100)
-	s = newServer(cfg, func(a *arrival) { taken <- a })
-	s.room = room
+	check := &clients.Check{Classes: map[string]*policy.Class{"status": {Name: "status", Deadline: 30 * time.Second}},
+		Tenants: map[string]bool{"acme": true}}
+	taken = make(chan *clients.Arrival, 100)
+	s = New(Config{Check: check, MemoryMB: 192, Room: room, Keep: 128}, func(a *clients.Arrival) { taken <- a })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() { _ = s.serve(l) }()
+	go func() { _ = s.Serve(l) }()
 	return s, l.Addr().String(), taken
 }
 
@@ -113,7 +111,7 @@
 		select {
 		case a := <-taken:
 			// The loop looks at what lies behind a request last of all.
-			if quiet, _ := a.quiet(); quiet {
+			if quiet, _ := a.Quiet(); quiet {
 				t.Errorf("%s: taken in", tt.name)
 			}
 		default:
@@ -164,8 +162,8 @@
 			}
 			late := dial(t, addr)
 			write(t, late, raw("late", "", "Content-Length: 0"))
-			waittest.Receive(t, taken).verdict <- verdict{status: http.StatusAccepted}
-			a.verdict <- verdict{status: http.StatusAccepted}
+			waittest.Receive(t, taken).Verdict <- clients.Verdict{Status: http.StatusAccepted}
+			a.Verdict <- clients.Verdict{Status: http.StatusAccepted}
 			for _, c := range []net.Conn{c, late} {
 				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 				if err != nil || resp.StatusCode != http.StatusAccepted {
@@ -218,23 +216,3 @@
 		t.Error("an end within 3 s is owed")
 	}
 }
-
-// A client that leaves, or whose id another uses for a copy, withdraws no other's message: what counts is the
-// request that brought it.
-func TestDepartureWithAnothersID(t *testing.T) {
-	p := newPlatform(t)
-	p.addHost("h1", 7)
-	p.answer = func(*http.Request) int { return 0 }
-	p.start()
-	p.take("order", "m", "20")
-	p.called()
-	for range 20 {
-		c := dial(t, p.addr)
-		write(t, c, raw("m", "", "Content-Length: 0"))
-		_ = c.Close()
-	}
-	p.take("order", "m", "20") // all the copies have been looked at before this one
-	if e := readEntries(t, p.dir); len(e) != 1 || len(e[0].Attempts) != 1 || e[0].Attempts[0].Ended {
-		t.Errorf("entries %v", e)
-	}
-}
--- /dev/null
+++ b/internal/clients/http1/server.go
@@ -0,0 +1,90 @@
+// Package http1 serves clients over HTTP/1.1.
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mallowlead/internal/clients"
+)
+
+const (
+	// bodyShare of the memory is for bodies of requests that are being read or decided on, and busyAfter is
+	// when a client for whose body there is no room may come again.
+	bodyShare = 1.0 / 16
+	busyAfter = time.Second
+)
+
+// Config is what a server is given.
+type Config struct {
+	Check    *clients.Check
+	MemoryMB float64 // of the relay
+	Room     int     // connections at most
+	Keep     int     // idle ones at most
+}
+
+// Server is the side that clients see: what it takes in is checked here, connections are clients.go's.
+type Server struct {
+	check   *clients.Check
+	admit   func(*clients.Arrival)
+	Closing atomic.Bool // answer with Connection: close
+	memory  budget      // for bodies
+
+	mu      sync.Mutex
+	left    sync.Cond // a connection has left, or may be made to
+	room    int       // connections at most
+	keep    int       // idle ones at most
+	clients map[*client]bool
+	count   [stages]int // of the connections in each stage
+}
+
+// New makes a server; admit gets each message that passes the check.
+func New(c Config, admit func(*clients.Arrival)) *Server {
+	s := &Server{check: c.Check, admit: admit, memory: budget{left: max(clients.MaxBody, int(bodyShare*c.MemoryMB*(1<<20)))},
+		room: c.Room, keep: c.Keep, clients: map[*client]bool{}}
+	s.left.L = &s.mu
+	return s
+}
+
+// parse checks the head of a request: it gives a message that lacks its body yet, or the answer. What is
+// malformed takes nothing on and gets a plain 4xx.
+func (s *Server) parse(r *http.Request) (*clients.Arrival, clients.Verdict) {
+	if status, err := checkFraming(r); err != nil {
+		slog.Debug("request rejected", "err", err)
+		return nil, clients.Malformed(status)
+	}
+	if r.Method == http.MethodGet && r.URL.Path == "/_health" && r.ContentLength == 0 {
+		// Answered 200: the relay listens only once its journal is replayed.
+		return nil, clients.Verdict{Status: http.StatusOK}
+	}
+	a, status, err := s.check.Message(r)
+	if err != nil {
+		slog.Debug("request rejected", "err", err)
+		return nil, clients.Malformed(status)
+	}
+	return a, clients.Verdict{}
+}
+
+// checkFraming guards against requests of which it is unclear where they end: net/http drops the length of
+// one that has a Transfer-Encoding as well and reads on, so that what is hidden in its body would be passed
+// on, and HTTP/1.0 ignores that header. Clients send lengths.
+func checkFraming(r *http.Request) (int, error) {
+	switch {
+	case !r.ProtoAtLeast(1, 1) || r.ProtoMajor > 1:
+		return http.StatusBadRequest, fmt.Errorf("protocol %s", r.Proto)
+	case len(r.TransferEncoding) > 0:
+		return http.StatusBadRequest, fmt.Errorf("transfer encoding %v", r.TransferEncoding)
+	case r.Host == "":
+		return http.StatusBadRequest, errors.New("no host")
+	case r.ContentLength > clients.MaxBody:
+		return http.StatusRequestEntityTooLarge, fmt.Errorf("%d bytes", r.ContentLength)
+	case r.Method == http.MethodPost && r.Header.Get("Content-Length") == "":
+		return http.StatusLengthRequired, errors.New("no length")
+	}
+	return 0, nil
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -13,9 +13,11 @@
 	"strconv"
 	"time"
 
+	"mallowlead/internal/clients"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/operator"
 	"mallowlead/internal/settings"
+	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
 
@@ -77,6 +79,24 @@
 	return most
 }
 
+// clientCheck is the check of what clients hand in.
+func (c *Config) clientCheck() *clients.Check {
+	check := &clients.Check{Classes: map[string]*policy.Class{}, Tenants: map[string]bool{}, Subjects: map[string]*undelivered.Subject{}}
+	for i := range c.policy.Classes {
+		check.Classes[c.policy.Classes[i].Name] = &c.policy.Classes[i]
+	}
+	for _, t := range c.Settings.Tenants {
+		check.Tenants[t.Name] = true
+	}
+	if c.Own != nil && c.Own.Undelivered != nil {
+		for i := range c.Own.Undelivered.Subjects {
+			subject := &c.Own.Undelivered.Subjects[i]
+			check.Subjects[subject.Class] = subject
+		}
+	}
+	return check
+}
+
 // ReadConfig reads and checks a configuration file.
 func ReadConfig(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"mallowlead/internal/clients"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/hosts"
 	"mallowlead/internal/hosts/http1"
@@ -20,13 +21,6 @@
 
 // The events that goroutines send the loop.
 type (
-	// arrival is a message that a client hands in.
-	arrival struct {
-		entry   *journal.Entry
-		verdict chan verdict // room for one
-		// quiet tells whether the client has sent nothing more and is still there.
-		quiet func() (quiet, there bool)
-	}
 	// answered is the end of a call.
 	answered struct {
 		id      string
@@ -53,12 +47,12 @@
 // message is what the loop holds of a message taken on.
 type message struct {
 	*journal.Entry
-	verdicts []chan verdict     // of the requests that brought it, until they are answered
-	cancel   context.CancelFunc // of the call out; nil while there is none
-	over     bool               // ended, but a call is still out
-	resumed  bool               // taken on by an earlier process
-	noticed  bool               // the platform has its notice, and it waits for the store
-	kept     bool               // the store of undelivered messages has it
+	verdicts []chan clients.Verdict // of the requests that brought it, until they are answered
+	cancel   context.CancelFunc     // of the call out; nil while there is none
+	over     bool                   // ended, but a call is still out
+	resumed  bool                   // taken on by an earlier process
+	noticed  bool                   // the platform has its notice, and it waits for the store
+	kept     bool                   // the store of undelivered messages has it
 }
 
 // topic is what a message is about.
@@ -154,7 +148,7 @@
 		}
 		class := l.class(e.Class)
 		if class < 0 { // the settings have changed, and the module could not end it
-			l.refuse(m, verdict{}, notices.Undeliverable)
+			l.refuse(m, clients.Verdict{}, notices.Undeliverable)
 			continue
 		}
 		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true, Background: e.Resend,
@@ -214,7 +208,7 @@
 // accept turns one event into the module's terms.
 func (l *loop) accept(e any) {
 	switch e := e.(type) {
-	case *arrival:
+	case *clients.Arrival:
 		l.arrive(e)
 	case answered:
 		l.answered(e)
@@ -259,47 +253,47 @@
 }
 
 // arrive takes in a message that is handed in.
-func (l *loop) arrive(a *arrival) {
-	switch quiet, there := a.quiet(); {
+func (l *loop) arrive(a *clients.Arrival) {
+	switch quiet, there := a.Quiet(); {
 	case !there:
 		// The client left before an answer: it may hand the message in again, and this copy counts for nothing.
-		a.verdict <- verdict{}
+		a.Verdict <- clients.Verdict{}
 		return
 	case !quiet:
 		// More has come than the request's length says, or a request that nobody is to send yet.
-		a.verdict <- malformed(http.StatusBadRequest)
+		a.Verdict <- clients.Malformed(http.StatusBadRequest)
 		return
 	}
-	if m := l.messages[a.entry.ID]; m != nil {
+	if m := l.messages[a.Entry.ID]; m != nil {
 		// The same message once more, as after a connection that broke: it is ours already, unless it is over.
 		switch {
 		case len(m.verdicts) > 0: // in this batch: the same answer, once it is recorded
-			m.verdicts = append(m.verdicts, a.verdict)
+			m.verdicts = append(m.verdicts, a.Verdict)
 		case m.over && !m.Delivered:
-			a.verdict <- verdict{status: http.StatusServiceUnavailable}
+			a.Verdict <- clients.Verdict{Status: http.StatusServiceUnavailable}
 		default:
-			a.verdict <- verdict{status: http.StatusAccepted}
+			a.Verdict <- clients.Verdict{Status: http.StatusAccepted}
 		}
 		return
 	}
-	if l.past[a.entry.ID] {
+	if l.past[a.Entry.ID] {
 		// Guards against a copy that comes when its message is over: made anew it could have its effect twice.
-		a.verdict <- verdict{status: http.StatusAccepted}
+		a.Verdict <- clients.Verdict{Status: http.StatusAccepted}
 		return
 	}
-	if !l.dests[a.entry.Dest] || !l.reserve(a.entry) {
+	if !l.dests[a.Entry.Dest] || !l.reserve(a.Entry) {
 		// Guards the module against destinations that no list has named, and the disk against overflow.
-		a.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
+		a.Verdict <- clients.Verdict{Status: http.StatusServiceUnavailable, After: l.cfg.policy.MaxStayAway}
 		return
 	}
 	if l.keeper == nil {
-		a.entry.Tenant, a.entry.Taken = "", time.Time{} // nobody will ask
+		a.Entry.Tenant, a.Entry.Taken = "", time.Time{} // nobody will ask
 	}
-	if a.entry.Order != nil {
+	if a.Entry.Order != nil {
 		l.arrivals = max(l.arrivals+1, time.Now().UnixNano())
-		a.entry.Order.Arrival = l.arrivals
+		a.Entry.Order.Arrival = l.arrivals
 	}
-	m := &message{Entry: a.entry, verdicts: []chan verdict{a.verdict}}
+	m := &message{Entry: a.Entry, verdicts: []chan clients.Verdict{a.Verdict}}
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
 	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest,
@@ -404,9 +398,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case policy.Refuse:
-			l.refuse(l.messages[a.ID], verdict{status: http.StatusTooManyRequests, after: a.StayAway}, notices.Deferred)
+			l.refuse(l.messages[a.ID], clients.Verdict{Status: http.StatusTooManyRequests, After: a.StayAway}, notices.Deferred)
 		case policy.Fail:
-			l.refuse(l.messages[a.ID], verdict{status: http.StatusBadGateway}, notices.Undeliverable)
+			l.refuse(l.messages[a.ID], clients.Verdict{Status: http.StatusBadGateway}, notices.Undeliverable)
 		}
 	}
 	l.admitted()
@@ -428,7 +422,7 @@
 }
 
 // refuse ends a message undelivered: by its answer if that is still due, else by a notice.
-func (l *loop) refuse(m *message, v verdict, status string) {
+func (l *loop) refuse(m *message, v clients.Verdict, status string) {
 	if m == nil || m.over {
 		return
 	}
@@ -444,13 +438,13 @@
 		return
 	}
 	m.over = true
-	n := notices.Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
+	n := notices.Notice{ID: m.ID, Status: status, AgainMS: v.After.Milliseconds()}
 	l.journal.Owe(m.Entry, n, string(l.reason(m, status, l.now())), l.wall(l.now()))
 	l.effects = append(l.effects, func() { l.tellEnd(m) })
 }
 
 // reply answers all requests that brought a message.
-func reply(to []chan verdict, v verdict) {
+func reply(to []chan clients.Verdict, v clients.Verdict) {
 	for _, c := range to {
 		c <- v
 	}
@@ -521,12 +515,12 @@
 		switch replies := m.verdicts; {
 		case replies == nil && (!m.Resend || m.over || err == nil): // refused, or nobody waits for an answer
 		case err != nil:
-			reply(replies, verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway})
+			reply(replies, clients.Verdict{Status: http.StatusServiceUnavailable, After: l.cfg.policy.MaxStayAway})
 			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
 			l.wakeAt = 0 // the module has an event to act on
 		default:
 			m.verdicts = nil
-			reply(replies, verdict{status: http.StatusAccepted})
+			reply(replies, clients.Verdict{Status: http.StatusAccepted})
 		}
 	}
 	for _, s := range sends {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"mallowlead/internal/clients"
+	front "mallowlead/internal/clients/http1"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/hosts/http1"
 	"mallowlead/internal/journal"
@@ -71,7 +73,8 @@
 			}
 		})
 	}
-	srv := newServer(cfg, func(a *arrival) { l.put(a) })
+	srv := front.New(front.Config{Check: cfg.clientCheck(), MemoryMB: cfg.Limits.MemoryMB, Room: cfg.clientRoom(), Keep: cfg.idleRoom()},
+		func(a *clients.Arrival) { l.put(a) })
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -85,7 +88,7 @@
 		work.Go(func() { l.keeper.run(live) })
 	}
 	served := make(chan error, 1)
-	go func() { served <- srv.serve(listener) }()
+	go func() { served <- srv.Serve(listener) }()
 
 	for serving := true; serving; {
 		select {
@@ -110,10 +113,10 @@
 
 // drain brings a relay to its end. No request that was read goes unanswered: answers close their
 // connections, and those that stay unused are closed last.
-func (l *loop) drain(srv *server, closeListener func()) {
+func (l *loop) drain(srv *front.Server, closeListener func()) {
 	begun := time.Now()
 	until := func(stage time.Duration) time.Duration { return time.Until(begun.Add(stage)) }
-	srv.closing.Store(true)
+	srv.Closing.Store(true)
 	time.Sleep(until(listenOn))
 	closeListener()
 	for until(sendOn) > 0 && !l.idle() {
@@ -125,7 +128,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
-	if err := srv.shutdown(ctx); err != nil {
+	if err := srv.Shutdown(ctx); err != nil {
 		slog.Warn("connections left", "err", err)
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"mallowlead/internal/clients"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/wait/waittest"
@@ -98,7 +100,7 @@
 		{"negative destination", "status", header("X-Envelope", "dest=-7"), 400},
 		{"huge destination", "status", header("X-Envelope", "dest=99999999999999999999"), 400},
 		{"no id", "status", header("Request-Id", ""), 400},
-		{"long id", "status", header("Request-Id", strings.Repeat("i", maxName+1)), 400},
+		{"long id", "status", header("Request-Id", strings.Repeat("i", clients.MaxName+1)), 400},
 		{"no key in a keyed class", "payment", header("Idempotency-Key", ""), 400},
 		{"no time-out", "status", header("Request-Timeout", ""), 400},
 		{"time-out of zero", "status", header("Request-Timeout", "0"), 400},
@@ -107,14 +109,14 @@
 		{"time-out NaN", "status", header("Request-Timeout", "NaN"), 400},
 		{"endless time-out", "status", header("Request-Timeout", "+Inf"), 400},
 		{"absurd time-out", "status", header("Request-Timeout", "99999999999999999999999"), 400},
-		{"body too large", "status", body(maxBody + 1), 413},
+		{"body too large", "status", body(clients.MaxBody + 1), 413},
 	}
 	for _, tt := range tests {
 		if resp := p.handIn(tt.class, "bad", "5", tt.change); resp.StatusCode != tt.want {
 			t.Errorf("%s: %s, want %d", tt.name, resp.Status, tt.want)
 		}
 	}
-	for _, change := range []func(*http.Request){body(maxBody), header("Request-Timeout", "3600"),
+	for _, change := range []func(*http.Request){body(clients.MaxBody), header("Request-Timeout", "3600"),
 		header("X-Envelope", "a=1, dest=7")} {
 		id := "good" + string(rune('0'+len(p.sent())))
 		if resp := p.handIn("status", id, "5", change); resp.StatusCode != http.StatusAccepted {
@@ -431,3 +433,29 @@
 	p := newPlatform(t)
 	return p.addr
 }
+
+// A client that leaves, or whose id another uses for a copy, withdraws no other's message: what counts is the
+// request that brought it.
+func TestDepartureWithAnothersID(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.answer = func(*http.Request) int { return 0 }
+	p.start()
+	p.take("order", "m", "20")
+	p.called()
+	for range 20 {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = io.WriteString(c, "POST /status HTTP/1.1\r\nHost: x\r\nRequest-Id: m\r\nTenant: acme\r\nRequest-Timeout: 5\r\n"+
+			"X-Envelope: dest=7\r\nContent-Length: 0\r\n\r\n")
+		if err = errors.Join(err, c.Close()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.take("order", "m", "20") // all the copies have been looked at before this one
+	if e := readEntries(t, p.dir); len(e) != 1 || len(e[0].Attempts) != 1 || e[0].Attempts[0].Ended {
+		t.Errorf("entries %v", e)
+	}
+}
