--- a/internal/clients/http1/server.go
+++ b/internal/clients/http1/server.go
@@ -28,7 +28,7 @@
 	Keep     int     // idle ones at most
 }
 
-// Server is the side that clients see: what it takes in is checked here, connections are clients.go's.
+// Server is the side that clients see: its connections are in conns.go.
 type Server struct {
 	check   *clients.Check
 	admit   func(*clients.Arrival)
--- a/internal/rehearsal/rig/measure_test.go
+++ b/internal/rehearsal/rig/measure_test.go
@@ -137,10 +137,7 @@
 	if !*measure {
 		t.Skip("needs -measure")
 	}
-	program := filepath.Join(t.TempDir(), "frostlink")
-	if out, err := exec.Command("go", "build", "-o", program, "mallowlead/cmd/frostlink").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	program := realRelay(t)
 	const all, seeds = 100_000, 3
 	var with, without []float64
 	for seed := range int64(seeds) {
@@ -172,3 +169,43 @@
 	}
 	t.Logf("with %.4v, without %.4v", with, without)
 }
+
+// realRelay builds the real program.
+func realRelay(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "frostlink")
+	if out, err := exec.Command("go", "build", "-o", program, "mallowlead/cmd/frostlink").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
+// What keeping costs beside full traffic, on one core: a third of the traffic is for a partner that is shut, and what is
+// refused for it is kept as well.
+func TestMeasureKeepingBesideTraffic(t *testing.T) {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	program := realRelay(t)
+	for _, rate := range []float64{900, 1800, 2700} {
+		for _, keep := range []bool{false, true} {
+			s := loadScript(t, rate, 10, 1, 3, 400, 400, 5)
+			s.Relay.MemoryMB, s.Relay.Cores = 192, 1
+			s.Events = []script.Event{{At: 0.5, What: "shut", Partner: "p0", For: 9}}
+			if keep {
+				s.Relay.Operator = "version = 1\n[undelivered]\nfolder = \"{dir}/undelivered\"\nrefused = true\n"
+			}
+			res, err := Run(t.Context(), s, Options{Seed: 1, Command: []string{program}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			kept := 0
+			for _, n := range res.Undelivered {
+				kept += n
+			}
+			u := res.Processes[0]
+			t.Logf("%4.0f/s, keeping %5v: %6d delivered, worth %.4f, %5.0f a second kept, %.2f s of CPU, %.0f MB, %d breaches, %.2f%% of the rig's events late", rate,
+				keep, res.Counts.Delivered, res.Worth.Whole, float64(kept)/s.Length, u.CPU, u.MemoryMB[quarters-1], len(res.Breaches), 100*res.Late)
+		}
+	}
+}
