--- a/internal/rehearsal/audit/audit_test.go
+++ b/internal/rehearsal/audit/audit_test.go
@@ -80,6 +80,7 @@
 	}{
 		"a message is never ended":   {NoEnd, func(n *notes) { n.take(sec, "a", status) }},
 		"it is lost after a refusal": {NoEnd, func(n *notes) { n.take(sec, "a", status); n.call(2*sec, "a", "h", Full, ms) }},
+		"lost after a call unsent":   {NoEnd, func(n *notes) { n.take(sec, "a", status); n.call(10999*ms, "a", "h", Unsent, ms) }},
 		"lost in a planned restart":  {NoEnd, func(n *notes) { n.take(sec, "a", status); n.restart(2 * sec) }},
 		"lost by a crash":            {NoEnd, func(n *notes) { n.take(sec, "a", status); n.crash(2 * sec) }},
 		"its notice comes late":      {LateEnd, func(n *notes) { n.take(sec, "a", status); n.notice(11400*ms, "a", Deferred) }},
@@ -229,6 +230,7 @@
 			n.notice(2*sec, "a", Deferred)
 			n.notice(3*sec, "a", Deferred)
 		},
+		"told that its time was up": func(n *notes) { n.take(sec, "a", status); n.call(11001*ms, "a", "h", Unsent, ms) },
 		"refused at once": func(n *notes) {
 			n.add(Event{At: sec, Kind: HandedIn, ID: "a"})
 			n.add(Event{At: sec, Kind: Answered, ID: "a", Status: 429})
--- a/internal/rehearsal/rig/measure_test.go
+++ b/internal/rehearsal/rig/measure_test.go
@@ -206,6 +206,9 @@
 			u := res.Processes[0]
 			t.Logf("%4.0f/s, keeping %5v: %6d delivered, worth %.4f, %5.0f a second kept, %.2f s of CPU, %.0f MB, %d breaches, %.2f%% of the rig's events late", rate,
 				keep, res.Counts.Delivered, res.Worth.Whole, float64(kept)/s.Length, u.CPU, u.MemoryMB[quarters-1], len(res.Breaches), 100*res.Late)
+			for _, b := range res.Breaches {
+				t.Errorf("%+v", b)
+			}
 		}
 	}
 }
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -425,7 +425,7 @@
 // resend to the store alone.
 func (l *loop) tellEnd(m *message) {
 	switch {
-	case m.Resend && l.keeper == nil: // the operator has turned the store off: nobody is left to tell
+	case (m.Resend || m.Owed.Status == outOfTime) && l.keeper == nil: // the operator has turned the store off: nobody is left to tell
 		l.end(m)
 	case m.Resend:
 		res := undelivered.Result{Life: l.life(m), Delivered: m.Owed.Status == delivered}
@@ -433,6 +433,9 @@
 			res.Life.Reason, res.Overtaken = undelivered.Overtaken, m.Reason // which by
 		}
 		l.keeper.result(res)
+	case m.Owed.Status == outOfTime:
+		l.noticed(m) // there is none
+		l.keeper.keep(l.record(m, l.life(m)))
 	default:
 		l.notices.Owe(*m.Owed)
 		if l.keeper != nil {
@@ -441,6 +444,25 @@
 	}
 }
 
+// outOfTime is the end of a message of which the platform says that its time is up: nothing more is owed for it, and the
+// store is told alone.
+const outOfTime = "out-of-time"
+
+// gone ends a message of which a host says that it is over, though it was not delivered.
+func (l *loop) gone(m *message) {
+	now := l.now()
+	switch {
+	case m.Resend:
+		l.endResend(m, outOfTime, "")
+	case now > l.clock(m.Expires)-endMargin:
+		m.over = true
+		l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: outOfTime}, string(undelivered.OutOfTime), l.wall(now))
+		l.effects = append(l.effects, func() { l.tellEnd(m) })
+	default: // its client has withdrawn it
+		l.end(m)
+	}
+}
+
 // noticed notes that the platform has a message's notice: it leaves the journal once the store has it too.
 func (l *loop) noticed(m *message) {
 	if l.keeper == nil || m.kept {
--- a/internal/relay/keep_test.go
+++ b/internal/relay/keep_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"mallowlead/internal/journal"
@@ -175,3 +176,36 @@
 		t.Errorf("%d kept and %d listed as not kept of %d, %v", totals.Messages, totals.Unkept, n, err)
 	}
 }
+
+// A host that says that a message's time is up has not delivered it: it is kept, and no notice is owed; a resend that is
+// told so comes back.
+func TestWhatAHostSaysIsOutOfTime(t *testing.T) {
+	p := newPlatform(t)
+	folder := p.keeping(resendRule)
+	p.addHost("h1", 7)
+	var late atomic.Bool
+	p.answer = func(r *http.Request) int {
+		if !late.Load() && r.Header.Get("Request-Id") != "a" {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusGone
+	}
+	c := p.start()
+	p.take("status", "a", "0.9") // within the last second of its time
+	p.until("it is called", func() bool { return len(p.sent()) > 0 })
+	p.take("status", "b", "1.2")
+	p.until("the other one is given up", func() bool { return len(p.told()) == 1 })
+	late.Store(true)
+	p.until("resends are told so too", func() bool { return len(p.again()) >= 2 })
+	p.until("the journal lets go", func() bool { return p.journalled() == 0 })
+	p.kill(c)
+	for _, id := range []string{"a", "b"} {
+		r, _ := p.stored(folder, id)
+		if r.State != undelivered.Held || r.Lives[0].Reason != undelivered.OutOfTime || r.MayHaveRun() != nil {
+			t.Errorf("%s: %+v", id, r)
+		}
+	}
+	if told := p.told(); len(told) != 1 || told[0].ID != "b" {
+		t.Errorf("notices %+v", told)
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -310,6 +310,8 @@
 	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.Outcome,
 		Wait: e.Wait, Took: e.took, Over: e.Over, Spent: e.Spent, Doubtful: e.Doubtful, Report: e.Report})
 	switch {
+	case e.Over && e.Outcome != policy.OK && l.keeper != nil && !m.over:
+		l.gone(m)
 	case e.Over && m.Resend && !m.over:
 		l.endResend(m, delivered, "")
 	case e.Over && m.Order != nil && l.keeper != nil && !m.over:
