--- a/cmd/frostlinkctl/rehearse.go
+++ b/cmd/frostlinkctl/rehearse.go
@@ -103,7 +103,7 @@
 		},
 	}
 	o.flags(c)
-	c.Flags().StringVar(&o.keep, "keep", "", "keep the event log and the relays' logs in this `folder`")
+	c.Flags().StringVar(&o.keep, "keep", "", "keep the event log, the relays' logs and stores in this `folder`")
 	c.Flags().BoolVar(&quiet, "quiet", false, "no progress lines")
 	return c
 }
--- a/internal/rehearsal/rig/rig.go
+++ b/internal/rehearsal/rig/rig.go
@@ -408,6 +408,9 @@
 		if err == nil {
 			err = os.WriteFile(filepath.Join(r.o.Keep, rel.name+".log"), raw, 0o644)
 		}
+		if err == nil {
+			err = rel.keepStore(filepath.Join(r.o.Keep, rel.name+"-undelivered"))
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/rehearsal/rig/rig_test.go
+++ b/internal/rehearsal/rig/rig_test.go
@@ -264,7 +264,7 @@
 
 // A relay that never becomes ready, or a program that is none, is an error and no verdict.
 func TestRelaysThatDoNotStart(t *testing.T) {
-	s, err := script.Parse("s", []byte(strings.Replace(planted, "[limits]", "[relay]\nready_within_s = 1\n\n[limits]", 1)))
+	s, err := script.Parse("s", []byte(strings.Replace(planted, "[relay]\n", "[relay]\nready_within_s = 1\n", 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rehearsal/rig/stores.go
+++ b/internal/rehearsal/rig/stores.go
@@ -108,6 +108,22 @@
 	return kept, unkept, nil
 }
 
+// keepStore copies a relay's store, so that the tool can be tried on it.
+func (rel *relay) keepStore(to string) error {
+	own, err := operator.Read(rel.operatorPath())
+	if errors.Is(err, os.ErrNotExist) || err == nil && own.Undelivered == nil {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	err = os.CopyFS(to, os.DirFS(own.Undelivered.Folder))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil // nothing was ever kept
+	}
+	return err
+}
+
 // stored adds all records of a store.
 func (rel *relay) stored(s *undelivered.Store, kept []audit.Kept) ([]audit.Kept, error) {
 	const page = 1000
--- a/internal/undelivered/store.go
+++ b/internal/undelivered/store.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -91,8 +92,7 @@
 
 func open(dir string, limit int64, most int, readOnly bool) (*Store, error) {
 	path := filepath.Join(dir, fileName)
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWithin, NoSync: true, NoGrowSync: true,
-		FreelistType: bbolt.FreelistMapType, ReadOnly: readOnly})
+	db, err := openFile(path, readOnly)
 	switch {
 	case errors.Is(err, bbolt.ErrTimeout):
 		return nil, fmt.Errorf("undelivered: %s: %w", path, ErrInUse)
@@ -108,8 +108,30 @@
 	return s, nil
 }
 
+// openFile opens the file. Where a damaged page makes bbolt panic in that, its lock is given back.
+func openFile(path string, readOnly bool) (db *bbolt.DB, err error) {
+	var file *os.File
+	defer func() {
+		if db == nil && err != nil && file != nil {
+			// The file is still mapped into memory, so that its lock outlives it.
+			_ = syscall.Flock(int(file.Fd()), syscall.LOCK_UN)
+			_ = file.Close()
+		}
+	}()
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer guard(&err)
+	return bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWithin, NoSync: true, NoGrowSync: true,
+		FreelistType: bbolt.FreelistMapType, ReadOnly: readOnly,
+		OpenFile: func(name string, flag int, mode os.FileMode) (f *os.File, err error) {
+			file, err = os.OpenFile(name, flag, mode)
+			return file, err
+		}})
+}
+
 // prepare checks the version, and makes the buckets that a new file or one of an earlier version lacks.
-func (s *Store) prepare(readOnly bool) error {
+func (s *Store) prepare(readOnly bool) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer guard(&err) // a page that is damaged is no reason to end the relay
 	older := false
 	check := func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(bMeta)
--- a/internal/undelivered/store_test.go
+++ b/internal/undelivered/store_test.go
@@ -258,6 +258,7 @@
 	path := filepath.Join(dir, fileName)
 	s := openStore(t, dir)
 	put(t, s, "a", "b", "c")
+	topics(t, s, time.Hour)
 	_ = s.Close()
 	for _, step := range []struct {
 		name string
@@ -271,6 +272,9 @@
 				return noon, nil
 			})
 		}, func(s *Store) bool { r, err := s.Get("b2"); return err == nil && r.State == Out }},
+		{"a newer one delivered", func(s *Store) error {
+			return s.Delivered([]Note{{"new", Topic{"c", 3, "s"}, Order{Whole: 9}}})
+		}, func(s *Store) bool { by, _ := s.Newer(about("s", Order{Whole: 5})); return by == "new" }},
 		{"remove", func(s *Store) error { return s.Remove([]string{"a"}) }, func(s *Store) bool { _, err := s.Get("a"); return err != nil }},
 	} {
 		before, _ := os.ReadFile(path)
@@ -422,3 +426,27 @@
 		}
 	}
 }
+
+// A store of which nothing but its first pages can be read is an error, and no end of the relay.
+func TestAStoreThatCantBeRead(t *testing.T) {
+	dir := t.TempDir()
+	s := openStore(t, dir)
+	put(t, s, "a", "b", "c")
+	_ = s.Close()
+	path := filepath.Join(dir, fileName)
+	file, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 2 * pageSize; i < len(file); i++ {
+		file[i] = 0xa5
+	}
+	if err := os.WriteFile(path, file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // the first leaves no lock behind
+		if s, err := Open(dir, 0, 0); err == nil || errors.Is(err, ErrInUse) {
+			t.Errorf("opened: %v, %v", s, err)
+		}
+	}
+}
