--- a/internal/hosts/http2/streams_test.go
+++ b/internal/hosts/http2/streams_test.go
@@ -96,6 +96,7 @@
 		"reset before the kernel had the end":     {func() *peer { p := begun(false); return p.does(p.Reset(1, http2.ErrCodeInternal)) }(), no, 0, false, "", false},
 		"reset after the end":                     {func() *peer { p := begun(true); return p.does(p.Reset(1, http2.ErrCodeInternal)) }(), may, 0, false, "", false},
 		"CANCEL by the host after the end":        {func() *peer { p := begun(true); return p.does(p.Reset(1, http2.ErrCodeCancel)) }(), may, 0, false, "", false},
+		"GOAWAY below it after a 200":             {func() *peer { p := begun(true).ok(200, false); return p.does(p.GoAway(0, http2.ErrCodeNo)) }(), may, 200, false, "", true},
 		"GOAWAY below it (6.8)":                   {func() *peer { p := begun(true); return p.does(p.GoAway(0, http2.ErrCodeNo)) }(), no, 0, false, "", true},
 		"GOAWAY that covers it, then the end":     {func() *peer { p := begun(true); p.GoAway(1, http2.ErrCodeNo); return p.does(p.Broken("closed")) }(), may, 0, false, "", true},
 		"GOAWAY that covers it, then one below": {func() *peer {
