--- a/internal/rehearsal/rig/clients.go
+++ b/internal/rehearsal/rig/clients.go
@@ -16,6 +16,7 @@
 
 	"mallowlead/internal/rehearsal/audit"
 	"mallowlead/internal/rehearsal/script"
+	"mallowlead/internal/wait"
 )
 
 const (
@@ -54,7 +55,7 @@
 	news := f.since[relay]
 	f.mu.Unlock()
 	f.r.work.Go(func() {
-		if !sleep(f.r.ctx, after) {
+		if !wait.For(f.r.ctx, after) {
 			return
 		}
 		f.mu.Lock()
@@ -119,7 +120,7 @@
 	c.busy.Add(1)
 	c.r.work.Go(func() {
 		defer c.busy.Add(-1)
-		if sleep(c.r.ctx, after) {
+		if wait.For(c.r.ctx, after) {
 			c.handIn(m, try, refusals, mark)
 		}
 	})
--- a/internal/rehearsal/rig/register.go
+++ b/internal/rehearsal/rig/register.go
@@ -12,6 +12,7 @@
 
 	"mallowlead/internal/rehearsal/audit"
 	"mallowlead/internal/rehearsal/script"
+	"mallowlead/internal/wait"
 )
 
 const (
@@ -110,7 +111,7 @@
 	g.r.work.Go(func() {
 		// Shutdown closes the listener at once and idle connections too; a watch that is open stays until Close.
 		go func() { _ = old.Shutdown(g.r.ctx) }()
-		sleep(g.r.ctx, oldFor)
+		wait.For(g.r.ctx, oldFor)
 		_ = old.Close()
 	})
 	return nil
--- a/internal/rehearsal/rig/relays.go
+++ b/internal/rehearsal/rig/relays.go
@@ -21,6 +21,7 @@
 
 	"mallowlead/internal/rehearsal/audit"
 	"mallowlead/internal/rehearsal/script"
+	"mallowlead/internal/wait"
 )
 
 const (
@@ -256,7 +257,7 @@
 			return fmt.Errorf("%s ended before it was ready; its log ends: %s", rel.name, rel.lastWords())
 		default:
 		}
-		if !sleep(ctx, readyEvery) {
+		if !wait.For(ctx, readyEvery) {
 			return fmt.Errorf("%s is not ready within %v s; its log ends: %s", rel.name, rel.r.s.Relay.Ready, rel.lastWords())
 		}
 	}
@@ -332,7 +333,7 @@
 }
 
 func (rel *relay) again(back time.Duration) {
-	if !sleep(rel.r.ctx, back) {
+	if !wait.For(rel.r.ctx, back) {
 		return
 	}
 	if err := rel.start(); err != nil && rel.r.ctx.Err() == nil {
@@ -345,7 +346,7 @@
 	rel.r.note(audit.Event{Kind: audit.Halted, Relay: rel.number})
 	rel.signal(syscall.SIGSTOP, false)
 	rel.r.front.leaves(rel.number, rel.frontNotices())
-	sleep(rel.r.ctx, d)
+	wait.For(rel.r.ctx, d)
 	rel.signal(syscall.SIGCONT, false)
 	rel.r.note(audit.Event{Kind: audit.Resumed, Relay: rel.number})
 	rel.r.front.ready(rel.number)
--- a/internal/rehearsal/rig/rig.go
+++ b/internal/rehearsal/rig/rig.go
@@ -20,6 +20,7 @@
 
 	"mallowlead/internal/rehearsal/audit"
 	"mallowlead/internal/rehearsal/script"
+	"mallowlead/internal/wait"
 )
 
 const (
@@ -182,7 +183,7 @@
 		return nil, fmt.Errorf("stopped: %w", err)
 	}
 	if s.Relay.Operator != "" {
-		sleep(ctx, storesWithin)
+		wait.For(ctx, storesWithin)
 		for _, rel := range r.relays { // the stores are read when nothing changes any more
 			rel.finish()
 		}
@@ -273,29 +274,14 @@
 	r.until(ctx, script.Seconds(r.s.Length))
 	last := script.Seconds(r.s.Length+longest+r.s.Rules.AnswerSlack) + settleTime
 	for r.now() < last && ctx.Err() == nil && !(r.clients.idle() && r.book.settled()) {
-		sleep(ctx, 20*time.Millisecond)
+		wait.For(ctx, 20*time.Millisecond)
 	}
 	// What relays still send for messages that are over belongs to the run.
-	sleep(ctx, 500*time.Millisecond)
+	wait.For(ctx, 500*time.Millisecond)
 }
 
 // until waits for a time of the run, and tells whether it came.
-func (r *rig) until(ctx context.Context, at time.Duration) bool { return sleep(ctx, at-r.now()) }
-
-// sleep waits, and tells whether ctx is still alive after it.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
+func (r *rig) until(ctx context.Context, at time.Duration) bool { return wait.For(ctx, at-r.now()) }
 
 // close ends all that the run started.
 func (r *rig) close(stop context.CancelFunc) {
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -8,6 +8,9 @@
 
 // For waits for d, and tells whether ctx is still alive after it.
 func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
