Messages refused at arrival wait for the store by themselves

Found on reading the change again: with refused = true, the store's receipt for a refused message stood also for the same id taken on later, and dropped that from what waits for the store: it would have been lost. Refused ones now have a queue of their own, which the loop hears nothing of, behind what was taken on. A test has both wait together.

--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -25,7 +25,7 @@
 	boundsEvery = time.Second
 	// lookEvery is between looks at what is due to be resent.
 	lookEvery = 200 * time.Millisecond
-	// mostRefused messages that were refused at their arrival wait for the store at most, with all others.
+	// mostRefused messages that were refused at their arrival wait for the store at most.
 	mostRefused = 2000
 	// endMargin before its time is up a message that is given up counts as out of time: that much is left when no
 	// further attempt would come to its end.
@@ -66,6 +66,7 @@
 	drop    []string             // to be listed as not kept
 	notes   []undelivered.Note   // of topics, delivered
 	refused map[string]int       // at arrival, by class and tenant
+	turned  []undelivered.Kept   // the same, where they are kept: in no journal, so that the loop hears nothing of them
 }
 
 // newKeeper makes a keeper; last is the store that the journal says was told of all that was delivered.
@@ -97,8 +98,8 @@
 // fit, since what is refused is most where there is least room for it.
 func (k *keeper) refuse(m undelivered.Kept) {
 	k.set(func() {
-		if k.section.Refused && len(k.wait) < mostRefused {
-			k.wait = append(k.wait, m)
+		if k.section.Refused && len(k.turned) < mostRefused {
+			k.turned = append(k.turned, m)
 		}
 		if k.refused == nil {
 			k.refused = map[string]int{}
@@ -137,7 +138,8 @@
 	}
 	k.tick = false
 	return todo{wait: slices.Clone(k.wait[:min(len(k.wait), keepBatch)]), back: slices.Clone(k.back), drop: slices.Clone(k.drop),
-		notes: slices.Clone(k.notes[:min(len(k.notes), keepBatch)]), refused: maps.Clone(k.refused)}, !k.ended
+		notes: slices.Clone(k.notes[:min(len(k.notes), keepBatch)]), refused: maps.Clone(k.refused),
+		turned: slices.Clone(k.turned[:min(len(k.turned), keepBatch)])}, !k.ended
 }
 
 // set changes what take waits for.
@@ -308,21 +310,27 @@
 			}
 		})
 	}
-	if len(t.wait) == 0 {
+	if err := k.handTaken(t.wait); err != nil || len(t.turned) == 0 {
+		return err
+	}
+	// After what was taken on, and dropped where there is no room.
+	err = k.store.Put(t.turned)
+	if err == nil || errors.Is(err, undelivered.ErrFull) {
+		k.set(func() { k.turned = k.turned[len(t.turned):] })
+	}
+	return err
+}
+
+// handTaken puts messages that were taken on into the store.
+func (k *keeper) handTaken(batch []undelivered.Kept) error {
+	if len(batch) == 0 {
 		return nil
 	}
-	batch := t.wait
-	err = k.store.Put(batch)
+	err := k.store.Put(batch)
 	if err != nil && len(batch) > 1 && !errors.Is(err, undelivered.ErrFull) {
 		batch = batch[:1]
 		err = k.store.Put(batch)
 	}
-	if errors.Is(err, undelivered.ErrFull) {
-		// What was refused is not to fill the store before what was taken on.
-		k.set(func() {
-			k.wait = slices.DeleteFunc(k.wait, func(m undelivered.Kept) bool { return m.Last().Reason == undelivered.AtArrival })
-		})
-	}
 	if err != nil {
 		return err
 	}
--- a/internal/relay/subjects_test.go
+++ b/internal/relay/subjects_test.go
@@ -278,3 +278,29 @@
 		})
 	}
 }
+
+// A message that was refused, and is taken on when it comes again under its id, is kept as what was taken on: the refused
+// copy lets nothing go. Before, the store's receipt for the one stood for the other.
+func TestRefusedAndThenTakenOn(t *testing.T) {
+	p := newPlatform(t)
+	folder := p.keeping("refused = true\n")
+	p.addHost("h1", 7)
+	p.answer = func(*http.Request) int { return http.StatusServiceUnavailable }
+	other, err := undelivered.Open(folder, 0, 0) // so that both wait for the store together
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := p.start()
+	if resp := p.handIn("order", "a", "0.000001"); resp.StatusCode != http.StatusTooManyRequests {
+		t.Fatal(resp.Status)
+	}
+	p.take("order", "a", "1")
+	p.until("it is given up", func() bool { return len(p.told()) == 1 })
+	_ = other.Close()
+	p.until("the journal lets go", func() bool { return p.journalled() == 0 })
+	p.kill(c)
+	r, totals := p.stored(folder, "a")
+	if totals.Messages != 1 || r.Last().Reason == undelivered.AtArrival || len(r.Last().Attempts) == 0 {
+		t.Errorf("%+v, %+v", totals, r)
+	}
+}
