An operators' door with status and figures, standby, and an inherited socket

Design: a package of its own for the door (net/http, one call a connection, a room of its own in the descriptors' table; one caller more takes the place of the oldest who has said no whole call). Rejected: asking the loop for each call, which waits behind its inbox under load. The stance to clients is a core without a clock, asked by the front. Rejected: closing all connections at once, which cuts requests on their way.

--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"mallowlead/internal/operator"
@@ -51,6 +52,14 @@
 		return err
 	}
 	cfg.Own = own
+	if fd := os.Getenv("NODE_LISTEN_FD"); fd != "" {
+		if cfg.ListenFD, err = strconv.Atoi(fd); err != nil || cfg.ListenFD < 3 {
+			return fmt.Errorf("NODE_LISTEN_FD: %q is no descriptor that can be inherited", fd)
+		}
+	}
+	if cfg.Management == "" {
+		cfg.Management = os.Getenv("NODE_MANAGEMENT")
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -18,6 +18,7 @@
 
 	"mallowlead/internal/clients"
 	"mallowlead/internal/socket"
+	"mallowlead/internal/standby"
 )
 
 const (
@@ -39,6 +40,8 @@
 	lingerTime, lingerBytes = 500 * time.Millisecond, 1 << 20
 	// maxHead bounds a request's head.
 	maxHead = 16 << 10
+	// seeOffEvery is between looks for connections to close while clients are sent away.
+	seeOffEvery = 100 * time.Millisecond
 	// acceptAgain is the pause after a failed accept.
 	acceptAgain = 5 * time.Millisecond
 )
@@ -199,7 +202,7 @@
 		if v.Status == 0 {
 			return
 		}
-		v.Close = v.Close || s.Closing.Load() || s.crowded()
+		v.Close = v.Close || s.stance.LastAnswer() || s.crowded()
 		if !c.answer(v) {
 			return
 		}
@@ -258,6 +261,43 @@
 	return v
 }
 
+// SeeOff closes connections without a request for as long as the stance sends clients away. One is closed only while
+// nothing has come on it that was not read: that would be a request cut off.
+func (s *Server) SeeOff() {
+	s.mu.Lock()
+	running := s.seeingOff
+	s.seeingOff = true
+	s.mu.Unlock()
+	if running {
+		return
+	}
+	for {
+		s.mu.Lock()
+		if away, _ := s.stance.Away(); !away {
+			s.seeingOff = false
+			s.mu.Unlock()
+			return
+		}
+		now := time.Now()
+		if rest, bounded := s.stance.MayRest(now); bounded {
+			for c := range s.clients {
+				most := rest
+				if c.stage == fresh {
+					most = max(rest, standby.Rested) // its request may be on its way
+				}
+				if c.stage != idle && c.stage != fresh || now.Sub(c.since) < most {
+					continue
+				}
+				if quiet, _ := c.quiet(); quiet {
+					s.remove(c)
+				}
+			}
+		}
+		s.mu.Unlock()
+		time.Sleep(seeOffEvery)
+	}
+}
+
 // unreadable is the answer to a request that could not be read.
 func (c *client) unreadable(err error) clients.Verdict {
 	switch {
--- a/internal/clients/http1/server.go
+++ b/internal/clients/http1/server.go
@@ -7,10 +7,10 @@
 	"log/slog"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"mallowlead/internal/clients"
+	"mallowlead/internal/standby"
 )
 
 const (
@@ -23,6 +23,7 @@
 // Config is what a server is given.
 type Config struct {
 	Check    *clients.Check
+	Stance   *standby.Stance
 	MemoryMB float64 // of the relay
 	Room     int     // connections at most
 	Keep     int     // idle ones at most
@@ -30,10 +31,10 @@
 
 // Server is the side that clients see: its connections are in conns.go.
 type Server struct {
-	check   *clients.Check
-	admit   func(*clients.Arrival)
-	Closing atomic.Bool // answer with Connection: close
-	memory  budget      // for bodies
+	check  *clients.Check
+	stance *standby.Stance
+	admit  func(*clients.Arrival)
+	memory budget // for bodies
 
 	mu      sync.Mutex
 	left    sync.Cond // a connection has left, or may be made to
@@ -41,11 +42,13 @@
 	keep    int       // idle ones at most
 	clients map[*client]bool
 	count   [stages]int // of the connections in each stage
+	// seeingOff: connections without a request are looked for, since clients are sent away.
+	seeingOff bool
 }
 
 // New makes a server; admit gets each message that passes the check.
 func New(c Config, admit func(*clients.Arrival)) *Server {
-	s := &Server{check: c.Check, admit: admit, memory: budget{left: max(clients.MaxBody, int(bodyShare*c.MemoryMB*(1<<20)))},
+	s := &Server{check: c.Check, stance: c.Stance, admit: admit, memory: budget{left: max(clients.MaxBody, int(bodyShare*c.MemoryMB*(1<<20)))},
 		room: c.Room, keep: c.Keep, clients: map[*client]bool{}}
 	s.left.L = &s.mu
 	return s
@@ -59,6 +62,9 @@
 		return nil, clients.Malformed(status)
 	}
 	if r.Method == http.MethodGet && r.URL.Path == "/_health" && r.ContentLength == 0 {
+		if !s.stance.Healthy() {
+			return nil, clients.Verdict{Status: http.StatusServiceUnavailable}
+		}
 		// Answered 200: the relay listens only once its journal is replayed.
 		return nil, clients.Verdict{Status: http.StatusOK}
 	}
--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -49,6 +49,8 @@
 	keep   time.Duration
 	room   int           // connections at most, idle or with a call out; no fewer than calls out at once
 	most   time.Duration // the longest wait that is believed: no message lives longer
+	// Written, where set, hears of each request whose last byte was written. Set before the first call.
+	Written func()
 
 	mu    sync.Mutex
 	idle  map[hosts.Target]*shelf
@@ -102,6 +104,9 @@
 	if n, _ := c.Write(out); n < len(out) {
 		return hosts.Result{Outcome: policy.ConnectError}, false // the last byte never left: it can't have run
 	}
+	if p.Written != nil {
+		p.Written()
+	}
 	resp, ok, err := c.answer(ctx)
 	switch {
 	case err == nil:
--- /dev/null
+++ b/internal/management/door.go
@@ -0,0 +1,181 @@
+// Package management is the operators' door: an address of its own, HTTP/1.1 with one call a connection, on which they
+// read status and figures and send clients away or take them again. It reads snapshots and sets a stance: no call waits for
+// the relay's loop, for its disk or for a client.
+package management
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// callTime is how long a caller may take to say what it wants, and answerTime how long it may take to read the
+	// answer. Callers that say nothing, or half a call, are closed then; every other is answered within 1 s.
+	callTime, answerTime = 2 * time.Second, time.Second
+	// maxHead and maxBody bound what is read of a call; no call needs a body.
+	maxHead, maxBody = 4 << 10, 4 << 10
+	// acceptAgain is the pause after a failed accept.
+	acceptAgain = 5 * time.Millisecond
+)
+
+// Relay is what the door opens to.
+type Relay interface {
+	// Takes tells whether this process takes clients.
+	Takes() bool
+	// Standby sends clients away, and Active takes them again; both may be said at any time, and again.
+	Standby()
+	Active()
+	// Figures gives the figures as JSON.
+	Figures() ([]byte, error)
+}
+
+// Door serves operators.
+type Door struct {
+	relay Relay
+	room  int // connections at most
+	http  http.Server
+
+	mu    sync.Mutex
+	conns []*caller // in the order in which they came
+}
+
+// caller is a connection from an operator.
+type caller struct {
+	net.Conn
+	door  *Door
+	asked bool // its call was read: it is answered at once, and never closed to make room; guarded by the door's lock
+}
+
+// New makes a door; at most room connections are held. One more takes the place of the oldest that has said no whole call,
+// so that callers who say nothing shut nobody out.
+func New(relay Relay, room int) *Door {
+	d := &Door{relay: relay, room: room}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { answer(w, relay.Takes()) })
+	mux.HandleFunc("GET /status/metrics", d.figures)
+	mux.HandleFunc("POST /standby", func(w http.ResponseWriter, _ *http.Request) { relay.Standby(); answer(w, true) })
+	mux.HandleFunc("POST /active", func(w http.ResponseWriter, _ *http.Request) { relay.Active(); answer(w, true) })
+	d.http = http.Server{Handler: d.heard(mux), ReadTimeout: callTime, WriteTimeout: callTime + answerTime, MaxHeaderBytes: maxHead,
+		ErrorLog: log.New(io.Discard, "", 0), ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, callerKey{}, c)
+		}}
+	d.http.SetKeepAlivesEnabled(false) // one call a connection
+	return d
+}
+
+type callerKey struct{}
+
+// answer says yes or no.
+func answer(w http.ResponseWriter, yes bool) {
+	text := "yes\n"
+	if !yes {
+		text = "no\n"
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+func (d *Door) figures(w http.ResponseWriter, _ *http.Request) {
+	out, err := d.relay.Figures()
+	if err != nil {
+		slog.Error("figures", "err", err)
+		answer(w, false)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(out, '\n'))
+}
+
+// heard notes that a call was read, and bounds its body.
+func (d *Door) heard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
+			d.mu.Lock()
+			c.asked = true
+			d.mu.Unlock()
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Serve answers calls until the listener is closed.
+func (d *Door) Serve(l net.Listener) error {
+	err := d.http.Serve(&guarded{l, d})
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return fmt.Errorf("the operators' door: %w", err)
+}
+
+// Close ends the door at once.
+func (d *Door) Close() { _ = d.http.Close() }
+
+// guarded is a listener that keeps to the room.
+type guarded struct {
+	net.Listener
+	door *Door
+}
+
+// Accept takes the next caller. It fails only when the listener is closed: the want of a descriptor passes.
+func (g *guarded) Accept() (net.Conn, error) {
+	for {
+		raw, err := g.Listener.Accept()
+		if err == nil {
+			if c := g.door.admit(raw); c != nil {
+				return c, nil
+			}
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		slog.Warn("operator's call not accepted", "err", err)
+		time.Sleep(acceptAgain)
+	}
+}
+
+// admit makes room for a caller; nil where all that are held are being answered.
+func (d *Door) admit(raw net.Conn) *caller {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.conns) >= d.room {
+		oldest := -1
+		for i, c := range d.conns {
+			if !c.asked {
+				oldest = i
+				break
+			}
+		}
+		if oldest < 0 {
+			_ = raw.Close()
+			return nil
+		}
+		_ = d.conns[oldest].Conn.Close()
+		d.conns = append(d.conns[:oldest], d.conns[oldest+1:]...)
+	}
+	c := &caller{Conn: raw, door: d}
+	d.conns = append(d.conns, c)
+	return c
+}
+
+// Close closes a caller's connection, and gives its place back.
+func (c *caller) Close() error {
+	c.door.mu.Lock()
+	for i, other := range c.door.conns {
+		if other == c {
+			c.door.conns = append(c.door.conns[:i], c.door.conns[i+1:]...)
+			break
+		}
+	}
+	c.door.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -23,13 +23,18 @@
 
 // Config is what the platform tells a relay in its configuration file.
 type Config struct {
-	Name      string            `json:"name"`
-	Listen    string            `json:"listen"`
-	Discovery string            `json:"discovery"`
-	Seed      string            `json:"seed"` // hexadecimal
-	Limits    Limits            `json:"limits"`
-	Known     discovery.Members `json:"known"`
-	Settings  settings.Settings `json:"settings"`
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"` // hexadecimal
+	// Management is where the operators' door listens; empty: there is none.
+	Management string            `json:"management"`
+	Limits     Limits            `json:"limits"`
+	Known      discovery.Members `json:"known"`
+	Settings   settings.Settings `json:"settings"`
+
+	// ListenFD is the descriptor of a clients' socket that the platform holds and every process inherits; 0: none.
+	ListenFD int `json:"-"`
 
 	// Own is the operator's own file; nil stands for one in which every section is off.
 	Own *operator.File `json:"-"`
@@ -57,18 +62,31 @@
 	// clientIdleShare of the descriptors may be clients' idle connections: far less than the third that clients may
 	// hold for requests, and enough to keep one for each request at once of the busiest days.
 	clientIdleShare = 1.0 / 8
+	// doorShare of the descriptors, and doorLeast at least, are for operators' calls: enough for those who say nothing
+	// beside those who ask.
+	doorShare, doorLeast = 1.0 / 24, 8
 )
 
+// doorRoom is how many connections operators may have, and own how many descriptors belong neither to clients nor hosts.
+func (c *Config) doorRoom() int {
+	if c.Management == "" {
+		return 0
+	}
+	return max(doorLeast, int(doorShare*float64(c.Limits.Sockets)))
+}
+
+func (c *Config) own() int { return ownDescriptors + c.doorRoom() }
+
 // clientRoom is how many connections clients may have.
 func (c *Config) clientRoom() int {
-	return max(1, min(int(clientShare*float64(c.Limits.Sockets-ownDescriptors)), int(clientsPerMB*c.Limits.MemoryMB)))
+	return max(1, min(int(clientShare*float64(c.Limits.Sockets-c.own())), int(clientsPerMB*c.Limits.MemoryMB)))
 }
 
 // idleRoom is how many of their connections clients may keep without a request.
 func (c *Config) idleRoom() int { return max(1, int(clientIdleShare*float64(c.Limits.Sockets))) }
 
 // hostRoom is how many connections there may be to hosts, idle or with a call out.
-func (c *Config) hostRoom() int { return max(1, c.Limits.Sockets-ownDescriptors-c.clientRoom()) }
+func (c *Config) hostRoom() int { return max(1, c.Limits.Sockets-c.own()-c.clientRoom()) }
 
 // longest is the longest that a message of any class lives.
 func (c *Config) longest() time.Duration {
@@ -79,6 +97,14 @@
 	return most
 }
 
+// classNames are the settings' classes.
+func (c *Config) classNames() (names []string) {
+	for _, class := range c.policy.Classes {
+		names = append(names, class.Name)
+	}
+	return names
+}
+
 // clientCheck is the check of what clients hand in.
 func (c *Config) clientCheck() *clients.Check {
 	check := &clients.Check{Classes: map[string]*policy.Class{}, Tenants: map[string]bool{}, Subjects: map[string]*undelivered.Subject{}}
@@ -142,9 +168,15 @@
 	return err
 }
 
+// Reading is what came of reading the configuration again.
+type Reading struct {
+	Config *Config
+	Err    error
+}
+
 // Reread reads the configuration again at each hang-up. One that can't be used changes nothing.
-func Reread(ctx context.Context, path string, hangups <-chan os.Signal) <-chan *Config {
-	read := make(chan *Config)
+func Reread(ctx context.Context, path string, hangups <-chan os.Signal) <-chan Reading {
+	read := make(chan Reading)
 	go func() {
 		for {
 			select {
@@ -155,10 +187,9 @@
 			cfg, err := ReadConfig(path)
 			if err != nil {
 				slog.Error("the old configuration stays", "err", err)
-				continue
 			}
 			select {
-			case read <- cfg:
+			case read <- Reading{cfg, err}:
 			case <-ctx.Done():
 			}
 		}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -11,7 +11,9 @@
 	"mallowlead/internal/hosts"
 	"mallowlead/internal/hosts/http1"
 	"mallowlead/internal/journal"
+	"mallowlead/internal/management"
 	"mallowlead/internal/notices"
+	"mallowlead/internal/standby"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
@@ -42,6 +44,8 @@
 	stopSending struct{}
 	// question asks whether anything is still to be done.
 	question struct{ idle chan bool }
+	// reconfigured says that a configuration was read again, or could not be used.
+	reconfigured struct{ ok bool }
 )
 
 // message is what the loop holds of a message taken on.
@@ -53,6 +57,8 @@
 	resumed  bool                   // taken on by an earlier process
 	noticed  bool                   // the platform has its notice, and it waits for the store
 	kept     bool                   // the store of undelivered messages has it
+	inflight bool                   // the figures count it as taken on
+	counted  bool                   // the figures have its end
 }
 
 // topic is what a message is about.
@@ -76,6 +82,8 @@
 	pool     *http1.Pool
 	watch    *discovery.Watcher
 	notices  *notices.Notifier
+	book     *management.Book
+	stance   *standby.Stance
 	keeper   *keeper              // nil: undelivered messages are not kept
 	unkept   []*message           // noticed or delivered, and the store does not know yet
 	misses   int                  // so many of them were dropped, since the journal had no room
@@ -151,6 +159,7 @@
 			l.refuse(m, clients.Verdict{}, notices.Undeliverable)
 			continue
 		}
+		l.taken(m)
 		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true, Background: e.Resend,
 			Left: l.clock(e.Expires) - l.now()}
 		for _, t := range e.Attempts {
@@ -249,6 +258,8 @@
 		l.events = append(l.events, policy.Stopping{})
 	case question:
 		e.idle <- len(l.messages) == 0
+	case reconfigured:
+		l.book.Reconfigured(e.ok)
 	}
 }
 
@@ -283,6 +294,7 @@
 	}
 	if !l.dests[a.Entry.Dest] || !l.reserve(a.Entry) {
 		// Guards the module against destinations that no list has named, and the disk against overflow.
+		l.book.Ended(a.Entry.Class, management.Busy, false)
 		a.Verdict <- clients.Verdict{Status: http.StatusServiceUnavailable, After: l.cfg.policy.MaxStayAway}
 		return
 	}
@@ -310,6 +322,13 @@
 	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.Outcome,
 		Wait: e.Wait, Took: e.took, Over: e.Over, Spent: e.Spent, Doubtful: e.Doubtful, Report: e.Report})
 	switch {
+	case !e.Over || m.over:
+	case e.Outcome == policy.OK:
+		l.count(m, management.Success)
+	default: // withdrawn, or out of time
+		l.count(m, management.Failure)
+	}
+	switch {
 	case e.Over && e.Outcome != policy.OK && l.keeper != nil && !m.over:
 		l.gone(m)
 	case e.Over && m.Resend && !m.over:
@@ -418,6 +437,7 @@
 	for _, m := range l.fresh {
 		if !m.over {
 			l.journal.Take(m.Entry)
+			l.taken(m)
 			l.begun(m)
 		}
 	}
@@ -432,6 +452,11 @@
 		l.endResend(m, status, "")
 		return
 	}
+	if status == notices.Deferred {
+		l.count(m, management.Busy)
+	} else {
+		l.count(m, management.Failure)
+	}
 	if replies := m.verdicts; replies != nil {
 		l.refusedAt(m, status)
 		m.verdicts = nil
@@ -518,6 +543,7 @@
 		case replies == nil && (!m.Resend || m.over || err == nil): // refused, or nobody waits for an answer
 		case err != nil:
 			reply(replies, clients.Verdict{Status: http.StatusServiceUnavailable, After: l.cfg.policy.MaxStayAway})
+			l.count(m, management.Busy)
 			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
 			l.wakeAt = 0 // the module has an event to act on
 		default:
@@ -543,6 +569,23 @@
 	for _, do := range effects {
 		do()
 	}
+	l.book.Show(management.Gauges{HostsListed: len(l.hosts), HostsDown: l.d.Down()})
+}
+
+// taken has the figures count a message as taken on; resends are none of the clients'.
+func (l *loop) taken(m *message) {
+	if !m.Resend {
+		m.inflight = true
+		l.book.Taken()
+	}
+}
+
+// count has the figures count a message's end, once.
+func (l *loop) count(m *message, end management.End) {
+	if !m.Resend && !m.counted {
+		m.counted = true
+		l.book.Ended(m.Class, end, m.inflight)
+	}
 }
 
 // call makes a call in a goroutine of its own.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"sync"
 	"time"
 
@@ -13,8 +12,10 @@
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/hosts/http1"
 	"mallowlead/internal/journal"
+	"mallowlead/internal/management"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/settings"
+	"mallowlead/internal/standby"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
@@ -36,7 +37,7 @@
 // Run runs a relay until ctx ends, and then brings it to an orderly end: it goes on serving for as long as
 // clients may still come, and leaves what is not delivered by then to the journal in dir. Configurations that
 // come from reread move it to another discovery; all else in them is for the next start.
-func Run(ctx context.Context, cfg *Config, dir string, reread <-chan *Config) error {
+func Run(ctx context.Context, cfg *Config, dir string, reread <-chan Reading) error {
 	d, err := policy.New(cfg.policy, cfg.seed)
 	if err != nil {
 		return err
@@ -58,9 +59,11 @@
 	defer stop()
 	s := cfg.Settings
 	l := &loop{cfg: cfg, d: d, journal: kept, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
+		book: management.NewBook(cfg.classNames()), stance: &standby.Stance{},
 		messages: map[string]*message{}, hosts: map[string]discovery.Member{}, dests: map[int]bool{}, past: map[string]bool{},
 		pool: http1.New(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.longest(),
 			cfg.hostRoom())}
+	l.pool.Written = func() { l.book.Calls.Add(1) }
 	l.watch = discovery.NewWatcher(cfg.Discovery, func(m discovery.Members, from string) { l.put(told{m, from}) },
 		func() { l.put(watchEnded{}) })
 	l.notices = notices.New(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
@@ -73,12 +76,17 @@
 			}
 		})
 	}
-	srv := front.New(front.Config{Check: cfg.clientCheck(), MemoryMB: cfg.Limits.MemoryMB, Room: cfg.clientRoom(), Keep: cfg.idleRoom()},
+	srv := front.New(front.Config{Check: cfg.clientCheck(), Stance: l.stance, MemoryMB: cfg.Limits.MemoryMB, Room: cfg.clientRoom(), Keep: cfg.idleRoom()},
 		func(a *clients.Arrival) { l.put(a) })
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	door, err := openDoor(cfg, l, srv)
+	if err != nil {
+		return err
+	}
+	defer door.close()
 	l.restore() // clients wait to be served until this is done
 	var work sync.WaitGroup
 	work.Go(func() { l.run(live) })
@@ -89,16 +97,23 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(listener) }()
+	door.taking.Store(true)
 
 	for serving := true; serving; {
 		select {
 		case err = <-served:
 			serving = false
-		case next := <-reread:
+		case r := <-reread:
+			l.put(reconfigured{r.Err == nil})
+			if r.Err != nil {
+				continue
+			}
+			next := r.Config
 			slog.Info("configuration read again", "discovery", next.Discovery)
 			l.watch.Move(next.Discovery)
 			l.notices.Move(next.Discovery)
 		case <-ctx.Done():
+			door.taking.Store(false)
 			l.drain(srv, func() { _ = listener.Close() })
 			serving = false
 		}
@@ -116,7 +131,7 @@
 func (l *loop) drain(srv *front.Server, closeListener func()) {
 	begun := time.Now()
 	until := func(stage time.Duration) time.Duration { return time.Until(begun.Add(stage)) }
-	srv.Closing.Store(true)
+	l.stance.End()
 	time.Sleep(until(listenOn))
 	closeListener()
 	for until(sendOn) > 0 && !l.idle() {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -729,6 +729,9 @@
 	if ep.sick {
 		d.epTokens(ep)
 		ep.sick, ep.ramping, ep.recovered = false, true, d.now
+		if !ep.Gone {
+			d.down--
+		}
 		ep.tokens = math.Max(ep.tokens, d.phase(ep))
 		d.act(Remember{Endpoint: ep.ID, At: d.now})
 		for _, other := range q.eps {
@@ -768,6 +771,9 @@
 		return
 	}
 	ep.sick, ep.ramping, ep.sickAt, ep.q.ill = true, false, d.now, true
+	if !ep.Gone {
+		d.down++
+	}
 	ep.tokens, ep.tokensAt = d.phase(ep), max(d.now, ep.q.waitUntil)
 	d.act(Remember{Endpoint: ep.ID, Sick: true, At: d.now})
 	if ep.q.apart {
--- a/policy/state.go
+++ b/policy/state.go
@@ -11,6 +11,9 @@
 
 // This file holds the state of a dispatcher and its bookkeeping; what is decided on it is in policy.go.
 
+// Down is how many listed endpoints are out: nothing goes there but trials.
+func (d *Dispatcher) Down() int { return d.down }
+
 // Dispatcher decides for one relay. It is not safe for concurrent use.
 type Dispatcher struct {
 	s         Settings
@@ -24,6 +27,7 @@
 	resting   []*message // over, but their keys rest
 	keys      map[string][]*message
 	out       int // calls out
+	down      int // listed endpoints that are sick
 	// unanswered is the share of calls out for stuckAfter mean latencies that had no success.
 	unanswered float64
 	seq        int
@@ -458,6 +462,9 @@
 // drop forgets an endpoint that left the list; calls out there still end.
 func (d *Dispatcher) drop(ep *endpoint) {
 	ep.Gone = true
+	if ep.sick {
+		d.down--
+	}
 	delete(d.endpoints, ep.ID)
 	ep.q.eps = remove(ep.q.eps, ep)
 	d.forget(ep.q)
