New settings at SIGHUP: taken over in one step of the loop, or not at all

Need: the file read at SIGHUP may bring classes added and removed and fewer attempts, or be broken.

The module takes Retuned as an event and keeps numbers of classes (Merge); a message keeps its terms, an attempt needs leave from both readings of its effect; what has had all attempts ends at once, also after a restart (it was held to its time before). A file that lacks a key that the running one has, or has a value out of range, is turned down with file, key and reason, and counted.

--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -64,5 +64,5 @@
 	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return relay.Run(ctx, cfg, state, relay.Reread(ctx, config, hangups))
+	return relay.Run(ctx, cfg, state, relay.Reread(ctx, config, cfg, hangups))
 }
--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -253,7 +253,7 @@
 	if c.in.Buffered() > 0 {
 		return clients.Malformed(http.StatusBadRequest) // the length is too short, or requests come unasked
 	}
-	s.check.About(a.Entry, r.Header)
+	s.check.Load().About(a.Entry, r.Header)
 	a.Quiet = c.quiet
 	s.admit(a)
 	v = <-a.Verdict
--- a/internal/clients/http1/server.go
+++ b/internal/clients/http1/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mallowlead/internal/clients"
@@ -31,7 +32,7 @@
 
 // Server is the side that clients see: its connections are in conns.go.
 type Server struct {
-	check  *clients.Check
+	check  atomic.Pointer[clients.Check]
 	stance *standby.Stance
 	admit  func(*clients.Arrival)
 	memory budget // for bodies
@@ -48,12 +49,16 @@
 
 // New makes a server; admit gets each message that passes the check.
 func New(c Config, admit func(*clients.Arrival)) *Server {
-	s := &Server{check: c.Check, stance: c.Stance, admit: admit, memory: budget{left: max(clients.MaxBody, int(bodyShare*c.MemoryMB*(1<<20)))},
+	s := &Server{stance: c.Stance, admit: admit, memory: budget{left: max(clients.MaxBody, int(bodyShare*c.MemoryMB*(1<<20)))},
 		room: c.Room, keep: c.Keep, clients: map[*client]bool{}}
 	s.left.L = &s.mu
+	s.SetCheck(c.Check)
 	return s
 }
 
+// SetCheck has messages that come from now on checked by other settings.
+func (s *Server) SetCheck(c *clients.Check) { s.check.Store(c) }
+
 // parse checks the head of a request: it gives a message that lacks its body yet, or the answer. What is
 // malformed takes nothing on and gets a plain 4xx.
 func (s *Server) parse(r *http.Request) (*clients.Arrival, clients.Verdict) {
@@ -68,7 +73,7 @@
 		// Answered 200: the relay listens only once its journal is replayed.
 		return nil, clients.Verdict{Status: http.StatusOK}
 	}
-	a, status, err := s.check.Message(r)
+	a, status, err := s.check.Load().Message(r)
 	if err != nil {
 		slog.Debug("request rejected", "err", err)
 		return nil, clients.Malformed(status)
--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,8 +48,8 @@
 type Pool struct {
 	dialer net.Dialer
 	keep   time.Duration
-	room   int           // connections at most, idle or with a call out; no fewer than calls out at once
-	most   time.Duration // the longest wait that is believed: no message lives longer
+	room   int          // connections at most, idle or with a call out; no fewer than calls out at once
+	most   atomic.Int64 // nanoseconds: the longest wait that is believed, since no message lives longer
 	// Written, where set, hears of each request whose last byte was written. Set before the first call.
 	Written func()
 
@@ -72,10 +73,15 @@
 
 // New has room for so many connections, and keeps idle ones for less than hostIdle.
 func New(connect, hostIdle, most time.Duration, room int) *Pool {
-	return &Pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, most: most, idle: map[hosts.Target]*shelf{},
+	p := &Pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[hosts.Target]*shelf{},
 		keep: time.Duration(idleShare * float64(hostIdle))}
+	p.Believe(most)
+	return p
 }
 
+// Believe sets the longest wait that is believed when a host tells one: no message lives longer.
+func (p *Pool) Believe(most time.Duration) { p.most.Store(int64(most)) }
+
 // Call makes one call. When it returns, the call is off the wire: answered, or its connection closed.
 func (p *Pool) Call(ctx context.Context, r hosts.Request) hosts.Result {
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
@@ -202,7 +208,7 @@
 	case http.StatusTooManyRequests:
 		res.Outcome = policy.QueueFull
 		if ms, err := strconv.ParseFloat(resp.Header.Get("X-Retry-In-Ms"), 64); err == nil && ms > 0 {
-			res.Wait = time.Duration(min(ms, float64(p.most.Milliseconds())) * float64(time.Millisecond))
+			res.Wait = time.Duration(min(ms, float64(time.Duration(p.most.Load()).Milliseconds())) * float64(time.Millisecond))
 		}
 	case http.StatusServiceUnavailable:
 		res.Outcome = policy.QueueFull
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -17,6 +17,7 @@
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
+	"mallowlead/policy"
 )
 
 const (
@@ -41,14 +42,17 @@
 
 // Entry is a message that was taken on and has not come to its end.
 type Entry struct {
-	ID       string    `json:"id"`
-	Class    string    `json:"class,omitempty"`
-	Dest     int       `json:"dest,omitempty"`
-	Tenant   string    `json:"tenant,omitempty"` // where undelivered messages are kept
-	Taken    time.Time `json:"taken,omitzero"`   // the same
-	Resend   bool      `json:"resend,omitempty"` // from the store of undelivered messages: its end goes there, not to the platform
-	Key      string    `json:"key,omitempty"`
-	Expires  time.Time `json:"expires,omitzero"`
+	ID      string    `json:"id"`
+	Class   string    `json:"class,omitempty"`
+	Dest    int       `json:"dest,omitempty"`
+	Tenant  string    `json:"tenant,omitempty"` // where undelivered messages are kept
+	Taken   time.Time `json:"taken,omitzero"`   // the same
+	Resend  bool      `json:"resend,omitempty"` // from the store of undelivered messages: its end goes there, not to the platform
+	Key     string    `json:"key,omitempty"`
+	Expires time.Time `json:"expires,omitzero"`
+	// Terms is the number of the terms of its class as it was taken on, in this journal; 0: an earlier program took it
+	// on, and it is under the settings'.
+	Terms    int       `json:"terms,omitempty"`
 	Body     []byte    `json:"-"`
 	Attempts []Attempt `json:"-"`
 	// Subject and Order are what it is about, in classes of which the operator says where that stands.
@@ -92,6 +96,7 @@
 	List   *discovery.Members `json:"list,omitempty"`
 	From   string             `json:"from,omitempty"` // the discovery that told List, or the store's name
 	Count  int64              `json:"count,omitempty"`
+	Terms  *policy.Class      `json:"terms,omitempty"` // number Count
 }
 
 // The kinds of record.
@@ -104,6 +109,7 @@
 	opHealth = "health"
 	opList   = "list"
 	opDone   = "done"  // delivered, and the store is to know
+	opTerms  = "terms" // of a class, as some messages were taken on
 	opStore  = "store" // which store knows all that was delivered, and the count of arrivals
 )
 
@@ -122,18 +128,20 @@
 	entries  map[string]*Entry
 	order    []*Entry // as taken; those that are over leave at the next compaction
 	health   map[string]Health
-	list     *discovery.Members // as last told; nil for never
-	from     string             // the discovery that told it
-	listLen  int                // of its record
-	store    string             // the one that knows all that was delivered, or has it to come from this journal; empty: none
-	arrivals int64              // the highest Order.Arrival of all that was ever taken on
+	list     *discovery.Members   // as last told; nil for never
+	from     string               // the discovery that told it
+	listLen  int                  // of its record
+	store    string               // the one that knows all that was delivered, or has it to come from this journal; empty: none
+	terms    map[int]policy.Class // by number
+	lastTerm int
+	arrivals int64 // the highest Order.Arrival of all that was ever taken on
 }
 
 // Open replays the journal in a folder, drops what can't be read at its end, and makes it ready.
 // detailed has it note how attempts and messages end, for the store of undelivered ones.
 func Open(dir string, diskMB float64, detailed bool) (*Journal, error) {
 	j := &Journal{path: filepath.Join(dir, Name), detailed: detailed, limit: int(diskShare * diskMB * 1e6),
-		entries: map[string]*Entry{}, health: map[string]Health{}}
+		entries: map[string]*Entry{}, health: map[string]Health{}, terms: map[int]policy.Class{}}
 	// A process that ended while it compacted leaves a file that was never used.
 	if err := os.Remove(j.temporary()); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, fmt.Errorf("journal: %w", err)
@@ -160,7 +168,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
-	j := &Journal{entries: map[string]*Entry{}, health: map[string]Health{}}
+	j := &Journal{entries: map[string]*Entry{}, health: map[string]Health{}, terms: map[int]policy.Class{}}
 	j.replay(raw)
 	return j, nil
 }
@@ -204,6 +212,31 @@
 // Take notes a message taken on.
 func (j *Journal) Take(e *Entry) { j.note(record{Op: opTaken, Entry: e}, e.Body) }
 
+// Under has a message that is to be taken on keep the terms of its class as they are now.
+func (j *Journal) Under(e *Entry, class policy.Class) { e.Terms = j.number(class) }
+
+// number gives the number of terms, and notes those that are new.
+func (j *Journal) number(class policy.Class) int {
+	if j.terms[j.lastTerm] == class {
+		return j.lastTerm // of the message before, as mostly
+	}
+	for n, c := range j.terms {
+		if c == class {
+			return n
+		}
+	}
+	j.note(record{Op: opTerms, Terms: &class, Count: int64(j.lastTerm + 1)}, nil)
+	return j.lastTerm
+}
+
+// Terms are those of a message's class as it was taken on; nil where they are not known.
+func (j *Journal) Terms(e *Entry) *policy.Class {
+	if c, ok := j.terms[e.Terms]; ok {
+		return &c
+	}
+	return nil
+}
+
 // Begin notes an attempt; it must be committed before the attempt's first byte goes out.
 func (j *Journal) Begin(e *Entry, host string, at time.Time) {
 	j.note(record{Op: opBegun, ID: e.ID, Host: host, At: at}, nil)
@@ -296,6 +329,17 @@
 func (j *Journal) compact() error {
 	var b []byte
 	j.order = j.Entries()
+	used := map[int]bool{}
+	for _, e := range j.order {
+		used[e.Terms] = true
+	}
+	for n, c := range j.terms {
+		if used[n] {
+			b = appendRecord(b, record{Op: opTerms, Terms: &c, Count: int64(n)}, nil)
+		} else {
+			delete(j.terms, n)
+		}
+	}
 	for _, e := range j.order {
 		b = appendRecord(b, record{Op: opTaken, Entry: e}, e.Body)
 		for _, a := range e.Attempts {
@@ -364,6 +408,10 @@
 			j.arrivals = max(j.arrivals, r.Entry.Order.Arrival)
 		}
 		return
+	case r.Op == opTerms && r.Terms != nil:
+		j.terms[int(r.Count)] = *r.Terms
+		j.lastTerm = max(j.lastTerm, int(r.Count))
+		return
 	case r.Op == opStore:
 		j.store, j.arrivals = r.From, max(j.arrivals, r.Count)
 		return
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -8,13 +8,17 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"mallowlead/internal/clients"
 	"mallowlead/internal/discovery"
+	"mallowlead/internal/journal"
 	"mallowlead/internal/operator"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/undelivered"
@@ -41,6 +45,7 @@
 
 	policy policy.Settings
 	seed   int64
+	raw    []byte // as read
 }
 
 // Limits are what the platform grants one relay.
@@ -105,11 +110,24 @@
 	return names
 }
 
+// retire adds the classes that the settings no longer have, but that messages in the journal were taken on under.
+func (c *Config) retire(kept *journal.Journal) {
+	for _, e := range kept.Entries() {
+		if terms := kept.Terms(e); terms != nil && !slices.Contains(c.classNames(), e.Class) {
+			gone := *terms
+			gone.Retired = true
+			c.policy.Classes = append(c.policy.Classes, gone)
+		}
+	}
+}
+
 // clientCheck is the check of what clients hand in.
 func (c *Config) clientCheck() *clients.Check {
 	check := &clients.Check{Classes: map[string]*policy.Class{}, Tenants: map[string]bool{}, Subjects: map[string]*undelivered.Subject{}}
 	for i := range c.policy.Classes {
-		check.Classes[c.policy.Classes[i].Name] = &c.policy.Classes[i]
+		if class := &c.policy.Classes[i]; !class.Retired {
+			check.Classes[class.Name] = class
+		}
 	}
 	for _, t := range c.Settings.Tenants {
 		check.Tenants[t.Name] = true
@@ -129,7 +147,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c := &Config{}
+	c := &Config{raw: raw}
 	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
@@ -163,11 +181,84 @@
 	if c.policy, err = c.Settings.Policy(); err != nil {
 		return err
 	}
+	for i, name := range c.classNames() {
+		if name == "" || strings.ContainsAny(name, "/?# \t\r\n") {
+			return fmt.Errorf("settings: categories[%d].name: %q can't be the first part of a path", i, name)
+		}
+	}
 	c.policy.Slots = min(c.policy.Slots, c.hostRoom()) // a call needs a connection
 	_, err = policy.New(c.policy, c.seed)              // its own check of the settings
 	return err
 }
 
+// lacks names the first key that a running configuration has and a new one does not: a file of which a part was lost
+// can still be JSON, and what is missing would count as 0. Lists are held against the keys that all their elements
+// share. The list of hosts is not looked at: it may be empty.
+func lacks(running, next []byte) error {
+	var had, has any
+	if err := errors.Join(json.Unmarshal(running, &had), json.Unmarshal(next, &has)); err != nil {
+		return err
+	}
+	if top, ok := had.(map[string]any); ok {
+		delete(top, "known")
+	}
+	return lacksIn("", had, has)
+}
+
+func lacksIn(path string, had, has any) error {
+	switch had := had.(type) {
+	case map[string]any:
+		has, ok := has.(map[string]any)
+		if !ok {
+			return fmt.Errorf("%s: is no object", path)
+		}
+		for _, key := range slices.Sorted(maps.Keys(had)) {
+			at := strings.TrimPrefix(path+"."+key, ".")
+			v, ok := has[key]
+			if !ok {
+				return fmt.Errorf("%s: missing", at)
+			}
+			if err := lacksIn(at, had[key], v); err != nil {
+				return err
+			}
+		}
+	case []any:
+		has, ok := has.([]any)
+		if !ok {
+			return fmt.Errorf("%s: is no list", path)
+		}
+		common := shared(had)
+		if common == nil {
+			return nil
+		}
+		for i := range has {
+			if err := lacksIn(fmt.Sprintf("%s[%d]", path, i), common, has[i]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// shared are the keys that all elements of a list have; nil where these are no objects.
+func shared(list []any) any {
+	var common map[string]any
+	for _, v := range list {
+		m, ok := v.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if common == nil {
+			common = maps.Clone(m)
+		}
+		maps.DeleteFunc(common, func(key string, _ any) bool { _, ok := m[key]; return !ok })
+	}
+	if common == nil {
+		return nil
+	}
+	return common
+}
+
 // Reading is what came of reading the configuration again.
 type Reading struct {
 	Config *Config
@@ -175,9 +266,10 @@
 }
 
 // Reread reads the configuration again at each hang-up. One that can't be used changes nothing.
-func Reread(ctx context.Context, path string, hangups <-chan os.Signal) <-chan Reading {
+func Reread(ctx context.Context, path string, running *Config, hangups <-chan os.Signal) <-chan Reading {
 	read := make(chan Reading)
 	go func() {
+		had := running.raw
 		for {
 			select {
 			case <-ctx.Done():
@@ -185,6 +277,13 @@
 			case <-hangups:
 			}
 			cfg, err := ReadConfig(path)
+			if err == nil {
+				if err = lacks(had, cfg.raw); err != nil {
+					cfg, err = nil, fmt.Errorf("configuration %s: %w", path, err)
+				} else {
+					had = cfg.raw
+				}
+			}
 			if err != nil {
 				slog.Error("the old configuration stays", "err", err)
 			}
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -46,13 +46,15 @@
 	store    *undelivered.Store // nil until it could be opened
 	bounds   *undelivered.Bounds
 	resender *undelivered.Resender
+	admin    *undelivered.Admin
 	bounded  time.Time      // when the bounds were last kept
 	tools    sync.WaitGroup // goroutines beside it: the clock of the bounds, and what answers the tool
 
 	mu    sync.Mutex
 	more  sync.Cond // something waits, or all is at its end
 	ended bool
-	tick  bool // time to look at bounds and at what is due
+	anew  []undelivered.Class // classes of new settings, until they are taken over
+	tick  bool                // time to look at bounds and at what is due
 	todo
 	lost   int // listed so far
 	misses int // so often something was not noted: what is known of topics begins anew
@@ -79,6 +81,27 @@
 	return k
 }
 
+// reclass has the classes be those of new settings.
+func (k *keeper) reclass(classes []undelivered.Class) {
+	k.set(func() { k.anew = classes })
+}
+
+// retuned takes over the classes of new settings.
+func (k *keeper) retuned() {
+	k.mu.Lock()
+	classes := k.anew
+	k.anew = nil
+	k.mu.Unlock()
+	if classes == nil {
+		return
+	}
+	k.classes = classes
+	if k.store != nil {
+		k.resender.Reclass(classes)
+		k.admin.Reclass(classes)
+	}
+}
+
 // keep wants a message kept.
 func (k *keeper) keep(m undelivered.Kept) {
 	k.set(func() { k.wait = append(k.wait, m) })
@@ -176,6 +199,7 @@
 		if !ok {
 			return
 		}
+		k.retuned()
 		err := k.hand(ctx, &t)
 		k.bound(errors.Is(err, undelivered.ErrFull))
 		if err == nil {
@@ -211,9 +235,11 @@
 	}
 	k.bounds = undelivered.NewBounds(k.store, k.section)
 	k.resender = k.newResender(k.store)
+	k.resender.Reclass(k.classes)
+	k.admin = &undelivered.Admin{Store: k.store, Now: time.Now, Classes: k.classes}
 	if k.section.Socket != "" {
 		k.tools.Go(func() {
-			if err := undelivered.Serve(ctx, k.section.Socket, &undelivered.Admin{Store: k.store, Now: time.Now, Classes: k.classes}); err != nil {
+			if err := undelivered.Serve(ctx, k.section.Socket, k.admin); err != nil {
 				slog.Error("the tool for undelivered messages is not answered", "err", err)
 			}
 		})
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -44,8 +44,8 @@
 	stopSending struct{}
 	// question asks whether anything is still to be done.
 	question struct{ idle chan bool }
-	// reconfigured says that a configuration was read again, or could not be used.
-	reconfigured struct{ ok bool }
+	// reconfigured says that a configuration was read again, or could not be used (nil).
+	reconfigured struct{ cfg *Config }
 )
 
 // message is what the loop holds of a message taken on.
@@ -84,6 +84,7 @@
 	notices  *notices.Notifier
 	book     *management.Book
 	stance   *standby.Stance
+	recheck  func(*clients.Check) // has clients' messages checked by other settings
 	keeper   *keeper              // nil: undelivered messages are not kept
 	unkept   []*message           // noticed or delivered, and the store does not know yet
 	misses   int                  // so many of them were dropped, since the journal had no room
@@ -160,7 +161,7 @@
 			continue
 		}
 		l.taken(m)
-		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true, Background: e.Resend,
+		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true, Background: e.Resend, Terms: l.journal.Terms(e),
 			Left: l.clock(e.Expires) - l.now()}
 		for _, t := range e.Attempts {
 			// An attempt that was out when the process ended may have run.
@@ -181,6 +182,25 @@
 	return -1
 }
 
+// retune swaps the settings in one step: what is decided from here on, in this batch already, is decided under the new
+// ones. All else of the configuration is for the next start.
+func (l *loop) retune(read *Config) {
+	next := *l.cfg
+	next.Settings, next.Discovery = read.Settings, read.Discovery
+	next.policy = read.policy
+	next.policy.Classes = policy.Merge(l.cfg.policy.Classes, read.policy.Classes)
+	l.cfg = &next
+	for _, name := range next.classNames() {
+		l.book.Know(name)
+	}
+	l.events = append(l.events, policy.Retuned{Settings: next.policy})
+	l.pool.Believe(next.longest())
+	l.recheck(next.clientCheck())
+	if l.keeper != nil {
+		l.keeper.reclass(next.ResendClasses(next.Own.Undelivered))
+	}
+}
+
 // run serves until ctx ends.
 func (l *loop) run(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -259,7 +279,10 @@
 	case question:
 		e.idle <- len(l.messages) == 0
 	case reconfigured:
-		l.book.Reconfigured(e.ok)
+		l.book.Reconfigured(e.cfg != nil)
+		if e.cfg != nil {
+			l.retune(e.cfg)
+		}
 	}
 }
 
@@ -436,6 +459,9 @@
 func (l *loop) admitted() {
 	for _, m := range l.fresh {
 		if !m.over {
+			if class := l.class(m.Class); class >= 0 {
+				l.journal.Under(m.Entry, l.cfg.policy.Classes[class])
+			}
 			l.journal.Take(m.Entry)
 			l.taken(m)
 			l.begun(m)
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -43,7 +43,7 @@
 	if err == nil {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 		defer stop()
-		err = Run(ctx, cfg, os.Getenv(childState), Reread(ctx, path, hangups))
+		err = Run(ctx, cfg, os.Getenv(childState), Reread(ctx, path, cfg, hangups))
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -67,11 +67,13 @@
 // platform stands for what a relay has round it: discovery, the hosts of destination 7, and its disk.
 type platform struct {
 	t         *testing.T
-	discovery *httptest.Server // the one that the configuration names
-	path      string           // of the configuration
-	own       string           // of the operator's file; empty: none
-	program   string           // the real program; empty: this one as a relay
-	addr      string           // the relay's
+	discovery *httptest.Server    // the one that the configuration names
+	path      string              // of the configuration
+	own       string              // of the operator's file; empty: none
+	program   string              // the real program; empty: this one as a relay
+	addr      string              // the relay's
+	door      string              // its operators' door; empty: none
+	settings  func(string) string // changes the settings that the configuration has
 	dir       string
 	memory    float64
 	disk      float64 // MB of the folder that lasts
@@ -101,13 +103,58 @@
 	p.path = filepath.Join(t.TempDir(), "config.json")
 	t.Cleanup(func() { close(p.released) })
 	p.addDiscovery()
+	p.addr = freeAddress(t)
+	return p
+}
+
+// freeAddress is one that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.addr = l.Addr().String()
-	_ = l.Close()
-	return p
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// addDoor has the configuration name an address for operators.
+func (p *platform) addDoor() { p.door = freeAddress(p.t) }
+
+// say makes a call at the operators' door.
+func (p *platform) say(path string, want int) {
+	p.t.Helper()
+	resp, err := http.Post("http://"+p.door+path, "", nil)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != want {
+		p.t.Errorf("%s: %s", path, resp.Status)
+	}
+}
+
+// health is what clients' front is told; 0 for nothing.
+func (p *platform) health() int {
+	resp, err := http.Get("http://" + p.addr + "/_health")
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// dialClient opens a client's connection, on which one request was answered.
+func (p *platform) dialClient() (net.Conn, error) {
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		return nil, err
+	}
+	_ = c.SetDeadline(time.Now().Add(waittest.Long))
+	if _, err = io.WriteString(c, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"); err == nil {
+		_, err = http.ReadResponse(bufio.NewReader(c), nil)
+	}
+	return c, err
 }
 
 // addDiscovery starts a discovery, which the next configuration names.
@@ -222,9 +269,13 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+	settings := testSettings(p.memory)
+	if p.settings != nil {
+		settings = p.settings(settings)
+	}
+	text := fmt.Sprintf(`{"name":"n1","management":%q,"listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 	 "limits":{"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":%v},"known":%s,"settings":%s}`,
-		p.addr, strings.TrimPrefix(p.discovery.URL, "http://"), p.disk, known, testSettings(p.memory))
+		p.door, p.addr, strings.TrimPrefix(p.discovery.URL, "http://"), p.disk, known, settings)
 	if err := os.WriteFile(p.path, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,10 +38,6 @@
 // clients may still come, and leaves what is not delivered by then to the journal in dir. Configurations that
 // come from reread move it to another discovery; all else in them is for the next start.
 func Run(ctx context.Context, cfg *Config, dir string, reread <-chan Reading) error {
-	d, err := policy.New(cfg.policy, cfg.seed)
-	if err != nil {
-		return err
-	}
 	if err := cfg.checkOwn(); err != nil {
 		return err
 	}
@@ -54,6 +50,11 @@
 		return err
 	}
 	defer kept.Close()
+	cfg.retire(kept)
+	d, err := policy.New(cfg.policy, cfg.seed)
+	if err != nil {
+		return err
+	}
 
 	live, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -78,6 +79,7 @@
 	}
 	srv := front.New(front.Config{Check: cfg.clientCheck(), Stance: l.stance, MemoryMB: cfg.Limits.MemoryMB, Room: cfg.clientRoom(), Keep: cfg.idleRoom()},
 		func(a *clients.Arrival) { l.put(a) })
+	l.recheck = srv.SetCheck
 	listener, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -99,19 +101,22 @@
 	go func() { served <- srv.Serve(listener) }()
 	door.taking.Store(true)
 
+	discoveryAt := cfg.Discovery
 	for serving := true; serving; {
 		select {
 		case err = <-served:
 			serving = false
 		case r := <-reread:
-			l.put(reconfigured{r.Err == nil})
+			l.put(reconfigured{r.Config})
 			if r.Err != nil {
 				continue
 			}
-			next := r.Config
-			slog.Info("configuration read again", "discovery", next.Discovery)
-			l.watch.Move(next.Discovery)
-			l.notices.Move(next.Discovery)
+			slog.Info("configuration read again", "discovery", r.Config.Discovery, "classes", r.Config.classNames())
+			if r.Config.Discovery != discoveryAt {
+				discoveryAt = r.Config.Discovery
+				l.watch.Move(discoveryAt)
+				l.notices.Move(discoveryAt)
+			}
 		case <-ctx.Done():
 			door.taking.Store(false)
 			l.drain(srv, func() { _ = listener.Close() })
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -39,6 +39,9 @@
 	effects := map[policy.Effect]undelivered.Effect{policy.Safe: undelivered.Safe, policy.Keyed: undelivered.Keyed,
 		policy.Unsafe: undelivered.Unsafe}
 	for _, c := range cfg.policy.Classes {
+		if c.Retired {
+			continue
+		}
 		subject := slices.ContainsFunc(own.Subjects, func(s undelivered.Subject) bool { return s.Class == c.Name })
 		classes = append(classes, undelivered.Class{Name: c.Name, Effect: effects[c.Effect], Memory: c.Memory,
 			Attempts: cfg.policy.MaxAttempts, Subject: subject, Returns: own.ClientsReturn == nil || *own.ClientsReturn})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,6 +122,9 @@
 	if p.Weights, ok = weights[s.Weights]; !ok {
 		return p, fmt.Errorf("settings: weights: unknown meaning %q", s.Weights)
 	}
+	if err := s.check(); err != nil {
+		return p, err
+	}
 	for i, c := range s.Categories {
 		effect, ok := effects[c.Idempotency]
 		if !ok {
@@ -145,6 +148,44 @@
 	return p, nil
 }
 
+// Bounds of what settings may say: beyond them a number is a mistake, and times would not fit a duration.
+const (
+	mostSeconds = 24 * 3600
+	mostCount   = 10_000_000
+)
+
+// check names the first value that makes no sense.
+func (s *Settings) check() error {
+	names := map[string]bool{}
+	for i, c := range s.Categories {
+		at := fmt.Sprintf("settings: categories[%d]", i)
+		switch {
+		case c.Name != "" && names[c.Name]:
+			return fmt.Errorf("%s.name: %q is there twice", at, c.Name)
+		case !(c.DeadlineS > 0 && c.DeadlineS <= mostSeconds):
+			return fmt.Errorf("%s.deadline_s: %v is not above 0 and up to a day", at, c.DeadlineS)
+		case !(c.AimS >= 0 && c.AimS <= mostSeconds):
+			return fmt.Errorf("%s.aim_s: %v is not from 0 to a day", at, c.AimS)
+		case !(c.MemorySpanS >= 0 && c.MemorySpanS <= mostSeconds):
+			return fmt.Errorf("%s.memory_span_s: %v is not from 0 to a day", at, c.MemorySpanS)
+		case !(c.Points >= 0) || math.IsInf(c.Points, 0):
+			return fmt.Errorf("%s.points: %v is negative or no number", at, c.Points)
+		case !(c.LateShare >= 0 && c.LateShare <= 1):
+			return fmt.Errorf("%s.late_share: %v is not from 0 to 1", at, c.LateShare)
+		}
+		names[c.Name] = true
+	}
+	for _, n := range []struct {
+		key   string
+		value int
+	}{{"limits.max_attempts", s.Limits.MaxAttempts}, {"limits.max_open", s.Limits.MaxOpen}, {"specifics.max_calls", s.Specifics.MaxCalls}} {
+		if n.value < 1 || n.value > mostCount {
+			return fmt.Errorf("settings: %s: %d is not from 1 to %d", n.key, n.value, mostCount)
+		}
+	}
+	return nil
+}
+
 // Seconds gives a number of seconds as a duration.
 func Seconds(v float64) time.Duration {
 	return time.Duration(math.Round(v * float64(time.Second)))
--- a/internal/undelivered/admin.go
+++ b/internal/undelivered/admin.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -128,10 +129,15 @@
 	Now   func() time.Time
 	// Classes are the relay's; nil on a stopped one's folder.
 	Classes []Class
+	// anew are those of new settings.
+	anew atomic.Pointer[[]Class]
 	// Changed tells the relay that a message was given to it to resend; nil on a stopped one's folder.
 	Changed func()
 }
 
+// Reclass has the classes be others from now on.
+func (a *Admin) Reclass(classes []Class) { a.anew.Store(&classes) }
+
 // errRefused says that a command is not done, with the reason.
 type errRefused struct{ error }
 
--- a/internal/undelivered/check.go
+++ b/internal/undelivered/check.go
@@ -35,6 +35,9 @@
 		return nil, fmt.Errorf("%w: %w", errBadRequest, err)
 	}
 	classes := a.Classes
+	if anew := a.anew.Load(); anew != nil {
+		classes = *anew
+	}
 	if classes == nil {
 		classes = o.Classes
 	}
--- a/internal/undelivered/resend.go
+++ b/internal/undelivered/resend.go
@@ -62,10 +62,16 @@
 func NewResender(store *Store, rules []Rule, classes []Class, relay string, newID func() string) *Resender {
 	r := &Resender{store: store, rules: rules, classes: map[string]*Class{}, relay: relay, newID: newID,
 		lanes: map[int]*lane{}}
+	r.Reclass(classes)
+	return r
+}
+
+// Reclass has the classes be others from now on.
+func (r *Resender) Reclass(classes []Class) {
+	clear(r.classes)
 	for i := range classes {
 		r.classes[classes[i].Name] = &classes[i]
 	}
-	return r
 }
 
 // Sweep has every message that is held looked at again: the rules are others than before.
--- a/policy/api.go
+++ b/policy/api.go
@@ -49,6 +49,8 @@
 	ByZone    bool          // Keyed: only endpoints of one zone share the memory of a key
 	Memory    time.Duration // Keyed: how long a key is remembered
 	Ordered   bool          // messages with one key go one at a time, in order
+	// Retired: the settings have it no more. It keeps its number for messages that were taken on under it.
+	Retired bool
 }
 
 // Kind is one kind of destination.
@@ -117,6 +119,8 @@
 		Destination int
 		Left        time.Duration // until it is given up
 		Key         string        // of ordered classes, or empty
+		// Terms are those of its class as it was taken on, where that may have changed since; nil: as in the settings.
+		Terms *Class
 		// Resumed says that an earlier process of this relay took the message on: it is not up for
 		// admission again. Tried are that process's attempts, which count as this one's.
 		Resumed bool
@@ -149,6 +153,9 @@
 	ListFailed struct{}
 	// Recalled tells what an earlier process of this relay remembered of a listed endpoint.
 	Recalled Remember
+	// Retuned replaces the settings. Their classes must come from Merge: those that were there keep their numbers.
+	// Messages taken on before keep the terms of their class, and what a stricter effect forbids is forbidden too.
+	Retuned struct{ Settings Settings }
 	// Stopping says that this process is about to end: nothing more is sent.
 	Stopping struct{}
 	// Woken says that a timer fell due.
@@ -161,6 +168,7 @@
 func (Listed) event()     {}
 func (ListFailed) event() {}
 func (Recalled) event()   {}
+func (Retuned) event()    {}
 func (Stopping) event()   {}
 func (Woken) event()      {}
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,9 +86,7 @@
 	if s.Subscribe {
 		d.resub = 0 // at once
 	}
-	for _, c := range s.Classes {
-		d.meanWorth += c.Worth / float64(len(s.Classes))
-	}
+	d.weighClasses()
 	return d, nil
 }
 
@@ -117,6 +115,8 @@
 			}
 		case Recalled:
 			d.recall(e)
+		case Retuned:
+			d.retune(e.Settings)
 		case Stopping:
 			d.stopping = true
 		}
@@ -205,7 +205,7 @@
 func (d *Dispatcher) lateAge(c *Class) time.Duration {
 	age := c.ageAt(keepWorth)
 	for i := range d.s.Classes {
-		if k := &d.s.Classes[i]; k.Worth >= c.Worth {
+		if k := &d.s.Classes[i]; k.Worth >= c.Worth && !k.Retired {
 			age = min(age, k.ageAt(keepWorth))
 		}
 	}
@@ -837,11 +837,11 @@
 }
 
 // expire gives final answers to held messages that have no time left for another attempt of mean latency,
-// and to those that cannot be sent again any more.
+// and to those that cannot be sent again any more, also since new settings allow fewer attempts.
 func (d *Dispatcher) expire() {
 	var ended []*message
 	for _, m := range d.live {
-		if m.q != nil && (d.now >= d.lastChance(m) || !d.repeatable(m, nil)) {
+		if m.q != nil && (d.now >= d.lastChance(m) || !d.repeatable(m, nil) || len(m.attempts) >= d.s.MaxAttempts) {
 			ended = append(ended, m)
 		}
 	}
@@ -901,6 +901,44 @@
 	q.tokens, q.tokensAt = math.Max(1, q.pace*burstSpan.Seconds()), d.now
 }
 
+// --- New settings ---
+
+// retune takes over new settings. Messages under way keep the terms of their class; where its effect is stricter
+// now, both hold.
+func (d *Dispatcher) retune(s Settings) {
+	d.s = s
+	d.weighClasses()
+	d.widen()
+	for _, m := range d.messages {
+		m.class = m.class.stricter(&d.s.Classes[m.Class])
+	}
+	for _, q := range d.queues {
+		if q.pace > 0 {
+			q.pace = math.Min(math.Max(q.pace, paceFloor*d.even(q)), q.weight)
+		}
+	}
+	if !s.Subscribe {
+		d.resub = never
+	}
+}
+
+// stricter gives the terms of a class under which an attempt needs leave from it and from what the settings say now.
+// A message of a class that was safe has no key for a destination to remember: where the class is keyed now, it is
+// repeated only if it never ran.
+func (c *Class) stricter(now *Class) *Class {
+	if now.Retired || now.Effect == c.Effect && (c.Effect != Keyed || now.Memory >= c.Memory && (c.ByZone || !now.ByZone)) {
+		return c
+	}
+	both := *c
+	switch {
+	case c.Effect == Unsafe || now.Effect == Unsafe || c.Effect == Safe && now.Effect == Keyed:
+		both.Effect = Unsafe
+	case now.Effect == Keyed: // and so is c
+		both.Memory, both.ByZone = min(c.Memory, now.Memory), c.ByZone || now.ByZone
+	}
+	return &both
+}
+
 // --- Timers ---
 
 // arm asks for a timer when something is next due by time alone.
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -31,7 +31,7 @@
 		{"keyed, counted from the first that may have run", resumed("m", keyed, ran(4*time.Second), ran(ms)), "refuse m"},
 		{"unsafe, may have run", resumed("m", unsafe, ran(time.Second)), "fail m"},
 		{"unsafe, never ran", resumed("m", unsafe, unrun, unrun), "m>a"},
-		{"all attempts made", resumed("m", safe, spent...), ""},
+		{"all attempts made", resumed("m", safe, spent...), "refuse m"},
 		{"its time is up", Arrived{ID: "m", Resumed: true, Left: -time.Second}, "refuse m"},
 	}
 	for _, tt := range tests {
--- /dev/null
+++ b/policy/retune_test.go
@@ -0,0 +1,118 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The table of classes keeps every number, whatever files come.
+func TestMergeKeepsNumbers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 1, 5, rapid.ID[string])
+		var table []Class
+		number := map[string]int{}
+		for range rapid.IntRange(1, 6).Draw(t, "files") {
+			var file []Class
+			in := map[string]bool{}
+			for _, name := range draw.Draw(t, "classes") {
+				file, in[name] = append(file, Class{Name: name, Deadline: time.Second}), true
+			}
+			table = Merge(table, file)
+			for i, c := range table {
+				if n, had := number[c.Name]; had && n != i {
+					t.Fatalf("%s was number %d and is %d", c.Name, n, i)
+				}
+				number[c.Name] = i
+				if c.Retired == in[c.Name] {
+					t.Fatalf("%s: retired %v, in the file %v", c.Name, c.Retired, in[c.Name])
+				}
+			}
+			for name := range in {
+				if _, ok := number[name]; !ok {
+					t.Fatalf("%s has no number", name)
+				}
+			}
+		}
+	})
+}
+
+// An attempt needs leave from the terms that a message was taken on under and from those of the settings now.
+func TestStricterEffect(t *testing.T) {
+	class := func(e Effect, memory time.Duration, byZone bool) Class {
+		return Class{Name: "c", Deadline: 10 * time.Second, Effect: e, Memory: memory, ByZone: byZone}
+	}
+	s, k5, k2, z5, u := class(Safe, 0, false), class(Keyed, 5*time.Second, false), class(Keyed, 2*time.Second, false),
+		class(Keyed, 5*time.Second, true), class(Unsafe, 0, false)
+	gone := u
+	gone.Retired = true
+	tests := []struct {
+		name           string
+		old, now, want Class
+	}{
+		{"the same", k5, k5, k5},
+		{"safe, keyed now: it may have come without a key", s, k5, class(Unsafe, 0, false)},
+		{"safe, unsafe now", s, u, u},
+		{"keyed, unsafe now", k5, u, class(Unsafe, 5*time.Second, false)},
+		{"keyed, safe now", k5, s, k5},
+		{"unsafe, safe now", u, s, u},
+		{"unsafe, keyed now", u, k5, u},
+		{"a shorter memory", k5, k2, k2},
+		{"a longer memory", k2, k5, k2},
+		{"by zone now", k5, z5, z5},
+		{"by zone before", z5, k5, z5},
+		{"gone", s, gone, s},
+	}
+	for _, tt := range tests {
+		if got := *tt.old.stricter(&tt.now); got != tt.want {
+			t.Errorf("%s: %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// New settings bind what is under way: fewer attempts end what has had them, a message keeps its class when that goes,
+// and a new class is served beside the old ones.
+func TestRetuned(t *testing.T) {
+	s := plain()
+	for i := range s.Classes {
+		s.Classes[i].Name = string(rune('a' + i))
+	}
+	d := start(t, s, Endpoint{ID: "a"})
+	reset := func(id string, attempt int) Event {
+		return Ended{ID: id, Endpoint: "a", Attempt: attempt, Outcome: Reset}
+	}
+	now := time.Second
+	expect(t, "taken on", d.Handle(now, []Event{arrive("m", 0)}), "m>a")
+	expect(t, "tried again", d.Handle(now+ms, []Event{reset("m", 0)}), "m>a")
+
+	next := s
+	next.MaxAttempts = 2
+	next.Classes = Merge(s.Classes, append([]Class{{Name: "new", Deadline: 10 * time.Second, Worth: 1}}, s.Classes[1:]...))
+	if got := next.Classes[0]; !got.Retired || got.Name != s.Classes[0].Name {
+		t.Fatalf("class 0 is %+v", got)
+	}
+	added := len(next.Classes) - 1
+	expect(t, "new settings end nothing that is out", d.Handle(now+2*ms, []Event{Retuned{next}}), "")
+	expect(t, "a message of a new class", d.Handle(now+3*ms, []Event{Arrived{ID: "n", Class: added, Left: 5 * time.Second}}), "n>a")
+	expect(t, "it is delivered", d.Handle(now+4*ms, []Event{Ended{ID: "n", Endpoint: "a", Outcome: OK}}), "")
+	expect(t, "no third attempt", d.Handle(now+5*ms, []Event{reset("m", 1)}), "refuse m")
+
+	// One that is held with as many attempts as the settings now allow gets its end at once.
+	d = start(t, s, Endpoint{ID: "a"})
+	full := Ended{ID: "h", Endpoint: "a", Outcome: QueueFull, Wait: 5 * time.Second}
+	d.Handle(now, []Event{arrive("h", 0)})
+	expect(t, "held for a wait", d.Handle(now+ms, []Event{full}), "")
+	next.MaxAttempts = 1
+	expect(t, "cut", d.Handle(now+2*ms, []Event{Retuned{next}}), "refuse h")
+
+	// A class that was safe and is unsafe now: what was out under it and may have run is not sent again, nor handed back.
+	d = start(t, s, Endpoint{ID: "a"})
+	d.Handle(now, []Event{arrive("m", 0)})
+	next = s
+	strict := s.Classes[0]
+	strict.Effect = Unsafe
+	next.Classes = Merge(s.Classes, append([]Class{strict}, s.Classes[1:]...))
+	d.Handle(now+ms, []Event{Retuned{next}})
+	expect(t, "may have run, unsafe now", d.Handle(now+2*ms, []Event{reset("m", 0)}), "fail m")
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -197,6 +197,9 @@
 	d.seq++
 	m := &message{Arrived: e, class: &d.s.Classes[e.Class], seq: d.seq,
 		expires: d.now + e.Left}
+	if e.Terms != nil {
+		m.class = e.Terms.stricter(m.class)
+	}
 	if e.Background {
 		m.seq += behindAll
 	}
@@ -244,6 +247,62 @@
 	}
 }
 
+// Merge gives the table of classes after new settings: a name that was there keeps its number and gets its new terms, new
+// names follow, and what the settings no longer have stays as retired, so that nothing is renumbered under a message.
+func Merge(table, settings []Class) []Class {
+	merged := slices.Clone(table)
+	for i := range merged {
+		merged[i].Retired = true
+	}
+	for _, c := range settings {
+		if i := slices.IndexFunc(merged, func(k Class) bool { return k.Name == c.Name }); i >= 0 {
+			merged[i] = c
+		} else {
+			merged = append(merged, c)
+		}
+	}
+	return merged
+}
+
+// weighClasses computes what a message is worth in the mean.
+func (d *Dispatcher) weighClasses() {
+	n := 0.0
+	d.meanWorth = 0
+	for _, c := range d.s.Classes {
+		if !c.Retired {
+			d.meanWorth += c.Worth
+			n++
+		}
+	}
+	d.meanWorth /= math.Max(1, n)
+}
+
+// widen makes room for the classes that new settings brought, wherever something is kept by class.
+func (d *Dispatcher) widen() {
+	grow := func(list *[]float64) {
+		if more := len(d.s.Classes) - len(*list); more > 0 {
+			*list = append(*list, make([]float64, more)...)
+		}
+	}
+	for _, p := range d.pools {
+		grow(&p.class)
+	}
+	for _, q := range d.queues {
+		grow(&q.class)
+	}
+	for _, ep := range d.endpoints {
+		grow(&ep.strikes)
+	}
+	for _, m := range d.messages {
+		for _, a := range m.attempts {
+			grow(&a.call.ep.strikes) // also of an endpoint that has left the list
+			if q := a.call.ep.q; q != nil {
+				grow(&q.class) // and of its queue
+			}
+		}
+	}
+}
+
 // pool gives what is known of a kind.
 func (d *Dispatcher) pool(kind int) *latencies {
 	if d.pools[kind] == nil {
