--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"log/slog"
 	"math"
 	"os"
 	"os/signal"
@@ -47,22 +49,43 @@
 	if state == "" {
 		return fmt.Errorf("no folder for the journal: set NODE_STATE or -state")
 	}
-	cfg, err := relay.ReadConfig(config)
+	cfg, err := configure(config, own)
 	if err != nil {
 		return err
 	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	for {
+		running, over := context.WithCancel(ctx)
+		err := relay.Run(ctx, cfg, state, relay.Reread(running, config, cfg, hangups))
+		over()
+		if !errors.Is(err, relay.ErrOrphan) {
+			return err
+		}
+		slog.Warn("beginning again from the journal", "err", err)
+		if cfg, err = configure(config, own); err != nil {
+			return err
+		}
+	}
+}
+
+// configure reads the configuration, with what the environment alone tells a process.
+func configure(config string, own *operator.File) (*relay.Config, error) {
+	cfg, err := relay.ReadConfig(config)
+	if err != nil {
+		return nil, err
+	}
 	cfg.Own = own
 	if fd := os.Getenv("NODE_LISTEN_FD"); fd != "" {
 		if cfg.ListenFD, err = strconv.Atoi(fd); err != nil || cfg.ListenFD < 3 {
-			return fmt.Errorf("NODE_LISTEN_FD: %q is no descriptor that can be inherited", fd)
+			return nil, fmt.Errorf("NODE_LISTEN_FD: %q is no descriptor that can be inherited", fd)
 		}
 	}
-	if cfg.Management == "" {
-		cfg.Management = os.Getenv("NODE_MANAGEMENT")
+	// A process's own address comes first: the file may be that of the process which takes its place.
+	if at := os.Getenv("NODE_MANAGEMENT"); at != "" {
+		cfg.Management = at
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
-	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return relay.Run(ctx, cfg, state, relay.Reread(ctx, config, cfg, hangups))
+	return cfg, nil
 }
--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -61,7 +61,8 @@
 // client is a connection from a client.
 type client struct {
 	*net.TCPConn
-	limit *io.LimitedReader // what may still be read for the request
+	came  *recorder         // what was read of the request, from the connection
+	limit *io.LimitedReader // what may still be read for the request, from came
 	in    *bufio.Reader     // reads from limit
 
 	// Guarded by the server's lock.
@@ -74,9 +75,13 @@
 // lies behind a request (a length that is too short, a second request) nor lets connections make room for
 // others by what is going on on them.
 func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener, _ = l.(*net.TCPListener)
+	s.mu.Unlock()
 	for {
 		raw, err := l.Accept()
 		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && s.untilThawed():
 		case err == nil:
 			s.accept(raw.(*net.TCPConn))
 		case errors.Is(err, net.ErrClosed):
@@ -95,19 +100,37 @@
 
 // accept serves a connection in a goroutine of its own, once there is room for it.
 func (s *Server) accept(raw *net.TCPConn) {
-	limit := &io.LimitedReader{R: raw}
-	c := &client{TCPConn: raw, limit: limit, in: bufio.NewReader(limit), stage: fresh, since: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.clients) >= s.room && !s.evict() {
 		s.left.Wait()
 	}
+	s.begin(newClient(raw, nil), fresh)
+}
+
+// newClient is a connection of which some bytes were read before.
+func newClient(raw *net.TCPConn, read []byte) *client {
+	came := &recorder{from: raw}
+	if len(read) > 0 {
+		came.from = io.MultiReader(bytes.NewReader(read), raw)
+	}
+	limit := &io.LimitedReader{R: came}
+	return &client{TCPConn: raw, came: came, limit: limit, in: bufio.NewReader(limit), since: time.Now()}
+}
+
+// begin serves a connection in a goroutine of its own; the lock is held.
+func (s *Server) begin(c *client, at stage) {
+	c.stage = at
 	s.clients[c] = true
-	s.count[fresh]++
+	s.count[at]++
 	go func() {
-		s.talk(c)
+		parked := s.talk(c)
 		s.mu.Lock()
-		s.remove(c)
+		if parked {
+			s.park(c)
+		} else {
+			s.remove(c)
+		}
 		s.mu.Unlock()
 		s.left.Broadcast()
 	}()
@@ -188,77 +211,89 @@
 	return false
 }
 
-// talk serves the requests of a connection, one after another.
-func (s *Server) talk(c *client) {
+// talk serves the requests of a connection, one after another, to its end, or until it is to be parked.
+func (s *Server) talk(c *client) (parked bool) {
 	quiet, wait := silentTime, firstTime
+	if c.stage == idle {
+		quiet, wait = idleTime, readTime
+	}
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(quiet))
+		s.readUntil(c, quiet)
 		c.limit.N = maxHead
-		if _, err := c.in.Peek(1); err != nil || !s.enter(c, reading) {
-			return
+		c.came.begin()
+		if _, err := c.in.Peek(1); err != nil {
+			return s.parks(err)
+		}
+		if !s.enter(c, reading) {
+			return false
+		}
+		s.readUntil(c, wait)
+		v, err := s.request(c)
+		if err != nil && s.parks(err) {
+			return true
 		}
-		_ = c.SetReadDeadline(time.Now().Add(wait))
-		v := s.request(c)
 		if v.Status == 0 {
-			return
+			return false
 		}
 		v.Close = v.Close || s.stance.LastAnswer() || s.crowded()
 		if !c.answer(v) {
-			return
+			return false
 		}
 		if v.Close {
 			if s.enter(c, leaving) {
 				c.linger()
 			}
-			return
+			return false
 		}
 		if !s.enter(c, idle) {
-			return
+			return false
 		}
 		quiet, wait = idleTime, readTime
 	}
 }
 
-// request reads one request and has it decided on; a verdict without a status says that nobody waits for one.
-func (s *Server) request(c *client) clients.Verdict {
+// request reads one request and has it decided on; a verdict without a status says that nobody waits for one. An error
+// says what kept it from being read.
+func (s *Server) request(c *client) (clients.Verdict, error) {
 	r, err := http.ReadRequest(c.in)
 	if err != nil {
 		slog.Debug("request not readable", "err", err)
-		return c.unreadable(err)
+		return c.unreadable(err), err
 	}
 	a, v := s.parse(r)
 	if a == nil {
-		return v
+		return v, nil
 	}
 	if r.ContentLength > 0 {
 		if !s.memory.take(int(r.ContentLength)) {
-			return clients.Verdict{Status: http.StatusServiceUnavailable, After: busyAfter, Close: true}
+			return clients.Verdict{Status: http.StatusServiceUnavailable, After: busyAfter, Close: true}, nil
 		}
 		defer s.memory.give(int(r.ContentLength))
 		if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 			if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-				return clients.Verdict{}
+				return clients.Verdict{}, nil
 			}
 		}
 		c.limit.N = max(0, r.ContentLength-int64(c.in.Buffered()))
 		a.Entry.Body = make([]byte, r.ContentLength)
 		if _, err := io.ReadFull(c.in, a.Entry.Body); err != nil {
 			slog.Debug("body not readable", "err", err)
-			return c.unreadable(err)
+			return c.unreadable(err), err
 		}
 	}
 	if !s.enter(c, open) {
-		return clients.Verdict{}
+		return clients.Verdict{}, nil
 	}
+	c.came.end()
 	if c.in.Buffered() > 0 {
-		return clients.Malformed(http.StatusBadRequest) // the length is too short, or requests come unasked
+		return clients.Malformed(http.StatusBadRequest), nil // the length is too short, or requests come unasked
 	}
 	s.check.Load().About(a.Entry, r.Header)
 	a.Quiet = c.quiet
 	s.admit(a)
 	v = <-a.Verdict
 	v.Close = v.Close || r.Close
-	return v
+	return v, nil
 }
 
 // SeeOff closes connections without a request for as long as the stance sends clients away. One is closed only while
--- a/internal/clients/http1/server.go
+++ b/internal/clients/http1/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,10 @@
 	count   [stages]int // of the connections in each stage
 	// seeingOff: connections without a request are looked for, since clients are sent away.
 	seeingOff bool
+	// frozen is closed at the end of a freeze; nil: there is none. listener is the one that is served.
+	frozen   chan struct{}
+	parked   []Parked
+	listener *net.TCPListener
 }
 
 // New makes a server; admit gets each message that passes the check.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -91,8 +91,9 @@
 	client  *http.Client
 	silence time.Duration // watchSilence, but in tests
 	asked   chan struct{}
-	moved   chan string // where discovery is now
-	Seq     int64       // of the list as it stands; set before run
+	moved   chan string   // where discovery is now
+	ended   chan struct{} // closed when Run has returned
+	Seq     int64         // of the list as it stands; set before run
 	told    func(m Members, from string)
 	failed  func()
 }
@@ -102,7 +103,7 @@
 func NewWatcher(discovery string, told func(m Members, from string), failed func()) *Watcher {
 	return &Watcher{from: discovery, told: told, failed: failed, silence: watchSilence,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1),
-		moved: make(chan string)}
+		moved: make(chan string), ended: make(chan struct{})}
 }
 
 // Ask wants a watch; it never blocks.
@@ -114,10 +115,16 @@
 }
 
 // Move ends the watch and starts one at another address, at once and without a report.
-func (w *Watcher) Move(discovery string) { w.moved <- discovery }
+func (w *Watcher) Move(discovery string) {
+	select {
+	case w.moved <- discovery:
+	case <-w.ended:
+	}
+}
 
 // Run serves asks until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	defer close(w.ended)
 	for {
 		here, leave := context.WithCancel(ctx)
 		var follower sync.WaitGroup
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -2,6 +2,7 @@
 package hosts
 
 import (
+	"net"
 	"time"
 
 	"mallowlead/policy"
@@ -26,6 +27,9 @@
 	Spent    bool
 	Doubtful bool // it may have run, whatever the outcome says
 	Report   *policy.Report
+	// Parked is the connection of a call that has no end yet: its answer is to be waited for by another process, or by this
+	// one later on. All else means nothing then.
+	Parked *net.TCPConn
 }
 
 // Unrun tells whether a call is known never to have run.
--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -56,6 +57,13 @@
 	mu    sync.Mutex
 	idle  map[hosts.Target]*shelf
 	count int // connections, idle or with a call out
+	calls int // under way, from before their connection is had
+	// out are the connections with a call on them. frozen: no call begins, and those out are parked; thaw ends the
+	// making of connections at the next freeze.
+	out    map[*conn]bool
+	frozen bool
+	dials  context.Context
+	freeze context.CancelFunc
 }
 
 // shelf holds the idle connections to a host, used last at the end. It is another one once the host is gone,
@@ -74,8 +82,9 @@
 // New has room for so many connections, and keeps idle ones for less than hostIdle.
 func New(connect, hostIdle, most time.Duration, room int) *Pool {
 	p := &Pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[hosts.Target]*shelf{},
-		keep: time.Duration(idleShare * float64(hostIdle))}
+		keep: time.Duration(idleShare * float64(hostIdle)), out: map[*conn]bool{}}
 	p.Believe(most)
+	p.dials, p.freeze = context.WithCancel(context.Background())
 	return p
 }
 
@@ -86,34 +95,64 @@
 func (p *Pool) Call(ctx context.Context, r hosts.Request) hosts.Result {
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
+	if !p.begin() {
+		return hosts.Result{Outcome: policy.Ignored}
+	}
+	defer p.end()
 	c, err := p.get(ctx, r.Target)
 	switch {
+	case err != nil && p.isFrozen():
+		return hosts.Result{Outcome: policy.Ignored}
 	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.EADDRNOTAVAIL):
 		slog.Error("call not made", "err", err) // for want of something here: no fault of the host
 		return hosts.Result{Outcome: policy.Ignored}
 	case err != nil:
 		return hosts.Result{Outcome: policy.ConnectError}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	res, reuse := p.exchange(ctx, c, r)
-	p.put(r.Target, c, stop() && reuse)
-	return res
+	return p.carry(ctx, c, r, true)
+}
+
+// carry carries a call on a connection; write is false where the request was written by then.
+func (p *Pool) carry(ctx context.Context, c *conn, r hosts.Request, write bool) hosts.Result {
+	if !p.engage(c, write) {
+		p.put(r.Target, c, true)
+		return hosts.Result{Outcome: policy.Ignored}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
+	res, reuse := p.exchange(ctx, c, r, write)
+	reuse = stop() && reuse
+	p.disengage(c)
+	if res.Parked == nil {
+		p.put(r.Target, c, reuse)
+	}
+	return p.leave(res)
 }
 
 // exchange writes a request and reads its answer; reuse tells whether the connection may carry another.
-func (p *Pool) exchange(ctx context.Context, c *conn, r hosts.Request) (res hosts.Result, reuse bool) {
-	deadline, _ := ctx.Deadline()
-	out, err := encode(r, time.Until(deadline))
-	if err != nil {
-		return hosts.Result{Outcome: policy.ConnectError}, false
+func (p *Pool) exchange(ctx context.Context, c *conn, r hosts.Request, write bool) (res hosts.Result, reuse bool) {
+	if write {
+		deadline, _ := ctx.Deadline()
+		out, err := encode(r, time.Until(deadline))
+		if err != nil {
+			return hosts.Result{Outcome: policy.ConnectError}, false
+		}
+		if n, _ := c.Write(out); n < len(out) {
+			return hosts.Result{Outcome: policy.ConnectError}, false // the last byte never left: it can't have run
+		}
+		if p.Written != nil {
+			p.Written()
+		}
 	}
-	if n, _ := c.Write(out); n < len(out) {
-		return hosts.Result{Outcome: policy.ConnectError}, false // the last byte never left: it can't have run
+	c.limit.N = maxAnswer
+	_, err := c.in.Peek(1)
+	if raw, ok := c.Conn.(*net.TCPConn); ok && errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil && p.isFrozen() {
+		return hosts.Result{Parked: raw}, false
 	}
-	if p.Written != nil {
-		p.Written()
+	var resp *http.Response
+	ok := false
+	if err == nil {
+		resp, ok, err = c.answer(ctx)
 	}
-	resp, ok, err := c.answer(ctx)
 	switch {
 	case err == nil:
 		res = p.classify(resp)
@@ -151,13 +190,9 @@
 	return out.Bytes(), err
 }
 
-// answer reads the whole answer to a request, past any interim ones: a status is not believed before that,
+// answer reads the whole answer to a request, once its first byte has come, past any interim ones: a status is not believed before that,
 // since a spoilt answer's request has run. ok tells that the first line says 200, which is true all the same.
 func (c *conn) answer(ctx context.Context) (resp *http.Response, ok bool, err error) {
-	c.limit.N = maxAnswer
-	if _, err = c.in.Peek(1); err != nil {
-		return nil, false, err
-	}
 	_ = c.SetReadDeadline(time.Now().Add(answerTime))
 	for range mostInterim + 1 {
 		if ctx.Err() != nil { // its deadline was overwritten
@@ -269,6 +304,12 @@
 	}
 	p.count++
 	p.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.mu.Lock()
+	stop := context.AfterFunc(p.dials, cancel)
+	p.mu.Unlock()
+	defer stop()
 	raw, err := p.dialer.DialContext(ctx, "tcp", t.Addr)
 	if err != nil {
 		p.mu.Lock()
@@ -276,8 +317,12 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("connect to %s: %w", t.Addr, err)
 	}
+	return newConn(raw, home), nil
+}
+
+func newConn(raw net.Conn, home *shelf) *conn {
 	limit := &io.LimitedReader{R: raw, N: maxAnswer}
-	return &conn{Conn: raw, home: home, limit: limit, in: bufio.NewReader(limit)}, nil
+	return &conn{Conn: raw, home: home, limit: limit, in: bufio.NewReader(limit)}
 }
 
 // put takes a connection back after a call, and keeps it for the next where it may carry one.
--- /dev/null
+++ b/internal/hosts/http1/park.go
@@ -0,0 +1,173 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"mallowlead/internal/hosts"
+)
+
+// This file parks calls that wait for their answers, so that another process of the relay can wait for them, and hands
+// over idle connections.
+
+// parkEvery is between looks whether all calls are parked.
+const parkEvery = time.Millisecond
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// Idle is an idle connection to a host.
+type Idle struct {
+	hosts.Target
+	Conn  *net.TCPConn
+	Since time.Time
+}
+
+// begin notes a call, unless none may begin; end notes its end.
+func (p *Pool) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.frozen {
+		return false
+	}
+	p.calls++
+	return true
+}
+
+func (p *Pool) end() {
+	p.mu.Lock()
+	p.calls--
+	p.mu.Unlock()
+}
+
+func (p *Pool) isFrozen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.frozen
+}
+
+// engage notes that a connection carries a call, unless that would write its request in a freeze.
+func (p *Pool) engage(c *conn, write bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.frozen && write {
+		return false
+	}
+	if p.frozen {
+		_ = c.SetReadDeadline(past)
+	} else {
+		_ = c.SetReadDeadline(time.Time{})
+	}
+	p.out[c] = true
+	return true
+}
+
+// disengage notes that it carries none any more.
+func (p *Pool) disengage(c *conn) {
+	p.mu.Lock()
+	delete(p.out, c)
+	p.mu.Unlock()
+}
+
+// Freeze begins no call any more and ends those that wait for an answer as parked; one whose answer has begun comes to
+// its end. Calls that are out when ctx ends lose their connections. It gives the idle connections.
+func (p *Pool) Freeze(ctx context.Context) (idle []Idle) {
+	p.mu.Lock()
+	p.frozen = true
+	p.freeze()
+	for c := range p.out {
+		_ = c.SetReadDeadline(past)
+	}
+	p.mu.Unlock()
+	for closed := false; ; time.Sleep(parkEvery) {
+		p.mu.Lock()
+		if p.calls == 0 {
+			break
+		}
+		if ctx.Err() != nil && !closed {
+			closed = true
+			for c := range p.out {
+				_ = c.Close()
+			}
+		}
+		p.mu.Unlock()
+	}
+	defer p.mu.Unlock()
+	for t, s := range p.idle {
+		for _, c := range s.conns {
+			if raw, ok := c.Conn.(*net.TCPConn); ok && c.up() && time.Since(c.since) < p.keep {
+				idle = append(idle, Idle{t, raw, c.since})
+				p.count--
+				continue
+			}
+			p.close(c)
+		}
+		s.conns = nil
+	}
+	// In the order in which they became idle, so that the shelves stand as before.
+	slices.SortFunc(idle, func(a, b Idle) int { return a.Since.Compare(b.Since) })
+	return idle
+}
+
+// Thaw goes on as before. Parked calls are resumed one by one.
+func (p *Pool) Thaw(idle []Idle) {
+	p.mu.Lock()
+	p.frozen = false
+	p.dials, p.freeze = context.WithCancel(context.Background())
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.Adopt(c)
+	}
+}
+
+// Adopt keeps an idle connection that another process had, where there is room.
+func (p *Pool) Adopt(c Idle) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.count >= p.room {
+		_ = c.Conn.Close()
+		return
+	}
+	home := p.idle[c.Target]
+	if home == nil {
+		home = &shelf{}
+		p.idle[c.Target] = home
+	}
+	adopted := newConn(c.Conn, home)
+	adopted.since = c.Since
+	home.conns = append(home.conns, adopted)
+	p.count++
+}
+
+// Resume waits for the answer to a call whose request was written, on the connection on which it was.
+func (p *Pool) Resume(ctx context.Context, r hosts.Request, raw *net.TCPConn) hosts.Result {
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	defer cancel()
+	p.mu.Lock()
+	if p.frozen {
+		p.mu.Unlock()
+		return hosts.Result{Parked: raw}
+	}
+	p.calls++
+	p.count++
+	home := p.idle[r.Target]
+	if home == nil {
+		home = &shelf{}
+		p.idle[r.Target] = home
+	}
+	p.mu.Unlock()
+	defer p.end()
+	return p.carry(ctx, newConn(raw, home), r, false)
+}
+
+// leave takes a parked call's connection out of the count.
+func (p *Pool) leave(res hosts.Result) hosts.Result {
+	if res.Parked != nil {
+		p.mu.Lock()
+		p.count--
+		p.mu.Unlock()
+	}
+	return res
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -140,12 +140,18 @@
 // Open replays the journal in a folder, drops what can't be read at its end, and makes it ready.
 // detailed has it note how attempts and messages end, for the store of undelivered ones.
 func Open(dir string, diskMB float64, detailed bool) (*Journal, error) {
+	j, err := Read(dir, diskMB, detailed)
+	if err != nil {
+		return nil, err
+	}
+	return j, j.Own()
+}
+
+// Read replays the journal in a folder that another process still owns, and changes nothing there. Nothing can be written
+// before Own.
+func Read(dir string, diskMB float64, detailed bool) (*Journal, error) {
 	j := &Journal{path: filepath.Join(dir, Name), detailed: detailed, limit: int(diskShare * diskMB * 1e6),
 		entries: map[string]*Entry{}, health: map[string]Health{}, terms: map[int]policy.Class{}}
-	// A process that ended while it compacted leaves a file that was never used.
-	if err := os.Remove(j.temporary()); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return nil, fmt.Errorf("journal: %w", err)
-	}
 	raw, err := os.ReadFile(j.path)
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, fmt.Errorf("journal: %w", err)
@@ -156,10 +162,31 @@
 	if !detailed {
 		j.store = "" // from now on no store is told
 	}
+	return j, nil
+}
+
+// Own makes a journal ready to be written: this process owns the folder now.
+func (j *Journal) Own() error {
+	// A process that ended while it compacted leaves a file that was never used.
+	if err := os.Remove(j.temporary()); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("journal: %w", err)
+	}
 	if err := j.compact(); err != nil {
-		return nil, fmt.Errorf("journal: %w", err)
+		return fmt.Errorf("journal: %w", err)
 	}
-	return j, nil
+	return nil
+}
+
+// Compact commits, and writes the file anew with what is live: another process is about to read it.
+func (j *Journal) Compact() error {
+	if err := j.Commit(); err != nil {
+		return err
+	}
+	if err := j.compact(); err != nil {
+		j.broken = true
+		return fmt.Errorf("journal: %w", err)
+	}
+	return nil
 }
 
 // Look reads the journal in a folder as it stands, also that of a running process. Nothing can be written to it.
@@ -174,7 +201,12 @@
 }
 
 // Close closes the file.
-func (j *Journal) Close() error { return j.file.Close() }
+func (j *Journal) Close() error {
+	if j.file == nil {
+		return nil
+	}
+	return j.file.Close()
+}
 
 // Entries are the messages taken on and not over, in the order in which they were taken on.
 func (j *Journal) Entries() []*Entry {
--- a/internal/management/figures.go
+++ b/internal/management/figures.go
@@ -103,6 +103,12 @@
 // Dropped takes back Taken for a message that ended under no count, as one that its client has withdrawn.
 func (b *Book) Dropped() { b.now.Inflight-- }
 
+// Given has the book hold nothing any more: another process counts what was under way. It is shown at once.
+func (b *Book) Given() {
+	b.now.Inflight = 0
+	b.Show(Gauges{b.Read().HostsListed, b.Read().HostsDown})
+}
+
 // Reconfigured counts a file that was taken, or turned down.
 func (b *Book) Reconfigured(ok bool) {
 	if ok {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// keeping is what the operator says of undelivered messages; nil: they are not kept.
+func (c *Config) keeping() *undelivered.Section {
+	if c.Own == nil {
+		return nil
+	}
+	return c.Own.Undelivered
+}
+
+// journalRoom is how large the journal may be, in MB.
+func (c *Config) journalRoom() float64 { return min(c.Limits.DiskMB, journalShare*c.Limits.MemoryMB) }
+
 // clientCheck is the check of what clients hand in.
 func (c *Config) clientCheck() *clients.Check {
 	check := &clients.Check{Classes: map[string]*policy.Class{}, Tenants: map[string]bool{}, Subjects: map[string]*undelivered.Subject{}}
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	front "mallowlead/internal/clients/http1"
 	"mallowlead/internal/management"
 	"mallowlead/internal/standby"
@@ -19,10 +21,12 @@
 	if cfg.ListenFD <= 0 {
 		return net.Listen("tcp", cfg.Listen)
 	}
-	f := os.NewFile(uintptr(cfg.ListenFD), "clients' socket")
-	if f == nil {
-		return nil, fmt.Errorf("descriptor %d is none", cfg.ListenFD)
+	// The descriptor itself stays open: if a process that took over dies, this one listens again.
+	fd, err := unix.FcntlInt(uintptr(cfg.ListenFD), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", cfg.ListenFD, err)
 	}
+	f := os.NewFile(uintptr(fd), "clients' socket")
 	defer f.Close() // what follows has a descriptor of its own
 	l, err := net.FileListener(f)
 	if err != nil {
@@ -36,15 +40,14 @@
 	*management.Door
 	stance *standby.Stance
 	book   *management.Book
-	front  *front.Server
+	front  atomic.Pointer[front.Server]
 	taking atomic.Bool // clients are taken, and no planned end has begun
-	listen net.Listener
 }
 
 // openDoor opens the operators' door, where the platform names an address for it. It answers from the start on, and says no
 // until clients are taken.
-func openDoor(cfg *Config, l *loop, srv *front.Server) (*door, error) {
-	d := &door{stance: l.stance, book: l.book, front: srv}
+func openDoor(cfg *Config, stance *standby.Stance, book *management.Book) (*door, error) {
+	d := &door{stance: stance, book: book}
 	if cfg.Management == "" {
 		return d, nil
 	}
@@ -52,7 +55,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("the operators' door: %w", err)
 	}
-	d.listen = listener
 	d.Door = management.New(d, cfg.doorRoom())
 	go func() {
 		if err := d.Serve(listener); err != nil {
@@ -62,6 +64,15 @@
 	return d, nil
 }
 
+// open says yes from now on: clients are taken.
+func (d *door) open(srv *front.Server) {
+	d.front.Store(srv)
+	d.taking.Store(true)
+	if away, _ := d.stance.Away(); away { // by the process before
+		go srv.SeeOff()
+	}
+}
+
 func (d *door) close() {
 	if d.Door != nil {
 		d.Door.Close()
@@ -75,7 +86,9 @@
 func (d *door) Standby() {
 	slog.Info("standing by: clients are sent away")
 	d.stance.Leave(time.Now())
-	go d.front.SeeOff()
+	if srv := d.front.Load(); srv != nil {
+		go srv.SeeOff()
+	}
 }
 
 // Active takes clients again.
--- /dev/null
+++ b/internal/relay/handover.go
@@ -0,0 +1,241 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	front "mallowlead/internal/clients/http1"
+	"mallowlead/internal/discovery"
+	"mallowlead/internal/handover"
+	"mallowlead/internal/hosts"
+	"mallowlead/internal/hosts/http1"
+	"mallowlead/internal/journal"
+	"mallowlead/policy"
+)
+
+// This file is the relay's part in replacing the process: docs/design/handover.md.
+
+// inheritance is what one process hands another beside the journal.
+type inheritance struct {
+	Memory  *policy.Memory `json:"memory"`
+	Classes []policy.Class `json:"classes"` // the table, with the numbers that Memory goes by
+	Past    []passedEnd    `json:"past,omitempty"`
+	Calls   []passedCall   `json:"calls,omitempty"`
+	// Away: clients are sent away, since then.
+	Away  bool      `json:"away,omitempty"`
+	Since time.Time `json:"since,omitzero"`
+
+	conns map[string]*net.TCPConn // of the calls, by message
+}
+
+// passedEnd is a message that is over.
+type passedEnd struct {
+	ID string    `json:"id"`
+	At time.Time `json:"at"`
+}
+
+// passedCall is a call out.
+type passedCall struct {
+	ID      string           `json:"id"`
+	Attempt int              `json:"attempt"`
+	Host    discovery.Member `json:"host"`
+	Begun   time.Time        `json:"begun"`
+	Timeout time.Duration    `json:"timeout"` // from Begun on
+}
+
+// resume goes on with a message's call, if its connection has come; else what the journal says is all that is known of it.
+func (h *inheritance) resume(l *loop, m *message) bool {
+	conn := h.conns[m.ID]
+	if conn == nil {
+		return false
+	}
+	delete(h.conns, m.ID)
+	for _, c := range h.Calls {
+		if c.ID == m.ID && c.Attempt == len(m.Attempts)-1 && !m.Attempts[c.Attempt].Ended {
+			m.begun = c.Begun
+			l.resumeCall(send{m: m, attempt: c.Attempt, host: c.Host, timeout: c.Timeout}, conn)
+			return true
+		}
+	}
+	_ = conn.Close()
+	return false
+}
+
+// resumeCall waits for the answer to a call that was written before.
+func (l *loop) resumeCall(s send, conn *net.TCPConn) {
+	l.begin(s, func(ctx context.Context, r hosts.Request) hosts.Result { return l.pool.Resume(ctx, r, conn) })
+}
+
+// freeze asks the loop to write its state down and to do nothing until it is thawed. It does so once no call is out that is
+// not parked; given says that another process owns what it had.
+type freeze struct {
+	answer chan *inheritance // room for one; nil: it can't
+	thaw   chan struct{}     // closed to go on
+}
+
+// frozen answers a freeze and waits for its end; false: the loop is at its own.
+func (l *loop) frozen(ctx context.Context) bool {
+	f := l.freeze
+	l.freeze = nil
+	if err := l.journal.Compact(); err != nil {
+		slog.Error("the state can't be handed over", "err", err)
+		f.answer <- nil
+	} else {
+		f.answer <- l.inheritance()
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-f.thaw:
+	}
+	for id, conn := range l.parked {
+		delete(l.parked, id)
+		l.resumeCall(l.messages[id].call, conn)
+	}
+	l.events = append(l.events, policy.Serving{})
+	l.wakeAt = 0
+	return true
+}
+
+// inheritance is what this process hands over beside the journal.
+func (l *loop) inheritance() *inheritance {
+	h := &inheritance{Memory: l.d.Memory(), Classes: l.cfg.policy.Classes, conns: l.parked}
+	h.Away, h.Since = l.stance.Away()
+	for _, e := range l.ends {
+		h.Past = append(h.Past, passedEnd{e.id, l.wall(e.at)})
+	}
+	for id := range l.parked {
+		s := l.messages[id].call
+		h.Calls = append(h.Calls, passedCall{id, s.attempt, s.host, s.m.begun, s.timeout})
+	}
+	return h
+}
+
+// Freeze brings the relay to a stop and gives what another process needs to go on from there.
+func (n *node) Freeze(ctx context.Context) (state any, items []handover.Item, err error) {
+	n.frozen = &frozen{freeze: freeze{make(chan *inheritance, 1), make(chan struct{})}}
+	n.l.put(stopSending{})
+	if n.frozen.clients, err = n.srv.Freeze(ctx); err != nil {
+		return nil, nil, err
+	}
+	n.frozen.idle = n.l.pool.Freeze(ctx)
+	n.frozen.asked = true
+	n.l.put(n.frozen.freeze)
+	h := <-n.frozen.answer
+	if h == nil {
+		return nil, nil, errors.New("the journal can't be written")
+	}
+	for id, conn := range h.conns {
+		items = append(items, handover.Item{Kind: handover.OnCall, ID: id, Conn: conn})
+	}
+	for _, c := range n.frozen.clients {
+		items = append(items, handover.Item{Kind: handover.FromClient, Conn: c.Conn, Read: c.Read, Fresh: c.Fresh, Since: c.Since})
+	}
+	for _, c := range n.frozen.idle {
+		items = append(items, handover.Item{Kind: handover.ToHost, Conn: c.Conn, Host: c.Host, Addr: c.Addr, Since: c.Since})
+	}
+	return h, items, nil
+}
+
+// frozen is what a relay holds while it is frozen.
+type frozen struct {
+	freeze
+	asked   bool // the loop was
+	clients []front.Parked
+	idle    []http1.Idle
+}
+
+// Thaw goes on as before.
+func (n *node) Thaw() {
+	f := n.frozen
+	n.frozen = nil
+	n.l.pool.Thaw(f.idle)
+	if f.asked {
+		close(f.thaw)
+	} else {
+		n.l.put(serveOn{})
+	}
+	n.srv.Thaw(f.clients)
+}
+
+// Given ends all that this process does: another owns the relay from now on.
+func (n *node) Given() {
+	n.door.taking.Store(false)
+	n.stop()
+	n.work.Wait()
+	_ = n.l.journal.Close()
+	n.book.Given()
+	_ = n.listener.Close()
+}
+
+// Start begins from the journal: nobody else holds the folder.
+func (n *node) Start() error {
+	kept, err := journal.Open(n.dir, n.cfg.journalRoom(), n.cfg.keeping() != nil)
+	if err != nil {
+		return err
+	}
+	if err := n.assemble(kept); err != nil {
+		return err
+	}
+	return n.begin(nil)
+}
+
+// Prepare reads what another process offers.
+func (n *node) Prepare(state json.RawMessage) error {
+	n.from = &inheritance{conns: map[string]*net.TCPConn{}}
+	if err := json.Unmarshal(state, n.from); err != nil {
+		return fmt.Errorf("state of the process before: %w", err)
+	}
+	kept, err := journal.Read(n.dir, n.cfg.journalRoom(), n.cfg.keeping() != nil)
+	if err != nil {
+		return err
+	}
+	n.cfg.policy.Classes = policy.Merge(n.from.Classes, n.cfg.policy.Classes)
+	if n.from.Away {
+		n.stance.Leave(n.from.Since)
+	}
+	return n.assemble(kept)
+}
+
+// Discard forgets what was prepared.
+func (n *node) Discard() {
+	if n.listener != nil {
+		_ = n.listener.Close()
+	}
+	n.stance.Return()
+	n.cfg.policy.Classes = n.ownClasses
+	n.from, n.l, n.srv, n.listener = nil, nil, nil, nil
+}
+
+// Own takes the journal.
+func (n *node) Own() error { return n.l.journal.Own() }
+
+// Serve begins, with the connections that came from the process before.
+func (n *node) Serve(items []handover.Item) error {
+	for _, item := range items {
+		switch item.Kind {
+		case handover.OnCall:
+			n.from.conns[item.ID] = item.Conn
+		case handover.ToHost:
+			n.l.pool.Adopt(http1.Idle{Target: hosts.Target{Host: item.Host, Addr: item.Addr}, Conn: item.Conn, Since: item.Since})
+		case handover.FromClient:
+		default:
+			_ = item.Conn.Close()
+		}
+	}
+	if err := n.begin(n.from); err != nil {
+		return err
+	}
+	for _, item := range items {
+		if item.Kind == handover.FromClient {
+			n.srv.Adopt(front.Parked{Conn: item.Conn, Read: item.Read, Fresh: item.Fresh, Since: item.Since})
+		}
+	}
+	slog.Info("taken over", "connections", len(items), "messages", len(n.l.messages))
+	return nil
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -23,12 +24,13 @@
 
 // The events that goroutines send the loop.
 type (
-	// answered is the end of a call.
+	// answered is the end of a call, or says that it is parked.
 	answered struct {
 		id      string
 		attempt int
 		host    string
 		took    time.Duration
+		made    bool // it was given to the pool
 		hosts.Result
 	}
 	// told is a list, or a change of it.
@@ -40,8 +42,9 @@
 	watchEnded struct{}
 	// received says that the platform has notices.
 	received struct{ ids []string }
-	// stopSending says that the process is about to end.
+	// stopSending says that the process is about to end, and serveOn that it is not.
 	stopSending struct{}
+	serveOn     struct{}
 	// question asks whether anything is still to be done.
 	question struct{ idle chan bool }
 	// reconfigured says that a configuration was read again, or could not be used (nil).
@@ -53,6 +56,8 @@
 	*journal.Entry
 	verdicts []chan clients.Verdict // of the requests that brought it, until they are answered
 	cancel   context.CancelFunc     // of the call out; nil while there is none
+	call     send                   // that call
+	begun    time.Time              // when it did
 	over     bool                   // ended, but a call is still out
 	resumed  bool                   // taken on by an earlier process
 	noticed  bool                   // the platform has its notice, and it waits for the store
@@ -100,6 +105,9 @@
 	wakeAt   time.Duration
 	stepped  time.Duration // when the last batch was handled
 	calls    context.Context
+	out      int                     // calls out whose end the loop has not heard
+	parked   map[string]*net.TCPConn // of calls that wait in a freeze, by message
+	freeze   *freeze                 // wanted, until nothing is out
 	events   []policy.Event
 	fresh    []*message // arrivals of this batch
 	sends    []send     // of this batch
@@ -127,8 +135,9 @@
 // put hands the loop an event.
 func (l *loop) put(e any) { l.inbox <- e }
 
-// restore takes up what the journal holds, and the list that the configuration gives.
-func (l *loop) restore() {
+// restore takes up what the journal holds, and the list that the configuration gives; from is what another process has
+// handed over beside the journal, or nil.
+func (l *loop) restore(from *inheritance) {
 	list := l.cfg.Known
 	if told, from := l.journal.Listed(); told != nil {
 		// The configuration's list may be older than what an earlier process was told: a host that drains
@@ -141,6 +150,13 @@
 	l.told(list)
 	l.journal.List(list, l.cfg.Discovery) // what the watch tells from here on may be changes of it only
 	l.watch.Seq = list.Seq
+	if from != nil {
+		l.events = append(l.events, policy.Inherited{Memory: from.Memory})
+		for _, e := range from.Past {
+			l.past[e.ID] = true
+			l.ends = append(l.ends, pastEnd{e.ID, l.clock(e.At)})
+		}
+	}
 	for _, e := range l.journal.Entries() {
 		m := &message{Entry: e, resumed: true}
 		l.messages[e.ID] = m
@@ -167,6 +183,9 @@
 			// An attempt that was out when the process ended may have run.
 			a.Tried = append(a.Tried, policy.Tried{Endpoint: t.Host, Sent: l.clock(t.Begun), Unrun: t.Ended && t.Unrun})
 		}
+		if from != nil && from.resume(l, m) {
+			a.Tried[len(a.Tried)-1].Open = true
+		}
 		l.events = append(l.events, a)
 	}
 	l.step()
@@ -231,6 +250,9 @@
 			}
 		}
 		l.step()
+		if l.freeze != nil && l.out == 0 && !l.frozen(ctx) {
+			return
+		}
 	}
 }
 
@@ -276,8 +298,12 @@
 		}
 	case stopSending:
 		l.events = append(l.events, policy.Stopping{})
+	case serveOn:
+		l.events = append(l.events, policy.Serving{})
 	case question:
 		e.idle <- len(l.messages) == 0
+	case freeze:
+		l.freeze = &e
 	case reconfigured:
 		l.book.Reconfigured(e.cfg != nil)
 		if e.cfg != nil {
@@ -338,6 +364,13 @@
 // answered takes in the end of a call.
 func (l *loop) answered(e answered) {
 	m := l.messages[e.id] // stays as long as a call is out
+	if e.made {
+		l.out--
+	}
+	if e.Parked != nil {
+		l.parked[e.id] = e.Parked
+		return
+	}
 	m.cancel = nil
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.End(m.Entry, e.Unrun(), outcomes[e.Outcome], l.wall(l.now()))
@@ -616,14 +649,21 @@
 
 // call makes a call in a goroutine of its own.
 func (l *loop) call(s send) {
+	s.m.begun = time.Now()
+	l.begin(s, l.pool.Call)
+}
+
+// begin has a call made, or waited for; by says how.
+func (l *loop) begin(s send, by func(context.Context, hosts.Request) hosts.Result) {
 	ctx, cancel := context.WithCancel(l.calls)
-	s.m.cancel = cancel
+	begun := s.m.begun
+	s.m.call, s.m.cancel = s, cancel
 	r := hosts.Request{Target: hosts.Target{Host: s.host.Host, Addr: s.host.Dial}, ID: s.m.ID, Key: s.m.Key, Body: s.m.Body,
-		Timeout: s.timeout}
+		Timeout: max(s.timeout-time.Since(begun), time.Millisecond)}
+	l.out++
 	go func() {
 		defer cancel()
-		begun := time.Now()
-		res := l.pool.Call(ctx, r)
-		l.put(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: time.Since(begun), Result: res})
+		res := by(ctx, r)
+		l.put(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: time.Since(begun), made: true, Result: res})
 	}()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,21 +2,23 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
 	"mallowlead/internal/clients"
 	front "mallowlead/internal/clients/http1"
 	"mallowlead/internal/discovery"
+	"mallowlead/internal/handover"
 	"mallowlead/internal/hosts/http1"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/management"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/standby"
-	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
 
@@ -34,33 +36,108 @@
 // holds is held in memory as well.
 const journalShare = 0.15
 
+// ErrOrphan says that the process which took over has died before this one was to end: it is to run again, from the
+// journal.
+var ErrOrphan = errors.New("the process that took over has died")
+
+// node is one process's relay with all that it is wired of.
+type node struct {
+	cfg        *Config
+	dir        string
+	ownClasses []policy.Class // as the configuration has them
+	stance     *standby.Stance
+	book       *management.Book
+	door       *door
+	live       context.Context
+	stop       context.CancelFunc
+	work       sync.WaitGroup
+	served     chan error
+
+	from     *inheritance // of the process before; nil: there was none
+	l        *loop
+	srv      *front.Server
+	listener net.Listener
+	frozen   *frozen // nil: it is not
+}
+
 // Run runs a relay until ctx ends, and then brings it to an orderly end: it goes on serving for as long as
-// clients may still come, and leaves what is not delivered by then to the journal in dir. Configurations that
-// come from reread move it to another discovery; all else in them is for the next start.
+// clients may still come, and leaves what is not delivered by then to the journal in dir. Where another process runs on
+// that folder, it takes over from that one, and it hands over to one that comes later. Configurations that come from
+// reread change its settings and move it to another discovery; all else in them is for the next start.
 func Run(ctx context.Context, cfg *Config, dir string, reread <-chan Reading) error {
 	if err := cfg.checkOwn(); err != nil {
 		return err
 	}
-	var keeping *undelivered.Section
-	if cfg.Own != nil {
-		keeping = cfg.Own.Undelivered
+	n := &node{cfg: cfg, dir: dir, ownClasses: cfg.policy.Classes, stance: &standby.Stance{},
+		book: management.NewBook(cfg.classNames()), served: make(chan error, 1)}
+	n.live, n.stop = context.WithCancel(context.Background())
+	defer n.stop()
+	var err error
+	if n.door, err = openDoor(cfg, n.stance, n.book); err != nil {
+		return err
+	}
+	defer n.door.close()
+	owner, err := handover.Acquire(ctx, dir, n)
+	if ctx.Err() != nil && n.l == nil {
+		return nil // told to end before it had anything
 	}
-	kept, err := journal.Open(dir, min(cfg.Limits.DiskMB, journalShare*cfg.Limits.MemoryMB), keeping != nil)
 	if err != nil {
 		return err
 	}
-	defer kept.Close()
+	defer owner.Release()
+	n.door.open(n.srv)
+	ends := make(chan handover.Outcome, 1)
+	go func() { ends <- owner.Serve(ctx.Done(), n) }()
+	discoveryAt := cfg.Discovery
+	for {
+		select {
+		case err := <-n.served:
+			if err != nil {
+				return fmt.Errorf("serve: %w", err)
+			}
+			n.served = nil // the listener was closed by us
+		case r := <-reread:
+			if n.live.Err() != nil {
+				continue // it is the next process's
+			}
+			n.l.put(reconfigured{r.Config})
+			if r.Err != nil {
+				continue
+			}
+			slog.Info("configuration read again", "discovery", r.Config.Discovery, "classes", r.Config.classNames())
+			if r.Config.Discovery != discoveryAt {
+				discoveryAt = r.Config.Discovery
+				n.l.watch.Move(discoveryAt)
+				n.l.notices.Move(discoveryAt)
+			}
+		case end := <-ends:
+			n.door.taking.Store(false)
+			switch end {
+			case handover.Orphan:
+				return ErrOrphan
+			case handover.Handed:
+				n.lastWords()
+				return nil
+			}
+			n.drain()
+			n.stop()
+			n.work.Wait()
+			return n.l.journal.Close()
+		}
+	}
+}
+
+// assemble makes all parts of a relay, and starts none.
+func (n *node) assemble(kept *journal.Journal) error {
+	cfg := n.cfg
 	cfg.retire(kept)
 	d, err := policy.New(cfg.policy, cfg.seed)
 	if err != nil {
 		return err
 	}
-
-	live, stop := context.WithCancel(context.Background())
-	defer stop()
 	s := cfg.Settings
-	l := &loop{cfg: cfg, d: d, journal: kept, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
-		book: management.NewBook(cfg.classNames()), stance: &standby.Stance{},
+	l := &loop{cfg: cfg, d: d, journal: kept, inbox: make(chan any, inboxSize), start: time.Now(), calls: n.live,
+		book: n.book, stance: n.stance, parked: map[string]*net.TCPConn{},
 		messages: map[string]*message{}, hosts: map[string]discovery.Member{}, dests: map[int]bool{}, past: map[string]bool{},
 		pool: http1.New(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.longest(),
 			cfg.hostRoom())}
@@ -68,77 +145,48 @@
 	l.watch = discovery.NewWatcher(cfg.Discovery, func(m discovery.Members, from string) { l.put(told{m, from}) },
 		func() { l.put(watchEnded{}) })
 	l.notices = notices.New(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
-	if keeping != nil {
+	if cfg.keeping() != nil {
 		l.arrivals = kept.Arrivals()
 		l.keeper = newKeeper(cfg, kept.Store(), func(e any) {
 			select {
 			case l.inbox <- e:
-			case <-live.Done(): // nobody takes events any more
+			case <-n.live.Done(): // nobody takes events any more
 			}
 		})
 	}
-	srv := front.New(front.Config{Check: cfg.clientCheck(), Stance: l.stance, MemoryMB: cfg.Limits.MemoryMB, Room: cfg.clientRoom(), Keep: cfg.idleRoom()},
-		func(a *clients.Arrival) { l.put(a) })
-	l.recheck = srv.SetCheck
-	listener, err := listen(cfg)
-	if err != nil {
+	n.l = l
+	n.srv = front.New(front.Config{Check: cfg.clientCheck(), Stance: n.stance, MemoryMB: cfg.Limits.MemoryMB, Room: cfg.clientRoom(),
+		Keep: cfg.idleRoom()}, func(a *clients.Arrival) { l.put(a) })
+	l.recheck = n.srv.SetCheck
+	if n.listener, err = listen(cfg); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	door, err := openDoor(cfg, l, srv)
-	if err != nil {
-		return err
-	}
-	defer door.close()
-	l.restore() // clients wait to be served until this is done
-	var work sync.WaitGroup
-	work.Go(func() { l.run(live) })
-	work.Go(func() { l.watch.Run(live) })
-	work.Go(func() { l.notices.Run(live) })
-	if l.keeper != nil {
-		work.Go(func() { l.keeper.run(live) })
-	}
-	served := make(chan error, 1)
-	go func() { served <- srv.Serve(listener) }()
-	door.taking.Store(true)
+	return nil
+}
 
-	discoveryAt := cfg.Discovery
-	for serving := true; serving; {
-		select {
-		case err = <-served:
-			serving = false
-		case r := <-reread:
-			l.put(reconfigured{r.Config})
-			if r.Err != nil {
-				continue
-			}
-			slog.Info("configuration read again", "discovery", r.Config.Discovery, "classes", r.Config.classNames())
-			if r.Config.Discovery != discoveryAt {
-				discoveryAt = r.Config.Discovery
-				l.watch.Move(discoveryAt)
-				l.notices.Move(discoveryAt)
-			}
-		case <-ctx.Done():
-			door.taking.Store(false)
-			l.drain(srv, func() { _ = listener.Close() })
-			serving = false
-		}
-	}
-	stop()
-	work.Wait()
-	if err != nil {
-		return fmt.Errorf("serve: %w", err)
+// begin starts all parts, with what the process before has handed over, if there was one.
+func (n *node) begin(from *inheritance) error {
+	l := n.l
+	l.restore(from) // clients wait to be served until this is done
+	n.work.Go(func() { l.run(n.live) })
+	n.work.Go(func() { l.watch.Run(n.live) })
+	n.work.Go(func() { l.notices.Run(n.live) })
+	if l.keeper != nil {
+		n.work.Go(func() { l.keeper.run(n.live) })
 	}
+	go func() { n.served <- n.srv.Serve(n.listener) }()
 	return nil
 }
 
-// drain brings a relay to its end. No request that was read goes unanswered: answers close their
+// drain brings the relay to its end. No request that was read goes unanswered: answers close their
 // connections, and those that stay unused are closed last.
-func (l *loop) drain(srv *front.Server, closeListener func()) {
+func (n *node) drain() {
+	l := n.l
 	begun := time.Now()
 	until := func(stage time.Duration) time.Duration { return time.Until(begun.Add(stage)) }
 	l.stance.End()
 	time.Sleep(until(listenOn))
-	closeListener()
+	_ = n.listener.Close()
 	for until(sendOn) > 0 && !l.idle() {
 		time.Sleep(askIdle)
 	}
@@ -146,9 +194,14 @@
 	for until(callsOn) > 0 && !l.idle() {
 		time.Sleep(askIdle)
 	}
+	n.lastWords()
+}
+
+// lastWords lets answers that are being written arrive, and closes all clients' connections.
+func (n *node) lastWords() {
 	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil {
+	if err := n.srv.Shutdown(ctx); err != nil {
 		slog.Warn("connections left", "err", err)
 	}
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -105,6 +105,9 @@
 	Endpoint string
 	Sent     time.Duration
 	Unrun    bool // proved never to have run
+	// Open says that the attempt is still out, and that its end will be told: the process took the place of another that
+	// handed it its connections. Only the last attempt of a message can be.
+	Open bool
 }
 
 // Event is something that happened to a dispatcher.
@@ -153,11 +156,15 @@
 	ListFailed struct{}
 	// Recalled tells what an earlier process of this relay remembered of a listed endpoint.
 	Recalled Remember
+	// Inherited tells what the process before had learned, whose place this one takes. It comes after the list and before
+	// messages.
+	Inherited struct{ Memory *Memory }
 	// Retuned replaces the settings. Their classes must come from Merge: those that were there keep their numbers.
 	// Messages taken on before keep the terms of their class, and what a stricter effect forbids is forbidden too.
 	Retuned struct{ Settings Settings }
-	// Stopping says that this process is about to end: nothing more is sent.
+	// Stopping says that this process is about to end: nothing more is sent. Serving takes that back.
 	Stopping struct{}
+	Serving  struct{}
 	// Woken says that a timer fell due.
 	Woken struct{}
 )
@@ -168,8 +175,10 @@
 func (Listed) event()     {}
 func (ListFailed) event() {}
 func (Recalled) event()   {}
+func (Inherited) event()  {}
 func (Retuned) event()    {}
 func (Stopping) event()   {}
+func (Serving) event()    {}
 func (Woken) event()      {}
 
 // Action is something that a dispatcher wants done.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -117,8 +117,12 @@
 			d.recall(e)
 		case Retuned:
 			d.retune(e.Settings)
+		case Inherited:
+			d.inherit(e.Memory)
 		case Stopping:
 			d.stopping = true
+		case Serving:
+			d.stopping = false
 		}
 	}
 	if d.now >= d.resub {
--- a/policy/state.go
+++ b/policy/state.go
@@ -220,13 +220,25 @@
 	for _, t := range m.Tried {
 		ep := d.endpoints[t.Endpoint]
 		if ep == nil {
-			ep = &endpoint{Endpoint: Endpoint{ID: t.Endpoint, Destination: m.Destination, Gone: true}}
+			ep = &endpoint{Endpoint: Endpoint{ID: t.Endpoint, Destination: m.Destination, Gone: true},
+				q: d.dest(m.Destination).queues[0], strikes: make([]float64, len(d.s.Classes))}
+		}
+		c := &call{ep: ep, sent: t.Sent, msgs: []*message{m}}
+		m.attempts = append(m.attempts, attempt{call: c, sent: t.Sent, unrun: t.Unrun, open: t.Open})
+		if t.Open {
+			c.open, m.open = 1, m.open+1
+			d.out++
+			ep.out, ep.q.out = append(ep.out, c), append(ep.q.out, c)
+			d.wake(ep.q)
+			continue
 		}
-		m.attempts = append(m.attempts, attempt{call: &call{ep: ep, sent: t.Sent}, sent: t.Sent, unrun: t.Unrun})
 		if !t.Unrun {
 			m.rest = max(m.rest, d.now+d.s.OrderPause)
 		}
 	}
+	if m.open > 0 {
+		return // its end tells what becomes of it
+	}
 	if m.Background && len(m.attempts) > 0 {
 		d.giveUp(m) // it had its attempt
 		return
