--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -16,11 +16,12 @@
 )
 
 const (
-	// noticeTimeout bounds one post, and noticeAgain is the pause after one that failed: a notice has to
-	// be through within 300 ms of the end of its message's time.
-	noticeTimeout = 250 * time.Millisecond
-	noticeAgain   = 50 * time.Millisecond
-	// noticePosts go out at once, so that one that stalls holds up no other.
+	// noticeTimeout bounds one post, and noticeAgain is the pause after one that failed: a notice has to be through
+	// within 300 ms of the end of its message's time, so that two posts may stall.
+	noticeTimeout = 120 * time.Millisecond
+	noticeAgain   = 20 * time.Millisecond
+	// noticePosts go out at once, so that one that stalls holds up no other. Their connections are kept: a connection for
+	// each post would be a hundred a second where much is given up, and the making of one may stall for a second.
 	noticePosts = 4
 	// maxAnswer bytes of an answer are read.
 	maxAnswer = 64 << 10
@@ -58,7 +59,7 @@
 func New(discovery string, done func([]string)) *Notifier {
 	n := &Notifier{url: outcomesAt(discovery), done: done, moved: make(chan struct{}),
 		client: &http.Client{Timeout: noticeTimeout, Transport: &http.Transport{MaxConnsPerHost: noticePosts,
-			MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}}}
+			MaxIdleConnsPerHost: noticePosts, IdleConnTimeout: 5 * time.Second}}}
 	n.more.L = &n.mu
 	return n
 }
