--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -80,6 +80,7 @@
 	s.listener, _ = l.(*net.TCPListener)
 	s.mu.Unlock()
 	for {
+		s.unblock()
 		raw, err := l.Accept()
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded) && s.untilThawed():
--- a/internal/clients/http1/park.go
+++ b/internal/clients/http1/park.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 	keepRecord = 4 << 10
 	// parkEvery is between looks whether all connections are parked.
 	parkEvery = time.Millisecond
+	// knockEvery is between attempts to wake what accepts connections.
+	knockEvery = 10 * time.Millisecond
 )
 
 // recorder keeps what was read of a request that has begun: the parser does not give it back.
@@ -99,10 +102,16 @@
 		}
 	}
 	s.mu.Unlock()
-	for {
+	for knocked := time.Now(); ; {
+		if s.listener != nil && time.Since(knocked) > knockEvery {
+			s.unblock()
+			s.knock()
+			knocked = time.Now()
+		}
 		s.mu.Lock()
 		busy := len(s.clients) - s.count[leaving]
-		if busy == 0 {
+		// A connection that was accepted as the freeze began is still to be parked.
+		if busy == 0 && (s.listener == nil || s.waiting) {
 			parked := s.parked
 			s.parked = nil
 			s.mu.Unlock()
@@ -156,13 +165,38 @@
 	s.begin(c, at)
 }
 
+// unblock has accepting wait in the runtime, where a deadline ends it, and not in the kernel. Whoever starts a process
+// with the socket as one of its descriptors may make it a blocking one, and that holds for all processes that have it.
+func (s *Server) unblock() {
+	s.mu.Lock()
+	l := s.listener
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	if raw, err := l.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
+	}
+}
+
+// knock makes a connection to ourselves: accepting that waits in the kernel all the same returns with it, and parks it.
+func (s *Server) knock() {
+	if c, err := net.DialTimeout("tcp", s.listener.Addr().String(), knockEvery); err == nil {
+		_ = c.Close()
+	}
+}
+
 // untilThawed waits for the end of a freeze, if there is one.
 func (s *Server) untilThawed() bool {
 	s.mu.Lock()
 	frozen := s.frozen
+	s.waiting = frozen != nil
 	s.mu.Unlock()
 	if frozen != nil {
 		<-frozen
+		s.mu.Lock()
+		s.waiting = false
+		s.mu.Unlock()
 	}
 	return true
 }
--- a/internal/clients/http1/server.go
+++ b/internal/clients/http1/server.go
@@ -52,6 +52,7 @@
 	frozen   chan struct{}
 	parked   []Parked
 	listener *net.TCPListener
+	waiting  bool // what accepts connections waits for the end of the freeze
 }
 
 // New makes a server; admit gets each message that passes the check.
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -40,10 +42,18 @@
 	if own := os.Getenv(childOwn); err == nil && own != "" {
 		cfg.Own, err = operator.Read(own)
 	}
+	if fd := os.Getenv("NODE_LISTEN_FD"); err == nil && fd != "" {
+		cfg.ListenFD, err = strconv.Atoi(fd)
+	}
+	if at := os.Getenv("NODE_MANAGEMENT"); err == nil && at != "" {
+		cfg.Management = at
+	}
 	if err == nil {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 		defer stop()
-		err = Run(ctx, cfg, os.Getenv(childState), Reread(ctx, path, cfg, hangups))
+		for err = ErrOrphan; errors.Is(err, ErrOrphan); {
+			err = Run(ctx, cfg, os.Getenv(childState), Reread(ctx, path, cfg, hangups))
+		}
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -73,6 +83,7 @@
 	program   string              // the real program; empty: this one as a relay
 	addr      string              // the relay's
 	door      string              // its operators' door; empty: none
+	socket    *os.File            // the clients' socket, where the platform holds it
 	settings  func(string) string // changes the settings that the configuration has
 	dir       string
 	memory    float64
@@ -83,11 +94,13 @@
 
 	mu      sync.Mutex
 	hosts   []discovery.Member
-	answer  func(*http.Request) int // a host's status; 0 for no answer while the call lasts
-	calls   []string                // ids that hosts were sent
-	began   chan string             // the same, as they come
-	watches []string                // address and query of each watch
-	left    []string                // addresses whose watch has ended
+	answer  func(*http.Request) int                  // a host's status; 0 for no answer while the call lasts
+	header  map[string]string                        // of hosts' answers
+	handle  func(http.ResponseWriter, *http.Request) // answers in place of all that
+	calls   []string                                 // ids that hosts were sent
+	began   chan string                              // the same, as they come
+	watches []string                                 // address and query of each watch
+	left    []string                                 // addresses whose watch has ended
 	notices []notices.Notice
 	posted  []string // the address to which each notice came
 	deaf    int      // so many posts of notices fail
@@ -118,6 +131,39 @@
 	return l.Addr().String()
 }
 
+// holdSocket has the platform hold the clients' socket.
+func (p *platform) holdSocket() {
+	p.t.Helper()
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer l.Close()
+	if p.socket, err = l.(*net.TCPListener).File(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = p.socket.Close() })
+}
+
+// takes tells whether a process says that it takes clients.
+func (c *child) takes() bool {
+	resp, err := http.Get("http://" + c.door + "/status")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// replace starts a process beside the one that runs, and waits until it takes clients.
+func (p *platform) replace() *child {
+	p.t.Helper()
+	p.addDoor()
+	c := p.begin()
+	p.until("the new process takes clients", c.takes)
+	return c
+}
+
 // addDoor has the configuration name an address for operators.
 func (p *platform) addDoor() { p.door = freeAddress(p.t) }
 
@@ -185,6 +231,10 @@
 
 func (p *platform) serveHost(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
+	if p.handle != nil {
+		p.handle(w, r)
+		return
+	}
 	id := r.Header.Get("Request-Id")
 	p.mu.Lock()
 	p.calls = append(p.calls, id)
@@ -199,6 +249,9 @@
 		}
 		return
 	}
+	for name, value := range p.header {
+		w.Header().Set(name, value)
+	}
 	w.WriteHeader(status)
 }
 
@@ -285,31 +338,41 @@
 // child is a relay in a process of its own.
 type child struct {
 	*exec.Cmd
+	door   string
 	exited chan error
 }
 
 // start starts a relay and waits until it is ready.
 func (p *platform) start() *child {
+	p.t.Helper()
+	c := p.begin()
+	p.until("the relay is ready", func() bool { return p.health() == http.StatusOK })
+	return c
+}
+
+// begin starts a relay.
+func (p *platform) begin() *child {
 	p.t.Helper()
 	c := &child{Cmd: exec.Command(os.Args[0]), exited: make(chan error, 1)}
 	if p.program != "" {
 		c.Cmd = exec.Command(p.program, "-config", p.config(), "-state", p.dir, "-operator", p.own)
 	}
 	c.Env = append(os.Environ(), childConfig+"="+p.config(), childState+"="+p.dir, childOwn+"="+p.own)
+	if p.socket != nil {
+		// Descriptor 3 is the first of these.
+		c.ExtraFiles = []*os.File{os.Stdin, p.socket}
+		c.Env = append(c.Env, "NODE_LISTEN_FD=4")
+	}
+	if p.door != "" {
+		c.Env = append(c.Env, "NODE_MANAGEMENT="+p.door)
+		c.door = p.door
+	}
 	c.Stderr = &bytes.Buffer{}
 	if err := c.Start(); err != nil {
 		p.t.Fatal(err)
 	}
 	go func() { c.exited <- c.Wait() }()
 	p.t.Cleanup(func() { _ = c.Process.Kill() })
-	p.until("the relay is ready", func() bool {
-		resp, err := http.Get("http://" + p.addr + "/_health")
-		if err != nil {
-			return false
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
 	return c
 }
 
