--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -69,7 +69,6 @@
 	stage   stage
 	since   time.Time
 	removed bool
-	dealt   int // the deal in which it came
 }
 
 // Serve takes connections until the listener is closed. It is no http.Server, since that neither tells what
@@ -122,7 +121,7 @@
 
 // begin serves a connection in a goroutine of its own; the lock is held.
 func (s *Server) begin(c *client, at stage) {
-	c.stage, c.dealt = at, s.deal
+	c.stage = at
 	s.clients[c] = true
 	s.count[at]++
 	go func() {
@@ -213,21 +212,6 @@
 	return false
 }
 
-// Redeal has each connection that there is now closed with its next answer, so that the front deals it out anew: clients
-// keep the connections that they have, also when another relay has come to share them.
-func (s *Server) Redeal() {
-	s.mu.Lock()
-	s.deal++
-	s.mu.Unlock()
-}
-
-// dealtAgain tells whether a connection is to be dealt out anew.
-func (s *Server) dealtAgain(c *client) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return c.dealt < s.deal
-}
-
 // talk serves the requests of a connection, one after another, to its end, or until it is to be parked.
 func (s *Server) talk(c *client) (parked bool) {
 	quiet, wait := silentTime, firstTime
@@ -252,7 +236,7 @@
 		if v.Status == 0 {
 			return false
 		}
-		v.Close = v.Close || s.stance.LastAnswer() || s.crowded() || s.dealtAgain(c)
+		v.Close = v.Close || s.stance.LastAnswer() || s.crowded()
 		if !c.answer(v) {
 			return false
 		}
--- a/internal/clients/http1/server.go
+++ b/internal/clients/http1/server.go
@@ -46,8 +46,6 @@
 	count   [stages]int // of the connections in each stage
 	// seeingOff: connections without a request are looked for, since clients are sent away.
 	seeingOff bool
-	// deal counts how often connections were to be dealt out anew.
-	deal int
 	// frozen is closed at the end of a freeze; nil: there is none. listener is the one that is served.
 	frozen   chan struct{}
 	parked   []Parked
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -20,7 +20,6 @@
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/operator"
-	"mallowlead/internal/peers"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
@@ -32,10 +31,6 @@
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"` // hexadecimal
-	// PeerListen is where other relays' notes come in, and Peers and PeersAll where ours go.
-	PeerListen string   `json:"peer_listen"`
-	Peers      []string `json:"peers"`
-	PeersAll   string   `json:"peers_all"`
 	// Management is where the operators' door listens; empty: there is none.
 	Management string            `json:"management"`
 	Limits     Limits            `json:"limits"`
@@ -137,15 +132,6 @@
 // journalRoom is how large the journal may be, in MB.
 func (c *Config) journalRoom() float64 { return min(c.Limits.DiskMB, journalShare*c.Limits.MemoryMB) }
 
-// peers says where other relays are, and whether notes to them are allowed.
-func (c *Config) peers() (p peers.Config, allowed bool) {
-	p = peers.Config{Name: c.Name, Relays: c.policy.Instances, Listen: c.PeerListen, To: c.Peers}
-	if c.PeersAll != "" {
-		p.To = []string{c.PeersAll}
-	}
-	return p, c.Settings.Limits.Peers && p.Relays > 1 && p.Listen != "" && len(p.To) > 0 && p.Name != ""
-}
-
 // clientCheck is the check of what clients hand in.
 func (c *Config) clientCheck() *clients.Check {
 	check := &clients.Check{Classes: map[string]*policy.Class{}, Tenants: map[string]bool{}, Subjects: map[string]*undelivered.Subject{}}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -47,8 +47,6 @@
 	serveOn     struct{}
 	// question asks whether anything is still to be done.
 	question struct{ idle chan bool }
-	// present says how many relays take clients.
-	present struct{ relays int }
 	// reconfigured says that a configuration was read again, or could not be used (nil).
 	reconfigured struct{ cfg *Config }
 )
@@ -304,8 +302,6 @@
 		l.events = append(l.events, policy.Serving{})
 	case question:
 		e.idle <- len(l.messages) == 0
-	case present:
-		l.events = append(l.events, policy.Present{Relays: e.relays})
 	case freeze:
 		l.freeze = &e
 	case reconfigured:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,7 +17,6 @@
 	"mallowlead/internal/journal"
 	"mallowlead/internal/management"
 	"mallowlead/internal/notices"
-	"mallowlead/internal/peers"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/standby"
 	"mallowlead/policy"
@@ -175,32 +174,10 @@
 	if l.keeper != nil {
 		n.work.Go(func() { l.keeper.run(n.live) })
 	}
-	if at, allowed := n.cfg.peers(); allowed {
-		n.work.Go(func() { peers.Run(n.live, at, n.state, n.present) })
-	}
 	go func() { n.served <- n.srv.Serve(n.listener) }()
 	return nil
 }
 
-// present takes in how many relays take clients now. One that has come back gets its part of them only as they connect.
-func (n *node) present(relays, before int) {
-	n.l.put(present{relays})
-	if relays > before {
-		n.srv.Redeal()
-	}
-}
-
-// state is what other relays are told.
-func (n *node) state() peers.State {
-	switch n.stance.State(time.Now()) {
-	case standby.Active:
-		return peers.Here
-	case standby.Ending:
-		return peers.Ending
-	}
-	return peers.Away
-}
-
 // drain brings the relay to its end. No request that was read goes unanswered: answers close their
 // connections, and those that stay unused are closed last.
 func (n *node) drain() {
--- a/policy/api.go
+++ b/policy/api.go
@@ -159,8 +159,6 @@
 	// Inherited tells what the process before had learned, whose place this one takes. It comes after the list and before
 	// messages.
 	Inherited struct{ Memory *Memory }
-	// Present tells how many relays take clients now, this one included; the others leave their part of the rates.
-	Present struct{ Relays int }
 	// Retuned replaces the settings. Their classes must come from Merge: those that were there keep their numbers.
 	// Messages taken on before keep the terms of their class, and what a stricter effect forbids is forbidden too.
 	Retuned struct{ Settings Settings }
@@ -178,7 +176,6 @@
 func (ListFailed) event() {}
 func (Recalled) event()   {}
 func (Inherited) event()  {}
-func (Present) event()    {}
 func (Retuned) event()    {}
 func (Stopping) event()   {}
 func (Serving) event()    {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -80,7 +80,7 @@
 	if err := s.check(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	d := &Dispatcher{s: s, present: s.Instances, endpoints: map[string]*endpoint{}, dests: map[int]*destination{},
+	d := &Dispatcher{s: s, endpoints: map[string]*endpoint{}, dests: map[int]*destination{},
 		messages: map[string]*message{}, keys: map[string][]*message{},
 		pools: map[int]*latencies{}, chance: rand.New(rand.NewPCG(uint64(seed), 0)), resub: never}
 	if s.Subscribe {
@@ -115,8 +115,6 @@
 			}
 		case Recalled:
 			d.recall(e)
-		case Present:
-			d.share(e.Relays)
 		case Retuned:
 			d.retune(e.Settings)
 		case Inherited:
@@ -878,20 +876,8 @@
 	d.finish(m)
 }
 
-// even is this relay's even share of a queue's limit, in calls a second, among those that take clients. The budget of
-// a cold destination is shared among all: one that sends its clients away still sends what it holds.
-func (d *Dispatcher) even(q *queue) float64 { return q.weight / float64(d.present) }
-
-// share takes over that so many relays take clients now. Paces follow at once: the clients do.
-func (d *Dispatcher) share(relays int) {
-	before := d.present
-	d.present = max(1, min(relays, d.s.Instances))
-	for _, q := range d.queues {
-		if q.pace > 0 && before != d.present {
-			q.pace = math.Min(q.pace*float64(before)/float64(d.present), q.weight)
-		}
-	}
-}
+// even is this relay's even share of a queue's limit, in calls a second.
+func (d *Dispatcher) even(q *queue) float64 { return q.weight / float64(d.s.Instances) }
 
 // sparse tells whether a second knock is more than this relay's part of what a cold destination takes.
 func (d *Dispatcher) sparse(q *queue) bool {
@@ -924,9 +910,6 @@
 // retune takes over new settings. Messages under way keep the terms of their class; where its effect is stricter
 // now, both hold.
 func (d *Dispatcher) retune(s Settings) {
-	if s.Instances != d.s.Instances {
-		d.present = s.Instances
-	}
 	d.s = s
 	d.weighClasses()
 	d.widen()
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,7 +28,6 @@
 	keys      map[string][]*message
 	out       int // calls out
 	down      int // listed endpoints that are sick
-	present   int // relays that take clients
 	// unanswered is the share of calls out for stuckAfter mean latencies that had no success.
 	unanswered float64
 	seq        int
