--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,8 +107,8 @@
 			slog.Info("configuration read again", "discovery", r.Config.Discovery, "classes", r.Config.classNames())
 			if r.Config.Discovery != discoveryAt {
 				discoveryAt = r.Config.Discovery
+				n.l.notices.Move(discoveryAt) // first: who sees the watch move may rely on it
 				n.l.watch.Move(discoveryAt)
-				n.l.notices.Move(discoveryAt)
 			}
 		case end := <-ends:
 			n.door.taking.Store(false)
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -50,8 +50,11 @@
 	p.until("the watch and the notices have moved", func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.deaf = 0
-		return slices.Contains(p.left, old) && len(p.notices) > 0
+		if !slices.Contains(p.left, old) {
+			return false
+		}
+		p.deaf = 0 // not before: the old one is not to hear what is posted until the move
+		return len(p.notices) > 0
 	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
