--- a/policy/policy.go
+++ b/policy/policy.go
@@ -845,7 +845,8 @@
 func (d *Dispatcher) expire() {
 	var ended []*message
 	for _, m := range d.live {
-		if m.q != nil && (d.now >= d.lastChance(m) || !d.repeatable(m, nil) || len(m.attempts) >= d.s.MaxAttempts) {
+		spent := len(m.attempts) >= d.s.MaxAttempts
+		if m.q != nil && (spent || d.now >= d.lastChance(m) || !d.repeatable(m, nil)) {
 			ended = append(ended, m)
 		}
 	}
@@ -907,8 +908,8 @@
 
 // --- New settings ---
 
-// retune takes over new settings. Messages under way keep the terms of their class; where its effect is stricter
-// now, both hold.
+// retune takes over new settings. Messages under way keep the terms of their class; where its effect is
+// stricter now, both hold.
 func (d *Dispatcher) retune(s Settings) {
 	d.s = s
 	d.weighClasses()
@@ -926,11 +927,12 @@
 	}
 }
 
-// stricter gives the terms of a class under which an attempt needs leave from it and from what the settings say now.
-// A message of a class that was safe has no key for a destination to remember: where the class is keyed now, it is
-// repeated only if it never ran.
+// stricter gives the terms of a class under which an attempt needs leave from it and from what the settings
+// say now. A message of a class that was safe has no key for a destination to remember: where the class is
+// keyed now, it is repeated only if it never ran.
 func (c *Class) stricter(now *Class) *Class {
-	if now.Retired || now.Effect == c.Effect && (c.Effect != Keyed || now.Memory >= c.Memory && (c.ByZone || !now.ByZone)) {
+	as := c.Effect != Keyed || now.Memory >= c.Memory && (c.ByZone || !now.ByZone) // as strict
+	if now.Retired || now.Effect == c.Effect && as {
 		return c
 	}
 	both := *c
