The test of replaced processes waits until a killed one is seen to be gone

Where two calls of a message overlap, each now waits a second for its process to be seen dead; two that live that long count.

--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -231,8 +231,15 @@
 		case <-time.After(pause):
 		case <-r.Context().Done(): // its process was killed
 		}
-		time.Sleep(5 * time.Millisecond) // for the end of a process to be seen here
 		l.mu.Lock()
+		if twice[id] { // whichever process was killed is seen to be by then
+			l.mu.Unlock()
+			select {
+			case <-time.After(time.Second):
+			case <-r.Context().Done():
+			}
+			l.mu.Lock()
+		}
 		if r.Context().Err() == nil {
 			answered[id]++
 		}
