Read the change again: late parking, a told giver that spun, standby through a take-back

Found by reading, none by a test: - A connection whose goroutine saw the freeze's deadline only after the thaw was closed, or its half request answered 408; it knows itself now that it was halted, and goes on. - A hand-over that hung on its batches, with SIGTERM after it, left the old process spinning: the machine had no way out of that phase. Late ends the passing now, as done does. - A process that took its folder back forgot standby and its counts; it begins again inside Run, with its settings in force. - The version of a hello was not looked at; a kept inheritance and calls' left connections were never let go; a message refused for want of room to read it stood under no figure. Status says where the relay stands.

--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
-	"log/slog"
 	"math"
 	"os"
 	"os/signal"
@@ -57,18 +55,7 @@
 	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	for {
-		running, over := context.WithCancel(ctx)
-		err := relay.Run(ctx, cfg, state, relay.Reread(running, config, cfg, hangups))
-		over()
-		if !errors.Is(err, relay.ErrOrphan) {
-			return err
-		}
-		slog.Warn("beginning again from the journal", "err", err)
-		if cfg, err = configure(config, own); err != nil {
-			return err
-		}
-	}
+	return relay.Run(ctx, cfg, state, relay.Reread(ctx, config, cfg, hangups))
 }
 
 // configure reads the configuration, with what the environment alone tells a process.
--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -69,6 +69,7 @@
 	stage   stage
 	since   time.Time
 	removed bool
+	halted  bool // its reading was ended by a freeze, and by no time-out of its own
 }
 
 // Serve takes connections until the listener is closed. It is no http.Server, since that neither tells what
@@ -218,19 +219,20 @@
 	if c.stage == idle {
 		quiet, wait = idleTime, readTime
 	}
+	quiet = max(0, quiet-time.Since(c.since)) // another process may have waited before
 	for {
 		s.readUntil(c, quiet)
 		c.limit.N = maxHead
 		c.came.begin()
 		if _, err := c.in.Peek(1); err != nil {
-			return s.parks(err)
+			return s.parks(c, err)
 		}
 		if !s.enter(c, reading) {
 			return false
 		}
 		s.readUntil(c, wait)
 		v, err := s.request(c)
-		if err != nil && s.parks(err) {
+		if err != nil && s.parks(c, err) {
 			return true
 		}
 		if v.Status == 0 {
@@ -267,6 +269,7 @@
 	}
 	if r.ContentLength > 0 {
 		if !s.memory.take(int(r.ContentLength)) {
+			s.refused(a.Entry.Class)
 			return clients.Verdict{Status: http.StatusServiceUnavailable, After: busyAfter, Close: true}, nil
 		}
 		defer s.memory.give(int(r.ContentLength))
--- a/internal/clients/http1/http1_test.go
+++ b/internal/clients/http1/http1_test.go
@@ -23,7 +23,7 @@
 	check := &clients.Check{Classes: map[string]*policy.Class{"status": {Name: "status", Deadline: 30 * time.Second}},
 		Tenants: map[string]bool{"acme": true}}
 	taken = make(chan *clients.Arrival, 100)
-	s = New(Config{Check: check, Stance: &standby.Stance{}, MemoryMB: 192, Room: room, Keep: 128}, func(a *clients.Arrival) { taken <- a })
+	s = New(Config{Check: check, Stance: &standby.Stance{}, MemoryMB: 192, Room: room, Keep: 128}, func(a *clients.Arrival) { taken <- a }, func(string) {})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/clients/http1/park.go
+++ b/internal/clients/http1/park.go
@@ -8,6 +8,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"mallowlead/internal/socket"
 )
 
 // This file parks connections, so that another process of the relay can go on with them: those without a request, and
@@ -52,40 +54,45 @@
 	Since time.Time
 }
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
-
 // readUntil bounds the reading of a connection, unless it is to be parked: then nothing more is read.
 func (s *Server) readUntil(c *client, most time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.frozen != nil {
-		_ = c.SetReadDeadline(past)
+		s.halt(c)
 		return
 	}
 	_ = c.SetReadDeadline(time.Now().Add(most))
 }
 
-// parks tells whether a connection could not be read only since it is to be parked.
-func (s *Server) parks(err error) bool {
+// halt ends the reading of a connection; the lock is held.
+func (s *Server) halt(c *client) {
+	c.halted = true
+	_ = c.SetReadDeadline(socket.Past)
+}
+
+// parks tells whether a connection could not be read only since it is to be parked. The freeze may be over by then: that
+// is no reason to take its end for a client's that is late.
+func (s *Server) parks(c *client, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.frozen != nil && errors.Is(err, os.ErrDeadlineExceeded)
+	return c.halted && errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// park keeps a connection aside; the lock is held.
+// park keeps a connection aside, or goes on with it where the freeze is over; the lock is held.
 func (s *Server) park(c *client) {
 	if c.removed {
 		return
 	}
-	if s.frozen == nil { // thawed meanwhile
-		s.resume(Parked{c.TCPConn, c.came.read, c.stage == fresh, c.since})
-	} else {
-		s.parked = append(s.parked, Parked{c.TCPConn, c.came.read, c.stage == fresh, c.since})
-	}
 	c.removed = true
 	delete(s.clients, c)
 	s.count[c.stage]--
+	p := Parked{c.TCPConn, c.came.read, c.stage == fresh, c.since}
+	if s.frozen == nil {
+		s.resume(p)
+		return
+	}
+	s.parked = append(s.parked, p)
 }
 
 // Freeze takes no connection any more, parks those without an open request, and gives them once the others were answered
@@ -94,11 +101,11 @@
 	s.mu.Lock()
 	s.frozen = make(chan struct{})
 	if s.listener != nil {
-		_ = s.listener.SetDeadline(past)
+		_ = s.listener.SetDeadline(socket.Past)
 	}
 	for c := range s.clients {
 		if c.stage != open && c.stage != leaving {
-			_ = c.SetReadDeadline(past)
+			s.halt(c)
 		}
 	}
 	s.mu.Unlock()
--- a/internal/clients/http1/server.go
+++ b/internal/clients/http1/server.go
@@ -33,10 +33,11 @@
 
 // Server is the side that clients see: its connections are in conns.go.
 type Server struct {
-	check  atomic.Pointer[clients.Check]
-	stance *standby.Stance
-	admit  func(*clients.Arrival)
-	memory budget // for bodies
+	check   atomic.Pointer[clients.Check]
+	stance  *standby.Stance
+	admit   func(*clients.Arrival)
+	refused func(class string)
+	memory  budget // for bodies
 
 	mu      sync.Mutex
 	left    sync.Cond // a connection has left, or may be made to
@@ -53,9 +54,10 @@
 	waiting  bool // what accepts connections waits for the end of the freeze
 }
 
-// New makes a server; admit gets each message that passes the check.
-func New(c Config, admit func(*clients.Arrival)) *Server {
-	s := &Server{stance: c.Stance, admit: admit, memory: budget{left: max(clients.MaxBody, int(bodyShare*c.MemoryMB*(1<<20)))},
+// New makes a server; admit gets each message that passes the check, and refused hears of those for which there is no
+// room to read them.
+func New(c Config, admit func(*clients.Arrival), refused func(class string)) *Server {
+	s := &Server{stance: c.Stance, admit: admit, refused: refused, memory: budget{left: max(clients.MaxBody, int(bodyShare*c.MemoryMB*(1<<20)))},
 		room: c.Room, keep: c.Keep, clients: map[*client]bool{}}
 	s.left.L = &s.mu
 	s.SetCheck(c.Check)
--- a/internal/handover/core.go
+++ b/internal/handover/core.go
@@ -118,17 +118,12 @@
 		switch e {
 		case Acked:
 			return []Action{Pass}
-		case Passed:
+		case Passed, Late: // late: it owns the relay, whatever holds it up, and what was not passed is lost to it
 			g.phase = emptied
 			if g.told {
 				g.phase = left
 				return []Action{Leave}
 			}
-		case Late: // it owns the relay, whatever holds it up: what was not passed is lost to it
-			if g.told {
-				g.phase = left
-				return []Action{Leave}
-			}
 		case Gone:
 			return g.orphan()
 		}
--- a/internal/handover/giver.go
+++ b/internal/handover/giver.go
@@ -59,12 +59,9 @@
 	lock   *lock
 	l      *net.UnixListener
 	giver  Giver
-	events chan asked
+	askers chan *link // of other processes, once they have said hello
 }
 
-// asked is another process that asks.
-type asked struct{ link *link }
-
 // listen takes askers from now on.
 func (o *Owner) listen() error {
 	path, done, err := address(o.dir)
@@ -84,7 +81,7 @@
 	if err := os.Chmod(path, 0o600); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	o.events = make(chan asked)
+	o.askers = make(chan *link)
 	return nil
 }
 
@@ -115,12 +112,13 @@
 				return
 			}
 			l := &link{c}
-			if p, err := l.receive(time.Now().Add(readyTime)); err != nil || p.kind != packHello {
+			if err := l.hello(); err != nil {
+				slog.Warn("another process is not handed over to", "err", err)
 				l.close()
 				continue
 			}
 			select {
-			case o.events <- asked{l}:
+			case o.askers <- l:
 			case <-told: // the asker finds the folder free soon
 				l.close()
 			}
@@ -132,8 +130,8 @@
 			o.giver.Handle(Told)
 			_ = o.l.Close()
 			return Ended
-		case a := <-o.events:
-			if out, over := o.handOver(told, a.link, relay); over {
+		case l := <-o.askers:
+			if out, over := o.handOver(told, l, relay); over {
 				_ = o.l.Close()
 				return out
 			}
@@ -288,7 +286,7 @@
 		}
 	}()
 	for _, item := range batch {
-		fd, err := Duplicate(item.Conn)
+		fd, err := duplicate(item.Conn)
 		if err != nil {
 			return err
 		}
--- a/internal/handover/taker.go
+++ b/internal/handover/taker.go
@@ -124,9 +124,7 @@
 	held, err := takeLock(t.dir)
 	if err == nil {
 		t.owner.lock = held
-		if t.err = t.owner.listen(); t.err != nil {
-			return Free
-		}
+		t.err = t.owner.listen()
 		return Free
 	}
 	if !errors.Is(err, errLocked) {
@@ -155,7 +153,7 @@
 		return err
 	}
 	t.link = &link{c}
-	if err := t.link.send(packHello, encode(map[string]int{"version": Version})); err != nil {
+	if err := t.link.send(packHello, encode(greeting{Version})); err != nil {
 		return err
 	}
 	state, last, err := t.link.receiveLong(packState, packOffer, time.Now().Add(offerTime))
--- a/internal/handover/wire.go
+++ b/internal/handover/wire.go
@@ -29,16 +29,15 @@
 
 // The kinds of packet, its first byte.
 const (
-	packHello  = 'h' // {"version":1}
-	packState  = 's' // a part of the state
-	packOffer  = 'o' // that was all of it
-	packReady  = 'r'
-	packYours  = 'y' // with the lock
-	packConns  = 'c' // a part of a batch's items
-	packBatch  = 'b' // that was all of it, with the descriptors
-	packAcked  = 'a'
-	packDone   = 'd'
-	packRefuse = 'n' // why
+	packHello = 'h' // {"version":1}
+	packState = 's' // a part of the state
+	packOffer = 'o' // that was all of it
+	packReady = 'r'
+	packYours = 'y' // with the lock
+	packConns = 'c' // a part of a batch's items
+	packBatch = 'b' // that was all of it, with the descriptors
+	packAcked = 'a'
+	packDone  = 'd'
 )
 
 // packet is one as it came.
@@ -123,6 +122,24 @@
 	}
 }
 
+// greeting is the body of a hello.
+type greeting struct {
+	Version int `json:"version"`
+}
+
+// hello waits for the other process's hello. One of another version could misread what it is given.
+func (l *link) hello() error {
+	p, err := l.receive(time.Now().Add(readyTime))
+	if err != nil {
+		return err
+	}
+	var g greeting
+	if p.kind != packHello || json.Unmarshal(p.body, &g) != nil || g.Version != Version {
+		return fmt.Errorf("handover: packet %q, %q: no hello of version %d", p.kind, p.body, Version)
+	}
+	return nil
+}
+
 // untilEnd holds a link until the other side ends it.
 func (l *link) untilEnd() {
 	for {
@@ -176,9 +193,9 @@
 	}
 }
 
-// Duplicate gives a connection's socket another descriptor, which the caller closes. Closing the connection then ends
+// duplicate gives a connection's socket another descriptor, which the caller closes. Closing the connection then ends
 // nothing: the socket lives on.
-func Duplicate(c syscall.Conn) (fd int, err error) {
+func duplicate(c syscall.Conn) (fd int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return -1, err
--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -58,8 +58,8 @@
 	idle  map[hosts.Target]*shelf
 	count int // connections, idle or with a call out
 	calls int // under way, from before their connection is had
-	// out are the connections with a call on them. frozen: no call begins, and those out are parked; thaw ends the
-	// making of connections at the next freeze.
+	// out are the connections with a call on them. frozen: no call begins, and those out are parked; freeze ends the
+	// making of connections, which is under dials.
 	out    map[*conn]bool
 	frozen bool
 	dials  context.Context
@@ -118,14 +118,14 @@
 		p.put(r.Target, c, true)
 		return hosts.Result{Outcome: policy.Ignored}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(socket.Past) })
 	res, reuse := p.exchange(ctx, c, r, write)
 	reuse = stop() && reuse
-	p.disengage(c)
+	p.disengage(c, res.Parked != nil)
 	if res.Parked == nil {
 		p.put(r.Target, c, reuse)
 	}
-	return p.leave(res)
+	return res
 }
 
 // exchange writes a request and reads its answer; reuse tells whether the connection may carry another.
--- a/internal/hosts/http1/park.go
+++ b/internal/hosts/http1/park.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mallowlead/internal/hosts"
+	"mallowlead/internal/socket"
 )
 
 // This file parks calls that wait for their answers, so that another process of the relay can wait for them, and hands
@@ -15,9 +16,6 @@
 // parkEvery is between looks whether all calls are parked.
 const parkEvery = time.Millisecond
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
-
 // Idle is an idle connection to a host.
 type Idle struct {
 	hosts.Target
@@ -56,7 +54,7 @@
 		return false
 	}
 	if p.frozen {
-		_ = c.SetReadDeadline(past)
+		_ = c.SetReadDeadline(socket.Past)
 	} else {
 		_ = c.SetReadDeadline(time.Time{})
 	}
@@ -64,10 +62,13 @@
 	return true
 }
 
-// disengage notes that it carries none any more.
-func (p *Pool) disengage(c *conn) {
+// disengage notes that it carries none any more; one that is parked with its call leaves the pool.
+func (p *Pool) disengage(c *conn, parked bool) {
 	p.mu.Lock()
 	delete(p.out, c)
+	if parked {
+		p.count--
+	}
 	p.mu.Unlock()
 }
 
@@ -78,7 +79,7 @@
 	p.frozen = true
 	p.freeze()
 	for c := range p.out {
-		_ = c.SetReadDeadline(past)
+		_ = c.SetReadDeadline(socket.Past)
 	}
 	p.mu.Unlock()
 	for closed := false; ; time.Sleep(parkEvery) {
@@ -161,13 +162,3 @@
 	defer p.end()
 	return p.carry(ctx, newConn(raw, home), r, false)
 }
-
-// leave takes a parked call's connection out of the count.
-func (p *Pool) leave(res hosts.Result) hosts.Result {
-	if res.Parked != nil {
-		p.mu.Lock()
-		p.count--
-		p.mu.Unlock()
-	}
-	return res
-}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -150,15 +150,14 @@
 // Read replays the journal in a folder that another process still owns, and changes nothing there. Nothing can be written
 // before Own.
 func Read(dir string, diskMB float64, detailed bool) (*Journal, error) {
-	j := &Journal{path: filepath.Join(dir, Name), detailed: detailed, limit: int(diskShare * diskMB * 1e6),
-		entries: map[string]*Entry{}, health: map[string]Health{}, terms: map[int]policy.Class{}}
-	raw, err := os.ReadFile(j.path)
+	j, rest, err := load(dir)
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return nil, fmt.Errorf("journal: %w", err)
+		return nil, err
 	}
-	if rest := j.replay(raw); rest > 0 {
+	if rest > 0 {
 		slog.Warn("journal: unreadable end skipped", "bytes", rest)
 	}
+	j.detailed, j.limit = detailed, int(diskShare*diskMB*1e6)
 	if !detailed {
 		j.store = "" // from now on no store is told
 	}
@@ -191,15 +190,24 @@
 
 // Look reads the journal in a folder as it stands, also that of a running process. Nothing can be written to it.
 func Look(dir string) (*Journal, error) {
-	raw, err := os.ReadFile(filepath.Join(dir, Name))
+	j, _, err := load(dir)
 	if err != nil {
-		return nil, fmt.Errorf("journal: %w", err)
+		return nil, err
 	}
-	j := &Journal{entries: map[string]*Entry{}, health: map[string]Health{}, terms: map[int]policy.Class{}}
-	j.replay(raw)
 	return j, nil
 }
 
+// load replays a folder's journal, an empty one where there is none, and gives how many bytes at its end can't be read.
+func load(dir string) (j *Journal, rest int, err error) {
+	j = &Journal{path: filepath.Join(dir, Name), entries: map[string]*Entry{}, health: map[string]Health{},
+		terms: map[int]policy.Class{}}
+	raw, err := os.ReadFile(j.path)
+	if err != nil {
+		return j, 0, fmt.Errorf("journal: %w", err)
+	}
+	return j, j.replay(raw), nil
+}
+
 // Close closes the file.
 func (j *Journal) Close() error {
 	if j.file == nil {
--- a/internal/management/door.go
+++ b/internal/management/door.go
@@ -28,8 +28,8 @@
 
 // Relay is what the door opens to.
 type Relay interface {
-	// Takes tells whether this process takes clients.
-	Takes() bool
+	// Status tells whether this process takes clients, and where it stands in a word or two.
+	Status() (takes bool, state string)
 	// Standby sends clients away, and Active takes them again; both may be said at any time, and again.
 	Standby()
 	Active()
@@ -59,10 +59,13 @@
 func New(relay Relay, room int) *Door {
 	d := &Door{relay: relay, room: room}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { answer(w, relay.Takes()) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		takes, state := relay.Status()
+		answer(w, takes, state)
+	})
 	mux.HandleFunc("GET /status/metrics", d.figures)
-	mux.HandleFunc("POST /standby", func(w http.ResponseWriter, _ *http.Request) { relay.Standby(); answer(w, true) })
-	mux.HandleFunc("POST /active", func(w http.ResponseWriter, _ *http.Request) { relay.Active(); answer(w, true) })
+	mux.HandleFunc("POST /standby", func(w http.ResponseWriter, _ *http.Request) { relay.Standby(); answer(w, true, "standing by") })
+	mux.HandleFunc("POST /active", func(w http.ResponseWriter, _ *http.Request) { relay.Active(); answer(w, true, "active") })
 	d.http = http.Server{Handler: d.heard(mux), ReadTimeout: callTime, WriteTimeout: callTime + answerTime, MaxHeaderBytes: maxHead,
 		ErrorLog: log.New(io.Discard, "", 0), ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, callerKey{}, c)
@@ -73,21 +76,21 @@
 
 type callerKey struct{}
 
-// answer says yes or no.
-func answer(w http.ResponseWriter, yes bool) {
-	text := "yes\n"
+// answer says yes or no, and a word on it.
+func answer(w http.ResponseWriter, yes bool, word string) {
+	text := "yes: "
 	if !yes {
-		text = "no\n"
+		text = "no: "
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	_, _ = io.WriteString(w, text)
+	_, _ = io.WriteString(w, text+word+"\n")
 }
 
 func (d *Door) figures(w http.ResponseWriter, _ *http.Request) {
 	out, err := d.relay.Figures()
 	if err != nil {
 		slog.Error("figures", "err", err)
-		answer(w, false)
+		answer(w, false, "no figures")
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -21,7 +21,7 @@
 	words atomic.Pointer[string]
 }
 
-func (r *told) Takes() bool              { return r.takes.Load() }
+func (r *told) Status() (bool, string)   { return r.takes.Load(), "so" }
 func (r *told) Standby()                 { s := "standby"; r.words.Store(&s) }
 func (r *told) Active()                  { s := "active"; r.words.Store(&s) }
 func (r *told) Figures() ([]byte, error) { return r.book.JSON() }
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -79,8 +79,18 @@
 	}
 }
 
-// Takes tells whether this process takes clients.
-func (d *door) Takes() bool { return d.taking.Load() }
+// Status tells whether this process takes clients, and where it stands.
+func (d *door) Status() (takes bool, state string) {
+	switch state := d.stance.State(time.Now()); {
+	case d.taking.Load():
+		return true, state.String()
+	case state == standby.Ending:
+		return false, state.String()
+	case d.front.Load() == nil:
+		return false, "starting"
+	}
+	return false, "handed over"
+}
 
 // Standby sends clients away.
 func (d *door) Standby() {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -71,8 +71,8 @@
 	l.begin(s, func(ctx context.Context, r hosts.Request) hosts.Result { return l.pool.Resume(ctx, r, conn) })
 }
 
-// freeze asks the loop to write its state down and to do nothing until it is thawed. It does so once no call is out that is
-// not parked; given says that another process owns what it had.
+// freeze asks the loop to write its state down and to do nothing until it is thawed, or ended. It does so once no call is
+// out that is not parked.
 type freeze struct {
 	answer chan *inheritance // room for one; nil: it can't
 	thaw   chan struct{}     // closed to go on
@@ -182,7 +182,8 @@
 	if err := n.assemble(kept); err != nil {
 		return err
 	}
-	return n.begin(nil)
+	n.begin(nil)
+	return nil
 }
 
 // Prepare reads what another process offers.
@@ -228,9 +229,11 @@
 			_ = item.Conn.Close()
 		}
 	}
-	if err := n.begin(n.from); err != nil {
-		return err
+	n.begin(n.from)
+	for _, conn := range n.from.conns { // of calls whose messages are over by the journal
+		_ = conn.Close()
 	}
+	n.from = nil
 	for _, item := range items {
 		if item.Kind == handover.FromClient {
 			n.srv.Adopt(front.Parked{Conn: item.Conn, Read: item.Read, Fresh: item.Fresh, Since: item.Since})
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -47,6 +47,8 @@
 	serveOn     struct{}
 	// question asks whether anything is still to be done.
 	question struct{ idle chan bool }
+	// refusedUnread says that a message was refused for want of room to read it.
+	refusedUnread struct{ class string }
 	// reconfigured says that a configuration was read again, or could not be used (nil).
 	reconfigured struct{ cfg *Config }
 )
@@ -302,6 +304,8 @@
 		l.events = append(l.events, policy.Serving{})
 	case question:
 		e.idle <- len(l.messages) == 0
+	case refusedUnread:
+		l.book.Ended(e.class, management.Busy, false)
 	case freeze:
 		l.freeze = &e
 	case reconfigured:
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -51,9 +50,7 @@
 	if err == nil {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 		defer stop()
-		for err = ErrOrphan; errors.Is(err, ErrOrphan); {
-			err = Run(ctx, cfg, os.Getenv(childState), Reread(ctx, path, cfg, hangups))
-		}
+		err = Run(ctx, cfg, os.Getenv(childState), Reread(ctx, path, cfg, hangups))
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,9 +36,9 @@
 // holds is held in memory as well.
 const journalShare = 0.15
 
-// ErrOrphan says that the process which took over has died before this one was to end: it is to run again, from the
+// errOrphan says that the process which took over has died before this one was to end: it is to run again, from the
 // journal.
-var ErrOrphan = errors.New("the process that took over has died")
+var errOrphan = errors.New("the process that took over has died")
 
 // node is one process's relay with all that it is wired of.
 type node struct {
@@ -68,16 +68,27 @@
 	if err := cfg.checkOwn(); err != nil {
 		return err
 	}
-	n := &node{cfg: cfg, dir: dir, ownClasses: cfg.policy.Classes, stance: &standby.Stance{},
-		book: management.NewBook(cfg.classNames()), served: make(chan error, 1)}
-	n.live, n.stop = context.WithCancel(context.Background())
-	defer n.stop()
-	var err error
-	if n.door, err = openDoor(cfg, n.stance, n.book); err != nil {
+	stance, book := &standby.Stance{}, management.NewBook(cfg.classNames())
+	door, err := openDoor(cfg, stance, book)
+	if err != nil {
 		return err
 	}
-	defer n.door.close()
-	owner, err := handover.Acquire(ctx, dir, n)
+	defer door.close()
+	for {
+		n := &node{cfg: cfg, dir: dir, ownClasses: cfg.policy.Classes, stance: stance, book: book, door: door,
+			served: make(chan error, 1)}
+		if err := n.run(ctx, reread); !errors.Is(err, errOrphan) {
+			return err
+		}
+		cfg = n.l.cfg // with the settings in force
+	}
+}
+
+// run runs a relay to its end, or until it was handed over.
+func (n *node) run(ctx context.Context, reread <-chan Reading) error {
+	n.live, n.stop = context.WithCancel(context.Background())
+	defer n.stop()
+	owner, err := handover.Acquire(ctx, n.dir, n)
 	if ctx.Err() != nil && n.l == nil {
 		return nil // told to end before it had anything
 	}
@@ -88,7 +99,7 @@
 	n.door.open(n.srv)
 	ends := make(chan handover.Outcome, 1)
 	go func() { ends <- owner.Serve(ctx.Done(), n) }()
-	discoveryAt := cfg.Discovery
+	discoveryAt := n.cfg.Discovery
 	for {
 		select {
 		case err := <-n.served:
@@ -114,7 +125,7 @@
 			n.door.taking.Store(false)
 			switch end {
 			case handover.Orphan:
-				return ErrOrphan
+				return errOrphan
 			case handover.Handed:
 				n.lastWords()
 				return nil
@@ -156,7 +167,7 @@
 	}
 	n.l = l
 	n.srv = front.New(front.Config{Check: cfg.clientCheck(), Stance: n.stance, MemoryMB: cfg.Limits.MemoryMB, Room: cfg.clientRoom(),
-		Keep: cfg.idleRoom()}, func(a *clients.Arrival) { l.put(a) })
+		Keep: cfg.idleRoom()}, func(a *clients.Arrival) { l.put(a) }, func(class string) { l.put(refusedUnread{class}) })
 	l.recheck = n.srv.SetCheck
 	if n.listener, err = listen(cfg); err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -165,7 +176,7 @@
 }
 
 // begin starts all parts, with what the process before has handed over, if there was one.
-func (n *node) begin(from *inheritance) error {
+func (n *node) begin(from *inheritance) {
 	l := n.l
 	l.restore(from) // clients wait to be served until this is done
 	n.work.Go(func() { l.run(n.live) })
@@ -175,7 +186,6 @@
 		n.work.Go(func() { l.keeper.run(n.live) })
 	}
 	go func() { n.served <- n.srv.Serve(n.listener) }()
-	return nil
 }
 
 // drain brings the relay to its end. No request that was read goes unanswered: answers close their
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -4,8 +4,12 @@
 import (
 	"errors"
 	"syscall"
+	"time"
 )
 
+// Past is a deadline that has passed: set on a connection, it ends what waits there.
+var Past = time.Unix(1, 0)
+
 // Peek looks at what a connection has to read, without waiting: n > 0 bytes, its end (0), or EAGAIN.
 func Peek(c syscall.Conn) (n int, err error) {
 	raw, err := c.SyscallConn()
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -70,13 +70,6 @@
 	s.mu.Unlock()
 }
 
-// Stay takes back the planned end: another process that was to take over did not.
-func (s *Stance) Stay() {
-	s.mu.Lock()
-	s.ending = false
-	s.mu.Unlock()
-}
-
 // State is where the relay stands at a time.
 func (s *Stance) State(now time.Time) State {
 	s.mu.Lock()
--- a/internal/standby/standby_test.go
+++ b/internal/standby/standby_test.go
@@ -36,7 +36,6 @@
 		{"a planned end", func(s *Stance) { s.End() }, 0, want{Ending, true, true, 0, false}},
 		{"a planned end while standing by", func(s *Stance) { s.Leave(start); s.End() }, CloseAll, want{Ending, false, true, 0, true}},
 		{"active during a planned end", func(s *Stance) { s.End(); s.Return() }, 0, want{Ending, true, true, 0, false}},
-		{"the end taken back", func(s *Stance) { s.End(); s.Stay() }, 0, open},
 	}
 	for _, tt := range tests {
 		s := &Stance{}
--- a/policy/state.go
+++ b/policy/state.go
@@ -308,9 +308,7 @@
 	for _, m := range d.messages {
 		for _, a := range m.attempts {
 			grow(&a.call.ep.strikes) // also of an endpoint that has left the list
-			if q := a.call.ep.q; q != nil {
-				grow(&q.class) // and of its queue
-			}
+			grow(&a.call.ep.q.class) // and of its queue
 		}
 	}
 }
