--- a/internal/handover/core_test.go
+++ b/internal/handover/core_test.go
@@ -1,7 +1,6 @@
 package handover
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 )
@@ -26,8 +25,6 @@
 	prepared     bool
 }
 
-func (p pair) String() string { return fmt.Sprintf("%+v", struct{ p pair }{p}.p) }
-
 func (p *pair) send(toTaker bool, e Event) {
 	if !p.up {
 		return
@@ -206,13 +203,13 @@
 func TestOneOwner(t *testing.T) {
 	states := walk(t, func(p pair, _ []pair) {
 		if p.owners() > 1 {
-			t.Fatalf("two owners: %v", p)
+			t.Fatalf("two owners: %+v", p)
 		}
 		if p.tLives && p.taker.Owns() && !p.tLock {
-			t.Fatalf("the new one owns without the lock: %v", p)
+			t.Fatalf("the new one owns without the lock: %+v", p)
 		}
 		if p.gLives && p.giver.Owns() && !p.gLock {
-			t.Fatalf("the old one owns without the lock: %v", p)
+			t.Fatalf("the old one owns without the lock: %+v", p)
 		}
 	})
 	if states < 100 {
@@ -221,6 +218,27 @@
 	t.Logf("%d states", states)
 }
 
+// Once it is told to end, a giver comes to its end by what happens to it alone, wherever it stands: nothing waits for a word
+// that has been said.
+func TestToldGiverEnds(t *testing.T) {
+	walk(t, func(p pair, _ []pair) {
+		if !p.gLives || p.reclaimed {
+			return
+		}
+		// What was said before the first of these, as a walk reaches it, is in the machine.
+		g := p.giver
+		ends := g.phase == left || g.phase == ending
+		for _, e := range []Event{Late, Told, Late} {
+			for _, a := range g.Handle(e) {
+				ends = ends || a == Leave || a == Drain
+			}
+		}
+		if !ends {
+			t.Fatalf("late and told, it stays: %+v", p)
+		}
+	})
+}
+
 // From every state in which a process lives that was not told to end there is a way on which no one dies any more and
 // that ends with an owner: nothing is stuck.
 func TestOwnedInTheEnd(t *testing.T) {
@@ -242,10 +260,10 @@
 			}
 		}
 	}
-	for p, ok := range edges {
+	for p := range edges {
 		alive := p.tLives && p.taker.phase != failed || p.gLives && !p.told && p.giver.phase != left
 		if alive && !good[p] {
-			t.Fatalf("nobody will own the relay: %v (next %v)", p, ok)
+			t.Fatalf("nobody will own the relay: %+v", p)
 		}
 	}
 }
--- a/internal/relay/retune_test.go
+++ b/internal/relay/retune_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -63,7 +64,9 @@
 	p.answer = func(*http.Request) int { return 0 }
 	c := p.start()
 	good := readFile(t, p.path)
-	p.take("order", "old", "25") // unsafe, and out
+	p.take("order", "old", "25")   // unsafe, and out
+	p.take("status", "safe", "25") // may be sent again by its terms, which the journal keeps
+	p.called()
 	p.called()
 
 	broken := map[string]string{
@@ -91,7 +94,10 @@
 		}
 	}
 
-	p.reread(c, strings.Replace(good, `"name":"order"`, `"name":"order-ii"`, 1), true)
+	renamed := func(text string) string {
+		return strings.NewReplacer(`"name":"order"`, `"name":"order-ii"`, `"name":"status"`, `"name":"status-ii"`).Replace(text)
+	}
+	p.reread(c, renamed(good), true)
 	if resp := p.handIn("order", "late", "25"); resp.StatusCode != http.StatusNotFound {
 		t.Errorf("a class that is gone: %s", resp.Status)
 	}
@@ -99,14 +105,14 @@
 	p.called()
 	p.kill(c)
 	p.set(func() { p.answer = func(*http.Request) int { return http.StatusOK } })
-	p.settings = func(text string) string { return strings.Replace(text, `"name":"order"`, `"name":"order-ii"`, 1) }
+	p.settings = renamed
 	p.start()
-	// Both were out, of unsafe classes: they may have run, and fail.
-	p.until("both have their end", func() bool { return len(p.told()) == 2 && len(readEntries(t, p.dir)) == 0 })
-	if got := p.sent(); len(got) != 2 {
-		t.Errorf("calls %v, want one for each", got)
+	// All were out. Those of unsafe classes may have run, and fail; the safe one is sent again, though its class is gone.
+	p.until("all have their end", func() bool { return len(p.told()) == 2 && len(readEntries(t, p.dir)) == 0 })
+	if got := p.sent(); len(got) != 4 {
+		t.Errorf("calls %v, want one for each and one more for the safe one", got)
 	}
-	if f := p.figures(); f.Failure["order"] != 1 || f.Failure["order-ii"] != 1 || f.Inflight != 0 {
+	if f := p.figures(); f.Failure["order"] != 1 || f.Failure["order-ii"] != 1 || f.Success["status"] != 1 || f.Inflight != 0 {
 		t.Errorf("figures %+v", f)
 	}
 }
@@ -161,3 +167,63 @@
 		t.Errorf("figures %+v", f)
 	}
 }
+
+// Each message stands under one figure, whatever its end was, and a repeat of a known id under none. The account beside it
+// is that of the clients and hosts.
+func TestFiguresOfEveryEnd(t *testing.T) {
+	p := newPlatform(t)
+	p.addDoor()
+	p.addHost("h1", 7)
+	spoilt := map[string]int{"reset": 500, "gone": http.StatusGone, "spent": http.StatusGatewayTimeout, "out": 0}
+	p.answer = func(r *http.Request) int {
+		if status, ok := spoilt[r.Header.Get("Request-Id")]; ok {
+			return status
+		}
+		return http.StatusOK
+	}
+	c := p.start()
+	p.take("status", "good", "20")
+	p.take("order", "reset", "20")                                                                     // unsafe, may have run: fails
+	p.take("status", "gone", "20")                                                                     // withdrawn
+	p.take("payment", "spent", "20")                                                                   // handed back
+	p.take("order", "late", "20")                                                                      // delivered
+	p.take("status", "again", "20")                                                                    // delivered, and handed in again
+	p.take("status", "again", "20")                                                                    // as a copy
+	p.handIn("status", "nowhere", "5", func(r *http.Request) { r.Header.Set("X-Envelope", "dest=8") }) // refused
+	p.handIn("unknown", "odd", "5")                                                                    // no message
+	want := "map[order:1 payment:0 status:2] map[order:0 payment:1 status:1] map[order:1 payment:0 status:1] 6 0"
+	got := func() string {
+		f := p.figures()
+		return fmt.Sprint(f.Success, f.Busy, f.Failure, f.BackendCalls, f.Inflight)
+	}
+	p.until("figures are "+want, func() bool { return got() == want })
+	p.take("status", "again", "20") // over by now
+	if got() != want {
+		t.Errorf("after a copy of what is over: %s, want %s", got(), want)
+	}
+
+	// A call out at a kill may have run; the next process counts its end, from 0.
+	p.take("order", "out", "20")
+	for range 7 {
+		p.called()
+	}
+	if f := p.figures(); f.Inflight != 1 {
+		t.Errorf("with one out: %+v", f)
+	}
+	p.kill(c)
+	c = p.start()
+	want = "map[order:0 payment:0 status:0] map[order:0 payment:0 status:0] map[order:1 payment:0 status:0] 0 0"
+	p.until("figures are "+want, func() bool { return got() == want })
+
+	// At a planned end the door says no while what still comes is served.
+	p.set(func() { p.answer = func(*http.Request) int { return 0 } })
+	p.take("order", "held", "20")
+	p.called()
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	p.until("the door says no", func() bool { return !c.takes() })
+	if resp := p.handIn("status", "last", "20"); resp.StatusCode != http.StatusAccepted || !resp.Close {
+		t.Errorf("at a planned end: %s, close %v", resp.Status, resp.Close)
+	}
+}
