--- /dev/null
+++ b/internal/relay/calls.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"mallowlead/internal/discovery"
+	"mallowlead/internal/hosts"
+	"mallowlead/policy"
+)
+
+// This file is the loop's calls to hosts.
+
+// send is a call that the module wants made.
+type send struct {
+	m       *message
+	attempt int
+	host    discovery.Member
+	timeout time.Duration
+}
+
+// send notes an attempt and makes it ready to go.
+func (l *loop) send(now time.Duration, a policy.Send) {
+	m := l.messages[a.ID]
+	if m == nil || m.over {
+		return
+	}
+	h, ok := l.hosts[a.Endpoint]
+	left := l.clock(m.Expires) - now
+	s := send{m: m, attempt: len(m.Attempts), host: h, timeout: left}
+	if a.Timeout > 0 {
+		s.timeout = min(left, a.Timeout)
+	}
+	l.journal.Begin(m.Entry, a.Endpoint, l.wall(now))
+	if !ok || h.Block != m.Dest {
+		// Guards the protocol's rule that a message goes only to a listed host of its destination.
+		slog.Error("send to a host that is not of the destination", "host", a.Endpoint, "dest", m.Dest)
+		l.unsent(s)
+		return
+	}
+	l.sends = append(l.sends, s)
+}
+
+// unsent reports an attempt that was not made.
+func (l *loop) unsent(s send) {
+	l.answered(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, Result: hosts.Result{Outcome: policy.Ignored}})
+	l.wakeAt = 0 // the module has an event to act on
+}
+
+// call makes a call in a goroutine of its own.
+func (l *loop) call(s send) {
+	s.m.begun = time.Now()
+	l.begin(s, l.pool.Call)
+}
+
+// begin has a call made, or waited for; by says how.
+func (l *loop) begin(s send, by func(context.Context, hosts.Request) hosts.Result) {
+	ctx, cancel := context.WithCancel(l.calls)
+	begun := s.m.begun
+	s.m.call, s.m.cancel = s, cancel
+	r := hosts.Request{Target: hosts.Target{Host: s.host.Host, Addr: s.host.Dial}, ID: s.m.ID, Key: s.m.Key, Body: s.m.Body,
+		Timeout: max(s.timeout-time.Since(begun), time.Millisecond)}
+	l.out++
+	go func() {
+		defer cancel()
+		res := by(ctx, r)
+		l.put(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: time.Since(begun), made: true, Result: res})
+	}()
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -306,3 +306,22 @@
 	}()
 	return read
 }
+
+// retune swaps the settings in one step: what is decided from here on, in this batch already, is decided under the new
+// ones. All else of the configuration is for the next start.
+func (l *loop) retune(read *Config) {
+	next := *l.cfg
+	next.Settings, next.Discovery = read.Settings, read.Discovery
+	next.policy = read.policy
+	next.policy.Classes = policy.Merge(l.cfg.policy.Classes, read.policy.Classes)
+	l.cfg = &next
+	for _, name := range next.classNames() {
+		l.book.Know(name)
+	}
+	l.events = append(l.events, policy.Retuned{Settings: next.policy})
+	l.pool.Believe(next.longest())
+	l.recheck(next.clientCheck())
+	if l.keeper != nil {
+		l.keeper.reclass(next.ResendClasses(next.Own.Undelivered))
+	}
+}
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -109,3 +109,19 @@
 
 // Figures gives the figures as JSON.
 func (d *door) Figures() ([]byte, error) { return d.book.JSON() }
+
+// taken has the figures count a message as taken on; resends are none of the clients'.
+func (l *loop) taken(m *message) {
+	if !m.Resend {
+		m.inflight = true
+		l.book.Taken()
+	}
+}
+
+// count has the figures count a message's end, once.
+func (l *loop) count(m *message, end management.End) {
+	if !m.Resend && !m.counted {
+		m.counted = true
+		l.book.Ended(m.Class, end, m.inflight)
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -116,14 +116,6 @@
 	effects  []func()   // of this batch, once its records are written
 }
 
-// send is a call that the module wants made.
-type send struct {
-	m       *message
-	attempt int
-	host    discovery.Member
-	timeout time.Duration
-}
-
 // now is the module's clock: the time since 1970 as of the start, and steady from there on, so that the
 // times in the journal and the module's are of one kind.
 func (l *loop) now() time.Duration { return time.Duration(l.start.UnixNano()) + time.Since(l.start) }
@@ -203,25 +195,6 @@
 	return -1
 }
 
-// retune swaps the settings in one step: what is decided from here on, in this batch already, is decided under the new
-// ones. All else of the configuration is for the next start.
-func (l *loop) retune(read *Config) {
-	next := *l.cfg
-	next.Settings, next.Discovery = read.Settings, read.Discovery
-	next.policy = read.policy
-	next.policy.Classes = policy.Merge(l.cfg.policy.Classes, read.policy.Classes)
-	l.cfg = &next
-	for _, name := range next.classNames() {
-		l.book.Know(name)
-	}
-	l.events = append(l.events, policy.Retuned{Settings: next.policy})
-	l.pool.Believe(next.longest())
-	l.recheck(next.clientCheck())
-	if l.keeper != nil {
-		l.keeper.reclass(next.ResendClasses(next.Own.Undelivered))
-	}
-}
-
 // run serves until ctx ends.
 func (l *loop) run(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -564,34 +537,6 @@
 	}
 }
 
-// send notes an attempt and makes it ready to go.
-func (l *loop) send(now time.Duration, a policy.Send) {
-	m := l.messages[a.ID]
-	if m == nil || m.over {
-		return
-	}
-	h, ok := l.hosts[a.Endpoint]
-	left := l.clock(m.Expires) - now
-	s := send{m: m, attempt: len(m.Attempts), host: h, timeout: left}
-	if a.Timeout > 0 {
-		s.timeout = min(left, a.Timeout)
-	}
-	l.journal.Begin(m.Entry, a.Endpoint, l.wall(now))
-	if !ok || h.Block != m.Dest {
-		// Guards the protocol's rule that a message goes only to a listed host of its destination.
-		slog.Error("send to a host that is not of the destination", "host", a.Endpoint, "dest", m.Dest)
-		l.unsent(s)
-		return
-	}
-	l.sends = append(l.sends, s)
-}
-
-// unsent reports an attempt that was not made.
-func (l *loop) unsent(s send) {
-	l.answered(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, Result: hosts.Result{Outcome: policy.Ignored}})
-	l.wakeAt = 0 // the module has an event to act on
-}
-
 // commit writes the batch's records, and only then answers clients and makes calls: what was answered with
 // 202 and what was sent must be known to a later process.
 func (l *loop) commit() {
@@ -634,40 +579,3 @@
 	}
 	l.book.Show(management.Gauges{HostsListed: len(l.hosts), HostsDown: l.d.Down()})
 }
-
-// taken has the figures count a message as taken on; resends are none of the clients'.
-func (l *loop) taken(m *message) {
-	if !m.Resend {
-		m.inflight = true
-		l.book.Taken()
-	}
-}
-
-// count has the figures count a message's end, once.
-func (l *loop) count(m *message, end management.End) {
-	if !m.Resend && !m.counted {
-		m.counted = true
-		l.book.Ended(m.Class, end, m.inflight)
-	}
-}
-
-// call makes a call in a goroutine of its own.
-func (l *loop) call(s send) {
-	s.m.begun = time.Now()
-	l.begin(s, l.pool.Call)
-}
-
-// begin has a call made, or waited for; by says how.
-func (l *loop) begin(s send, by func(context.Context, hosts.Request) hosts.Result) {
-	ctx, cancel := context.WithCancel(l.calls)
-	begun := s.m.begun
-	s.m.call, s.m.cancel = s, cancel
-	r := hosts.Request{Target: hosts.Target{Host: s.host.Host, Addr: s.host.Dial}, ID: s.m.ID, Key: s.m.Key, Body: s.m.Body,
-		Timeout: max(s.timeout-time.Since(begun), time.Millisecond)}
-	l.out++
-	go func() {
-		defer cancel()
-		res := by(ctx, r)
-		l.put(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: time.Since(begun), made: true, Result: res})
-	}()
-}
