Rehearse daily operation: upgrade, standby, settings, scrape; figures held against the log

Need: no script replaced a process, sent clients away, brought new settings or read figures, and none had an unsafe class or a partner that tells waits, so that a relay breaking either rule passed all of them.

The auditor takes two processes for one relay and holds figures against an account of the log.

--- /dev/null
+++ b/internal/rehearsal/audit/figures.go
@@ -0,0 +1,196 @@
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// The margins within which a door's figures have to agree with the account: they may lag, and be off by a few or by a
+// share; calls are written by other goroutines than the one that counts ends, and get a larger share.
+const (
+	figuresLag                = 500 * time.Millisecond
+	offBy                     = 3.0
+	offShare, offCalls        = 0.01, 0.02
+	offInflight               = 0.1
+	mostFigureBreaches        = 3 // a relay that counts wrongly once is wrong from there on
+	successes, busies, failed = "success", "busy", "failure"
+)
+
+// Scrape is what a relay's door showed.
+type Scrape struct {
+	Success        map[string]int `json:"success"`
+	Busy           map[string]int `json:"busy"`
+	Failure        map[string]int `json:"failure"`
+	BackendCalls   int            `json:"backend_calls"`
+	Inflight       int            `json:"inflight"`
+	HostsListed    int            `json:"hosts_listed"`
+	HostsDown      int            `json:"hosts_down"`
+	ReconfigOK     int            `json:"reconfig_ok"`
+	ReconfigFailed int            `json:"reconfig_failed"`
+}
+
+// account is what the log says of one relay, over all its processes: when each of its messages came under which count.
+type account struct {
+	ends    map[string]map[string][]time.Duration // by count and class
+	unheard map[string][]time.Duration            // by class: these may stand under any count, or under none
+	calls   []time.Duration
+	inside  []step // messages taken on and not ended
+}
+
+// step changes the number of messages in flight.
+type step struct {
+	at time.Duration
+	by int
+}
+
+// process is one process of a relay: the figures of a process count from its start, and what ends before it takes
+// clients may be counted by the process before it.
+type process struct{ started, ready time.Duration }
+
+// figures holds what each door showed against the account.
+func (j *judge) figures(log []Event) {
+	accounts := map[int]*account{}
+	processes := map[int]map[int]*process{}
+	found := map[int]int{}
+	for _, e := range log {
+		switch e.Kind {
+		case Started:
+			if processes[e.Relay] == nil {
+				processes[e.Relay] = map[int]*process{}
+			}
+			processes[e.Relay][e.Process] = &process{e.At, never}
+		case Ready:
+			if p := processes[e.Relay][e.Process]; p != nil {
+				p.ready = e.At
+			}
+		case Scraped:
+			a := accounts[e.Relay]
+			if a == nil {
+				a = j.account(e.Relay)
+				accounts[e.Relay] = a
+			}
+			p := processes[e.Relay][e.Process]
+			if p == nil || found[e.Relay] >= mostFigureBreaches {
+				continue
+			}
+			for _, text := range a.against(e.At, p, e.Figures) {
+				found[e.Relay]++
+				j.breach(FiguresWrong, e.At, "", e.Relay, -1, "%s", text)
+			}
+		}
+	}
+}
+
+// account puts together what a relay's figures should say.
+func (j *judge) account(relay int) *account {
+	a := &account{ends: map[string]map[string][]time.Duration{successes: {}, busies: {}, failed: {}}, unheard: map[string][]time.Duration{}}
+	for _, c := range j.order {
+		if c.relay != relay || c.resend || c.before {
+			continue
+		}
+		class := j.Settings.Categories[c.class].Name
+		under, at := j.endOf(c)
+		switch {
+		case c.answered < 0:
+			a.unheard[class] = append(a.unheard[class], c.handed)
+		case c.taken:
+			a.inside = append(a.inside, step{c.answered, 1})
+			if under != "" {
+				a.inside = append(a.inside, step{at, -1})
+			}
+		}
+		if c.answered >= 0 && under != "" {
+			a.ends[under][class] = append(a.ends[under][class], at)
+		}
+	}
+	for _, k := range j.listed {
+		if k.relay == relay && !k.probe && k.outcome != Unsent {
+			a.calls = append(a.calls, k.last)
+		}
+	}
+	for _, by := range a.ends {
+		for _, list := range by {
+			slices.Sort(list)
+		}
+	}
+	slices.SortFunc(a.inside, func(x, y step) int { return cmp.Compare(x.at, y.at) })
+	return a
+}
+
+// endOf is the count that a message comes under, and when; none while it has no end, or none that is counted.
+func (j *judge) endOf(c *charge) (under string, at time.Duration) {
+	switch {
+	case c.answered < 0:
+		return "", 0
+	case !c.taken && (c.status == 429 || c.status == 503):
+		return busies, c.answered
+	case !c.taken && c.status >= 500:
+		return failed, c.answered
+	case !c.taken: // it was no message
+		return "", 0
+	case c.end() < 0:
+		return "", 0
+	case c.delivered >= 0 && c.delivered == c.end():
+		return successes, max(c.delivered, c.answered)
+	case len(c.notices) > 0 && c.notices[0].At == c.end() && c.notices[0].State == Deferred:
+		return busies, c.end()
+	}
+	return failed, c.end()
+}
+
+// between counts the times after one and up to another.
+func between(times []time.Duration, after, until time.Duration) int {
+	n := 0
+	for _, t := range times {
+		if t > after && t <= until {
+			n++
+		}
+	}
+	return n
+}
+
+// against names what in figures read at a time does not agree with the account.
+func (a *account) against(at time.Duration, p *process, f *Scrape) (wrong []string) {
+	check := func(name string, shown, least, most int, share float64) {
+		slack := math.Max(offBy, share*float64(most))
+		if float64(shown) < float64(least)-slack || float64(shown) > float64(most)+slack {
+			wrong = append(wrong, fmt.Sprintf("%s shows %d, and the log has %d to %d", name, shown, least, most))
+		}
+	}
+	counts := map[string]map[string]int{successes: f.Success, busies: f.Busy, failed: f.Failure}
+	for _, under := range slices.Sorted(maps.Keys(counts)) {
+		for class, shown := range counts[under] {
+			times := a.ends[under][class]
+			least := between(times, p.ready+figuresLag, at-figuresLag)
+			most := between(times, p.started-figuresLag, at+figuresLag) + between(a.unheard[class], p.started-figuresLag, at)
+			check(under+" of "+class, shown, least, most, offShare)
+		}
+	}
+	check("backend_calls", f.BackendCalls, between(a.calls, p.ready+figuresLag, at-figuresLag),
+		between(a.calls, p.started-figuresLag, at+figuresLag), offCalls)
+	least, most := a.within(at-figuresLag, at+figuresLag)
+	check("inflight", f.Inflight, least, most, offInflight)
+	return wrong
+}
+
+// within gives the least and the most messages in flight between two times.
+func (a *account) within(from, to time.Duration) (least, most int) {
+	n := 0
+	for _, s := range a.inside {
+		if s.at <= from {
+			n += s.by
+		}
+	}
+	least, most = n, n
+	for _, s := range a.inside {
+		if s.at > from && s.at <= to {
+			n += s.by
+			least, most = min(least, n), max(most, n)
+		}
+	}
+	return least, most
+}
--- /dev/null
+++ b/internal/rehearsal/audit/figures_test.go
@@ -0,0 +1,80 @@
+package audit
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"mallowlead/internal/settings"
+)
+
+// replaced is the log of a relay whose process is replaced at 10 s while it has a message out, and of what partners and
+// doors see from then on.
+func replaced(more ...Event) []Event {
+	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	log := []Event{
+		{At: at(0), Kind: Started, Process: 1}, {At: at(0.1), Kind: Ready, Process: 1},
+		{At: at(8), Kind: HandedIn, ID: "m", For: at(25)}, {At: at(8.01), Kind: Answered, ID: "m", Status: 202},
+		{At: at(9), Kind: Called, ID: "m", Host: "h", Call: 1, First: at(9)},
+		{At: at(9.9), Kind: Started, Process: 2}, {At: at(10), Kind: Ready, Process: 2},
+	}
+	return append(log, more...)
+}
+
+// Two processes of which one takes the other's place are one relay: what one has out, or was told, binds the other.
+func TestTwoProcessesAreOneRelay(t *testing.T) {
+	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	ok := Event{At: at(13), Kind: Ended, ID: "m", Call: 1, Outcome: OK, Ran: true}
+	shows := func(p int, success, calls, inflight int) Event {
+		return Event{At: at(14), Kind: Scraped, Process: p, Figures: &Scrape{Success: map[string]int{"status": success},
+			BackendCalls: calls, Inflight: inflight}}
+	}
+	many := func(n int) (log []Event) { // messages that come and go while the second process serves
+		for i := range n {
+			id := "n" + strings.Repeat("x", i)
+			log = append(log, Event{At: at(11), Kind: HandedIn, ID: id, For: at(9)}, Event{At: at(11.01), Kind: Answered, ID: id, Status: 202},
+				Event{At: at(11.1), Kind: Called, ID: id, Host: "h", Call: 100 + i, First: at(11.1)},
+				Event{At: at(11.2), Kind: Ended, ID: id, Call: 100 + i, Outcome: OK, Ran: true})
+		}
+		return log
+	}
+	for _, c := range []struct {
+		name string
+		log  []Event
+		want Rule // empty: none
+	}{
+		{"the call goes on", replaced(ok, shows(2, 1, 0, 0)), ""},
+		{"the old one sends again", replaced(Event{At: at(11), Kind: Called, ID: "m", Host: "h", Call: 2, First: at(11)},
+			Event{At: at(11.5), Kind: Ended, ID: "m", Call: 2, Outcome: Full}, ok), SecondCopy},
+		{"the new one forgets a wait", replaced(
+			Event{At: at(9.5), Kind: Ended, ID: "m", Call: 1, Outcome: Wait, For: at(5)},
+			Event{At: at(11), Kind: Called, ID: "m", Host: "h", Call: 2, First: at(11)},
+			Event{At: at(11.5), Kind: Ended, ID: "m", Call: 2, Outcome: OK, Ran: true}), WaitIgnored},
+		{"the wait is heeded", replaced(
+			Event{At: at(9.5), Kind: Ended, ID: "m", Call: 1, Outcome: Wait, For: at(1)},
+			Event{At: at(11), Kind: Called, ID: "m", Host: "h", Call: 2, First: at(11)},
+			Event{At: at(11.5), Kind: Ended, ID: "m", Call: 2, Outcome: OK, Ran: true}), ""},
+		{"no end, and no restart that excuses it", replaced(), NoEnd},
+		{"figures agree", append(replaced(ok), append(many(40), shows(2, 41, 40, 0))...), ""},
+		{"figures off by three", append(replaced(ok), append(many(40), shows(2, 44, 43, 3))...), ""},
+		{"repeats count twice", append(replaced(ok), append(many(40), shows(2, 50, 40, 0))...), FiguresWrong},
+		{"ends are not counted", append(replaced(ok), append(many(40), shows(2, 30, 40, 0))...), FiguresWrong},
+		{"calls are not counted", append(replaced(ok), append(many(40), shows(2, 41, 30, 0))...), FiguresWrong},
+		{"what is over stays in flight", append(replaced(ok), append(many(40), shows(2, 41, 40, 12))...), FiguresWrong},
+		{"the new one goes on with the old one's counts", append(many(40), append(replaced(ok),
+			Event{At: at(30), Kind: Started, Process: 3}, Event{At: at(31), Kind: Ready, Process: 3},
+			Event{At: at(33), Kind: Scraped, Process: 3, Figures: &Scrape{Success: map[string]int{"status": 41}}})...), FiguresWrong},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := Figures{Settings: settings.Settings{NInstances: 1, Categories: []settings.Category{{Name: "status", Idempotency: "retryable"}},
+				Rules: settings.Rules{AnswerSlackS: 0.3, AskWithinS: 10}}, Destinations: []Destination{{Name: "p", Capacity: 100, ColdShare: 1}}}
+			rules := map[Rule]bool{}
+			for _, b := range Judge(f, c.log, at(40)).Breaches {
+				rules[b.Rule] = true
+			}
+			if c.want == "" && len(rules) > 0 || c.want != "" && (len(rules) != 1 || !rules[c.want]) {
+				t.Errorf("breaches of %v, want of %q", rules, c.want)
+			}
+		})
+	}
+}
--- a/internal/rehearsal/audit/judge.go
+++ b/internal/rehearsal/audit/judge.go
@@ -105,6 +105,7 @@
 	j.waits()
 	j.returns(log)
 	j.orders()
+	j.figures(log)
 	slices.SortStableFunc(j.breaches, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
 	r := &Report{Breaches: append([]Breach{}, j.breaches...)} // never null in JSON
 	j.count(r, log)
--- a/internal/rehearsal/audit/log.go
+++ b/internal/rehearsal/audit/log.go
@@ -33,8 +33,8 @@
 	Asked     Kind = "asked"      // Relay OK: a watch began, or failed
 	Unwatched Kind = "unwatched"  // Relay: a watch ended
 	Noticed   Kind = "noticed"    // ID Relay State: the platform has received an end
-	Started   Kind = "started"    // Relay
-	Ready     Kind = "ready"      // Relay
+	Started   Kind = "started"    // Relay Process: its n-th process, from 1; it may come to stand beside the one before
+	Ready     Kind = "ready"      // Relay Process: it takes clients, also in the place of the one before
 	Stopping  Kind = "stopping"   // Relay: a planned end was asked for
 	Killed    Kind = "killed"     // Relay: SIGKILL, or it ended by itself
 	Lost      Kind = "lost"       // Relay: its machine is gone, with its folder
@@ -47,6 +47,7 @@
 	RegUp     Kind = "reg-up"     //
 	Connected Kind = "connected"  // Relay Dest Host: a connection to an endpoint
 	Moved     Kind = "moved"      // Relay: told to go to another register
+	Scraped   Kind = "scraped"    // Relay Process Figures: what a process's door showed
 	LateEvent Kind = "late-event" // For: the rig itself was late by so long
 )
 
@@ -95,6 +96,8 @@
 	State   string        `json:"state,omitempty"`
 	Ran     bool          `json:"ran,omitempty"`
 	OK      bool          `json:"ok,omitempty"`
+	Process int           `json:"process,omitempty"` // of the relay, from 1
+	Figures *Scrape       `json:"figures,omitempty"`
 }
 
 // Figures are what the rules are judged by.
@@ -117,20 +120,21 @@
 
 // The rules. "No message is lost" has three parts, "no effect happens twice" two; the last two are the platform's.
 const (
-	NoEnd       Rule = "message lost"
-	LateEnd     Rule = "late end"
-	TwoEnds     Rule = "two ends"
-	Twice       Rule = "effect twice"
-	SecondCopy  Rule = "second copy"
-	DrainBroken Rule = "drain not kept"
-	PushedOver  Rule = "returning partner pushed over"
-	OrderBroken Rule = "order not kept"
-	WaitIgnored Rule = "wait not heeded"
-	WrongHost   Rule = "host of another partner"
-	Unknown     Rule = "message nobody handed in"
-	NotKept     Rule = "undelivered message not kept"
-	Overwritten Rule = "newer status overwritten"
-	KeptWrong   Rule = "undelivered message kept wrongly"
+	NoEnd        Rule = "message lost"
+	LateEnd      Rule = "late end"
+	TwoEnds      Rule = "two ends"
+	Twice        Rule = "effect twice"
+	SecondCopy   Rule = "second copy"
+	DrainBroken  Rule = "drain not kept"
+	PushedOver   Rule = "returning partner pushed over"
+	OrderBroken  Rule = "order not kept"
+	WaitIgnored  Rule = "wait not heeded"
+	WrongHost    Rule = "host of another partner"
+	Unknown      Rule = "message nobody handed in"
+	NotKept      Rule = "undelivered message not kept"
+	Overwritten  Rule = "newer status overwritten"
+	FiguresWrong Rule = "figures wrong"
+	KeptWrong    Rule = "undelivered message kept wrongly"
 )
 
 // Breach is a rule that was broken.
--- a/internal/rehearsal/rig/clients.go
+++ b/internal/rehearsal/rig/clients.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -335,6 +336,24 @@
 	c.kept[addr] = append(c.kept[addr], l)
 }
 
+// openAt counts the clients' idle connections to a relay that this has not closed; the closed ones are dropped.
+func (c *clients) openAt(addr string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var open []*link
+	for _, l := range c.kept[addr] {
+		_ = l.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if _, err := l.in.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = l.SetReadDeadline(time.Time{})
+			open = append(open, l)
+			continue
+		}
+		_ = l.Close()
+	}
+	c.kept[addr] = open
+	return len(open)
+}
+
 func (c *clients) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/rehearsal/rig/relays.go
+++ b/internal/rehearsal/rig/relays.go
@@ -58,17 +58,38 @@
 	peersAll string
 	usage    Process
 
+	socket *os.File // where clients connect, held for all its processes; nil: each listens by itself
+
 	mu        sync.Mutex
 	discovery string
-	process   *os.Process
-	expected  bool // its end was asked for
-	exited    chan struct{}
+	terms     script.Terms
+	process   *process // that takes clients; nil: none does
 	starts    int
-	cpuBefore float64 // of earlier processes
+	cpuBefore float64 // of processes that are gone
+}
+
+// process is one process of a relay.
+type process struct {
+	rel    *relay
+	number int // of the relay's, from 1
+	pid    int
+	door   string // where operators call
+	exited chan struct{}
+
+	// With the relay's lock.
+	expected bool // its end was asked for
+	replaced bool // another has taken its place
+}
+
+// serving gives the process that takes clients, or nil.
+func (rel *relay) serving() *process {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	return rel.process
 }
 
 func newRelay(r *rig, number int) (*relay, error) {
-	rel := &relay{r: r, number: number, name: fmt.Sprintf("relay-%d", number+1)}
+	rel := &relay{r: r, number: number, name: fmt.Sprintf("relay-%d", number+1), terms: r.s.Start()}
 	rel.usage.Name = rel.name
 	ip := net.IPv4(127, byte(100+number), 0, 1)
 	// Reserved for a moment to learn a free port: relays listen where they are told.
@@ -77,6 +98,11 @@
 		return nil, err
 	}
 	rel.listen = ln.Addr().String()
+	if r.s.Upgrades() { // the processes inherit one socket
+		if rel.socket, err = ln.(*net.TCPListener).File(); err != nil {
+			return nil, err
+		}
+	}
 	_ = ln.Close()
 	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: ip})
 	if err != nil {
@@ -117,7 +143,7 @@
 // configure writes the platform's configuration, in place at once.
 func (rel *relay) configure() error {
 	rel.mu.Lock()
-	discovery, starts := rel.discovery, rel.starts
+	discovery, starts, terms := rel.discovery, rel.starts, rel.terms
 	rel.mu.Unlock()
 	s := rel.r.s
 	seed := fmt.Sprintf("%016x", rel.r.d.For("relay", rel.number, starts).Uint64())
@@ -126,7 +152,7 @@
 		"limits": map[string]any{"cores": s.Relay.Cores, "memory_mb": s.Relay.MemoryMB, "sockets": s.Relay.Sockets,
 			"disk_mb": s.Relay.DiskMB},
 		"peer_listen": rel.peer, "peers": rel.peers, "peers_all": rel.peersAll,
-		"known": rel.r.register.known(rel.number), "settings": s.Settings(rel.number)}, "", " ")
+		"known": rel.r.register.known(rel.number), "settings": s.SettingsAt(rel.number, terms)}, "", " ")
 	if err != nil {
 		return err
 	}
@@ -163,16 +189,35 @@
 	if err := rel.configure(); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(rel.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	p, err := rel.launch()
 	if err != nil {
 		return err
 	}
+	rel.mu.Lock()
+	rel.process = p
+	rel.mu.Unlock()
+	return rel.awaitReady(p)
+}
+
+// launch starts a process, beside one that may be running.
+func (rel *relay) launch() (*process, error) {
+	// Reserved for a moment to learn a free port, as for clients.
+	ln, err := net.Listen("tcp", net.JoinHostPort(net.IPv4(127, byte(100+rel.number), 0, 2).String(), "0"))
+	if err != nil {
+		return nil, err
+	}
+	p := &process{rel: rel, door: ln.Addr().String(), exited: make(chan struct{})}
+	_ = ln.Close()
+	log, err := os.OpenFile(rel.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
 	defer log.Close()
 	o := &rel.r.o
 	args := o.Command[1:]
 	if rel.r.s.Relay.Operator != "" {
 		if err := rel.writeOperator(); err != nil {
-			return err
+			return nil, err
 		}
 		args = append(slices.Clone(args), "-operator", rel.operatorPath())
 	}
@@ -181,43 +226,51 @@
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	rel.mu.Lock()
 	cmd.Env = append(os.Environ(), "NODE_NAME="+rel.name, "NODE_LISTEN="+rel.listen, "NODE_DISCOVERY="+rel.discovery,
-		"NODE_STATE="+rel.state(), "NODE_CONFIG="+rel.configPath(), "TMPDIR="+rel.temp())
+		"NODE_STATE="+rel.state(), "NODE_CONFIG="+rel.configPath(), "TMPDIR="+rel.temp(),
+		"NODE_MANAGEMENT="+p.door)
+	if rel.socket != nil {
+		cmd.ExtraFiles = []*os.File{rel.socket}
+		cmd.Env = append(cmd.Env, "NODE_LISTEN_FD=3") // the first of the further files
+	}
 	rel.mu.Unlock()
 	cmd.Env = append(cmd.Env, o.Env...)
 	if err := rel.r.launcher.do(cmd.Start); err != nil {
-		return fmt.Errorf("%s: %w", rel.name, err)
+		return nil, fmt.Errorf("%s: %w", rel.name, err)
 	}
-	exited := make(chan struct{})
+	p.pid = cmd.Process.Pid
 	rel.mu.Lock()
-	rel.process, rel.expected, rel.exited = cmd.Process, false, exited
 	rel.starts++
 	rel.usage.Starts++
+	p.number = rel.starts
 	rel.mu.Unlock()
-	rel.r.note(audit.Event{Kind: audit.Started, Relay: rel.number})
-	go rel.wait(cmd, exited)
-	return rel.awaitReady(exited)
+	rel.r.note(audit.Event{Kind: audit.Started, Relay: rel.number, Process: p.number})
+	go p.wait(cmd)
+	return p, nil
 }
 
 // wait notes a process's end.
-func (rel *relay) wait(cmd *exec.Cmd, exited chan struct{}) {
-	err := cmd.Wait()
+func (p *process) wait(cmd *exec.Cmd) {
+	err, rel := cmd.Wait(), p.rel
 	rel.mu.Lock()
-	expected := rel.expected
-	rel.process = nil
+	expected, replaced := p.expected, p.replaced
+	if rel.process == p {
+		rel.process = nil
+	}
 	rel.cpuBefore += (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Seconds()
 	rel.usage.CPU = rel.cpuBefore
 	if !expected {
 		rel.usage.Crashes++
 	}
 	rel.mu.Unlock()
-	if expected {
-		rel.r.note(audit.Event{Kind: audit.Killed, Relay: rel.number})
-	} else {
+	switch {
+	case !expected && !replaced:
 		rel.r.note(audit.Event{Kind: audit.Crashed, Relay: rel.number, Status: cmd.ProcessState.ExitCode()})
 		rel.r.fault("%s ended without being asked to: %v; its log ends: %s", rel.name, err, rel.lastWords())
 		rel.r.front.leaves(rel.number, rel.frontNotices())
+	case !replaced: // else the relay goes on, in the process that took this one's place
+		rel.r.note(audit.Event{Kind: audit.Killed, Relay: rel.number})
 	}
-	close(exited)
+	close(p.exited)
 }
 
 // lastWords are the end of a relay's log, in one line.
@@ -235,7 +288,7 @@
 }
 
 // awaitReady asks a relay for its health until it is well.
-func (rel *relay) awaitReady(exited <-chan struct{}) error {
+func (rel *relay) awaitReady(p *process) error {
 	ctx, cancel := context.WithTimeout(rel.r.ctx, script.Seconds(rel.r.s.Relay.Ready))
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
@@ -247,13 +300,13 @@
 		if resp, err := client.Do(req); err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				rel.r.note(audit.Event{Kind: audit.Ready, Relay: rel.number})
+				rel.r.note(audit.Event{Kind: audit.Ready, Relay: rel.number, Process: p.number})
 				rel.r.front.ready(rel.number)
 				return nil
 			}
 		}
 		select {
-		case <-exited:
+		case <-p.exited:
 			return fmt.Errorf("%s ended before it was ready; its log ends: %s", rel.name, rel.lastWords())
 		default:
 		}
@@ -263,22 +316,28 @@
 	}
 }
 
-// signal sends a signal to the relay's process and what that started.
+// signal sends a signal to the process that takes clients, and what that started.
 func (rel *relay) signal(sig syscall.Signal, expectEnd bool) (exited <-chan struct{}) {
-	rel.mu.Lock()
-	defer rel.mu.Unlock()
-	if rel.process == nil {
+	p := rel.serving()
+	if p == nil {
 		return nil
 	}
-	rel.expected = rel.expected || expectEnd
-	to := -rel.process.Pid // its group
+	p.signal(sig, expectEnd)
+	return p.exited
+}
+
+func (p *process) signal(sig syscall.Signal, expectEnd bool) {
+	rel := p.rel
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	p.expected = p.expected || expectEnd
+	to := -p.pid // its group
 	if sig == syscall.SIGTERM || sig == syscall.SIGHUP {
-		to = rel.process.Pid // the program itself, as the platform does
+		to = p.pid // the program itself, as the platform does
 	}
 	if err := syscall.Kill(to, sig); err != nil && !errors.Is(err, syscall.ESRCH) {
 		rel.r.fault("%s: %v: %v", rel.name, sig, err)
 	}
-	return rel.exited
 }
 
 // kill ends the process at once and waits until it is gone.
@@ -366,7 +425,12 @@
 }
 
 // finish ends a relay for good.
-func (rel *relay) finish() { rel.kill() }
+func (rel *relay) finish() {
+	rel.kill()
+	if rel.socket != nil {
+		_ = rel.socket.Close()
+	}
+}
 
 // startRelays starts all relays at once.
 func (r *rig) startRelays() error {
@@ -396,7 +460,7 @@
 	if rel.process == nil {
 		return
 	}
-	proc := filepath.Join("/proc", strconv.Itoa(rel.process.Pid))
+	proc := filepath.Join("/proc", strconv.Itoa(rel.process.pid))
 	status, err := os.ReadFile(filepath.Join(proc, "status"))
 	if err != nil {
 		return // it ended just now
--- a/internal/rehearsal/rig/timeline.go
+++ b/internal/rehearsal/rig/timeline.go
@@ -98,10 +98,14 @@
 	}
 	back := script.Seconds(e.Back)
 	do := map[string]func(*relay){
-		"kill": func(rel *relay) { rel.outright(back, false) },
-		"lose": func(rel *relay) { rel.outright(back, true) },
-		"term": func(rel *relay) { rel.restart(back) },
-		"hang": func(rel *relay) { rel.hang(script.Seconds(e.For)) },
+		"kill":     func(rel *relay) { rel.outright(back, false) },
+		"lose":     func(rel *relay) { rel.outright(back, true) },
+		"term":     func(rel *relay) { rel.restart(back) },
+		"hang":     func(rel *relay) { rel.hang(script.Seconds(e.For)) },
+		"upgrade":  func(rel *relay) { rel.upgrade() },
+		"standby":  func(rel *relay) { rel.standby(script.Seconds(e.For)) },
+		"settings": func(rel *relay) { rel.settings(e) },
+		"scrape":   func(rel *relay) { rel.scrape(script.Seconds(e.For), e.Callers) },
 		"move": func(rel *relay) {
 			if err := rel.move(); err != nil {
 				r.fault("%s: %v", rel.name, err)
--- a/internal/rehearsal/script/check.go
+++ b/internal/rehearsal/script/check.go
@@ -117,6 +117,7 @@
 
 // checkRelay checks what relays are given beside their machine.
 func (s *Script) checkRelay(c checker) {
+	s.knownClasses(c, "relay.classes", s.Relay.Classes)
 	switch {
 	case s.Relay.Backlog < 0:
 		c.Bad("relay.backlog", "%d is below 0", s.Relay.Backlog)
@@ -209,6 +210,10 @@
 	"split":    {"for_s!", "relays!"},
 	"loss":     {"for_s!", "share!"},
 	"halve":    {"for_s!", "share!"},
+	"upgrade":  {"relay"},
+	"standby":  {"relay!", "for_s!"},
+	"settings": {"classes", "attempts", "broken"},
+	"scrape":   {"relay", "for_s!", "callers"},
 }
 
 // Kinds of outage: what a partner is cold after.
@@ -237,7 +242,7 @@
 		}
 	}
 	for _, name := range []string{"for_s", "partner", "endpoint", "relay", "relays", "factor", "share", "rise_s", "drain_s",
-		"over_s", "reused", "back_s", "how", "warm"} {
+		"over_s", "reused", "back_s", "how", "warm", "classes", "attempts", "broken", "callers"} {
 		if c.Has(at+"."+name) && !takes[name] {
 			c.Bad(at+"."+name, "has no meaning for %q", e.What)
 		}
@@ -261,6 +266,10 @@
 	c.least(at+".drain_s", e.Drain, 0)
 	c.least(at+".back_s", e.Back, 0)
 	c.least(at+".rise_s", e.Rise, 0)
+	if e.What == "settings" {
+		s.checkSettings(c, at, e)
+	}
+	c.least(at+".callers", float64(e.Callers), 0)
 	if e.What == "register" {
 		c.oneOf(at+".how", e.How, "503", "reset", "silent")
 	}
@@ -284,6 +293,32 @@
 	}
 }
 
+// checkSettings checks what new settings say.
+func (s *Script) checkSettings(c checker, at string, e *Event) {
+	if e.Classes == nil && e.Attempts == 0 && e.Broken == "" {
+		c.Bad(at+".what", "settings without classes, attempts or broken change nothing")
+	}
+	s.knownClasses(c, at+".classes", e.Classes)
+	if c.Has(at+".attempts") && (e.Attempts < 1 || e.Attempts > s.Limits.Attempts) {
+		c.Bad(at+".attempts", "%d is not from 1 to limits.attempts, %d", e.Attempts, s.Limits.Attempts)
+	}
+	if c.Has(at + ".broken") {
+		c.oneOf(at+".broken", e.Broken, "empty", "cut", "lacking", "zero")
+	}
+}
+
+// knownClasses checks a list of classes that settings are to have.
+func (s *Script) knownClasses(c checker, key string, names []string) {
+	if names != nil && len(names) == 0 {
+		c.Bad(key, "there is none")
+	}
+	for _, name := range names {
+		if !slices.ContainsFunc(s.Classes, func(k Class) bool { return k.Name == name }) {
+			c.Bad(key, "%q is no class of this script", name)
+		}
+	}
+}
+
 // checkOverlaps reports outages of one endpoint that overlap: what holds then would be a matter of their order.
 func (s *Script) checkOverlaps(c checker) {
 	for i := range s.Events {
@@ -294,6 +329,9 @@
 			if a.Outage() && b.Outage() && same && a.At < b.At+b.For && b.At < a.At+a.For {
 				c.Bad(fmt.Sprintf("event[%d].at_s", i+1), "overlaps the outage of event[%d] at %s", j+1, a.Partner)
 			}
+			if a.What == "settings" && b.What == "settings" && a.At < b.At+settleTime {
+				c.Bad(fmt.Sprintf("event[%d].at_s", i+1), "is not %v s after event[%d]: files of settings go by time", settleTime, j+1)
+			}
 			if a.What == "register" && b.What == "register" && a.At < b.At+b.For && b.At < a.At+a.For {
 				c.Bad(fmt.Sprintf("event[%d].at_s", i+1), "overlaps event[%d]", j+1)
 			}
--- a/internal/rehearsal/script/draws.go
+++ b/internal/rehearsal/script/draws.go
@@ -174,6 +174,9 @@
 func (s *Script) describe(d Draws, m *Message) {
 	var classes []float64
 	for _, c := range s.Classes {
+		if !s.Offered(c.Name, m.At.Seconds()) {
+			c.Share = 0
+		}
 		classes = append(classes, c.Share)
 	}
 	chance := d.For("message", m.No)
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"mallowlead/internal/settings"
@@ -51,6 +52,8 @@
 	Operator string `toml:"operator"`
 	// Resends says that partners take messages under ids that relays made up, as resends of undelivered ones.
 	Resends bool `toml:"resends"`
+	// Classes are those of the settings at the start; absent: all.
+	Classes []string `toml:"classes"`
 	// Backlog is how many undelivered messages lie in each relay's store before the run, none of which can have run.
 	Backlog int `toml:"backlog"`
 }
@@ -187,22 +190,26 @@
 
 // Event is something that goes wrong.
 type Event struct {
-	At       float64 `toml:"at_s,required"`
-	What     string  `toml:"what,required"`
-	For      float64 `toml:"for_s"`
-	Partner  string  `toml:"partner"`
-	Endpoint int     `toml:"endpoint"` // from 1; 0: all
-	Relay    int     `toml:"relay"`    // from 1; 0: all
-	Relays   []int   `toml:"relays"`   // one side of a split
-	Factor   float64 `toml:"factor"`
-	Share    float64 `toml:"share"`
-	Rise     float64 `toml:"rise_s"`
-	Drain    float64 `toml:"drain_s"`
-	Over     float64 `toml:"over_s"`
-	Reused   float64 `toml:"reused"` // share of new endpoints at the address of one that has gone
-	Back     float64 `toml:"back_s"` // until a relay is started again
-	How      string  `toml:"how"`    // register: 503, reset or silent
-	Warm     bool    `toml:"warm"`   // an outage after which the partner is not cold
+	At       float64  `toml:"at_s,required"`
+	What     string   `toml:"what,required"`
+	For      float64  `toml:"for_s"`
+	Partner  string   `toml:"partner"`
+	Endpoint int      `toml:"endpoint"` // from 1; 0: all
+	Relay    int      `toml:"relay"`    // from 1; 0: all
+	Relays   []int    `toml:"relays"`   // one side of a split
+	Factor   float64  `toml:"factor"`
+	Share    float64  `toml:"share"`
+	Rise     float64  `toml:"rise_s"`
+	Drain    float64  `toml:"drain_s"`
+	Over     float64  `toml:"over_s"`
+	Reused   float64  `toml:"reused"`   // share of new endpoints at the address of one that has gone
+	Back     float64  `toml:"back_s"`   // until a relay is started again
+	How      string   `toml:"how"`      // register: 503, reset or silent
+	Classes  []string `toml:"classes"`  // of the settings from then on
+	Attempts int      `toml:"attempts"` // allowed from then on
+	Broken   string   `toml:"broken"`   // what is wrong with a file of settings: empty, cut, lacking or zero
+	Callers  int      `toml:"callers"`  // of a door that say nothing
+	Warm     bool     `toml:"warm"`     // an outage after which the partner is not cold
 }
 
 // Range is a number, or a span from which one is drawn.
@@ -375,12 +382,61 @@
 // effects are the names of effects in a script and in the settings object.
 var effects = map[string]string{"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
 
-// Settings gives the settings object of a relay, numbered from 0.
+// Terms are what settings may change while relays run.
+type Terms struct {
+	Classes  []string // nil: all
+	Attempts int
+}
+
+// settleTime after a file with a class relays are to have it, and removeAhead before one without it clients use it no more.
+const settleTime, removeAhead = 1.3, 0.2
+
+// Start are the terms that relays start with.
+func (s *Script) Start() Terms { return Terms{s.Relay.Classes, s.Limits.Attempts} }
+
+// After gives the terms after an event of new settings.
+func (t Terms) After(e *Event) Terms {
+	if e.Classes != nil {
+		t.Classes = e.Classes
+	}
+	if e.Attempts > 0 {
+		t.Attempts = e.Attempts
+	}
+	return t
+}
+
+// has tells whether a class is among the terms.
+func (t Terms) has(class string) bool { return t.Classes == nil || slices.Contains(t.Classes, class) }
+
+// Offered tells whether clients use a class at a time, in seconds.
+func (s *Script) Offered(class string, at float64) bool {
+	had, will := s.Start(), s.Start()
+	for i := range s.Events { // in the order of their times, or the check has turned the script down
+		e := &s.Events[i]
+		if e.What != "settings" || e.Broken != "" {
+			continue
+		}
+		if e.At+settleTime <= at {
+			had = had.After(e)
+		}
+		if e.At-removeAhead <= at {
+			will = will.After(e)
+		}
+	}
+	return had.has(class) && will.has(class)
+}
+
+// Settings gives the settings object of a relay, numbered from 0, with all classes.
 func (s *Script) Settings(relay int) settings.Settings {
+	return s.SettingsAt(relay, Terms{Attempts: s.Limits.Attempts})
+}
+
+// SettingsAt gives it under given terms.
+func (s *Script) SettingsAt(relay int, terms Terms) settings.Settings {
 	out := settings.Settings{
 		Discovery: "subscribe", NInstances: s.Relays, Ordinal: relay, QuantumS: s.Relay.TickMS / 1000, Weights: "nominal",
 		Limits: settings.Limits{Cancel: s.Limits.Cancel, ConnIdleS: s.Limits.ConnIdle,
-			ConnTimeoutS: s.Limits.ConnectTimeout, MaxAttempts: s.Limits.Attempts, MaxOpen: s.Relay.Hold,
+			ConnTimeoutS: s.Limits.ConnectTimeout, MaxAttempts: terms.Attempts, MaxOpen: s.Relay.Hold,
 			MaxRetryAfterS: s.Limits.RetryAfter, Peers: s.Limits.Peers, Probing: s.Limits.Probes,
 			RetryAfter: s.Limits.RetryAfter > 0},
 		Rules: settings.Rules{AnswerSlackS: s.Rules.AnswerSlack, AskWithinS: s.Rules.AskWithin,
@@ -393,6 +449,9 @@
 		out.Report = settings.Report{Columns: []string{"x0", "x1"}, Via: "inline"}
 	}
 	for _, c := range s.Classes {
+		if !terms.has(c.Name) {
+			continue
+		}
 		out.Categories = append(out.Categories, settings.Category{Name: c.Name, AimS: c.Aim, DeadlineS: c.Deadline,
 			Idempotency: effects[c.Effect], Group: "all", FifoByKey: c.Ordered, LateShare: c.LateShare,
 			MemorySpanS: c.Memory, Points: c.Worth})
@@ -413,6 +472,11 @@
 	return out
 }
 
+// Upgrades tells whether processes are replaced.
+func (s *Script) Upgrades() bool {
+	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.What == "upgrade" })
+}
+
 // Kinds are the kinds of partners, in the script's order.
 func (s *Script) Kinds() []string { return s.distinct(func(p *Partner) string { return p.Kind }) }
 
