Write refusals to the store before a hand-over; look at kept messages anew at new settings

Counts and bodies of what was refused at its arrival were in memory alone and died with the old process. They are written when the keeper ends (planted: without it the test fails at once). Tested: a process that keeps undelivered messages is replaced with one out, one waiting and one stored.

--- a/internal/rehearsal/rig/duty.go
+++ b/internal/rehearsal/rig/duty.go
@@ -79,13 +79,16 @@
 	}
 	for n := 1; ctx.Err() == nil; n++ {
 		if p := rel.serving(); p != nil {
-			begun := rel.r.now()
+			begun := time.Now()
 			f, err := p.figures()
+			rel.mu.Lock()
+			rel.took = append(rel.took, time.Since(begun).Seconds())
+			rel.mu.Unlock()
 			switch {
 			case err == nil:
 				rel.r.note(audit.Event{Kind: audit.Scraped, Relay: rel.number, Process: p.number, Figures: f})
 			case rel.serving() == p && ctx.Err() == nil: // it did not end meanwhile
-				rel.r.fault("%s: the door, asked at %v: %v", rel.name, begun, err)
+				rel.r.fault("%s: the door, after %v: %v", rel.name, time.Since(begun), err)
 			}
 		}
 		wait.For(ctx, scrapeEvery)
--- a/internal/rehearsal/rig/relays.go
+++ b/internal/rehearsal/rig/relays.go
@@ -44,7 +44,9 @@
 	MemoryMB    [quarters]float64 `json:"memory_mb"`   // the most resident in each quarter of the run
 	Descriptors [quarters]int     `json:"descriptors"` // the most open in each quarter
 	CPU         float64           `json:"cpu_s"`
-	StateKB     float64           `json:"state_kb"` // the most in the folder that lasts
+	StateKB     float64           `json:"state_kb"`             // the most in the folder that lasts
+	Reads       int               `json:"door_reads,omitempty"` // of figures at its door
+	Door        audit.Quantile    `json:"door_s"`               // how long its door took for them
 }
 
 // relay is one relay: a process that may come and go, and what stays.
@@ -65,7 +67,8 @@
 	terms     script.Terms
 	process   *process // that takes clients; nil: none does
 	starts    int
-	cpuBefore float64 // of processes that are gone
+	cpuBefore float64   // of processes that are gone
+	took      []float64 // seconds that its door took for each read of figures
 }
 
 // process is one process of a relay.
--- a/internal/rehearsal/rig/rig.go
+++ b/internal/rehearsal/rig/rig.go
@@ -342,6 +342,7 @@
 	res.Void = res.Late > voidShare
 	for _, rel := range r.relays {
 		rel.mu.Lock()
+		rel.usage.Reads, rel.usage.Door = len(rel.took), audit.Quantiles(rel.took)
 		res.Processes = append(res.Processes, rel.usage)
 		rel.mu.Unlock()
 	}
--- a/internal/rehearsal/rig/table.go
+++ b/internal/rehearsal/rig/table.go
@@ -45,6 +45,12 @@
 	c := &r.Counts
 	fmt.Fprintf(out, "counts %d messages, %d hand-ins, %d taken on, %d calls, %d turned away above a limit, %d effects for nothing\n",
 		c.Asked, c.HandIns, c.Taken, c.Calls, c.Outcomes[audit.Full]+c.Outcomes[audit.Wait], c.Wasted)
+	for _, u := range r.Processes {
+		if u.Reads > 0 {
+			fmt.Fprintf(out, "door   %s: figures read %d times, in %.1f ms (half), %.1f ms (99 of 100), %.1f ms at most\n", u.Name, u.Reads,
+				1000*u.Door.Median, 1000*u.Door.P99, 1000*u.Door.Most)
+		}
+	}
 	if len(r.Undelivered) > 0 {
 		fmt.Fprintf(out, "kept   undelivered messages in the stores:")
 		for _, state := range slices.Sorted(maps.Keys(r.Undelivered)) {
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -96,9 +96,16 @@
 		return
 	}
 	k.classes = classes
+	for i := range k.section.Rules {
+		for _, fault := range k.section.Rules[i].Against(classes) {
+			// Nothing goes that its class forbids: what the rule is for is held. The next start wants the file mended.
+			slog.Warn("a rule for undelivered messages does not fit the new settings", "rule", i+1, "fault", fault)
+		}
+	}
 	if k.store != nil {
 		k.resender.Reclass(classes)
 		k.admin.Reclass(classes)
+		k.resender.Sweep() // what was held under the old classes is looked at again
 	}
 }
 
@@ -197,6 +204,7 @@
 	for {
 		t, ok := k.take()
 		if !ok {
+			k.parting()
 			return
 		}
 		k.retuned()
@@ -324,6 +332,14 @@
 		}
 		k.set(func() { k.drop = k.drop[len(t.drop):] })
 	}
+	if err := k.handTaken(t.wait); err != nil {
+		return err
+	}
+	return k.handRefused(t) // after what was taken on, and dropped where there is no room
+}
+
+// handRefused writes what was refused at its arrival.
+func (k *keeper) handRefused(t *todo) error {
 	if len(t.refused) > 0 {
 		if err := k.store.Refused(t.refused); err != nil {
 			return err
@@ -336,17 +352,30 @@
 			}
 		})
 	}
-	if err := k.handTaken(t.wait); err != nil || len(t.turned) == 0 {
-		return err
+	if len(t.turned) == 0 {
+		return nil
 	}
-	// After what was taken on, and dropped where there is no room.
-	err = k.store.Put(t.turned)
+	err := k.store.Put(t.turned)
 	if err == nil || errors.Is(err, undelivered.ErrFull) {
 		k.set(func() { k.turned = k.turned[len(t.turned):] })
 	}
 	return err
 }
 
+// parting writes what is in no journal, so that no later process hands it over: what was refused at its arrival.
+func (k *keeper) parting() {
+	for k.store != nil {
+		t, _ := k.take() // gives at once, since all is at its end
+		if len(t.refused)+len(t.turned) == 0 {
+			return
+		}
+		if err := k.handRefused(&t); err != nil {
+			slog.Error("messages refused at their arrival are not in the store", "err", err, "counted", t.refused, "kept", len(t.turned))
+			return
+		}
+	}
+}
+
 // handTaken puts messages that were taken on into the store.
 func (k *keeper) handTaken(batch []undelivered.Kept) error {
 	if len(batch) == 0 {
--- a/internal/relay/keep_test.go
+++ b/internal/relay/keep_test.go
@@ -1,18 +1,23 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
+	"mallowlead/internal/operator"
 	"mallowlead/internal/undelivered"
+	"mallowlead/internal/wait/waittest"
 )
 
 // keeping has relays keep undelivered messages, and gives the store's folder.
@@ -209,3 +214,83 @@
 		t.Errorf("notices %+v", told)
 	}
 }
+
+// What was refused at its arrival is in no journal: a process that ends, or hands over, writes it to the store first.
+func TestRefusedAtArrivalOutlastsThePlannedEnd(t *testing.T) {
+	p := newPlatform(t)
+	folder := p.keeping("refused = true\n")
+	p.addHost("h1", 7)
+	cfg := readOwn(t, p)
+	ctx, stop := context.WithCancel(t.Context())
+	knows := make(chan any, 10)
+	k := newKeeper(cfg, "", func(e any) { knows <- e })
+	done := make(chan struct{})
+	go func() { k.run(ctx); close(done) }()
+	waittest.Receive(t, knows) // the store is open
+	const n = 3*keepBatch + 7
+	for i := range n {
+		id := fmt.Sprint("m", i)
+		k.refuse(undelivered.Kept{Record: undelivered.Record{ID: id, Class: "order", Tenant: "acme", Partner: 7, State: undelivered.Held,
+			Lives: []undelivered.Life{{ID: id, Reason: undelivered.AtArrival}}}, Body: []byte("body of " + id)})
+	}
+	stop() // at once: hardly a batch can have gone
+	waittest.Receive(t, done)
+	_, totals := p.stored(folder, "m0")
+	if totals.Refused["order of acme"] != n || totals.Messages != n {
+		t.Errorf("%d counted and %d kept of %d", totals.Refused["order of acme"], totals.Messages, n)
+	}
+}
+
+// readOwn reads the configuration and the operator's file as a process would.
+func readOwn(t *testing.T, p *platform) *Config {
+	t.Helper()
+	cfg, err := ReadConfig(p.config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.Own, err = operator.Read(p.own); err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// A process that keeps undelivered messages is replaced while one is out, one waits for its partner and one is in the store:
+// each is kept once, or delivered, and the new process has the store.
+func TestReplacedWithAStore(t *testing.T) {
+	p := newPlatform(t)
+	folder := p.keeping("")
+	p.addDoor()
+	p.holdSocket()
+	p.addHost("h1", 7)
+	answer := make(chan int)
+	p.answer = func(r *http.Request) int {
+		if r.Header.Get("Request-Id") == "out" {
+			return <-answer
+		}
+		return http.StatusServiceUnavailable
+	}
+	old := p.start()
+	p.take("status", "stored", "1")
+	p.until("one is in the store", func() bool { return len(p.told()) == 1 && p.journalled() == 0 })
+	p.take("order", "out", "25")
+	p.until("it is out", func() bool { return slices.Contains(p.sent(), "out") })
+	p.take("status", "waits", "4")
+	next := p.replace()
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := waittest.Receive(t, old.exited); err != nil {
+		t.Errorf("the old process ended with %v: %s", err, old.Stderr)
+	}
+	answer <- http.StatusOK
+	p.until("all are over", func() bool { return len(p.told()) == 2 && p.journalled() == 0 })
+	if f := p.figures(); f.Success["order"] != 1 || f.Busy["status"] != 1 {
+		t.Errorf("figures %+v", f)
+	}
+	p.kill(next)
+	for _, id := range []string{"stored", "waits"} {
+		if r, totals := p.stored(folder, id); totals.Messages != 2 || len(r.Lives) != 1 || r.MayHaveRun() != nil {
+			t.Errorf("%s: %+v of %+v", id, r, totals)
+		}
+	}
+}
