--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,8 +48,8 @@
 	// paceFloor is the least part of its even share that a queue's pace falls to: a rough weight that is
 	// half too high is met by two thirds.
 	paceFloor = 0.7
-	// throttled is the share of its listed rate under which a reported limit counts: reports are noisy, and a
-	// receiver that lowers its limit lowers it by far more. limitGain is the weight of a report in that limit.
+	// throttled is the share of its listed rate under which a reported limit counts: reports are noisy, and
+	// a receiver that lowers its limit lowers it by far more. limitGain is a report's weight in that limit.
 	throttled, limitGain = 0.7, 0.3
 	// roomLeft of its allowance a destination must report for a pace to rise, where it reports at all.
 	roomLeft = 0.5
