--- a/internal/rehearsal/rig/duty.go
+++ b/internal/rehearsal/rig/duty.go
@@ -77,7 +77,7 @@
 	for range silent {
 		rel.r.work.Go(func() { rel.sayNothing(ctx) })
 	}
-	for n := 1; ctx.Err() == nil; n++ {
+	for ctx.Err() == nil {
 		if p := rel.serving(); p != nil {
 			begun := time.Now()
 			f, err := p.figures()
@@ -248,7 +248,7 @@
 		rel.r.fault("%v", err)
 		return
 	}
-	next, err := rel.launch()
+	next, err := rel.launch(true)
 	if err != nil {
 		rel.r.fault("%v", err)
 		return
@@ -256,11 +256,12 @@
 	takes := func() bool { _, err := next.ask(http.MethodGet, "/status"); return err == nil }
 	if !rel.within(yesWithin, takes) {
 		rel.r.fault("%s: the process that is to take over does not say yes; its log ends: %s", rel.name, rel.lastWords())
+		next.signal(syscall.SIGKILL, true)
 		return
 	}
 	rel.r.note(audit.Event{Kind: audit.Ready, Relay: rel.number, Process: next.number})
 	rel.mu.Lock()
-	rel.process, old.replaced = next, true
+	rel.process, next.beside, old.replaced = next, false, true
 	rel.mu.Unlock()
 	old.signal(syscall.SIGTERM, true)
 	select {
--- a/internal/rehearsal/rig/relays.go
+++ b/internal/rehearsal/rig/relays.go
@@ -82,6 +82,7 @@
 	// With the relay's lock.
 	expected bool // its end was asked for
 	replaced bool // another has taken its place
+	beside   bool // it has not taken the place of the one before yet
 }
 
 // serving gives the process that takes clients, or nil.
@@ -192,7 +193,7 @@
 	if err := rel.configure(); err != nil {
 		return err
 	}
-	p, err := rel.launch()
+	p, err := rel.launch(false)
 	if err != nil {
 		return err
 	}
@@ -203,13 +204,13 @@
 }
 
 // launch starts a process, beside one that may be running.
-func (rel *relay) launch() (*process, error) {
+func (rel *relay) launch(beside bool) (*process, error) {
 	// Reserved for a moment to learn a free port, as for clients.
 	ln, err := net.Listen("tcp", net.JoinHostPort(net.IPv4(127, byte(100+rel.number), 0, 2).String(), "0"))
 	if err != nil {
 		return nil, err
 	}
-	p := &process{rel: rel, door: ln.Addr().String(), exited: make(chan struct{})}
+	p := &process{rel: rel, door: ln.Addr().String(), exited: make(chan struct{}), beside: beside}
 	_ = ln.Close()
 	log, err := os.OpenFile(rel.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -255,17 +256,20 @@
 func (p *process) wait(cmd *exec.Cmd) {
 	err, rel := cmd.Wait(), p.rel
 	rel.mu.Lock()
-	expected, replaced := p.expected, p.replaced
+	expected, replaced, beside := p.expected, p.replaced, p.beside
 	if rel.process == p {
 		rel.process = nil
 	}
 	rel.cpuBefore += (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Seconds()
 	rel.usage.CPU = rel.cpuBefore
-	if !expected {
+	if !expected && !replaced {
 		rel.usage.Crashes++
 	}
 	rel.mu.Unlock()
 	switch {
+	case beside && !expected: // the one before serves on
+		rel.r.fault("%s: the process that is to take over ended: %v; its log ends: %s", rel.name, err, rel.lastWords())
+	case beside:
 	case !expected && !replaced:
 		rel.r.note(audit.Event{Kind: audit.Crashed, Relay: rel.number, Status: cmd.ProcessState.ExitCode()})
 		rel.r.fault("%s ended without being asked to: %v; its log ends: %s", rel.name, err, rel.lastWords())
