--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -104,8 +104,9 @@
 	past     map[string]bool // ids of messages taken on that came to their end not long ago
 	ends     []pastEnd       // the same, in that order
 	arrivals int64           // the last Order.Arrival
-	wakeAt   time.Duration
-	stepped  time.Duration // when the last batch was handled
+	wakeAt   time.Duration   // when the loop goes on by itself
+	armed    time.Duration   // what the module asked for last: it counts on that, and asks for no more until then
+	stepped  time.Duration   // when the last batch was handled
 	calls    context.Context
 	out      int                     // calls out whose end the loop has not heard
 	parked   map[string]*net.TCPConn // of calls that wait in a freeze, by message
@@ -442,8 +443,7 @@
 func (l *loop) step() {
 	now := l.now()
 	l.stepped = now
-	if l.wakeAt <= now {
-		l.wakeAt = now + time.Hour
+	if l.woken(now) {
 		l.events = append(l.events, policy.Woken{})
 	}
 	events := l.events
@@ -465,6 +465,25 @@
 	l.commit()
 }
 
+// arm has the module woken at a time.
+func (l *loop) arm(at time.Duration) {
+	l.armed = at
+	l.wakeAt = min(l.wakeAt, at)
+}
+
+// woken tells whether the module is to be woken, and sets the next time. Guards against a timer that is lost: where an
+// earlier one, or the loop's own cause, wakes the module, what it asked for last is still to come.
+func (l *loop) woken(now time.Duration) bool {
+	if l.wakeAt > now {
+		return false
+	}
+	l.wakeAt = now + time.Hour
+	if l.armed > now {
+		l.wakeAt = l.armed
+	}
+	return true
+}
+
 // admitted takes on the arrivals of this batch that were not refused.
 func (l *loop) admitted() {
 	for _, m := range l.fresh {
@@ -527,7 +546,7 @@
 			l.effects = append(l.effects, func() { l.pool.CloseIdle(hosts.Target{Host: h.Host, Addr: h.Dial}) })
 		}
 	case policy.Wake:
-		l.wakeAt = min(l.wakeAt, now+a.After)
+		l.arm(now + a.After)
 	case policy.Subscribe:
 		l.watch.Ask()
 	case policy.Remember:
--- /dev/null
+++ b/internal/relay/loop_test.go
@@ -0,0 +1,38 @@
+package relay
+
+import (
+	"testing"
+	"time"
+)
+
+// What the module asked for last comes, whatever wakes it before: it asks only once.
+func TestNoTimerIsLost(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		ask  func(l *loop)
+		wake []time.Duration // up to a minute
+	}{
+		"one":                        {func(l *loop) { l.arm(30 * ms) }, []time.Duration{30 * ms}},
+		"a later one after it":       {func(l *loop) { l.arm(3 * ms); l.arm(time.Second) }, []time.Duration{3 * ms, time.Second}},
+		"an earlier one after it":    {func(l *loop) { l.arm(time.Second); l.arm(3 * ms) }, []time.Duration{3 * ms}},
+		"the loop has its own cause": {func(l *loop) { l.arm(time.Second); l.wakeAt = 0 }, []time.Duration{ms, time.Second}},
+	} {
+		l := &loop{wakeAt: time.Hour}
+		c.ask(l)
+		var got []time.Duration
+		for now := ms; now <= time.Minute; now += ms {
+			if l.woken(now) {
+				got = append(got, now)
+			}
+		}
+		if len(got) != len(c.wake) {
+			t.Errorf("%s: woken at %v, want %v", name, got, c.wake)
+			continue
+		}
+		for i := range got {
+			if got[i] != c.wake[i] {
+				t.Errorf("%s: woken at %v, want %v", name, got, c.wake)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/policy/limits_test.go
@@ -0,0 +1,96 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// A destination that lowers its limit says so in its answers: the pace goes to this relay's share of what is left, noise
+// about the listed rate changes nothing, and the limit's return is heard with the next answer.
+func TestReportedLimit(t *testing.T) {
+	s := plain()
+	s.Weights, s.Instances = WeightsNominal, 2
+	d := start(t, s, Endpoint{ID: "a", Weight: 20})
+	q := d.queues[0]
+	for _, c := range []struct {
+		limit, pace, even float64
+	}{
+		{18, 10, 10}, {23, 10, 10}, {0, 10, 10}, {math.Inf(1), 10, 10}, {math.NaN(), 10, 10}, {-3, 10, 10}, // noise, and nonsense
+		{4, 2, 2}, {4.4, 2, 2.06}, // lowered
+		{20, 10, 10}, // back
+		{0.2, 0.2, 0.1},
+		{1e9, 10, 10}, // what is listed bounds it
+	} {
+		d.reported(q, c.limit)
+		if math.Abs(q.pace-c.pace) > 1e-9 || math.Abs(d.even(q)-c.even) > 1e-9 {
+			t.Errorf("told %v: pace %v, even share %v, want %v and %v", c.limit, q.pace, d.even(q), c.pace, c.even)
+		}
+	}
+	d.reported(q, 4)
+	for range 100 {
+		q.held = []*message{{}}
+		d.succeeded(d.endpoints["a"], true)
+	}
+	if q.pace != 4 {
+		t.Errorf("pace %v after many successes, want the 4 that are told", q.pace)
+	}
+	unlisted := start(t, plain(), Endpoint{ID: "a"})
+	if unlisted.reported(unlisted.queues[0], 4); unlisted.queues[0].pace != 0 {
+		t.Errorf("pace %v where no rate is listed", unlisted.queues[0].pace)
+	}
+}
+
+// Calls that were out together and are refused together are one refusal: they were sent before anything was heard.
+func TestRefusedTogether(t *testing.T) {
+	s := plain()
+	s.Weights, s.Slots = WeightsNominal, 16
+	d := start(t, s, Endpoint{ID: "a", Weight: 100})
+	q := d.queues[0]
+	var arrivals, refusals []Event
+	for i := range 8 {
+		id := fmt.Sprint("m", i)
+		arrivals = append(arrivals, arrive(id, 0))
+		refusals = append(refusals, Ended{ID: id, Endpoint: "a", Outcome: QueueFull})
+	}
+	d.Handle(ms, arrivals)
+	if len(q.out) != 8 {
+		t.Fatalf("%d calls out", len(q.out))
+	}
+	d.Handle(50*ms, refusals)
+	if q.fulls != 1 || q.pace != 100*paceCut && q.pace != (100+100)/2 || q.holdUntil > 50*ms+20*ms {
+		t.Errorf("%d refusals in a row, pace %v, pause %v", q.fulls, q.pace, q.holdUntil-50*ms)
+	}
+	// The first that is sent after the pause and refused is the second.
+	at := 50 * ms
+	for n := 2; n < 6; n++ {
+		at = max(q.holdUntil, at) + 50*ms
+		d.Handle(at, []Event{Woken{}})
+		if len(q.out) == 0 {
+			t.Fatalf("nothing goes after the pause, at %v", at)
+		}
+		at += 10 * ms
+		c := q.out[len(q.out)-1] // the latest
+		m := c.msgs[0]
+		d.Handle(at, []Event{Ended{ID: m.ID, Endpoint: "a", Attempt: len(m.attempts) - 1, Outcome: QueueFull}})
+		if q.fulls != n {
+			t.Errorf("%d refusals in a row, want %d", q.fulls, n)
+		}
+	}
+	if q.holdUntil-at > longestHold*3/2 {
+		t.Errorf("pause of %v", q.holdUntil-at)
+	}
+}
+
+// What a destination told of its limit goes on to the process that takes the place.
+func TestReportedLimitIsInherited(t *testing.T) {
+	s := plain()
+	s.Weights = WeightsNominal
+	old, next := start(t, s, Endpoint{ID: "a", Weight: 20}), start(t, s, Endpoint{ID: "a", Weight: 20})
+	old.reported(old.queues[0], 4)
+	next.Handle(time.Second, []Event{Inherited{old.Memory()}})
+	if q := next.queues[0]; q.pace != 4 || next.even(q) != 4 {
+		t.Errorf("pace %v, even share %v", q.pace, next.even(q))
+	}
+}
--- a/policy/memory.go
+++ b/policy/memory.go
@@ -37,10 +37,12 @@
 	Latency     LatencyMemory `json:"latency"`
 	WaitUntil   time.Duration `json:"wait_until,omitempty"`
 	HoldUntil   time.Duration `json:"hold_until,omitempty"`
+	PausedAt    time.Duration `json:"paused_at,omitempty"`
 	Fulls       int           `json:"fulls,omitempty"`
 	FirstFull   time.Duration `json:"first_full,omitempty"`
 	LastOK      time.Duration `json:"last_ok,omitempty"`
 	Weight      float64       `json:"weight,omitempty"`
+	Limit       float64       `json:"limit,omitempty"`
 	Pace        float64       `json:"pace,omitempty"`
 	Tokens      float64       `json:"tokens,omitempty"`
 	TokensAt    time.Duration `json:"tokens_at,omitempty"`
@@ -85,7 +87,7 @@
 	for _, no := range sortedKeys(d.dests) {
 		for _, q := range d.dests[no].queues {
 			m := QueueMemory{Destination: no, Latency: q.latencies.memory(), WaitUntil: q.waitUntil, HoldUntil: q.holdUntil,
-				Fulls: q.fulls, FirstFull: q.firstFull, LastOK: q.lastOK, Weight: q.weight, Pace: q.pace, Tokens: q.tokens,
+				PausedAt: q.pausedAt, Limit: q.limit, Fulls: q.fulls, FirstFull: q.firstFull, LastOK: q.lastOK, Weight: q.weight, Pace: q.pace, Tokens: q.tokens,
 				TokensAt: q.tokensAt, Arrivals: q.arrivals.memory(), Misses: q.misses.memory(), CopyWork: q.copyWork,
 				CopyAt: q.copyAt, Ill: q.ill}
 			if q.apart && len(q.eps) > 0 {
@@ -124,7 +126,8 @@
 			q = ep.q
 		}
 		q.latencies.recall(m.Latency)
-		q.waitUntil, q.holdUntil, q.fulls, q.firstFull, q.lastOK = m.WaitUntil, m.HoldUntil, m.Fulls, m.FirstFull, m.LastOK
+		q.waitUntil, q.holdUntil, q.pausedAt, q.lastOK = m.WaitUntil, m.HoldUntil, m.PausedAt, m.LastOK
+		q.fulls, q.firstFull, q.limit = m.Fulls, m.FirstFull, m.Limit
 		if q.weight == m.Weight { // else the list has told another rate since, and the pace began anew
 			q.pace, q.tokens, q.tokensAt = m.Pace, m.Tokens, m.TokensAt
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,7 +17,7 @@
 const (
 	// keepWorth of its worth a message must still have when it is delivered, while more arrive for its
 	// queue than can leave: what is admitted later than that takes the place of one that would be on time.
-	keepWorth = 0.8
+	keepWorth = 0.65
 	// latencyGain is the weight of a new outcome in a mean latency: about the last ten calls count.
 	latencyGain = 0.1
 	// counterAge is the time constant of λ and r: a few arrivals a queue, but follows a jump of traffic.
@@ -48,6 +48,9 @@
 	// paceFloor is the least part of its even share that a queue's pace falls to: a rough weight that is
 	// half too high is met by two thirds.
 	paceFloor = 0.7
+	// throttled is the share of its listed rate under which a reported limit counts: reports are noisy, and
+	// a receiver that lowers its limit lowers it by far more. limitGain is a report's weight in that limit.
+	throttled, limitGain = 0.7, 0.3
 	// roomLeft of its allowance a destination must report for a pace to rise, where it reports at all.
 	roomLeft = 0.5
 	// reuses of a connection must be expected within its idle time, or it is closed after a call.
@@ -66,7 +69,7 @@
 	answerShare, timeoutMeans = 1.0 / 3, 8
 	// pauseCalls at the pace, and leastPause where no pace is known, is the first pause after a refusal,
 	// longestHold the longest: about the longest span in which receivers count calls.
-	pauseCalls, leastPause, longestHold = 0.5, 100 * time.Millisecond, 2 * time.Second
+	pauseCalls, leastPause, longestHold = 0.5, 100 * time.Millisecond, time.Second
 	// backgroundShare of the slots may have calls out in all when one with a background message goes, and
 	// backgroundSlots of them with such messages: what is fresh finds a slot all the same. A queue must have
 	// backgroundTokens of its pace.
@@ -633,6 +636,9 @@
 	m.open--
 	a.unrun = !e.Doubtful && (e.Outcome == QueueFull || e.Outcome == ConnectError || e.Outcome == Ignored)
 	c := a.call
+	if e.Report != nil {
+		d.reported(c.ep.q, e.Report.Limit)
+	}
 	if e.Outcome == QueueFull && e.Wait > 0 {
 		c.ep.q.waitUntil = max(c.ep.q.waitUntil, d.now+min(e.Wait, never-d.now))
 	}
@@ -690,7 +696,9 @@
 		ep.strikes[m.Class] = 0
 		d.succeeded(ep, e.Report == nil || e.Report.Left >= roomLeft)
 	case QueueFull:
-		d.full(q)
+		if c.sent >= q.pausedAt {
+			d.full(q)
+		}
 	case ConnectError:
 		if ep.lastOK > c.sent {
 			// Others get through: the endpoint takes no more connections, it is not down.
@@ -745,7 +753,7 @@
 	q.fulls, q.ill = 0, false
 	if q.pace > 0 && len(q.held) > 0 && room {
 		own := math.Max(d.even(q), math.Min(q.pace, pacedCalls/burstSpan.Seconds()))
-		q.pace = math.Min(q.pace+paceRaise*own, q.weight)
+		q.pace = math.Min(q.pace+paceRaise*own, q.rate())
 	}
 }
 
@@ -816,7 +824,7 @@
 	}
 	hold = math.Min(hold*math.Pow(2, float64(q.fulls-1)), math.Max(hold, longestHold.Seconds()))
 	hold *= 0.5 + d.chance.Float64() // relays that were refused together do not come back together
-	q.holdUntil = max(q.holdUntil, d.now+time.Duration(hold*float64(time.Second)))
+	q.holdUntil, q.pausedAt = max(q.holdUntil, d.now+time.Duration(hold*float64(time.Second))), d.now
 	if d.once(q, q.fulls) || q.fulls > failuresToSick && d.now-q.firstFull > shutAfter {
 		for _, ep := range q.eps {
 			d.sicken(ep)
@@ -878,7 +886,32 @@
 }
 
 // even is this relay's even share of a queue's limit, in calls a second.
-func (d *Dispatcher) even(q *queue) float64 { return q.weight / float64(d.s.Instances) }
+func (d *Dispatcher) even(q *queue) float64 { return q.rate() / float64(d.s.Instances) }
+
+// rate is the calls a second that a queue's destination takes from all relays just now; 0 for unknown.
+func (q *queue) rate() float64 {
+	if q.limit > 0 && q.limit < throttled*q.weight {
+		return q.limit
+	}
+	return q.weight
+}
+
+// reported takes in the limit that a destination tells of itself: it may lower what it is listed with for a
+// while, and what goes there above that is refused. The pace begins anew at the even share of what it is now.
+func (d *Dispatcher) reported(q *queue, limit float64) {
+	if !(limit > 0) || math.IsInf(limit, 0) || q.weight == 0 {
+		return
+	}
+	before := q.rate()
+	if q.limit == 0 || limit < throttled*q.limit || q.limit < throttled*limit {
+		q.limit = limit
+	} else {
+		q.limit += limitGain * (limit - q.limit)
+	}
+	if now := q.rate(); q.pace > 0 && (now < throttled*before || before < throttled*now) {
+		q.pace = math.Max(d.even(q), math.Min(now, pacedCalls/burstSpan.Seconds()))
+	}
+}
 
 // sparse tells whether a second knock is more than this relay's part of what a cold destination takes.
 func (d *Dispatcher) sparse(q *queue) bool {
--- a/policy/state.go
+++ b/policy/state.go
@@ -62,10 +62,12 @@
 	kind      int
 	waitUntil time.Duration
 	holdUntil time.Duration // our own pause after a refusal without a wait
+	pausedAt  time.Duration // when that pause began
 	fulls     int           // refusals in a row
 	firstFull time.Duration // of the refusals in a row
 	lastOK    time.Duration // 0 for never
 	weight    float64       // calls a second that all relays may make; 0 for unknown
+	limit     float64       // the same as the destination tells it; 0 for unknown
 	pace      float64       // calls a second of this relay; 0 for unknown
 	bucket                  // of the pace
 	arrivals  aged
