--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -95,12 +95,14 @@
 	ended   chan struct{} // closed when Run has returned
 	Seq     int64         // of the list as it stands; set before run
 	told    func(m Members, from string)
-	failed  func()
+	failed  func(lines int)
+	// Asked, where set, hears of each ask. Set before Run.
+	Asked func()
 }
 
 // NewWatcher watches at an address once it runs: told gets each list, or change of it, with the address that it came from,
-// failed the end of each watch.
-func NewWatcher(discovery string, told func(m Members, from string), failed func()) *Watcher {
+// failed the end of each watch, with how many it had brought.
+func NewWatcher(discovery string, told func(m Members, from string), failed func(lines int)) *Watcher {
 	return &Watcher{from: discovery, told: told, failed: failed, silence: watchSilence,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1),
 		moved: make(chan string), ended: make(chan struct{})}
@@ -167,12 +169,15 @@
 		if backOff = min(askAgainMost, 2*backOff+askAgain); lines > 0 {
 			backOff = 0
 		}
-		w.failed()
+		w.failed(lines)
 	}
 }
 
 // watch follows one watch to its end and returns how many lists it brought.
 func (w *Watcher) watch(ctx context.Context) (lines int, err error) {
+	if w.Asked != nil {
+		w.Asked()
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// Guards against a watch that has gone silent: a cut link ends no connection.
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -27,6 +27,7 @@
 	Spent    bool
 	Doubtful bool // it may have run, whatever the outcome says
 	Report   *policy.Report
+	Fresh    bool // a connection was made for it, or tried to be
 	// Parked is the connection of a call that has no end yet: its answer is to be waited for by another process, or by this
 	// one later on. All else means nothing then.
 	Parked *net.TCPConn
--- a/internal/hosts/http1/http1_test.go
+++ b/internal/hosts/http1/http1_test.go
@@ -116,6 +116,7 @@
 		{"no HTTP", readThen(func(c net.Conn) { _, _ = io.WriteString(c, "what?\r\n\r\n") }), hosts.Result{Outcome: policy.Reset}},
 	}
 	for _, tt := range tests {
+		tt.want.Fresh = true
 		if got := testPool().Call(t.Context(), testCall(tt.addr)); got != tt.want {
 			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
 		}
@@ -149,6 +150,7 @@
 	}
 	for _, tt := range tests {
 		p := testPool()
+		tt.want.Fresh = true
 		if got := p.Call(t.Context(), testCall(rawHost(t, answering(tt.text)))); got != tt.want {
 			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,6 +4,7 @@
 
 import (
 	"mallowlead/internal/strict"
+	"mallowlead/internal/trace"
 	"mallowlead/internal/undelivered"
 )
 
@@ -14,6 +15,7 @@
 type File struct {
 	Version     int                  `toml:"version"`
 	Undelivered *undelivered.Section `toml:"undelivered"`
+	Trace       *trace.Section       `toml:"trace"`
 }
 
 // Off is the file in which every section is absent.
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -7,6 +7,7 @@
 
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/hosts"
+	"mallowlead/internal/trace"
 	"mallowlead/policy"
 )
 
@@ -51,6 +52,7 @@
 // call makes a call in a goroutine of its own.
 func (l *loop) call(s send) {
 	s.m.begun = time.Now()
+	l.trace.Note(l.now(), trace.Event{Kind: trace.Send, ID: s.m.ID, Class: s.m.Class, Dest: s.m.Dest, Host: s.host.Host, Count: s.attempt + 1})
 	l.begin(s, l.pool.Call)
 }
 
@@ -68,3 +70,28 @@
 		l.put(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: time.Since(begun), made: true, Result: res})
 	}()
 }
+
+// traceAnswer notes the end of a call.
+func (l *loop) traceAnswer(m *message, e answered) {
+	if l.trace == nil {
+		return
+	}
+	t := trace.Event{Kind: trace.Answer, ID: m.ID, Class: m.Class, Dest: m.Dest, Host: e.host, How: outcomes[e.Outcome], Count: e.attempt + 1,
+		Ms: float64(e.took.Microseconds()) / 1000, Fresh: e.Fresh}
+	if e.Report != nil {
+		t.Left, t.Limit = e.Report.Left, e.Report.Limit
+	}
+	l.trace.Note(l.now(), t)
+}
+
+// traceEnd notes the end of a message that was taken on.
+func (l *loop) traceEnd(m *message, how string) {
+	if l.trace == nil {
+		return
+	}
+	t := trace.Event{Kind: trace.End, ID: m.ID, Class: m.Class, Dest: m.Dest, How: how}
+	if class := l.class(m.Class); class >= 0 {
+		t.Ms = float64((l.now() - l.clock(m.Expires) + l.cfg.policy.Classes[class].Deadline).Milliseconds())
+	}
+	l.trace.Note(l.now(), t)
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -21,6 +21,7 @@
 	"mallowlead/internal/journal"
 	"mallowlead/internal/operator"
 	"mallowlead/internal/settings"
+	"mallowlead/internal/trace"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
@@ -129,6 +130,14 @@
 	return c.Own.Undelivered
 }
 
+// tracing is what the operator says of the trace; nil: there is none.
+func (c *Config) tracing() *trace.Section {
+	if c.Own == nil {
+		return nil
+	}
+	return c.Own.Trace
+}
+
 // journalRoom is how large the journal may be, in MB.
 func (c *Config) journalRoom() float64 { return min(c.Limits.DiskMB, journalShare*c.Limits.MemoryMB) }
 
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -15,6 +15,7 @@
 	"mallowlead/internal/management"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/standby"
+	"mallowlead/internal/trace"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
@@ -39,7 +40,7 @@
 		from string // the discovery that told it
 	}
 	// watchEnded says that the watch on discovery ended or could not be had.
-	watchEnded struct{}
+	watchEnded struct{ lines int }
 	// received says that the platform has notices.
 	received struct{ ids []string }
 	// stopSending says that the process is about to end, and serveOn that it is not.
@@ -89,6 +90,7 @@
 	pool     *http1.Pool
 	watch    *discovery.Watcher
 	notices  *notices.Notifier
+	trace    *trace.Recorder
 	book     *management.Book
 	stance   *standby.Stance
 	recheck  func(*clients.Check) // has clients' messages checked by other settings
@@ -142,6 +144,7 @@
 		}
 	}
 	list.Whole = true
+	l.trace.Note(l.now(), trace.Event{Kind: trace.Start, Relay: l.cfg.Name, Count: l.cfg.Settings.NInstances})
 	l.told(list)
 	l.journal.List(list, l.cfg.Discovery) // what the watch tells from here on may be changes of it only
 	l.watch.Seq = list.Seq
@@ -240,6 +243,7 @@
 	case answered:
 		l.answered(e)
 	case told:
+		l.trace.Note(l.now(), trace.Event{Kind: trace.Told, Whole: e.Whole, Count: len(e.Hosts)})
 		l.told(e.Members)
 		if e.Whole {
 			for host := range l.journal.Health() {
@@ -250,6 +254,7 @@
 		}
 		l.journal.List(e.Members, e.from)
 	case watchEnded:
+		l.trace.Note(l.now(), trace.Event{Kind: trace.Lost, Count: e.lines})
 		l.events = append(l.events, policy.ListFailed{})
 	case received:
 		for _, id := range e.ids {
@@ -350,6 +355,7 @@
 		return
 	}
 	m.cancel = nil
+	l.traceAnswer(m, e)
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.End(m.Entry, e.Unrun(), outcomes[e.Outcome], l.wall(l.now()))
 	}
@@ -358,6 +364,7 @@
 	switch {
 	case !e.Over || m.over:
 	case e.Outcome == policy.OK:
+		l.traceEnd(m, trace.Delivered)
 		l.count(m, management.Success)
 	default: // withdrawn, or out of time
 		l.count(m, management.Failure)
@@ -492,6 +499,7 @@
 				l.journal.Under(m.Entry, l.cfg.policy.Classes[class])
 			}
 			l.journal.Take(m.Entry)
+			l.trace.Note(l.now(), trace.Event{Kind: trace.Take, ID: m.ID, Class: m.Class, Dest: m.Dest})
 			l.taken(m)
 			l.begun(m)
 		}
@@ -513,12 +521,14 @@
 		l.count(m, management.Failure)
 	}
 	if replies := m.verdicts; replies != nil {
+		l.trace.Note(l.now(), trace.Event{Kind: trace.Turn, ID: m.ID, Class: m.Class, Dest: m.Dest, Ms: float64(v.After.Milliseconds())})
 		l.refusedAt(m, status)
 		m.verdicts = nil
 		l.effects = append(l.effects, func() { reply(replies, v) })
 		l.end(m)
 		return
 	}
+	l.traceEnd(m, status)
 	m.over = true
 	n := notices.Notice{ID: m.ID, Status: status, AgainMS: v.After.Milliseconds()}
 	l.journal.Owe(m.Entry, n, string(l.reason(m, status, l.now())), l.wall(l.now()))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"mallowlead/internal/notices"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/standby"
+	"mallowlead/internal/trace"
 	"mallowlead/policy"
 )
 
@@ -154,7 +156,9 @@
 			cfg.hostRoom())}
 	l.pool.Written = func() { l.book.Calls.Add(1) }
 	l.watch = discovery.NewWatcher(cfg.Discovery, func(m discovery.Members, from string) { l.put(told{m, from}) },
-		func() { l.put(watchEnded{}) })
+		func(lines int) { l.put(watchEnded{lines}) })
+	l.trace = trace.New(cfg.tracing(), os.Stderr)
+	l.watch.Asked = func() { l.trace.Note(l.now(), trace.Event{Kind: trace.Ask}) }
 	l.notices = notices.New(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	if cfg.keeping() != nil {
 		l.arrivals = kept.Arrivals()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,8 +55,9 @@
 	roomLeft = 0.5
 	// reuses of a connection must be expected within its idle time, or it is closed after a call.
 	// At half of this failed connections cost more than the handshakes saved. Where relays are no more than
-	// idleRoom, which even small receivers take, all may keep theirs.
-	reuses, idleRoom = 4, 6
+	// idleRoom, which even small receivers take, all may keep theirs; where they are more than connRoom, which is about
+	// all that a small one takes, a connection that idles at one relay is a call refused at another.
+	reuses, idleRoom, connRoom = 4, 6, 9
 	// connRaise is added to a learned connection cap by each success.
 	connRaise = 0.05
 	// pacedCalls a span is where a pace starts at least: where the even share is less, relays come by
@@ -672,7 +673,8 @@
 func (d *Dispatcher) seldom(ep *endpoint) bool {
 	// Counted, not as a rate: at the start one arrival looks like many.
 	expected := ep.q.arrivals.count(d.now) * float64(d.s.ConnIdle) / float64(counterAge)
-	return ep.connCap > 0 || d.s.Instances > idleRoom && expected < reuses*float64(max(1, len(ep.q.eps)))
+	return ep.connCap > 0 || d.s.Instances > connRoom ||
+		d.s.Instances > idleRoom && expected < reuses*float64(max(1, len(ep.q.eps)))
 }
 
 // learn draws from a call's end what it tells, by its own time: a relay without turns hears late of it.
