--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"mallowlead/internal/backoff"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/wait"
 	"mallowlead/policy"
@@ -25,9 +26,18 @@
 	// watchSilence without a byte means that a watch is dead: an empty line comes every 2 s, and what
 	// discovery has to tell counts as told after 6 s, so that the answer to a new ask comes in time.
 	watchSilence = 4500 * time.Millisecond
-	// askAgainMost is the longest back-off before discovery is asked again, for the same reason.
+	// askAgainMost is the longest back-off of a few relays, for the same reason, and askAgain the shortest.
 	askAgainMost = 2 * time.Second
 	askAgain     = 250 * time.Millisecond
+	// callPace is the time in which discovery is trusted to take one call, whoever makes it: relays spread their calls over
+	// as much for each relay of the fleet, and failed ones over up to mostPaces times that. Calls that it gives up on have
+	// cost it their work all the same: faster than it works, all of them fail from then on.
+	callPace, mostPaces = 100 * time.Millisecond, 4
+	// herd is the span from which on a start is spread too: below, so few calls are none.
+	herd = time.Second
+	// held is how long a watch must have stood to count as had: the first line may come before discovery has done its work,
+	// which it gives up on after 2 s.
+	held = 2500 * time.Millisecond
 	// maxMemberLine bounds one line of a watch.
 	maxMemberLine = 1 << 20
 )
@@ -96,6 +106,8 @@
 	Seq     int64         // of the list as it stands; set before run
 	told    func(m Members, from string)
 	failed  func(lines int)
+	relays  int   // that share discovery
+	seed    int64 // of the spread of asks
 	// Asked, where set, hears of each ask. Set before Run.
 	Asked func()
 }
@@ -103,11 +115,14 @@
 // NewWatcher watches at an address once it runs: told gets each list, or change of it, with the address that it came from,
 // failed the end of each watch, with how many it had brought.
 func NewWatcher(discovery string, told func(m Members, from string), failed func(lines int)) *Watcher {
-	return &Watcher{from: discovery, told: told, failed: failed, silence: watchSilence,
+	return &Watcher{from: discovery, told: told, failed: failed, silence: watchSilence, relays: 1,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1),
 		moved: make(chan string), ended: make(chan struct{})}
 }
 
+// Share says how many relays share discovery, this one included, and seeds what spreads their asks. Before Run.
+func (w *Watcher) Share(relays int, seed int64) { w.relays, w.seed = max(1, relays), seed }
+
 // Ask wants a watch; it never blocks.
 func (w *Watcher) Ask() {
 	select {
@@ -151,24 +166,33 @@
 
 // follow serves asks at one address until ctx ends.
 func (w *Watcher) follow(ctx context.Context) {
-	backOff := time.Duration(0)
+	span := time.Duration(w.relays) * callPace
+	repeat := backoff.New(askAgain, span, max(askAgainMost, mostPaces*span), w.seed)
+	pause := time.Duration(0)
+	if span >= herd {
+		// Guards against a release that starts the whole fleet: each asks at once for a list that it has, all but the first
+		// few in vain, and those that ask again keep discovery at work on calls that nobody waits for any more.
+		pause = repeat.Start()
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-w.asked:
 		}
-		if !wait.For(ctx, backOff) {
+		if !wait.For(ctx, pause) {
 			return
 		}
+		begun := time.Now()
 		lines, err := w.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		slog.Warn("watch ended", "lines", lines, "err", err)
-		if backOff = min(askAgainMost, 2*backOff+askAgain); lines > 0 {
-			backOff = 0
+		if time.Since(begun) >= held {
+			repeat.Reset()
 		}
+		pause = repeat.Next()
 		w.failed(lines)
 	}
 }
