--- /dev/null
+++ b/cmd/frostlinkctl/fleet.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"mallowlead/internal/trace/fleet"
+)
+
+// mostNamed bad lines are named one by one in print; all of them are in the JSON.
+const mostNamed = 20
+
+func fleetCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:     "fleet",
+		Short:   "Count what all relays of a fleet did together",
+		Long:    "What is harmless at one relay may be harmful when all do it. These commands look at the sum.",
+		Example: "  frostlinkctl fleet count logs",
+	}
+	c.AddCommand(fleetCount())
+	return c
+}
+
+func fleetCount() *cobra.Command {
+	var asJSON string
+	c := &cobra.Command{
+		Use:   "count LOG...",
+		Short: "Count a fleet's traces by second and by destination",
+		Long: "Count the traces of a fleet's relays, written with [trace] log = true in the operator's file, by second and by\n" +
+			"destination. A LOG is one relay's log, or a folder with a *.log for each relay.\n" +
+			"Exit codes: 0 fine, 1 some lines could not be used and are named, 2 could not run.",
+		Example: "  frostlinkctl fleet count logs --json table.json",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			logs, err := fleet.ReadFiles(args)
+			if err != nil {
+				return err
+			}
+			if len(logs.Events) == 0 && len(logs.Bad) == 0 {
+				return fmt.Errorf("%s: no trace in %d lines; turn it on with [trace] log = true in the operator's file", args[0], logs.Other)
+			}
+			table := fleet.Count(logs.Events)
+			out := c.OutOrStdout()
+			if asJSON != "" {
+				err = writeJSON(out, asJSON, struct {
+					*fleet.Table
+					Bad   []fleet.BadLine `json:"bad_lines"`
+					Other int             `json:"other_lines"`
+				}{table, logs.Bad, logs.Other})
+			}
+			if asJSON != "-" {
+				printFleet(out, table)
+				fmt.Fprintf(out, "\n%d events of %d relays, %d other lines, %d that could not be used\n", len(logs.Events), table.Relays, logs.Other,
+					len(logs.Bad))
+				for _, b := range logs.Bad[:min(len(logs.Bad), mostNamed)] {
+					fmt.Fprintln(out, b)
+				}
+			}
+			if err == nil && len(logs.Bad) > 0 {
+				return errFound
+			}
+			return err
+		},
+	}
+	c.Flags().StringVar(&asJSON, "json", "", "write the table as JSON to this `file`; - is standard output, and nothing else then")
+	return c
+}
+
+const countsHead = "first\tagain\tdelivered\tlimit\tdoor\tunmade\tother\tfresh\ttaken\trefused\tlate\tback\tfailed\t"
+
+func printCounts(w io.Writer, c *fleet.Counts) {
+	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", c.First, c.Again, c.Delivered, c.Limit, c.Door, c.Unmade, c.Other,
+		c.Fresh, c.Taken, c.Refused, c.Late, c.Back, c.Failed)
+}
+
+// printFleet prints the table by second, by destination, and the outages.
+func printFleet(out io.Writer, t *fleet.Table) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "second\tstarts\tasks\tturned\ttold\t"+countsHead)
+	for i := range t.Seconds {
+		s := &t.Seconds[i]
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t", s.At, s.Starts, s.Asks, s.Turned, s.Told)
+		printCounts(w, &s.Counts)
+	}
+	_ = w.Flush()
+	fmt.Fprintln(out)
+	fmt.Fprintln(w, "dest\thosts\trelays\tlimit/s\tleft\t"+countsHead)
+	for i := range t.Destinations {
+		d := &t.Destinations[i]
+		fmt.Fprintf(w, "%d\t%d\t%d\t%.1f\t%.2f\t", d.Dest, d.Hosts, d.Relays, d.Limit, d.Left)
+		printCounts(w, &d.Counts)
+	}
+	fmt.Fprint(w, "all\t\t\t\t\t")
+	printCounts(w, &t.Total)
+	_ = w.Flush()
+	for _, d := range t.Destinations {
+		for _, o := range d.Outages {
+			fmt.Fprintf(out, "\ndestination %d out from %.1f to %.1f s: %d calls by %d relays; within 3 s of its return %d calls by %d, %d of them without word of it\n",
+				d.Dest, o.From, o.To, o.Calls, o.Relays, o.Knocks, o.Knockers, o.Unwarned)
+		}
+	}
+}
--- a/cmd/frostlinkctl/main.go
+++ b/cmd/frostlinkctl/main.go
@@ -39,7 +39,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(rehearseCommand(), undeliveredCommand())
+	root.AddCommand(rehearseCommand(), undeliveredCommand(), fleetCommand())
 	root.SetArgs(args)
 	root.SetIn(in)
 	root.SetOut(out)
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -91,7 +91,9 @@
 	}
 	t := trace.Event{Kind: trace.End, ID: m.ID, Class: m.Class, Dest: m.Dest, How: how}
 	if class := l.class(m.Class); class >= 0 {
-		t.Ms = float64((l.now() - l.clock(m.Expires) + l.cfg.policy.Classes[class].Deadline).Milliseconds())
+		terms := &l.cfg.policy.Classes[class]
+		age := l.now() - l.clock(m.Expires) + terms.Deadline
+		t.Ms, t.Late = float64(age.Milliseconds()), age > terms.Aim
 	}
 	l.trace.Note(l.now(), t)
 }
--- /dev/null
+++ b/internal/trace/fleet/fleet_test.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"mallowlead/internal/trace"
+)
+
+// logOf writes a relay's log as a relay does.
+func logOf(t *testing.T, dir, relay string, events ...trace.Event) {
+	t.Helper()
+	var b bytes.Buffer
+	r := trace.New(&trace.Section{Log: true}, &b)
+	for _, e := range events {
+		r.Note(time.Duration(e.At*float64(time.Second)), e)
+	}
+	if err := os.WriteFile(filepath.Join(dir, relay+".log"), b.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Each thing is counted once, in its second and at its destination, over all relays.
+func TestCount(t *testing.T) {
+	dir := t.TempDir()
+	answer := func(at float64, how string, fresh bool, limit float64) trace.Event {
+		return trace.Event{At: at, Kind: trace.Answer, Dest: 1, Host: "h", How: how, Fresh: fresh, Limit: limit, Left: limit / 20}
+	}
+	logOf(t, dir, "n0", trace.Event{At: 100, Kind: trace.Start}, trace.Event{At: 100, Kind: trace.Ask},
+		trace.Event{At: 100.5, Kind: trace.Take, Dest: 1}, trace.Event{At: 100.5, Kind: trace.Send, Dest: 1, Host: "h", Count: 1},
+		answer(100.6, "turned away", true, 0), trace.Event{At: 101, Kind: trace.Send, Dest: 1, Host: "g", Count: 2},
+		answer(101.2, "delivered", true, 10), trace.Event{At: 101.2, Kind: trace.End, Dest: 1, How: trace.Delivered, Late: true},
+		trace.Event{At: 102, Kind: trace.Lost})
+	logOf(t, dir, "n1", trace.Event{At: 100.7, Kind: trace.Told, Count: 4}, trace.Event{At: 101.3, Kind: trace.Turn, Dest: 0},
+		answer(101.4, "turned away", true, 10), answer(101.5, "turned away", false, 0), answer(101.5, "no connection", true, 0),
+		answer(101.6, "timed out", false, 0), trace.Event{At: 101.7, Kind: trace.End, Dest: 1, How: trace.Deferred},
+		trace.Event{At: 101.7, Kind: trace.End, Dest: 1, How: trace.Undeliverable}, trace.Event{At: 102.5, Kind: trace.Lost, Count: 3})
+	logs, err := ReadFiles([]string{dir})
+	if err != nil || len(logs.Bad) > 0 {
+		t.Fatal(err, logs.Bad)
+	}
+	got := Count(logs.Events)
+	want := &Table{Relays: 2,
+		Seconds: []Second{{At: 0, Starts: 1, Asks: 1, Told: 1, Counts: Counts{First: 1, Door: 1, Fresh: 1, Taken: 1}},
+			{At: 1, Counts: Counts{Again: 1, Delivered: 1, Limit: 2, Unmade: 1, Other: 1, Fresh: 3, Refused: 1, Late: 1, Back: 1, Failed: 1}},
+			{At: 2, Turned: 1}},
+		Destinations: []Destination{{Dest: 0, Relays: 1, Counts: Counts{Refused: 1}},
+			{Dest: 1, Hosts: 2, Relays: 1, Limit: 10, Left: 0.5, Counts: Counts{First: 1, Again: 1, Delivered: 1, Limit: 2, Door: 1, Unmade: 1,
+				Other: 1, Fresh: 4, Taken: 1, Late: 1, Back: 1, Failed: 1}}},
+		Total: Counts{First: 1, Again: 1, Delivered: 1, Limit: 2, Door: 1, Unmade: 1, Other: 1, Fresh: 4, Taken: 1, Refused: 1, Late: 1,
+			Back: 1, Failed: 1}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got  %+v\nwant %+v", got, want)
+	}
+}
+
+// An outage is what no call got through, and its return is looked at for who knocked without word of it.
+func TestOutages(t *testing.T) {
+	var events []Logged
+	call := func(relay string, at float64, how string) {
+		events = append(events, Logged{relay, trace.Event{At: at * 1000, Kind: trace.Send, Dest: 3, Count: 1}},
+			Logged{relay, trace.Event{At: at*1000 + 50, Kind: trace.Answer, Dest: 3, How: how, Ms: 50}})
+	}
+	call("a", 0, "delivered")
+	for i := range 12 {
+		call([]string{"a", "b"}[i%2], 1+0.2*float64(i), "no connection")
+	}
+	call("b", 5, "delivered")
+	call("c", 5.5, "delivered")
+	call("a", 9, "delivered")
+	for i := range 9 { // too few for an outage
+		call("a", 10+0.2*float64(i), "turned away")
+	}
+	got := Count(events).Destinations[0].Outages
+	want := []Outage{{From: 1, To: 5.05, Calls: 13, Relays: 2, Knocks: 1, Knockers: 1, Unwarned: 1}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+// Torn, foreign and endless lines are named with their place, and what is no trace is counted.
+func TestBadLines(t *testing.T) {
+	text := "0.1 2026/12/01 WARN watch ended\n" + `0.2 {"trace":1,"at":1,"ev":"ask","dest":0}` + "\n" + `{"trace":9,"at":1}` + "\n" +
+		`{"trace":1,"x":"` + strings.Repeat("y", maxLine) + "\"}\n" + `{"trace":1,"at":1,"ev":"se`
+	l := &Logs{}
+	if err := l.Read("n7.log", strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	if len(l.Events) != 1 || l.Events[0].Relay != "n7" || l.Other != 1 || len(l.Bad) != 3 {
+		t.Fatalf("%d events, %d other lines, bad: %v", len(l.Events), l.Other, l.Bad)
+	}
+	for i, line := range []int{3, 4, 5} {
+		if got := l.Bad[i]; got.Line != line || !strings.HasPrefix(got.String(), fmt.Sprintf("n7.log:%d: ", line)) {
+			t.Errorf("bad line %d is %v", i, got)
+		}
+	}
+	if _, err := ReadFiles([]string{t.TempDir()}); err == nil {
+		t.Error("an empty folder is no error")
+	}
+}
+
+// No text makes the reader panic or lose count of its lines.
+func FuzzRead(f *testing.F) {
+	f.Add(`{"trace":1,"at":1,"ev":"answer","dest":2,"how":"delivered","ms":1}` + "\nx\n" + `{"trace":1,`)
+	f.Fuzz(func(t *testing.T, text string) {
+		l := &Logs{}
+		if err := l.Read("n", strings.NewReader(text)); err != nil {
+			t.Fatal(err)
+		}
+		lines := strings.Count(text, "\n")
+		if !strings.HasSuffix(text, "\n") && strings.TrimRight(text[strings.LastIndex(text, "\n")+1:], "\r") != "" {
+			lines++
+		}
+		if got := len(l.Events) + len(l.Bad) + l.Other; got != lines {
+			t.Fatalf("%d lines read, %d there", got, lines)
+		}
+		Count(l.Events)
+	})
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -14,6 +14,9 @@
 // Version is the form of the lines that this program writes and reads.
 const Version = 1
 
+// latest is the latest time that is read, in milliseconds since 1970: some 30,000 years on.
+const latest = 1e15
+
 // Section is [trace] of the operator's file.
 type Section struct {
 	Log bool `toml:"log"` // write each event into the relay's log
@@ -30,7 +33,7 @@
 	Lost   Kind = "lost"   // a watch ended; Count: lists it had brought
 	Take   Kind = "take"   // a message was taken on; Class
 	Turn   Kind = "turn"   // one was refused at its arrival; Class, Ms: told to stay away
-	End    Kind = "end"    // one taken on came to its end; Class, How, Ms: its age
+	End    Kind = "end"    // one taken on came to its end; Class, How, Ms: its age, Late
 	Send   Kind = "send"   // a call was made; Host, Count: its number among the message's
 	Answer Kind = "answer" // a call ended; Host, How, Ms: how long it took, Left, Limit, Fresh
 )
@@ -59,6 +62,7 @@
 	Limit   float64 `json:"limit,omitempty"` // calls a second, as reported
 	Fresh   bool    `json:"fresh,omitempty"` // a connection was opened, or tried to be, for the call
 	Whole   bool    `json:"whole,omitempty"`
+	Late    bool    `json:"late,omitempty"` // after its class's aim
 }
 
 // Recorder writes events. The nil Recorder writes none.
@@ -102,8 +106,11 @@
 	if err := json.Unmarshal(line[at:], &e); err != nil {
 		return e, true, err
 	}
-	if e.Version != Version {
+	switch {
+	case e.Version != Version:
 		return e, true, fmt.Errorf("version %d; this program reads version %d", e.Version, Version)
+	case !(e.At >= 0 && e.At <= latest):
+		return e, true, fmt.Errorf("at: %v is no Unix time in milliseconds", e.At)
 	}
 	return e, true, nil
 }
