--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,7 +16,6 @@
 	"sync"
 	"time"
 
-	"mallowlead/internal/backoff"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/wait"
 	"mallowlead/policy"
@@ -26,18 +25,6 @@
 	// watchSilence without a byte means that a watch is dead: an empty line comes every 2 s, and what
 	// discovery has to tell counts as told after 6 s, so that the answer to a new ask comes in time.
 	watchSilence = 4500 * time.Millisecond
-	// askAgainMost is the longest back-off of a few relays, for the same reason, and askAgain the shortest.
-	askAgainMost = 2 * time.Second
-	askAgain     = 250 * time.Millisecond
-	// callPace is the time in which discovery is trusted to take one call, whoever makes it: relays spread their calls over
-	// as much for each relay of the fleet, and failed ones over up to mostPaces times that. Calls that it gives up on have
-	// cost it their work all the same: faster than it works, all of them fail from then on.
-	callPace, mostPaces = 100 * time.Millisecond, 4
-	// herd is the span from which on a start is spread too: below, so few calls are none.
-	herd = time.Second
-	// held is how long a watch must have stood to count as had: the first line may come before discovery has done its work,
-	// which it gives up on after 2 s.
-	held = 2500 * time.Millisecond
 	// maxMemberLine bounds one line of a watch.
 	maxMemberLine = 1 << 20
 )
@@ -166,14 +153,8 @@
 
 // follow serves asks at one address until ctx ends.
 func (w *Watcher) follow(ctx context.Context) {
-	span := time.Duration(w.relays) * callPace
-	repeat := backoff.New(askAgain, span, max(askAgainMost, mostPaces*span), w.seed)
-	pause := time.Duration(0)
-	if span >= herd {
-		// Guards against a release that starts the whole fleet: each asks at once for a list that it has, all but the first
-		// few in vain, and those that ask again keep discovery at work on calls that nobody waits for any more.
-		pause = repeat.Start()
-	}
+	asks := NewSchedule(w.relays, w.seed)
+	pause := asks.Start()
 	for {
 		select {
 		case <-ctx.Done():
@@ -189,10 +170,7 @@
 			return
 		}
 		slog.Warn("watch ended", "lines", lines, "err", err)
-		if time.Since(begun) >= held {
-			repeat.Reset()
-		}
-		pause = repeat.Next()
+		pause = asks.Again(time.Since(begun))
 		w.failed(lines)
 	}
 }
--- /dev/null
+++ b/internal/discovery/schedule.go
@@ -0,0 +1,53 @@
+package discovery
+
+import (
+	"time"
+
+	"mallowlead/internal/backoff"
+)
+
+const (
+	// askAgainMost is the longest back-off of a few relays, since what discovery has to tell counts as told after 6 s, and
+	// askAgain the shortest.
+	askAgainMost = 2 * time.Second
+	askAgain     = 250 * time.Millisecond
+	// callPace is the time in which discovery is trusted to take one call, whoever makes it: relays spread their calls over
+	// as much for each relay of the fleet, and failed ones over up to mostPaces times that. Calls that it gives up on have
+	// cost it their work all the same: faster than it works, all of them fail from then on.
+	callPace, mostPaces = 100 * time.Millisecond, 4
+	// herd is the span from which on a start is spread too: below, so few calls are none.
+	herd = time.Second
+	// held is how long a watch must have stood to count as had: the first line may come before discovery has done its work,
+	// which it gives up on after 2 s.
+	held = 2500 * time.Millisecond
+)
+
+// Schedule says when one relay of a fleet asks discovery: none asks because all others do.
+type Schedule struct {
+	repeat *backoff.Backoff
+	spread bool
+}
+
+// NewSchedule is for one of so many relays that share a discovery; the seed is its own.
+func NewSchedule(relays int, seed int64) *Schedule {
+	span := time.Duration(max(1, relays)) * callPace
+	return &Schedule{backoff.New(askAgain, span, max(askAgainMost, mostPaces*span), seed), span >= herd}
+}
+
+// Start is the delay of the first ask. Guards against a release that starts the whole fleet: each would ask at once for a
+// list that it has, all but the first few in vain, and those that ask again would keep discovery at work on calls that
+// nobody waits for any more.
+func (s *Schedule) Start() time.Duration {
+	if !s.spread {
+		return 0
+	}
+	return s.repeat.Start()
+}
+
+// Again is the delay of the next ask after one whose watch stood for so long.
+func (s *Schedule) Again(stood time.Duration) time.Duration {
+	if stood >= held {
+		s.repeat.Reset()
+	}
+	return s.repeat.Next()
+}
--- a/internal/rehearsal/partner/partner.go
+++ b/internal/rehearsal/partner/partner.go
@@ -112,6 +112,7 @@
 	now       time.Duration
 	actions   []Action
 
+	lowered  float64 // share of its limit that it takes at present
 	tokens   float64 // of a rate
 	filled   time.Duration
 	span     int64 // number of the span that count belongs to
@@ -138,7 +139,7 @@
 
 // New gives a partner as it is at the start: warm and well.
 func New(s *script.Script, number int, d script.Draws) *Partner {
-	p := &Partner{script: s, spec: &s.Partners[number], keys: map[string]time.Duration{}, refresh: never,
+	p := &Partner{script: s, spec: &s.Partners[number], keys: map[string]time.Duration{}, refresh: never, lowered: 1,
 		reports: d.For("report", number)}
 	for i := range p.spec.Endpoints {
 		p.add(d.For("pause", number, i))
@@ -273,7 +274,7 @@
 	if k := len(p.upcoming); k > 0 {
 		at = max(at, p.upcoming[k-1].at) // an older one does not overtake
 	}
-	p.upcoming = append(p.upcoming, shown{at, Report{min(1, p.allowance()*n1), p.spec.Limit.PerSecond() * n2}})
+	p.upcoming = append(p.upcoming, shown{at, Report{min(1, p.allowance()*n1), p.spec.Limit.PerSecond() * p.lowered * n2}})
 }
 
 // allowance is the share of the limit that is left.
@@ -283,14 +284,27 @@
 	if l.Rate > 0 {
 		return max(0, p.tokens/l.Burst)
 	}
-	return max(0, 1-float64(p.count)/float64(l.Count))
+	return max(0, 1-float64(p.count)/max(1, float64(p.most())))
+}
+
+// most is the count that the limit allows in a span at present.
+func (p *Partner) most() int { return int(float64(p.spec.Limit.Count) * p.lowered) }
+
+// Lower has the partner take a share of its limit from now on.
+func (p *Partner) Lower(now time.Duration, share float64) []Action {
+	p.advance(now)
+	if l := p.spec.Limit; l != nil {
+		p.refill()
+		p.lowered = share
+	}
+	return p.flush()
 }
 
 // refill brings the limit to the present time.
 func (p *Partner) refill() {
 	l := p.spec.Limit
 	if l.Rate > 0 {
-		p.tokens = min(l.Burst, p.tokens+l.Rate*(p.now-p.filled).Seconds())
+		p.tokens = min(l.Burst, p.tokens+l.Rate*p.lowered*(p.now-p.filled).Seconds())
 		p.filled = p.now
 		return
 	}
@@ -314,9 +328,9 @@
 		if p.spec.RefusedCounted {
 			p.tokens = max(-l.Burst, p.tokens-1)
 		}
-		return false, script.Seconds((1 - p.tokens) / l.Rate)
+		return false, script.Seconds((1 - p.tokens) / max(l.Rate*p.lowered, 1e-3))
 	}
-	if p.count < l.Count {
+	if p.count < p.most() {
 		p.count++
 		return true, 0
 	}
--- /dev/null
+++ b/internal/rehearsal/virtual/days.go
@@ -0,0 +1,123 @@
+package virtual
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"mallowlead/internal/rehearsal/script"
+)
+
+// The days that are played. Each is as long, and its trouble is the same, whatever the number of relays.
+const (
+	Calm = "calm" // nothing goes wrong
+	Join = "join" // a partner with a third of the traffic takes a quarter of its limit for 9 s
+	Zone = "zone" // partners with half of the traffic are down for 5 s, and return cold
+	Herd = "herd" // relays are killed during a release of hosts
+)
+
+// Names are the days.
+var Names = []string{Calm, Join, Zone, Herd}
+
+const (
+	dayLength = 30.0 // seconds
+	perRelay  = 7.5  // messages a second for each relay
+	// spare is partners' limits over the traffic, and work over those what their slots can do.
+	spare, work = 1.15, 1.35
+	// perHost calls a second are what one host takes, and hostConns connections at least.
+	perHost, hostConns = 60.0, 12
+)
+
+// shares of the traffic, by partner.
+var shares = []float64{0.34, 0.26, 0.16, 0.12, 0.07, 0.05}
+
+const head = `version = 1
+name = "fleet"
+length_s = %v
+relays = 1
+[relay]
+slots = 4
+hold = 90
+[report]
+every_ms = [110, 420]
+delay_ms = [60, 290]
+noise = 0.08
+[clients]
+retries = 1
+[load]
+rate = %v
+clumps = 0.1
+[[class]]
+name = "fee-payment"
+share = 0.55
+worth = 2
+late_share = 0.5
+aim_s = 2.5
+deadline_s = 12
+effect = "keyed"
+memory_s = 15
+service_ms = 230
+spread = "lognormal"
+cv = 0.9
+noise = 0.2
+[[class]]
+name = "parcel-status"
+share = 0.45
+late_share = 0.3
+aim_s = 3
+deadline_s = 12
+effect = "safe"
+service_ms = 340
+noise = 0.3
+`
+
+// pace multiplies service times: what partners take is far shorter than the network.
+const pace = 0.25
+
+// NewDay gives a day for so many relays: traffic, limits and hosts grow with them, and what a host takes does not.
+func NewDay(name string, relays int, seed int64) (*Day, error) {
+	rate := perRelay * float64(relays)
+	var b strings.Builder
+	fmt.Fprintf(&b, head, dayLength, rate)
+	mean := (0.55*230 + 0.45*340) / 1000 * pace
+	for i, share := range shares {
+		limit := math.Max(2, math.Round(rate*share*spare))
+		endpoints := max(1, int(math.Ceil(limit/perHost)))
+		if i == 0 {
+			endpoints = max(2, endpoints)
+		}
+		slots := max(2, int(math.Ceil(limit*work*mean/float64(endpoints))))
+		fmt.Fprintf(&b, "[[partner]]\nname = \"p%d\"\nshare = %v\nendpoints = %d\nslots = %d\nqueue = %d\npace = %v\n"+
+			"limit = { count = %d, span_s = 1 }\nrefused_counted = true\nhandshake_ms = 2\nconnections = %d\n",
+			i, share, endpoints, slots, 2*slots, pace, int(limit), max(hostConns, 3*slots))
+	}
+	s, err := script.Parse("fleet", []byte(b.String()))
+	if err != nil {
+		return nil, err
+	}
+	s.Relays = relays
+	day := &Day{Script: s, Seed: seed, Register: Register{Work: registerSpan / time.Duration(max(12, relays)), Timeout: 2 * time.Second,
+		Most: 6 * time.Second, Lag: time.Second}}
+	at := func(seconds float64) time.Duration { return script.Seconds(seconds) }
+	switch name {
+	case Calm:
+	case Join:
+		day.Events = []Event{{At: at(8), What: Lower, Share: 0.25}, {At: at(17), What: Lower, Share: 1}}
+	case Zone:
+		for _, p := range []int{0, 2} {
+			day.Events = append(day.Events, Event{At: at(8), What: Out, Partner: p}, Event{At: at(13), What: Back, Partner: p})
+		}
+	case Herd:
+		for p := range shares {
+			day.Events = append(day.Events, Event{At: at(7 + float64(p)), What: Replace, Partner: p})
+		}
+		day.Events = append(day.Events, Event{At: at(10), What: Kill, Share: 0.7})
+	default:
+		return nil, fmt.Errorf("%q is no day: there are %s", name, strings.Join(Names, ", "))
+	}
+	return day, nil
+}
+
+// registerSpan is the time in which the register can take one call of each relay.
+const registerSpan = 5 * time.Second
--- /dev/null
+++ b/internal/rehearsal/virtual/fleet.go
@@ -0,0 +1,328 @@
+// Package virtual plays a whole fleet of relays in virtual time: real decision modules, each with a seed of its own, among
+// the models of partners and of an overbooked register, on one thread and without a socket. It shows in a second what so
+// many processes can't show on one machine: what relays do to a partner or to the register together.
+package virtual
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"mallowlead/internal/rehearsal/partner"
+	"mallowlead/internal/rehearsal/script"
+	"mallowlead/policy"
+)
+
+// What goes wrong on a day.
+const (
+	Lower   = "lower"   // a partner takes a share of its limit
+	Out     = "out"     // a partner is down
+	Back    = "back"    // and returns cold
+	Kill    = "kill"    // relays are killed at once, and start again 1 s later
+	Replace = "replace" // a partner's endpoints are replaced by new ones
+	Down    = "down"    // the register is down for a while
+)
+
+// Event is one of these.
+type Event struct {
+	At      time.Duration
+	What    string
+	Partner int
+	Share   float64       // of the limit, or of the relays
+	For     time.Duration // with Down
+}
+
+// Plant is a fault put into the relays, so that tests see it caught.
+type Plant struct {
+	NoJitter bool // they ask the register at once and again after fixed delays
+	OneCall  bool // an even share of less than one call a second counts as one
+	Opens    bool // all take word of a return for leave to send
+	Probes   bool // each probes a partner that is out, four times a second
+	Forgets  bool // what was taken on dies with the process
+}
+
+// Day is what is played.
+type Day struct {
+	Script   *script.Script
+	Events   []Event
+	Register Register
+	Plant    Plant
+	Skew     float64 // share of the messages that the first relay gets beside its own
+	Seed     int64
+}
+
+// restartAfter is how long a killed relay is away.
+const restartAfter = time.Second
+
+// oneWay is what a message takes between machines.
+var oneWay = script.Range{Low: 15, High: 27}
+
+// handshakeTrips are round trips before a new connection carries a call, beside that of the call.
+const handshakeTrips = 2
+
+// item is something due.
+type item struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+// agenda is a heap of what is due, earliest first, and in the order in which it was put there.
+type agenda []item
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(item)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// host is one endpoint of a partner.
+type host struct {
+	id       string
+	partner  *site
+	endpoint int
+}
+
+// site is a partner with what is kept about it here.
+type site struct {
+	*partner.Partner
+	no      int
+	limit   float64 // calls a second when it is not lowered
+	hosts   []*host
+	flights map[*partner.Call]*flight
+	due     time.Duration // when it is advanced next
+	out     bool
+}
+
+// fleet is a day under way.
+type fleet struct {
+	*Day
+	now      time.Duration
+	seq      int
+	agenda   agenda
+	draws    script.Draws
+	chance   *rand.Rand
+	sites    []*site
+	hosts    map[string]*host
+	relays   []*relay
+	register *register
+	ends     map[int]bool // messages that are over, by number
+	ran      map[int]int  // effects of messages that may not be doubled, by number
+	res      *Result
+}
+
+// Play plays a day to its end.
+func Play(day *Day) (*Result, error) {
+	f := &fleet{Day: day, draws: script.NewDraws(day.Seed), hosts: map[string]*host{}, ends: map[int]bool{}, ran: map[int]int{},
+		res: &Result{Relays: day.Script.Relays}}
+	f.chance = f.draws.For("network")
+	f.register = &register{f: f, Register: day.Register, watchers: map[*relay]int{}}
+	for i := range day.Script.Partners {
+		p := &day.Script.Partners[i]
+		s := &site{Partner: partner.New(day.Script, i, f.draws), no: i, limit: p.Limit.PerSecond(),
+			flights: map[*partner.Call]*flight{}, due: forever}
+		f.sites = append(f.sites, s)
+		for e := range p.Endpoints {
+			f.register.show(f.addHost(s, e), serving)
+		}
+		f.res.Partners = append(f.res.Partners, &Partner{Limit: s.limit})
+	}
+	for i := range day.Script.Relays {
+		r, err := newRelay(f, i)
+		if err != nil {
+			return nil, err
+		}
+		f.relays = append(f.relays, r)
+	}
+	for _, r := range f.relays {
+		if err := r.start(); err != nil {
+			return nil, err
+		}
+	}
+	messages := day.Script.Messages(f.draws)
+	for _, m := range messages {
+		f.at(m.At, func() { f.handIn(m, 0) })
+	}
+	f.res.Messages = len(messages)
+	for _, e := range day.Events {
+		f.at(e.At, func() { f.happen(e) })
+	}
+	length := script.Seconds(day.Script.Length)
+	for at := time.Duration(0); at < length; at += time.Second {
+		f.at(at, f.sample)
+	}
+	until := length
+	for _, c := range day.Script.Classes {
+		until = max(until, length+script.Seconds(c.Deadline)+5*time.Second)
+	}
+	for len(f.agenda) > 0 && f.agenda[0].at <= until {
+		next := heap.Pop(&f.agenda).(item)
+		f.now = next.at
+		next.do()
+	}
+	f.finish(messages)
+	return f.res, nil
+}
+
+// forever is when what is not due is due.
+const forever = time.Duration(1<<63 - 1)
+
+func (f *fleet) at(at time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.agenda, item{max(at, f.now), f.seq, do})
+}
+
+func (f *fleet) after(d time.Duration, do func()) { f.at(f.now+d, do) }
+
+// trip is what a message takes one way.
+func (f *fleet) trip() time.Duration { return script.Millis(oneWay.In(f.chance)) }
+
+func (f *fleet) addHost(s *site, endpoint int) *host {
+	h := &host{fmt.Sprintf("p%d-%d", s.no, endpoint), s, endpoint}
+	s.hosts = append(s.hosts, h)
+	f.hosts[h.id] = h
+	return h
+}
+
+// happen has an event happen.
+func (f *fleet) happen(e Event) {
+	s := f.sites[e.Partner]
+	switch e.What {
+	case Lower:
+		f.carryOut(s, s.Lower(f.now, e.Share))
+	case Out:
+		s.out = true
+		f.carryOut(s, s.Fail(f.now, -1, partner.Refusing, 0))
+		f.reset(s)
+	case Back:
+		s.out = false
+		f.carryOut(s, s.Recover(f.now, -1, true))
+		for _, r := range f.relays {
+			if r.alive && f.Plant.Opens {
+				r.open()
+			}
+		}
+	case Kill:
+		for _, r := range f.relays[:int(e.Share*float64(len(f.relays)))] {
+			r.kill()
+		}
+	case Replace:
+		old := s.hosts
+		s.hosts = nil
+		for i, h := range old {
+			n, acts := s.Add(f.now, f.draws.For("pause", s.no, len(old)+i))
+			f.carryOut(s, acts)
+			f.register.show(f.addHost(s, n), serving)
+			f.after(time.Second, func() {
+				f.carryOut(s, s.Drain(f.now, h.endpoint))
+				f.register.show(h, draining)
+			})
+			f.after(4*time.Second, func() {
+				f.carryOut(s, s.Remove(f.now, h.endpoint))
+				f.reset(s)
+				f.register.show(h, deleted)
+			})
+		}
+	case Down:
+		f.register.fail(e.For)
+	}
+}
+
+// handIn has a client hand a message in, for the n-th time, to a relay that runs.
+func (f *fleet) handIn(m *script.Message, n int) {
+	var there []*relay
+	for _, r := range f.relays {
+		if r.alive {
+			there = append(there, r)
+		}
+	}
+	left := script.Seconds(f.Script.Classes[m.Class].Deadline) - (f.now - m.At)
+	switch {
+	case left <= 0:
+		f.ends[m.No] = true // its client has given up: nobody had taken it on
+		return
+	case len(there) == 0:
+		f.after(m.Again, func() { f.handIn(m, n) })
+		return
+	}
+	deal := m.Deal
+	if n > 0 {
+		deal = f.draws.For("retry", m.No, n).Float64()
+	}
+	to := there[int(deal*float64(len(there)))]
+	if f.Skew > 0 && f.draws.For("skew", m.No).Float64() < f.Skew {
+		to = there[0]
+	}
+	to.take(m, n, left)
+}
+
+// carryOut carries out what a partner does.
+func (f *fleet) carryOut(s *site, acts []partner.Action) {
+	for _, a := range acts {
+		switch {
+		case a.Change != nil && a.Change.Mode == partner.Refusing:
+			f.reset(s)
+		case a.Done != nil:
+			if fl := s.flights[a.Done.Call]; fl != nil {
+				delete(s.flights, a.Done.Call)
+				f.answer(s, fl, a.Done)
+			}
+		}
+	}
+	if next := s.Next(); next < s.due {
+		s.due = next
+		f.at(next, func() {
+			s.due = forever
+			f.carryOut(s, s.Advance(f.now))
+		})
+	}
+}
+
+// answer sends a call's end back to its relay.
+func (f *fleet) answer(s *site, fl *flight, done *partner.Done) {
+	p := f.res.Partners[s.no]
+	if m := fl.held.m; done.Ran && f.Script.Classes[m.Class].Effect != "safe" {
+		f.ran[m.No]++
+	}
+	end := policy.Ended{Outcome: policy.OK, Over: true}
+	switch done.Outcome {
+	case partner.Delivered:
+		p.now(f.now).Delivered++
+	case partner.Full, partner.Wait:
+		end = policy.Ended{Outcome: policy.QueueFull, Wait: done.Wait}
+		p.now(f.now).Refused++
+		f.res.Refused++
+	default:
+		end = policy.Ended{Outcome: policy.Failed}
+	}
+	if done.Report != nil {
+		end.Report = &policy.Report{Left: done.Report.Left, Limit: done.Report.Limit}
+	}
+	f.after(f.trip(), func() { fl.end(end, true) })
+}
+
+// reset breaks the connections of all calls that are at endpoints which answer no more.
+func (f *fleet) reset(s *site) {
+	for call, fl := range s.flights {
+		if s.Mode(fl.host.endpoint) >= partner.Refusing {
+			delete(s.flights, call)
+			fl.broken = true
+		}
+	}
+	// In an order that does not hang on the map's.
+	for _, r := range f.relays {
+		for _, h := range r.order {
+			if fl := h.out; fl != nil && fl.broken && !fl.told {
+				fl.told = true
+				f.after(f.trip(), func() { fl.end(policy.Ended{Outcome: policy.Reset}, false) })
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/virtual/fleet_test.go
@@ -0,0 +1,183 @@
+package virtual
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"mallowlead/internal/rehearsal/script"
+)
+
+func play(t *testing.T, name string, relays int, change func(*Day)) *Result {
+	t.Helper()
+	if raced && relays > 12 {
+		t.Skip("too long with the race detector; .ci/run plays it without")
+	}
+	day, err := NewDay(name, relays, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(day)
+	}
+	res, err := Play(day)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+// faults names what is wrong with a day, whatever its kind: a message lost, late or doubled, a call to a host that is not
+// listed or drained, a partner pushed over, or the register asked by more at once than it takes.
+func faults(r *Result) (out []string) {
+	bad := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	for _, f := range r.Faults {
+		bad("rule: %s", f)
+	}
+	if r.Falls > 0 {
+		bad("push: %d falls", r.Falls)
+	}
+	// The register takes a call of each relay in 5 s; asks are spread over 8 s and chance adds to that.
+	if most := max(12, r.Relays/4); r.AskPeak > most {
+		bad("asks: %d in one second, %d at most", r.AskPeak, most)
+	}
+	if r.Unwatched > 0 {
+		bad("asks: %d relays without a watch at the end", r.Unwatched)
+	}
+	return out
+}
+
+// ofJoin names what is wrong where partner 0 took a quarter of its limit from 8 to 17 s. Relays hear of it with the first
+// answers and keep to their shares: a tenth above for the noise of reports, a tenth for the raises by success that find
+// the limit, and chance of a Poisson count, which is a fifth more at a second's 60 calls.
+func ofJoin(r *Result) (out []string) {
+	p := r.Partners[0]
+	if over := p.Over(9, 17, 0.25); over > 0.45 {
+		out = append(out, fmt.Sprintf("over: %.2f of the lowered limit above it", over))
+	}
+	if again := p.UsedAgain(17, 0.8); again < 0 || again > 3 {
+		out = append(out, fmt.Sprintf("again: %d s until the limit is used again", again))
+	}
+	return out
+}
+
+// ofZone names what is wrong where partner 0 was down from 8 to 13 s and came back at 17% of its capacity. The rule lets 2.5
+// times its present capacity through in 1.5 s; a second's count may be a little more. In the outage relays try, each at its
+// part of that budget, and new ones fail for the first time: half of the limit is far above both.
+func ofZone(r *Result) (out []string) {
+	p := r.Partners[0]
+	for i := 14; i < 24; i++ {
+		if s := p.Seconds[i]; float64(s.Calls) > 2.7*s.Capacity+3 {
+			out = append(out, fmt.Sprintf("push: %d calls in second %d to a capacity of %.0f", s.Calls, i, s.Capacity))
+		}
+	}
+	if calls := p.Calls(10, 13); float64(calls) > 3*0.5*p.Limit+6 {
+		out = append(out, fmt.Sprintf("knocks: %d calls in 3 s of an outage at a limit of %.0f", calls, p.Limit))
+	}
+	if again := p.UsedAgain(14, 0.8); again < 0 || again > 4 {
+		out = append(out, fmt.Sprintf("again: %d s until what it can do is used", again))
+	}
+	return out
+}
+
+// The fleet keeps all rules on each kind of day, at any size. Small fleets' counts a second are too small for the bounds
+// on shares.
+func TestFleet(t *testing.T) {
+	for _, relays := range []int{1, 2, 3, 12, 80} {
+		for _, day := range []string{Calm, Join, Zone, Herd} {
+			t.Run(fmt.Sprintf("%s of %d", day, relays), func(t *testing.T) {
+				t.Parallel()
+				r := play(t, day, relays, nil)
+				found := faults(r)
+				if relays >= 12 && day == Join {
+					found = append(found, ofJoin(r)...)
+				}
+				if relays >= 12 && day == Zone {
+					found = append(found, ofZone(r)...)
+				}
+				if day == Calm && r.Worth < 0.93 {
+					found = append(found, fmt.Sprintf("worth %.3f on a calm day", r.Worth))
+				}
+				if len(found) > 0 {
+					t.Error(strings.Join(found, "\n"))
+				}
+			})
+		}
+	}
+}
+
+// Each fault that makes a fleet harmful is planted, and caught for what it is.
+func TestPlanted(t *testing.T) {
+	for _, tt := range []struct {
+		day    string
+		plant  Plant
+		check  func(*Result) []string
+		caught []string
+	}{
+		{Herd, Plant{NoJitter: true}, faults, []string{"asks: "}},
+		{Join, Plant{OneCall: true}, ofJoin, []string{"over: "}},
+		{Zone, Plant{OneCall: true}, faults, []string{"push: "}},
+		{Zone, Plant{Opens: true}, faults, []string{"push: "}},
+		{Zone, Plant{Probes: true}, func(r *Result) []string { return append(faults(r), ofZone(r)...) }, []string{"push: ", "knocks: "}},
+		{Herd, Plant{Forgets: true}, faults, []string{"rule: "}},
+	} {
+		t.Run(fmt.Sprintf("%s %+v", tt.day, tt.plant), func(t *testing.T) {
+			t.Parallel()
+			found := tt.check(play(t, tt.day, 80, func(d *Day) { d.Plant = tt.plant }))
+			for _, want := range tt.caught {
+				if !slices.ContainsFunc(found, func(f string) bool { return strings.HasPrefix(f, want) }) {
+					t.Errorf("found %q, want one with %q", found, want)
+				}
+			}
+		})
+	}
+}
+
+// Cases at the edge: in none is a rule broken.
+func TestHardCases(t *testing.T) {
+	sec := func(s float64) time.Duration { return script.Seconds(s) }
+	for name, change := range map[string]func(*Day){
+		"79 of 80 killed, and the register takes two calls a second": func(d *Day) {
+			d.Events = append(d.Events, Event{At: sec(9), What: Kill, Share: 0.99})
+			d.Register.Work = 500 * time.Millisecond
+		},
+		"all killed, twice": func(d *Day) {
+			d.Events = append(d.Events, Event{At: sec(9), What: Kill, Share: 1}, Event{At: sec(12), What: Kill, Share: 1})
+		},
+		"the register down throughout": func(d *Day) {
+			d.Events = append(d.Events, Event{What: Down, For: time.Hour}, Event{At: sec(9), What: Kill, Share: 0.7})
+		},
+		"a return while half of the fleet restarts": func(d *Day) {
+			d.Events = append(d.Events, Event{At: sec(8), What: Out}, Event{At: sec(13), What: Back},
+				Event{At: sec(12.5), What: Kill, Share: 0.5})
+		},
+		"a limit lowered to zero and raised, each second": func(d *Day) {
+			for at := 8.0; at < 18; at += 2 {
+				d.Events = append(d.Events, Event{At: sec(at), What: Lower}, Event{At: sec(at + 1), What: Lower, Share: 1})
+			}
+		},
+		"one relay with half of the traffic": func(d *Day) { d.Skew = 0.5 },
+		"idle, then a clump": func(d *Day) {
+			d.Script.Load.Rate /= 20
+			d.Script.Events = []script.Event{{At: 20, For: 3, What: "jump", Factor: 30}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := play(t, Calm, 80, change)
+			for _, f := range append(r.Faults, make([]string, r.Falls)...) {
+				t.Errorf("fault or fall: %s", f)
+			}
+		})
+	}
+}
+
+// A day is the same each time that it is played.
+func TestSameAgain(t *testing.T) {
+	if a, b := play(t, Herd, 12, nil), play(t, Herd, 12, nil); !reflect.DeepEqual(a, b) {
+		t.Error("two plays of one day differ")
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/virtual/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package virtual
+
+const raced = false
--- /dev/null
+++ b/internal/rehearsal/virtual/relay.go
@@ -0,0 +1,417 @@
+package virtual
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"mallowlead/internal/discovery"
+	"mallowlead/internal/rehearsal/partner"
+	"mallowlead/internal/rehearsal/script"
+	"mallowlead/policy"
+)
+
+// relay is one relay: the module, and what the network code and the journal keep.
+type relay struct {
+	f     *fleet
+	no    int
+	life  int // counts its processes
+	alive bool
+	ready time.Duration
+	d     *policy.Dispatcher
+
+	events []policy.Event
+	due    time.Duration // of the next batch; forever: none
+	held   map[string]*held
+	order  []*held // the same, as they came
+	idle   map[string][]time.Duration
+	known  map[string]policy.Endpoint // its list
+	gone   map[string]time.Duration   // when it was told that a host drains or is gone
+	seen   int                        // version of its list
+	memory map[string]policy.Remember
+	asks   *discovery.Schedule
+	pause  time.Duration
+	steps  int // of the planted back-off
+}
+
+// held is a message that a relay has taken on.
+type held struct {
+	m       *script.Message
+	n       int // hand-ins before this one
+	id      string
+	expires time.Duration
+	tried   []policy.Tried
+	ended   []bool // whether the end of each attempt is known
+	out     *flight
+}
+
+// flight is a call out.
+type flight struct {
+	r       *relay
+	life    int
+	held    *held
+	attempt int
+	host    *host
+	call    *partner.Call
+	sent    time.Duration
+	conn    bool // it has a connection
+	over    bool
+	broken  bool // its connection broke, and (told) the relay is being told
+	told    bool
+}
+
+func newRelay(f *fleet, no int) (*relay, error) {
+	return &relay{f: f, no: no, held: map[string]*held{}, known: map[string]policy.Endpoint{}, gone: map[string]time.Duration{},
+		memory: map[string]policy.Remember{}, due: forever, seen: len(f.register.changes)}, nil
+}
+
+// start starts a process, which takes up what the one before had taken on.
+func (r *relay) start() error {
+	f := r.f
+	settings := f.Script.Settings(r.no)
+	p, err := settings.Policy()
+	if err != nil {
+		return err
+	}
+	if f.Plant.OneCall {
+		// Its even share is then the whole limit of the smallest partner, divided to one call a second each.
+		least := f.sites[0].limit
+		for _, s := range f.sites {
+			least = min(least, s.limit)
+		}
+		p.Instances = max(1, min(p.Instances, int(least)))
+	}
+	r.life++
+	seed := f.draws.For("relay", r.no, r.life).Int64()
+	if r.d, err = policy.New(p, seed); err != nil {
+		return err
+	}
+	r.alive, r.ready, r.idle, r.due = true, f.now, map[string][]time.Duration{}, forever
+	r.asks = discovery.NewSchedule(f.Script.Relays, seed)
+	if r.pause, r.steps = r.asks.Start(), 0; f.Plant.NoJitter {
+		r.pause = 0
+	}
+	r.learn(f.register.listed(f.register.changes[:r.seen], true))
+	for _, h := range f.register.changes[:r.seen] {
+		if m, ok := r.memory[h.host.id]; ok {
+			r.put(policy.Recalled(m))
+		}
+	}
+	for _, h := range slices.Clone(r.order) {
+		for i := range h.tried {
+			h.tried[i].Unrun = h.tried[i].Unrun && h.ended[i]
+		}
+		r.put(policy.Arrived{ID: h.id, Class: h.m.Class, Destination: h.m.Partner, Left: h.expires - f.now, Resumed: true,
+			Tried: slices.Clone(h.tried)})
+	}
+	return nil
+}
+
+// kill ends the process: its connections break, and its journal stays.
+func (r *relay) kill() {
+	f := r.f
+	r.alive = false
+	delete(f.register.watchers, r)
+	for id, times := range r.idle {
+		for range times {
+			f.hosts[id].partner.Disconnect(f.hosts[id].endpoint)
+		}
+	}
+	for _, h := range r.order {
+		if h.out != nil {
+			h.out.drop()
+			h.out = nil
+		}
+	}
+	r.events, r.due = nil, forever
+	if f.Plant.Forgets {
+		r.held, r.order = map[string]*held{}, nil
+	}
+	f.after(restartAfter, func() { _ = r.start() }) // the settings were good before
+}
+
+// put hands the module an event, in the batch of this tick.
+func (r *relay) put(e policy.Event) {
+	r.events = append(r.events, e)
+	r.wake(r.f.now)
+}
+
+// wake has a batch handled at a time, or at the next tick after it.
+func (r *relay) wake(at time.Duration) {
+	tick := script.Millis(r.f.Script.Relay.TickMS)
+	at = (at + tick - 1) / tick * tick
+	if at >= r.due {
+		return
+	}
+	r.due = at
+	life := r.life
+	r.f.at(at, func() {
+		if r.alive && r.life == life && r.due == at {
+			r.due = forever
+			r.step()
+		}
+	})
+}
+
+// timer has the module woken at a time: it counts on that, whatever wakes it before.
+func (r *relay) timer(at time.Duration) {
+	life := r.life
+	r.f.at(at, func() {
+		if r.alive && r.life == life {
+			r.wake(at)
+		}
+	})
+}
+
+// step has the module handle a batch, and does what it wants.
+func (r *relay) step() {
+	f := r.f
+	events := r.events
+	r.events = nil
+	for _, a := range r.d.Handle(f.now, append(events, policy.Woken{})) {
+		switch a := a.(type) {
+		case policy.Send:
+			r.send(a)
+		case policy.Refuse:
+			r.giveUp(a.ID, a.StayAway, true)
+		case policy.Fail:
+			r.giveUp(a.ID, 0, false)
+		case policy.Cancel:
+			if h := r.held[a.ID]; h != nil && h.out != nil && h.out.attempt == a.Attempt {
+				h.out.end(policy.Ended{Outcome: policy.Canceled}, false)
+			}
+		case policy.CloseIdle:
+			r.closeIdle(a.Endpoint, f.now+time.Nanosecond)
+		case policy.Wake:
+			r.timer(f.now + a.After)
+		case policy.Subscribe:
+			life := r.life
+			f.after(r.pause, func() {
+				if r.alive && r.life == life {
+					f.register.ask(r)
+				}
+			})
+		case policy.Remember:
+			r.memory[a.Endpoint] = a
+		}
+	}
+	if f.Plant.Probes {
+		r.probe()
+	}
+}
+
+// closeIdle closes idle connections to a host that have stood since before a time.
+func (r *relay) closeIdle(id string, before time.Duration) {
+	h := r.f.hosts[id]
+	for len(r.idle[id]) > 0 && r.idle[id][0] < before {
+		r.idle[id] = r.idle[id][1:]
+		h.partner.Disconnect(h.endpoint)
+	}
+}
+
+// told takes in the list up to a change.
+func (r *relay) told(changes []change) {
+	if len(changes) <= r.seen {
+		return
+	}
+	news := r.f.register.listed(changes[r.seen:], false)
+	r.seen = len(changes)
+	r.learn(news)
+}
+
+// learn takes in a list or a change of it.
+func (r *relay) learn(list policy.Listed) {
+	for _, e := range list.Endpoints {
+		r.known[e.ID] = e
+		if _, was := r.gone[e.ID]; (e.Draining || e.Gone) && !was {
+			r.gone[e.ID] = r.f.now
+		}
+	}
+	r.put(list)
+}
+
+// unwatched takes in the end of a watch that stood for so long.
+func (r *relay) unwatched(stood time.Duration) {
+	if r.pause = r.asks.Again(stood); r.f.Plant.NoJitter {
+		r.steps++
+		r.pause = min(2*time.Second, 250*time.Millisecond<<min(r.steps, 4)-250*time.Millisecond)
+	}
+	r.put(policy.ListFailed{})
+}
+
+// take takes a message on, unless the module refuses it.
+func (r *relay) take(m *script.Message, n int, left time.Duration) {
+	h := &held{m: m, n: n, id: r.f.draws.ID(m.No, n), expires: r.f.now + left}
+	r.held[h.id] = h
+	r.order = append(r.order, h)
+	r.put(policy.Arrived{ID: h.id, Class: m.Class, Destination: m.Partner, Left: left})
+}
+
+// forget notes that a message is over.
+func (r *relay) forget(h *held) {
+	f := r.f
+	delete(r.held, h.id)
+	r.order = slices.DeleteFunc(r.order, func(o *held) bool { return o == h })
+	if f.now > h.expires+script.Seconds(f.Script.Rules.AnswerSlack) && f.now > r.ready+1500*time.Millisecond {
+		f.res.fault("%s ended %v after its time", h.id, f.now-h.expires)
+	}
+}
+
+// giveUp ends a message undelivered. After a refusal its client may come again.
+func (r *relay) giveUp(id string, stay time.Duration, again bool) {
+	f, h := r.f, r.held[id]
+	if h == nil {
+		f.res.fault("%s was ended twice", id)
+		return
+	}
+	r.forget(h)
+	f.res.GivenUp++
+	if !again || h.n >= len(h.m.Backoff) {
+		f.ends[h.m.No] = true
+		return
+	}
+	wait := h.m.Backoff[h.n]
+	if h.m.Honours {
+		wait = max(wait, stay)
+	}
+	f.after(wait, func() { f.handIn(h.m, h.n+1) })
+	f.ends[h.m.No] = true
+}
+
+// send makes a call.
+func (r *relay) send(a policy.Send) {
+	f, h, to := r.f, r.held[a.ID], r.f.hosts[a.Endpoint]
+	e, listed := r.known[a.Endpoint]
+	switch told, was := r.gone[a.Endpoint]; {
+	case h == nil || to == nil:
+		f.res.fault("%s sent after its end, or to the unknown host %s", a.ID, a.Endpoint)
+		return
+	case !listed || e.Destination != h.m.Partner:
+		f.res.fault("%s sent to %s, which is not of its destination", a.ID, a.Endpoint)
+	case was && f.now > told+script.Seconds(f.Script.Rules.DrainGrace):
+		f.res.fault("%s sent to %s %v after it drained", a.ID, a.Endpoint, f.now-told)
+	case h.out != nil:
+		f.res.fault("%s sent while an attempt is out", a.ID)
+	}
+	if len(h.tried) == 0 && h.n == 0 {
+		f.res.First++
+	}
+	h.tried = append(h.tried, policy.Tried{Endpoint: a.Endpoint, Sent: f.now})
+	h.ended = append(h.ended, false)
+	fl := &flight{r: r, life: r.life, held: h, attempt: len(h.tried) - 1, host: to, sent: f.now}
+	h.out = fl
+	fl.call = &partner.Call{ID: h.id, Relay: r.no, Key: h.m.Key, Memory: script.Seconds(f.Script.Classes[h.m.Class].Memory),
+		Work: f.Script.Work(f.draws, h.m, h.n*100+fl.attempt), Chance: f.draws.For("chance", h.m.No, h.n, fl.attempt).Float64()}
+	timeout := a.Timeout
+	if timeout == 0 {
+		timeout = h.expires - f.now
+	}
+	f.after(timeout, func() { fl.end(policy.Ended{Outcome: policy.TimedOut}, false) })
+	r.closeIdle(to.id, f.now-script.Seconds(f.Script.Limits.ConnIdle))
+	if idle := r.idle[to.id]; len(idle) > 0 {
+		r.idle[to.id], fl.conn = idle[:len(idle)-1], true
+		f.after(f.trip(), fl.arrive)
+		return
+	}
+	f.res.Connections++
+	fl.call.New = true
+	f.after(f.trip(), fl.connect)
+}
+
+// connect comes to the host with a new connection.
+func (fl *flight) connect() {
+	f, p := fl.r.f, fl.host.partner
+	switch {
+	case fl.over:
+	case p.Mode(fl.host.endpoint) >= partner.Refusing:
+		f.res.Partners[p.no].now(f.now).Calls++
+		f.after(f.trip(), func() { fl.end(policy.Ended{Outcome: policy.ConnectError}, false) })
+	case p.Connect(fl.host.endpoint):
+		// Turned away before it has said anything; it pushes a cold host all the same.
+		p.Disconnect(fl.host.endpoint)
+		f.res.Door++
+		f.res.Partners[p.no].now(f.now).Calls++
+		f.carryOut(p, p.Arrive(f.now, fl.host.endpoint, &partner.Call{ID: fl.call.ID, Overfull: true}))
+		f.after(f.trip(), func() { fl.end(policy.Ended{Outcome: policy.QueueFull}, false) })
+	default:
+		fl.conn = true
+		f.after(2*handshakeTrips*f.trip(), fl.arrive)
+	}
+}
+
+// arrive comes to the host whole.
+func (fl *flight) arrive() {
+	f, p := fl.r.f, fl.host.partner
+	if fl.over {
+		return
+	}
+	f.res.Partners[p.no].now(f.now).Calls++
+	if p.Mode(fl.host.endpoint) >= partner.Refusing {
+		f.after(f.trip(), func() { fl.end(policy.Ended{Outcome: policy.Reset}, false) })
+		return
+	}
+	p.flights[fl.call] = fl
+	f.carryOut(p, p.Arrive(f.now, fl.host.endpoint, fl.call))
+}
+
+// drop takes a call off the wire.
+func (fl *flight) drop() {
+	fl.over = true
+	p := fl.host.partner
+	if _, there := p.flights[fl.call]; there {
+		delete(p.flights, fl.call)
+		fl.r.f.carryOut(p, p.Leave(fl.r.f.now, fl.call))
+	}
+	if fl.conn {
+		p.Disconnect(fl.host.endpoint)
+	}
+}
+
+// end tells the relay how a call ended; where its connection may carry another, it is kept.
+func (fl *flight) end(e policy.Ended, keep bool) {
+	r, f := fl.r, fl.r.f
+	if fl.over || r.life != fl.life || !r.alive {
+		return
+	}
+	if keep && fl.conn {
+		fl.over = true
+		r.idle[fl.host.id] = append(r.idle[fl.host.id], f.now)
+	} else {
+		fl.drop()
+	}
+	h := fl.held
+	h.out = nil
+	e.ID, e.Endpoint, e.Attempt, e.Took = h.id, fl.host.id, fl.attempt, f.now-fl.sent
+	h.ended[fl.attempt] = true
+	h.tried[fl.attempt].Unrun = e.Outcome == policy.QueueFull || e.Outcome == policy.ConnectError
+	if r.held[h.id] == h && e.Outcome == policy.OK {
+		r.forget(h)
+		f.delivered(h.m)
+	}
+	r.put(e)
+}
+
+// open is the planted fault of a note that opens: the relay takes all partners for well.
+func (r *relay) open() {
+	mem := r.d.Memory()
+	for i := range mem.Endpoints {
+		e := &mem.Endpoints[i]
+		e.Sick, e.Ramping, e.Failures = false, false, 0
+	}
+	for i := range mem.Queues {
+		q := &mem.Queues[i]
+		q.Ill, q.Fulls, q.HoldUntil = false, 0, 0
+	}
+	r.put(policy.Inherited{Memory: mem})
+}
+
+// probe is the planted fault of relays that each look by themselves whether a partner is back.
+func (r *relay) probe() {
+	for _, s := range r.f.sites {
+		if m, ok := r.memory[s.hosts[0].id]; ok && m.Sick {
+			r.f.res.Partners[s.no].now(r.f.now).Calls++
+			r.f.carryOut(s, s.Arrive(r.f.now, s.hosts[0].endpoint, &partner.Call{ID: fmt.Sprint("probe", r.no), Probe: true}))
+			r.wake(r.f.now + 250*time.Millisecond)
+		}
+	}
+}
--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -94,3 +94,46 @@
 		t.Errorf("pace %v, even share %v", q.pace, next.even(q))
 	}
 }
+
+// A host that reports its limit and refuses without a report has no connection left: the pace stays, and a run of such
+// refusals is a destination that is shut all the same.
+func TestRefusedAtTheDoor(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		reports bool
+		report  *Report
+		cut     bool
+	}{
+		{"at the limit", true, &Report{Left: 0, Limit: 20}, true},
+		{"at the door", true, nil, false},
+		{"where nothing is reported", false, nil, true},
+	} {
+		s := plain()
+		s.Weights, s.Instances = WeightsNominal, 2
+		d := start(t, s, Endpoint{ID: "a", Weight: 20})
+		q := d.queues[0]
+		if tt.reports {
+			d.reported(q, 20)
+		}
+		before, now := q.pace, time.Second
+		for i := 0; !d.endpoints["a"].sick; i++ {
+			if i == 60 {
+				t.Fatalf("%s: not sick after %d refusals", tt.name, i)
+			}
+			id := fmt.Sprint("m", i)
+			d.Handle(now, []Event{arrive(id, 0)})
+			if m := d.messages[id]; m != nil && m.open > 0 {
+				d.Handle(now+40*ms, []Event{Ended{ID: id, Endpoint: "a", Outcome: QueueFull, Report: tt.report}, Withdrawn{id}})
+				if i == 0 && (q.pace < before) != tt.cut {
+					t.Errorf("%s: pace %v after %v", tt.name, q.pace, before)
+				}
+				if q.holdUntil <= now {
+					t.Errorf("%s: no pause", tt.name)
+				}
+			} else {
+				d.Handle(now+40*ms, []Event{Withdrawn{id}})
+			}
+			now += 300 * ms
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -699,7 +699,9 @@
 		d.succeeded(ep, e.Report == nil || e.Report.Left >= roomLeft)
 	case QueueFull:
 		if c.sent >= q.pausedAt {
-			d.full(q)
+			// A host that reports its limit in its answers, but not in this one, did not come to look at it: it has all the
+			// connections it takes, or is shut.
+			d.full(q, e.Report == nil && q.limit > 0)
 		}
 	case ConnectError:
 		if ep.lastOK > c.sent {
@@ -811,12 +813,13 @@
 }
 
 // full notes a refusal by the destination: a cut of the pace and a pause, twice as long for each
-// refusal in a row, since refused calls may eat the limit; a run of them is a destination that is shut.
-func (d *Dispatcher) full(q *queue) {
+// refusal in a row, since refused calls may eat the limit; a run of them is a destination that is shut. A refusal at
+// the door says nothing of the limit: it pauses, and leaves the pace.
+func (d *Dispatcher) full(q *queue, door bool) {
 	if q.fulls++; q.fulls == 1 {
 		q.firstFull = d.now
 	}
-	if q.pace > 0 {
+	if q.pace > 0 && !door {
 		q.pace = math.Max(paceFloor*d.even(q), math.Min(q.pace*paceCut, (q.pace+d.even(q))/2))
 		q.tokens = math.Min(q.tokens, 0)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -354,7 +354,7 @@
 	if q.pace != 2 {
 		t.Fatalf("pace %v, want 8 / 4", q.pace)
 	}
-	d.full(q)
+	d.full(q, false)
 	if q.pace != 2*paceCut {
 		t.Errorf("pace %v after a refusal", q.pace)
 	}
@@ -723,8 +723,8 @@
 			if d.endpoints["a"].sick {
 				sick++
 			}
-			d.full(d.queues[0])
-			if d.full(d.queues[0]); tt.relays > 2 && !d.endpoints["a"].sick {
+			d.full(d.queues[0], false)
+			if d.full(d.queues[0], false); tt.relays > 2 && !d.endpoints["a"].sick {
 				t.Errorf("%d relays, outcome %d: not sick after more", tt.relays, tt.outcome)
 			}
 		}
