--- a/cmd/frostlinkctl/fleet.go
+++ b/cmd/frostlinkctl/fleet.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"math"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
 
+	"mallowlead/internal/rehearsal/virtual"
 	"mallowlead/internal/trace/fleet"
 )
 
@@ -20,7 +23,7 @@
 		Long:    "What is harmless at one relay may be harmful when all do it. These commands look at the sum.",
 		Example: "  frostlinkctl fleet count logs",
 	}
-	c.AddCommand(fleetCount())
+	c.AddCommand(fleetCount(), fleetPlay())
 	return c
 }
 
@@ -69,6 +72,92 @@
 	return c
 }
 
+// mostRelays and mostPlays bound what is played at one call: a thousand relays take some minutes a day.
+const mostRelays, mostPlays = 1000, 100
+
+func fleetPlay() *cobra.Command {
+	var asJSON string
+	var sizes []int
+	var days []string
+	var plays int
+	c := &cobra.Command{
+		Use:   "play",
+		Short: "Play whole fleets in virtual time, and table cost and benefit by their size",
+		Long: "Play days of whole fleets in virtual time: the relays' real decisions among models of partners and of an overbooked\n" +
+			"register. The days: " + strings.Join(virtual.Names, ", ") + ". Traffic, limits and hosts grow with the relays; what one host takes does not.\n" +
+			"Exit codes: 0 fine, 1 a rule was broken or a partner pushed over, 2 could not run.",
+		Example: "  frostlinkctl fleet play --relays 1,3,12,80 --day herd --plays 3",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if plays < 1 || plays > mostPlays {
+				return fmt.Errorf("--plays: %d is not from 1 to %d", plays, mostPlays)
+			}
+			for _, n := range sizes {
+				if n < 1 || n > mostRelays {
+					return fmt.Errorf("--relays: %d is not from 1 to %d", n, mostRelays)
+				}
+			}
+			rows := []virtual.Row{}
+			found := false
+			for _, day := range days {
+				for _, n := range sizes {
+					if err := c.Context().Err(); err != nil {
+						return err
+					}
+					row, err := virtual.Measure(day, n, plays)
+					if err != nil {
+						return fmt.Errorf("--day: %w", err)
+					}
+					found = found || row.Falls+row.Faults > 0
+					rows = append(rows, row)
+				}
+			}
+			var err error
+			if asJSON != "" {
+				err = writeJSON(c.OutOrStdout(), asJSON, rows)
+			}
+			if asJSON != "-" {
+				printRows(c.OutOrStdout(), days, rows)
+			}
+			if err == nil && found {
+				return errFound
+			}
+			return err
+		},
+	}
+	f := c.Flags()
+	f.IntSliceVar(&sizes, "relays", []int{1, 2, 3, 12, 80, 160}, "numbers of `relays`")
+	f.StringSliceVar(&days, "day", virtual.Names, "`days` to play")
+	f.IntVar(&plays, "plays", 3, "`plays` of each, by seeds from 1 on; figures are their means")
+	f.StringVar(&asJSON, "json", "", "write the table as JSON to this `file`; - is standard output, and nothing else then")
+	return c
+}
+
+// printRows prints the plays, and how their figures grow with the number of relays.
+func printRows(out io.Writer, days []string, rows []virtual.Row) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "day\trelays\tworth\tspread\trefused/msg\tdoor/msg\tconnections/msg\tasks/relay\tasks/s most\tfalls\tfaults\t")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f\t%.0f\t%d\t%d\t\n", r.Day, r.Relays, r.Worth, r.Spread, r.Refused, r.Door,
+			r.Connections, r.Asks, r.AskPeak, r.Falls, r.Faults)
+	}
+	_ = w.Flush()
+	for _, day := range days {
+		var of []virtual.Row
+		for _, r := range rows {
+			if r.Day == day {
+				of = append(of, r)
+			}
+		}
+		asks := virtual.Growth(of, func(r virtual.Row) float64 { return r.Asks * float64(r.Relays) })
+		peak := virtual.Growth(of, func(r virtual.Row) float64 { return r.AskPeak })
+		made := virtual.Growth(of, func(r virtual.Row) float64 { return r.Connections })
+		if !math.IsNaN(asks) {
+			fmt.Fprintf(out, "%s: asks grow as relays^%.2f, their peak as relays^%.2f, connections a message as relays^%.2f\n", day, asks, peak, made)
+		}
+	}
+}
+
 const countsHead = "first\tagain\tdelivered\tlimit\tdoor\tunmade\tother\tfresh\ttaken\trefused\tlate\tback\tfailed\t"
 
 func printCounts(w io.Writer, c *fleet.Counts) {
--- a/internal/backoff/backoff_test.go
+++ b/internal/backoff/backoff_test.go
@@ -1,6 +1,8 @@
 package backoff
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -102,3 +104,62 @@
 		t.Errorf("%d answered without chance: the test does not cause the failure it is about", answered)
 	}
 }
+
+// The usual forms against servers that take 5, 10 and 40 calls a second, eighty callers at once: what is in the table of
+// docs/design/fleet.md, by go test -run TestForms -v. Only forms that are scaled by the callers get them served where the server
+// is slow; among these the form matters little, but that none may be without chance.
+func TestForms(t *testing.T) {
+	const callers = 80
+	least, most, span := 250*time.Millisecond, 2*time.Second, callers*100*time.Millisecond
+	draw := func(i int) *rand.Rand { return rand.New(rand.NewPCG(uint64(i), 7)) }
+	doubled := func(base, top time.Duration, part func(r *rand.Rand, window time.Duration) time.Duration) func(int) func() time.Duration {
+		return func(i int) func() time.Duration {
+			r, window := draw(i), base/2
+			return func() time.Duration {
+				window = min(2*window, top)
+				return part(r, window)
+			}
+		}
+	}
+	fixed := func(_ *rand.Rand, w time.Duration) time.Duration { return w }
+	equal := func(r *rand.Rand, w time.Duration) time.Duration {
+		return w/2 + time.Duration(r.Float64()*float64(w/2))
+	}
+	full := func(r *rand.Rand, w time.Duration) time.Duration { return time.Duration(r.Float64() * float64(w)) }
+	decorrelated := func(base, top time.Duration) func(int) func() time.Duration {
+		return func(i int) func() time.Duration {
+			r, last := draw(i), base
+			return func() time.Duration {
+				last = min(top, base+time.Duration(r.Float64()*float64(3*last-base)))
+				return last
+			}
+		}
+	}
+	served := map[string]int{}
+	for _, form := range []struct {
+		name  string
+		delay func(int) func() time.Duration
+	}{
+		{"doubled, no chance", doubled(least, most, fixed)},
+		{"equal jitter", doubled(least, most, equal)},
+		{"full jitter", doubled(least, most, full)},
+		{"decorrelated jitter", decorrelated(least, most)},
+		{"doubled, no chance, scaled", doubled(span, 4*span, fixed)},
+		{"equal jitter, scaled", doubled(span, 4*span, equal)},
+		{"decorrelated jitter, scaled", decorrelated(span/2, 4*span)},
+		{"full jitter, scaled: ours", func(i int) func() time.Duration { return New(least, span, 4*span, int64(i)).Next }},
+	} {
+		for _, rate := range []int{5, 10, 40} {
+			q := &queue{work: time.Second / time.Duration(rate), timeout: 2 * time.Second, most: 6 * time.Second}
+			answered, calls := herd(callers, q, form.delay)
+			served[fmt.Sprint(form.name, rate)] = answered
+			t.Logf("%-28s %2d a second: %2d of %d answered within a minute, %3d calls", form.name, rate, answered, callers, calls)
+		}
+	}
+	if got := served["full jitter, scaled: ours5"]; got < 76 {
+		t.Errorf("ours: %d of %d answered at 5 a second", got, callers)
+	}
+	if got := served["full jitter5"]; got > 60 {
+		t.Errorf("full jitter that is not scaled: %d answered, the need for scaling does not show", got)
+	}
+}
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -15,8 +15,9 @@
 	// as much for each relay of the fleet, and failed ones over up to mostPaces times that. Calls that it gives up on have
 	// cost it their work all the same: faster than it works, all of them fail from then on.
 	callPace, mostPaces = 100 * time.Millisecond, 4
-	// herd is the span from which on a start is spread too: below, so few calls are none.
-	herd = time.Second
+	// herd relays or more spread their first asks too, and all asks over herdSpan at least: what serves a small fleet is
+	// sized for it, and may take some seconds for a call of each.
+	herd, herdSpan = 10, 4 * time.Second
 	// held is how long a watch must have stood to count as had: the first line may come before discovery has done its work,
 	// which it gives up on after 2 s.
 	held = 2500 * time.Millisecond
@@ -31,7 +32,10 @@
 // NewSchedule is for one of so many relays that share a discovery; the seed is its own.
 func NewSchedule(relays int, seed int64) *Schedule {
 	span := time.Duration(max(1, relays)) * callPace
-	return &Schedule{backoff.New(askAgain, span, max(askAgainMost, mostPaces*span), seed), span >= herd}
+	if relays >= herd {
+		span = max(span, herdSpan)
+	}
+	return &Schedule{backoff.New(askAgain, span, max(askAgainMost, mostPaces*span), seed), relays >= herd}
 }
 
 // Start is the delay of the first ask. Guards against a release that starts the whole fleet: each would ask at once for a
--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -137,3 +137,36 @@
 		}
 	}
 }
+
+// Relays that keep no connections do not all take the endpoint that is listed first, and each goes to all in turns; a few
+// relays stay with the one whose connection may still stand.
+func TestEndpointsInTurns(t *testing.T) {
+	for _, relays := range []int{3, 80} {
+		first := map[string]int{}
+		for seed := range int64(60) {
+			s := plain()
+			s.Instances = relays
+			d, err := New(s, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.Handle(0, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: "a"}, {ID: "b"}, {ID: "c"}}}})
+			took := map[string]int{}
+			for i := range 6 {
+				now, id := time.Duration(i)*100*ms, fmt.Sprint("m", i)
+				d.Handle(now, []Event{arrive(id, 0)})
+				to := d.messages[id].attempts[0].call.ep.ID
+				if took[to]++; i == 0 {
+					first[to]++
+				}
+				d.Handle(now+50*ms, []Event{Ended{ID: id, Endpoint: to, Outcome: OK, Over: true}})
+			}
+			if want := map[bool]int{true: 1, false: 3}[relays == 3]; len(took) != want {
+				t.Errorf("%d relays, seed %d: took %v, want %d endpoints", relays, seed, took, want)
+			}
+		}
+		if relays == 80 && (first["a"] < 8 || first["b"] < 8 || first["c"] < 8) {
+			t.Errorf("first choices of %d relays: %v", 60, first)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -463,7 +463,8 @@
 }
 
 // endpoint chooses where in a queue a message goes: a sick endpoint whose trial is due, else a healthy
-// one with the fewest calls out, in the relay's own zone, with an idle connection, used last.
+// one with the fewest calls out, in the relay's own zone; of these the one used last, whose connection may still stand,
+// or in turns, from a lot of the relay's own on, where the relays are too many to keep connections.
 func (d *Dispatcher) endpoint(q *queue, m *message) *endpoint {
 	var best *endpoint
 	for _, ep := range q.eps {
@@ -493,7 +494,12 @@
 	if near, far := a.Zone == d.s.Zone, b.Zone == d.s.Zone; near != far {
 		return near
 	}
-	return a.lastUsed > b.lastUsed
+	if d.s.Instances <= connRoom {
+		return a.lastUsed > b.lastUsed // its connection may still stand
+	}
+	// Guards against a fleet in which each relay has reason to take the same endpoint: the first listed, then the one it
+	// took last.
+	return a.lastUsed < b.lastUsed || a.lastUsed == b.lastUsed && a.lot < b.lot
 }
 
 // against counts what speaks against an endpoint for a message: failures of its class in a row, and a
--- a/policy/state.go
+++ b/policy/state.go
@@ -134,6 +134,7 @@
 	lastBegun time.Duration // the start of the latest call that succeeded
 	lastTook  float64       // the latency of the last success
 	connCap   float64       // learned; 0 for none
+	lot       float64       // which of those never used comes first
 }
 
 // call is one call out: one message, or a bundle.
@@ -512,6 +513,9 @@
 	}
 	if ep == nil {
 		ep = &endpoint{strikes: make([]float64, len(d.s.Classes))}
+		if d.s.Instances > connRoom {
+			ep.lot = d.chance.Float64()
+		}
 		d.endpoints[e.ID] = ep
 		dest := d.dest(e.Destination)
 		kind := Kind{Bundle: 1}
