--- /dev/null
+++ b/cmd/frostlink/build_test.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"debug/elf"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"mallowlead/internal/rehearsal/script"
+)
+
+// deployed gives a key of deploy/balancer.toml.
+func deployed(t *testing.T, key string) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := regexp.MustCompile(`(?m)^` + key + ` = "([^"]*)"$`).FindSubmatch(text)
+	if m == nil {
+		t.Fatalf("deploy/balancer.toml has no line %s = \"...\"", key)
+	}
+	return string(m[1])
+}
+
+// The platform loads a library into the relay and watches one process: what `build` makes is linked against the C
+// library, and what `run` starts is one process, the relay itself, that starts no other.
+func TestBuildAndRun(t *testing.T) {
+	if _, err := exec.LookPath("gcc"); err != nil {
+		t.Skip("external linking needs a C compiler: ", err)
+	}
+	dir := t.TempDir()
+	build := strings.ReplaceAll(strings.ReplaceAll(deployed(t, "build"), "-o bin/", "-o "+dir+"/"), "./cmd/...", "./cmd/frostlink")
+	cmd := exec.Command("sh", "-c", strings.Replace(build, "mkdir -p bin", "true", 1))
+	cmd.Dir = "../.."
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%s: %v\n%s", build, err, out)
+	}
+	f, err := elf.Open(filepath.Join(dir, "frostlink"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	libs, err := f.ImportedLibraries()
+	if err != nil || !slices.ContainsFunc(libs, func(lib string) bool { return strings.HasPrefix(lib, "libc.so") }) {
+		t.Errorf("linked against %v, %v: want the C library", libs, err)
+	}
+	if !slices.ContainsFunc(f.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }) {
+		t.Error("it names no dynamic loader")
+	}
+
+	run := deployed(t, "run")
+	if !strings.HasPrefix(run, "exec ") {
+		t.Errorf("run = %q does not replace its shell", run)
+	}
+	at, env := configured(t, dir)
+	relay := exec.Command("sh", "-c", strings.Replace(run, "bin/", dir+"/", 1))
+	relay.Dir, relay.Env = "../..", append(os.Environ(), env...)
+	if err := relay.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		_ = relay.Process.Kill()
+		_ = relay.Wait()
+	}()
+	for until := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if resp, err := http.Get("http://" + at + "/_health"); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		if time.Now().After(until) {
+			t.Fatal("not ready within 20 s")
+		}
+	}
+	proc := fmt.Sprintf("/proc/%d", relay.Process.Pid)
+	if exe, err := os.Readlink(proc + "/exe"); err != nil || filepath.Base(exe) != "frostlink" {
+		t.Errorf("the process that was started runs %s, %v", exe, err)
+	}
+	tasks, err := filepath.Glob(proc + "/task/*/children")
+	if err != nil || len(tasks) == 0 {
+		t.Fatalf("no threads seen: %v", err)
+	}
+	for _, path := range tasks {
+		if children, err := os.ReadFile(path); err == nil && len(children) > 0 {
+			t.Errorf("it has started %s", children)
+		}
+	}
+}
+
+// configured writes a configuration with a discovery that turns all calls away, and gives the relay's address.
+func configured(t *testing.T, dir string) (at string, env []string) {
+	t.Helper()
+	s, err := script.Read("../../rehearsals/quiet.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	t.Cleanup(discovery.Close)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at = free.Addr().String()
+	_ = free.Close()
+	config, err := json.Marshal(map[string]any{"name": "n0", "listen": at, "discovery": strings.TrimPrefix(discovery.URL, "http://"),
+		"seed": "1f", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 384, "disk_mb": 3}, "settings": s.Settings(0)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return at, []string{"NODE_CONFIG=" + path, "NODE_STATE=" + t.TempDir()}
+}
--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -170,3 +170,20 @@
 		}
 	}
 }
+
+// A rate that is absent, no number or negative is none: there is no pace then, and what was known before stays.
+func TestSenselessRates(t *testing.T) {
+	s := plain()
+	s.Weights, s.Instances = WeightsNominal, 80
+	for _, weight := range []float64{0, -4, math.Inf(1), math.Inf(-1), math.NaN()} {
+		d := start(t, s, Endpoint{ID: "a", Weight: weight})
+		if q := d.queues[0]; q.pace != 0 || q.weight != 0 {
+			t.Errorf("listed with %v: rate %v, pace %v", weight, q.weight, q.pace)
+		}
+		d.Handle(time.Second, []Event{Listed{Endpoints: []Endpoint{{ID: "a", Weight: 40}}}})
+		d.Handle(2*time.Second, []Event{Listed{Endpoints: []Endpoint{{ID: "a", Weight: weight}}}})
+		if q := d.queues[0]; q.weight != 40 || !(q.pace > 0) {
+			t.Errorf("listed with %v after 40: rate %v, pace %v", weight, q.weight, q.pace)
+		}
+	}
+}
