--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,8 +55,8 @@
 	roomLeft = 0.5
 	// reuses of a connection must be expected within its idle time, or it is closed after a call.
 	// At half of this failed connections cost more than the handshakes saved. Where relays are no more than
-	// idleRoom, which even small receivers take, all may keep theirs; where they are more than connRoom, which is about
-	// all that a small one takes, a connection that idles at one relay is a call refused at another.
+	// idleRoom, which even small receivers take, all may keep theirs; where they are more than connRoom,
+	// about all that a small one takes, a connection that idles at one relay is a call refused at another.
 	reuses, idleRoom, connRoom = 4, 6, 9
 	// connRaise is added to a learned connection cap by each success.
 	connRaise = 0.05
@@ -463,8 +463,8 @@
 }
 
 // endpoint chooses where in a queue a message goes: a sick endpoint whose trial is due, else a healthy
-// one with the fewest calls out, in the relay's own zone; of these the one used last, whose connection may still stand,
-// or in turns, from a lot of the relay's own on, where the relays are too many to keep connections.
+// one with the fewest calls out, in the relay's own zone; of these the one used last, whose connection may
+// still stand, or in turns, from a lot of the relay's own on, where relays are too many to keep connections.
 func (d *Dispatcher) endpoint(q *queue, m *message) *endpoint {
 	var best *endpoint
 	for _, ep := range q.eps {
@@ -497,8 +497,8 @@
 	if d.s.Instances <= connRoom {
 		return a.lastUsed > b.lastUsed // its connection may still stand
 	}
-	// Guards against a fleet in which each relay has reason to take the same endpoint: the first listed, then the one it
-	// took last.
+	// Guards against a fleet in which each relay has reason to take the same endpoint: the first listed, then
+	// the one it took last.
 	return a.lastUsed < b.lastUsed || a.lastUsed == b.lastUsed && a.lot < b.lot
 }
 
@@ -705,8 +705,8 @@
 		d.succeeded(ep, e.Report == nil || e.Report.Left >= roomLeft)
 	case QueueFull:
 		if c.sent >= q.pausedAt {
-			// A host that reports its limit in its answers, but not in this one, did not come to look at it: it has all the
-			// connections it takes, or is shut.
+			// A host that reports its limit in its answers, but not in this one, did not look at it: it has
+			// all the connections it takes, or is shut.
 			d.full(q, e.Report == nil && q.limit > 0)
 		}
 	case ConnectError:
@@ -819,8 +819,8 @@
 }
 
 // full notes a refusal by the destination: a cut of the pace and a pause, twice as long for each
-// refusal in a row, since refused calls may eat the limit; a run of them is a destination that is shut. A refusal at
-// the door says nothing of the limit: it pauses, and leaves the pace.
+// refusal in a row, since refused calls may eat the limit; a run of them is a destination that is shut. A
+// refusal at the door says nothing of the limit: it pauses, and leaves the pace.
 func (d *Dispatcher) full(q *queue, door bool) {
 	if q.fulls++; q.fulls == 1 {
 		q.firstFull = d.now
