--- a/internal/rehearsal/virtual/fleet_test.go
+++ b/internal/rehearsal/virtual/fleet_test.go
@@ -160,6 +160,11 @@
 			}
 		},
 		"one relay with half of the traffic": func(d *Day) { d.Skew = 0.5 },
+		"an outage that few of 80 noticed, and a rush at the return": func(d *Day) {
+			d.Script.Load.Rate /= 20
+			d.Events = append(d.Events, Event{At: sec(8), What: Out, Partner: 5}, Event{At: sec(13), What: Back, Partner: 5})
+			d.Script.Events = []script.Event{{At: 13, For: 4, What: "jump", Factor: 20}}
+		},
 		"idle, then a clump": func(d *Day) {
 			d.Script.Load.Rate /= 20
 			d.Script.Events = []script.Event{{At: 20, For: 3, What: "jump", Factor: 30}}
