--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -187,3 +187,20 @@
 		}
 	}
 }
+
+// The pace of a destination that takes many calls rises no faster in a second than that of one that takes few.
+func TestRaisesASecond(t *testing.T) {
+	for _, rate := range []float64{8, 80, 800} {
+		s := plain()
+		s.Weights, s.Instances = WeightsNominal, 2
+		d := start(t, s, Endpoint{ID: "a", Weight: rate})
+		q := d.queues[0]
+		for range int(q.pace) / 2 { // as many successes as in half a second at the even share
+			q.held = []*message{{}}
+			d.succeeded(d.endpoints["a"], true)
+		}
+		if most := (1 + paceRaise*raisesASecond/2) * d.even(q); q.pace <= d.even(q) || q.pace > most+1e-9 {
+			t.Errorf("a limit of %v a second: pace %v after half a second, want more than %v and %v at most", rate, q.pace, d.even(q), most)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,9 @@
 	slotShare, roomShare = 0.5, 0.75
 	// paceRaise of itself is added to a pace by a success that found messages waiting for it, and a
 	// refusal cuts it to paceCut: about one refused call in eight where the limit binds all the time.
-	paceRaise, paceCut = 0.1, 0.8
+	// It is raised so raisesASecond times at most, however many calls succeed: a destination that takes many
+	// would be overrun within a second, and refused calls use its limit up.
+	paceRaise, paceCut, raisesASecond = 0.1, 0.8, 10
 	// paceFloor is the least part of its even share that a queue's pace falls to: a rough weight that is
 	// half too high is met by two thirds.
 	paceFloor = 0.7
@@ -763,7 +765,7 @@
 	q.fulls, q.ill = 0, false
 	if q.pace > 0 && len(q.held) > 0 && room {
 		own := math.Max(d.even(q), math.Min(q.pace, pacedCalls/burstSpan.Seconds()))
-		q.pace = math.Min(q.pace+paceRaise*own, q.rate())
+		q.pace = math.Min(q.pace+paceRaise*own*math.Min(1, raisesASecond/q.pace), q.rate())
 	}
 }
 
