--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -52,7 +52,7 @@
 // call makes a call in a goroutine of its own.
 func (l *loop) call(s send) {
 	s.m.begun = time.Now()
-	l.trace.Note(l.now(), trace.Event{Kind: trace.Send, ID: s.m.ID, Class: s.m.Class, Dest: s.m.Dest, Host: s.host.Host, Count: s.attempt + 1})
+	l.note(trace.Event{Kind: trace.Send, ID: s.m.ID, Class: s.m.Class, Dest: s.m.Dest, Host: s.host.Host, Count: s.attempt + 1})
 	l.begin(s, l.pool.Call)
 }
 
@@ -70,30 +70,3 @@
 		l.put(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: time.Since(begun), made: true, Result: res})
 	}()
 }
-
-// traceAnswer notes the end of a call.
-func (l *loop) traceAnswer(m *message, e answered) {
-	if l.trace == nil {
-		return
-	}
-	t := trace.Event{Kind: trace.Answer, ID: m.ID, Class: m.Class, Dest: m.Dest, Host: e.host, How: outcomes[e.Outcome], Count: e.attempt + 1,
-		Ms: float64(e.took.Microseconds()) / 1000, Fresh: e.Fresh}
-	if e.Report != nil {
-		t.Left, t.Limit = e.Report.Left, e.Report.Limit
-	}
-	l.trace.Note(l.now(), t)
-}
-
-// traceEnd notes the end of a message that was taken on.
-func (l *loop) traceEnd(m *message, how string) {
-	if l.trace == nil {
-		return
-	}
-	t := trace.Event{Kind: trace.End, ID: m.ID, Class: m.Class, Dest: m.Dest, How: how}
-	if class := l.class(m.Class); class >= 0 {
-		terms := &l.cfg.policy.Classes[class]
-		age := l.now() - l.clock(m.Expires) + terms.Deadline
-		t.Ms, t.Late = float64(age.Milliseconds()), age > terms.Aim
-	}
-	l.trace.Note(l.now(), t)
-}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -144,7 +144,7 @@
 		}
 	}
 	list.Whole = true
-	l.trace.Note(l.now(), trace.Event{Kind: trace.Start, Relay: l.cfg.Name, Count: l.cfg.Settings.NInstances})
+	l.note(trace.Event{Kind: trace.Start, Relay: l.cfg.Name, Count: l.cfg.Settings.NInstances})
 	l.told(list)
 	l.journal.List(list, l.cfg.Discovery) // what the watch tells from here on may be changes of it only
 	l.watch.Seq = list.Seq
@@ -243,7 +243,7 @@
 	case answered:
 		l.answered(e)
 	case told:
-		l.trace.Note(l.now(), trace.Event{Kind: trace.Told, Whole: e.Whole, Count: len(e.Hosts)})
+		l.note(trace.Event{Kind: trace.Told, Whole: e.Whole, Count: len(e.Hosts)})
 		l.told(e.Members)
 		if e.Whole {
 			for host := range l.journal.Health() {
@@ -254,7 +254,7 @@
 		}
 		l.journal.List(e.Members, e.from)
 	case watchEnded:
-		l.trace.Note(l.now(), trace.Event{Kind: trace.Lost, Count: e.lines})
+		l.note(trace.Event{Kind: trace.Lost, Count: e.lines})
 		l.events = append(l.events, policy.ListFailed{})
 	case received:
 		for _, id := range e.ids {
@@ -472,25 +472,6 @@
 	l.commit()
 }
 
-// arm has the module woken at a time.
-func (l *loop) arm(at time.Duration) {
-	l.armed = at
-	l.wakeAt = min(l.wakeAt, at)
-}
-
-// woken tells whether the module is to be woken, and sets the next time. Guards against a timer that is lost: where an
-// earlier one, or the loop's own cause, wakes the module, what it asked for last is still to come.
-func (l *loop) woken(now time.Duration) bool {
-	if l.wakeAt > now {
-		return false
-	}
-	l.wakeAt = now + time.Hour
-	if l.armed > now {
-		l.wakeAt = l.armed
-	}
-	return true
-}
-
 // admitted takes on the arrivals of this batch that were not refused.
 func (l *loop) admitted() {
 	for _, m := range l.fresh {
@@ -499,7 +480,7 @@
 				l.journal.Under(m.Entry, l.cfg.policy.Classes[class])
 			}
 			l.journal.Take(m.Entry)
-			l.trace.Note(l.now(), trace.Event{Kind: trace.Take, ID: m.ID, Class: m.Class, Dest: m.Dest})
+			l.note(trace.Event{Kind: trace.Take, ID: m.ID, Class: m.Class, Dest: m.Dest})
 			l.taken(m)
 			l.begun(m)
 		}
@@ -521,7 +502,7 @@
 		l.count(m, management.Failure)
 	}
 	if replies := m.verdicts; replies != nil {
-		l.trace.Note(l.now(), trace.Event{Kind: trace.Turn, ID: m.ID, Class: m.Class, Dest: m.Dest, Ms: float64(v.After.Milliseconds())})
+		l.note(trace.Event{Kind: trace.Turn, ID: m.ID, Class: m.Class, Dest: m.Dest, Ms: float64(v.After.Milliseconds())})
 		l.refusedAt(m, status)
 		m.verdicts = nil
 		l.effects = append(l.effects, func() { reply(replies, v) })
