Trace all ends and refusals, and test what a real relay notes

Read once more: messages that a host says are over, resends that end undelivered, and refusals for want of a list or of disk were in no trace, so that the table's taken and ended did not add up; and no test held a relay's own notes against what it did. A relay in a process of its own, with a host that refuses once, is now counted whole, and one without [trace] writes nothing. The table tells how many relays the settings name beside how many were read.

--- a/cmd/frostlinkctl/fleet.go
+++ b/cmd/frostlinkctl/fleet.go
@@ -56,8 +56,8 @@
 			}
 			if asJSON != "-" {
 				printFleet(out, table)
-				fmt.Fprintf(out, "\n%d events of %d relays, %d other lines, %d that could not be used\n", len(logs.Events), table.Relays, logs.Other,
-					len(logs.Bad))
+				fmt.Fprintf(out, "\n%d events of %d relays (%d in the fleet by their settings), %d other lines, %d that could not be used\n",
+					len(logs.Events), table.Relays, table.Told, logs.Other, len(logs.Bad))
 				for _, b := range logs.Bad[:min(len(logs.Bad), mostNamed)] {
 					fmt.Fprintln(out, b)
 				}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -327,6 +327,7 @@
 	if !l.dests[a.Entry.Dest] || !l.reserve(a.Entry) {
 		// Guards the module against destinations that no list has named, and the disk against overflow.
 		l.book.Ended(a.Entry.Class, management.Busy, false)
+		l.traceTurn(a.Entry, l.cfg.policy.MaxStayAway)
 		a.Verdict <- clients.Verdict{Status: http.StatusServiceUnavailable, After: l.cfg.policy.MaxStayAway}
 		return
 	}
@@ -367,6 +368,7 @@
 		l.traceEnd(m, trace.Delivered)
 		l.count(m, management.Success)
 	default: // withdrawn, or out of time
+		l.traceEnd(m, trace.Undeliverable)
 		l.count(m, management.Failure)
 	}
 	switch {
@@ -502,7 +504,7 @@
 		l.count(m, management.Failure)
 	}
 	if replies := m.verdicts; replies != nil {
-		l.note(trace.Event{Kind: trace.Turn, ID: m.ID, Class: m.Class, Dest: m.Dest, Ms: float64(v.After.Milliseconds())})
+		l.traceTurn(m.Entry, v.After)
 		l.refusedAt(m, status)
 		m.verdicts = nil
 		l.effects = append(l.effects, func() { reply(replies, v) })
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -156,6 +156,9 @@
 		l.giveBack(m, by)
 		return
 	}
+	if status != delivered { // that is noted with the call
+		l.traceEnd(m, status)
+	}
 	m.over = true
 	now := l.now()
 	reason := undelivered.Reason(by)
--- a/internal/relay/trace.go
+++ b/internal/relay/trace.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"time"
+
+	"mallowlead/internal/journal"
 	"mallowlead/internal/trace"
 )
 
@@ -26,6 +29,11 @@
 	l.note(t)
 }
 
+// traceTurn notes a message that is refused at its arrival, with how long its client is to stay away.
+func (l *loop) traceTurn(m *journal.Entry, away time.Duration) {
+	l.note(trace.Event{Kind: trace.Turn, ID: m.ID, Class: m.Class, Dest: m.Dest, Ms: float64(away.Milliseconds())})
+}
+
 // traceEnd notes the end of a message that was taken on.
 func (l *loop) traceEnd(m *message, how string) {
 	if l.trace == nil {
--- /dev/null
+++ b/internal/relay/trace_test.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"mallowlead/internal/trace/fleet"
+	"mallowlead/internal/wait/waittest"
+)
+
+// A relay that is to trace notes each thing once: its start, asks and lists, messages taken and turned away, calls with
+// their connections and reports, and ends. One that is not to notes nothing.
+func TestTrace(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		p := newPlatform(t)
+		if on {
+			p.own = filepath.Join(t.TempDir(), "own.toml")
+			if err := os.WriteFile(p.own, []byte("version = 1\n[trace]\nlog = true\n"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p.addHost("h1", 7)
+		tries := 0
+		p.header = map[string]string{"Server-Load": "x0=0.5,x1=25"}
+		p.answer = func(*http.Request) int {
+			if tries++; tries == 1 {
+				return http.StatusServiceUnavailable
+			}
+			return http.StatusOK
+		}
+		c := p.start()
+		p.take("status", "a", "10")
+		p.called()
+		p.called()
+		if resp := p.handIn("status", "b", "10", func(r *http.Request) { r.Header.Set("X-Envelope", "dest=9") }); resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("a message for a destination that no list names: %s", resp.Status)
+		}
+		p.take("status", "c", "10")
+		p.called()
+		// A planned end leaves time for all ends to come in.
+		if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := waittest.Receive(t, c.exited); err != nil {
+			t.Fatal(err)
+		}
+		logs := &fleet.Logs{}
+		if err := logs.Read("n1.log", c.Stderr.(*bytes.Buffer)); err != nil || len(logs.Bad) > 0 {
+			t.Fatal(err, logs.Bad)
+		}
+		if !on {
+			if len(logs.Events) > 0 {
+				t.Errorf("%d events noted, none wanted", len(logs.Events))
+			}
+			continue
+		}
+		table := fleet.Count(logs.Events)
+		var sum fleet.Second
+		for _, s := range table.Seconds {
+			sum.Starts += s.Starts
+			sum.Asks += s.Asks
+			sum.Told += s.Told
+		}
+		if table.Told < 1 || sum.Starts != 1 || sum.Asks < 1 || sum.Told < 1 {
+			t.Errorf("start, asks or lists are missing: %d in the fleet, %+v", table.Told, sum)
+		}
+		got := table.Total
+		if got.Fresh < 1 || got.Fresh > 3 {
+			t.Errorf("%d connections made for 3 calls", got.Fresh)
+		}
+		if got.Fresh = 0; got != (fleet.Counts{Taken: 2, First: 2, Again: 1, Limit: 1, Delivered: 2, Refused: 1}) {
+			t.Errorf("counted %+v", got)
+		}
+		for _, d := range table.Destinations {
+			if d.Dest == 7 && (d.Limit != 25 || d.Left != 0.5 || d.Hosts != 1) {
+				t.Errorf("destination 7: %+v", d)
+			}
+		}
+	}
+}
--- a/internal/trace/fleet/fleet.go
+++ b/internal/trace/fleet/fleet.go
@@ -77,7 +77,8 @@
 
 // Table is all that was counted.
 type Table struct {
-	Relays       int           `json:"relays"`
+	Relays       int           `json:"relays"` // whose traces were read
+	Told         int           `json:"told"`   // relays in the fleet by the settings that one of them started with; 0: none started
 	Seconds      []Second      `json:"seconds"`
 	Destinations []Destination `json:"destinations"`
 	Total        Counts        `json:"total"`
@@ -102,6 +103,9 @@
 	at := map[int]*about{}
 	for _, e := range events {
 		relays[e.Relay] = true
+		if e.Kind == trace.Start {
+			t.Told = max(t.Told, e.Count)
+		}
 		// Seconds in which nothing was logged have no row: a clock that was far off makes no endless table.
 		if second := int((e.At - began) / 1000); len(t.Seconds) == 0 || t.Seconds[len(t.Seconds)-1].At != second {
 			t.Seconds = append(t.Seconds, Second{At: second})
--- a/internal/trace/fleet/fleet_test.go
+++ b/internal/trace/fleet/fleet_test.go
@@ -32,7 +32,7 @@
 	answer := func(at float64, how string, fresh bool, limit float64) trace.Event {
 		return trace.Event{At: at, Kind: trace.Answer, Dest: 1, Host: "h", How: how, Fresh: fresh, Limit: limit, Left: limit / 20}
 	}
-	logOf(t, dir, "n0", trace.Event{At: 100, Kind: trace.Start}, trace.Event{At: 100, Kind: trace.Ask},
+	logOf(t, dir, "n0", trace.Event{At: 100, Kind: trace.Start, Count: 80}, trace.Event{At: 100, Kind: trace.Ask},
 		trace.Event{At: 100.5, Kind: trace.Take, Dest: 1}, trace.Event{At: 100.5, Kind: trace.Send, Dest: 1, Host: "h", Count: 1},
 		answer(100.6, "turned away", true, 0), trace.Event{At: 101, Kind: trace.Send, Dest: 1, Host: "g", Count: 2},
 		answer(101.2, "delivered", true, 10), trace.Event{At: 101.2, Kind: trace.End, Dest: 1, How: trace.Delivered, Late: true},
@@ -46,7 +46,7 @@
 		t.Fatal(err, logs.Bad)
 	}
 	got := Count(logs.Events)
-	want := &Table{Relays: 2,
+	want := &Table{Relays: 2, Told: 80,
 		Seconds: []Second{{At: 0, Starts: 1, Asks: 1, Told: 1, Counts: Counts{First: 1, Door: 1, Fresh: 1, Taken: 1}},
 			{At: 1, Counts: Counts{Again: 1, Delivered: 1, Limit: 2, Unmade: 1, Other: 1, Fresh: 3, Refused: 1, Late: 1, Back: 1, Failed: 1}},
 			{At: 2, Turned: 1}},
