--- a/internal/relay/trace_test.go
+++ b/internal/relay/trace_test.go
@@ -33,13 +33,13 @@
 			return http.StatusOK
 		}
 		c := p.start()
-		p.take("status", "a", "10")
+		p.take("status", "a", "12")
 		p.called()
 		p.called()
 		if resp := p.handIn("status", "b", "10", func(r *http.Request) { r.Header.Set("X-Envelope", "dest=9") }); resp.StatusCode != http.StatusServiceUnavailable {
 			t.Errorf("a message for a destination that no list names: %s", resp.Status)
 		}
-		p.take("status", "c", "10")
+		p.take("status", "c", "12")
 		p.called()
 		// A planned end leaves time for all ends to come in.
 		if err := c.Process.Signal(syscall.SIGTERM); err != nil {
