Plant a violation of each rule that virtual fleets check, and see it caught

Ends made twice, not at all or late, two attempts at once, another partner's host, an unlisted one, a drain that is not heeded, an attempt at a kill taken for never run, a watch not asked for again: each is now caught by its own name.

--- a/internal/rehearsal/virtual/fleet_test.go
+++ b/internal/rehearsal/virtual/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"mallowlead/internal/rehearsal/script"
+	"mallowlead/policy"
 )
 
 func play(t *testing.T, name string, relays int, change func(*Day)) *Result {
@@ -137,6 +138,102 @@
 	}
 }
 
+// Each rule that is checked is broken by a bent module, and caught.
+func TestRulesPlanted(t *testing.T) {
+	late := map[int][]policy.Action{}
+	due := map[int]time.Duration{}
+	for name, tt := range map[string]struct {
+		plant  Plant
+		caught string
+	}{
+		"an end is made twice": {Plant{Actions: each(func(a policy.Action) []policy.Action {
+			if _, ok := a.(policy.Refuse); ok {
+				return []policy.Action{a, a}
+			}
+			return []policy.Action{a}
+		})}, "was ended twice"},
+		"an end is not made": {Plant{Actions: each(func(a policy.Action) []policy.Action {
+			if _, ok := a.(policy.Refuse); ok {
+				return nil
+			}
+			return []policy.Action{a}
+		})}, "has no end"},
+		"ends are made 14 s late": {Plant{Actions: func(relay int, now time.Duration, all []policy.Action) (out []policy.Action) {
+			for _, a := range all {
+				if _, ok := a.(policy.Refuse); !ok {
+					out = append(out, a)
+					continue
+				}
+				if len(late[relay]) == 0 {
+					due[relay] = now + 14*time.Second
+				}
+				late[relay] = append(late[relay], a)
+			}
+			if len(late[relay]) > 0 && now >= due[relay] {
+				out, late[relay] = append(out, late[relay]...), nil
+			}
+			return out
+		}}, "after its time"},
+		"two attempts at once": {Plant{Actions: each(func(a policy.Action) []policy.Action {
+			if _, ok := a.(policy.Send); ok {
+				return []policy.Action{a, a}
+			}
+			return []policy.Action{a}
+		})}, "while an attempt is out"},
+		"another partner's host": {Plant{Actions: each(func(a policy.Action) []policy.Action {
+			if s, ok := a.(policy.Send); ok {
+				s.Endpoint = "p5-0"
+				return []policy.Action{s}
+			}
+			return []policy.Action{a}
+		})}, "not of its destination"},
+		"a host that nobody listed": {Plant{Actions: each(func(a policy.Action) []policy.Action {
+			if s, ok := a.(policy.Send); ok {
+				s.Endpoint = "p0-99"
+				return []policy.Action{s}
+			}
+			return []policy.Action{a}
+		})}, "unknown host"},
+		"news of the list are not heeded": {Plant{Events: func(_ int, all []policy.Event) []policy.Event {
+			return slices.DeleteFunc(all, func(e policy.Event) bool { l, ok := e.(policy.Listed); return ok && !l.Whole })
+		}}, "after it drained"},
+		"what was out at a kill is taken for never run": {Plant{Events: func(_ int, all []policy.Event) []policy.Event {
+			for i, e := range all {
+				if a, ok := e.(policy.Arrived); ok {
+					for j := range a.Tried {
+						a.Tried[j].Unrun = true
+					}
+					all[i] = a
+				}
+			}
+			return all
+		}}, "had its effect 2 times"},
+		"a watch is not asked for again": {Plant{Actions: each(func(a policy.Action) []policy.Action {
+			if _, ok := a.(policy.Subscribe); ok {
+				return nil
+			}
+			return []policy.Action{a}
+		})}, "without a watch"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := strings.Join(faults(play(t, Herd, 12, func(d *Day) { d.Plant = tt.plant })), "\n")
+			if !strings.Contains(found, tt.caught) {
+				t.Errorf("found %q, want %q", found, tt.caught)
+			}
+		})
+	}
+}
+
+// each bends each action of a batch by itself.
+func each(bend func(policy.Action) []policy.Action) func(int, time.Duration, []policy.Action) []policy.Action {
+	return func(_ int, _ time.Duration, all []policy.Action) (out []policy.Action) {
+		for _, a := range all {
+			out = append(out, bend(a)...)
+		}
+		return out
+	}
+}
+
 // Cases at the edge: in none is a rule broken.
 func TestHardCases(t *testing.T) {
 	sec := func(s float64) time.Duration { return script.Seconds(s) }
