Test the schedule of asks, a lowered limit, and what counts as a fresh connection

Read once more: a watcher that asked at once whatever its fleet, a partner that lowered nothing, and a reused connection noted as fresh passed all tests.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -11,17 +11,25 @@
 	"mallowlead/internal/wait/waittest"
 )
 
-// watchOf follows a handler's watches and returns what the watcher tells.
-func watchOf(t *testing.T, silence time.Duration, serve http.HandlerFunc) (*Watcher, chan Members, chan bool) {
+// newWatcher gives a watcher of a handler, which does not run yet and tells nobody.
+func newWatcher(t *testing.T, silence time.Duration, serve http.HandlerFunc) *Watcher {
 	t.Helper()
 	s := httptest.NewServer(serve)
-	members, failed := make(chan Members, 10), make(chan bool, 10)
-	w := NewWatcher(strings.TrimPrefix(s.URL, "http://"), func(m Members, _ string) { members <- m }, func(int) { failed <- true })
+	w := NewWatcher(strings.TrimPrefix(s.URL, "http://"), func(Members, string) {}, func(int) {})
 	w.silence, w.Seq = silence, 40
 	t.Cleanup(func() {
 		s.CloseClientConnections()
 		s.Close()
 	})
+	return w
+}
+
+// watchOf follows a handler's watches and returns what the watcher tells.
+func watchOf(t *testing.T, silence time.Duration, serve http.HandlerFunc) (*Watcher, chan Members, chan bool) {
+	t.Helper()
+	members, failed := make(chan Members, 10), make(chan bool, 10)
+	w := newWatcher(t, silence, serve)
+	w.told, w.failed = func(m Members, _ string) { members <- m }, func(int) { failed <- true }
 	go w.Run(t.Context())
 	w.Ask()
 	return w, members, failed
--- a/internal/hosts/http1/http1_test.go
+++ b/internal/hosts/http1/http1_test.go
@@ -307,9 +307,14 @@
 	step := func(m string, want policy.Outcome, wantConns, wantCalls int32) {
 		t.Helper()
 		mode.Store(m)
-		if got := p.Call(t.Context(), testCall(addr)); got.Outcome != want {
+		before := conns.Load()
+		got := p.Call(t.Context(), testCall(addr))
+		if got.Outcome != want {
 			t.Errorf("%s: outcome %v, want %v", m, got.Outcome, want)
 		}
+		if got.Fresh != (conns.Load() > before) {
+			t.Errorf("%s: a fresh connection %v", m, got.Fresh)
+		}
 		if conns.Load() != wantConns || calls.Load() != wantCalls {
 			t.Errorf("%s: %d connections and %d calls, want %d and %d", m, conns.Load(), calls.Load(), wantConns, wantCalls)
 		}
--- a/internal/rehearsal/partner/partner_test.go
+++ b/internal/rehearsal/partner/partner_test.go
@@ -277,3 +277,28 @@
 		}
 	})
 }
+
+// A partner that lowers its limit takes that share of it, says so, and takes all of it again.
+func TestLower(t *testing.T) {
+	for _, limit := range []string{"limit = { count = 20, span_s = 1 }", "limit = { rate = 20, burst = 5 }"} {
+		p := newPartner(t, limit+"\nslots = 50")
+		for i, share := range []float64{1, 0.25, 0, 1} {
+			from := time.Duration(i) * 10 * time.Second
+			p.Lower(from, share)
+			taken := 0
+			for n := range 500 { // 50 a second
+				c := &Call{ID: fmt.Sprint(i, n), Work: time.Millisecond}
+				refused := false
+				for _, a := range p.Arrive(from+time.Duration(n)*20*time.Millisecond, 0, c) {
+					refused = refused || a.Done != nil && a.Done.Call == c && a.Done.Outcome == Full
+				}
+				if !refused {
+					taken++
+				}
+			}
+			if want := 200 * share; math.Abs(float64(taken)-want) > 6 { // a burst, and what is cut off of a span
+				t.Errorf("%s lowered to %v: %d taken in 10 s, want %v", limit, share, taken, want)
+			}
+		}
+	}
+}
