Bound what a fleet's shares add up to, and the calls when a limit is raised again

Tried and rejected: raises by the mean of the reported share that is left, not by one reading. Planted and caught: an even share rounded up to a call, and answers that tell a third of the limit.

--- a/internal/rehearsal/virtual/fleet_test.go
+++ b/internal/rehearsal/virtual/fleet_test.go
@@ -63,6 +63,28 @@
 	if again := p.UsedAgain(17, 0.8); again < 0 || again > 3 {
 		out = append(out, fmt.Sprintf("again: %d s until the limit is used again", again))
 	}
+	// All have messages waiting when it is raised again, and all raise their paces: half above is what a burst of each would be.
+	if over := p.Over(17, 21, 1); over > 0.5 {
+		out = append(out, fmt.Sprintf("rush: %.2f of the limit above it when it is raised again", over))
+	}
+	return out
+}
+
+// ofRush names what is wrong where all partners get more than they take all day: paces seek the limit, and cost a refusal
+// for five or six calls at most; what partners take is used, but for the smallest, where a span's chance tells.
+func ofRush(r *Result) (out []string) {
+	for i, p := range r.Partners {
+		delivered := 0
+		for _, s := range p.Seconds[5:30] {
+			delivered += s.Delivered
+		}
+		if sum := float64(p.Calls(5, 30)) / (25 * p.Limit); sum > 1.3 {
+			out = append(out, fmt.Sprintf("sum: calls to partner %d are %.2f of its limit", i, sum))
+		}
+		if used := float64(delivered) / (25 * p.Limit); used < 0.88 {
+			out = append(out, fmt.Sprintf("used: partner %d delivers %.2f of its limit", i, used))
+		}
+	}
 	return out
 }
 
@@ -89,7 +111,7 @@
 // on shares.
 func TestFleet(t *testing.T) {
 	for _, relays := range []int{1, 2, 3, 12, 80} {
-		for _, day := range []string{Calm, Join, Zone, Herd} {
+		for _, day := range Names {
 			t.Run(fmt.Sprintf("%s of %d", day, relays), func(t *testing.T) {
 				t.Parallel()
 				r := play(t, day, relays, nil)
@@ -97,6 +119,9 @@
 				if relays >= 12 && day == Join {
 					found = append(found, ofJoin(r)...)
 				}
+				if relays >= 12 && day == Rush {
+					found = append(found, ofRush(r)...)
+				}
 				if relays >= 12 && day == Zone {
 					found = append(found, ofZone(r)...)
 				}
@@ -121,12 +146,21 @@
 	}{
 		{Herd, Plant{NoJitter: true}, faults, []string{"asks: "}},
 		{Join, Plant{OneCall: true}, ofJoin, []string{"over: "}},
+		{Rush, Plant{OneCall: true}, ofRush, []string{"sum: "}},
+		{Rush, Plant{Events: func(_ int, all []policy.Event) []policy.Event { // each answer tells a third of the limit
+			for _, e := range all {
+				if end, ok := e.(policy.Ended); ok && end.Report != nil {
+					end.Report.Limit /= 3
+				}
+			}
+			return all
+		}}, ofRush, []string{"used: "}},
 		{Zone, Plant{OneCall: true}, faults, []string{"push: "}},
 		{Zone, Plant{Opens: true}, faults, []string{"push: "}},
 		{Zone, Plant{Probes: true}, func(r *Result) []string { return append(faults(r), ofZone(r)...) }, []string{"push: ", "knocks: "}},
 		{Herd, Plant{Forgets: true}, faults, []string{"rule: "}},
 	} {
-		t.Run(fmt.Sprintf("%s %+v", tt.day, tt.plant), func(t *testing.T) {
+		t.Run(fmt.Sprint(tt.day, tt.caught), func(t *testing.T) {
 			t.Parallel()
 			found := tt.check(play(t, tt.day, 80, func(d *Day) { d.Plant = tt.plant }))
 			for _, want := range tt.caught {
@@ -271,6 +305,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := play(t, Calm, 80, change)
+			if strings.Contains(name, "the register") && r.Turned < 80 {
+				t.Errorf("the register turned away %d asks: the case is not what it says", r.Turned)
+			}
 			for _, f := range append(r.Faults, make([]string, r.Falls)...) {
 				t.Errorf("fault or fall: %s", f)
 			}
