--- a/internal/rehearsal/virtual/fleet_test.go
+++ b/internal/rehearsal/virtual/fleet_test.go
@@ -308,6 +308,9 @@
 			if strings.Contains(name, "the register") && r.Turned < 80 {
 				t.Errorf("the register turned away %d asks: the case is not what it says", r.Turned)
 			}
+			if calls := r.Partners[5].Calls(8, 13); strings.Contains(name, "few") && (calls == 0 || calls > 20) {
+				t.Errorf("%d calls in the outage: the case is not what it says", calls)
+			}
 			for _, f := range append(r.Faults, make([]string, r.Falls)...) {
 				t.Errorf("fault or fall: %s", f)
 			}
