--- a/policy/policy.go
+++ b/policy/policy.go
@@ -496,7 +496,7 @@
 	if near, far := a.Zone == d.s.Zone, b.Zone == d.s.Zone; near != far {
 		return near
 	}
-	if d.s.Instances <= connRoom {
+	if d.keeps() {
 		return a.lastUsed > b.lastUsed // its connection may still stand
 	}
 	// Guards against a fleet in which each relay has reason to take the same endpoint: the first listed, then
@@ -681,10 +681,13 @@
 func (d *Dispatcher) seldom(ep *endpoint) bool {
 	// Counted, not as a rate: at the start one arrival looks like many.
 	expected := ep.q.arrivals.count(d.now) * float64(d.s.ConnIdle) / float64(counterAge)
-	return ep.connCap > 0 || d.s.Instances > connRoom ||
+	return ep.connCap > 0 || !d.keeps() ||
 		d.s.Instances > idleRoom && expected < reuses*float64(max(1, len(ep.q.eps)))
 }
 
+// keeps tells whether relays are few enough for any of them to keep a connection that idles.
+func (d *Dispatcher) keeps() bool { return d.s.Instances <= connRoom }
+
 // learn draws from a call's end what it tells, by its own time: a relay without turns hears late of it.
 func (d *Dispatcher) learn(c *call, m *message, e Ended) {
 	ep, q := c.ep, c.ep.q
--- a/policy/state.go
+++ b/policy/state.go
@@ -513,7 +513,7 @@
 	}
 	if ep == nil {
 		ep = &endpoint{strikes: make([]float64, len(d.s.Classes))}
-		if d.s.Instances > connRoom {
+		if !d.keeps() {
 			ep.lot = d.chance.Float64()
 		}
 		d.endpoints[e.ID] = ep
