A process that has handed over shows its last figures, not an empty relay

The old process had handed over and the new one had not said yes yet. Ruled out: the counts (right before and after), the auditor's account (the relay did hold them). At fault: Book.Given showed the empty book at once, for the 0.1 s that the old process still lives, far less than figures may lag. It now empties the book and shows nothing new; a relay that comes back to the process counts from nothing as before.

--- a/internal/management/figures.go
+++ b/internal/management/figures.go
@@ -103,11 +103,10 @@
 // Dropped takes back Taken for a message that ended under no count, as one that its client has withdrawn.
 func (b *Book) Dropped() { b.now.Inflight-- }
 
-// Given has the book hold nothing any more: another process counts what was under way. It is shown at once.
-func (b *Book) Given() {
-	b.now.Inflight = 0
-	b.Show(Gauges{b.Read().HostsListed, b.Read().HostsDown})
-}
+// Given has the book hold nothing any more: another process counts what was under way. Readers go on seeing what there was
+// when that was handed over, for the moment that this process still lives, which is far shorter than figures may lag:
+// nothing in flight would be a lie about the relay until the other answers.
+func (b *Book) Given() { b.now.Inflight = 0 }
 
 // Reconfigured counts a file that was taken, or turned down.
 func (b *Book) Reconfigured(ok bool) {
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -159,3 +159,19 @@
 		t.Errorf("%v, want %s", got, want)
 	}
 }
+
+// A process that has handed its relay over shows for its last moment what there was; if the relay comes back to it, it
+// counts from nothing.
+func TestGiven(t *testing.T) {
+	b := NewBook([]string{"C"})
+	b.Taken()
+	b.Taken()
+	b.Show(Gauges{HostsListed: 3})
+	if b.Given(); b.Read().Inflight != 2 || b.Read().HostsListed != 3 {
+		t.Errorf("handed over, it shows %+v", b.Read())
+	}
+	b.Taken()
+	if b.Show(Gauges{}); b.Read().Inflight != 1 {
+		t.Errorf("with the relay back and one message it shows %d in flight", b.Read().Inflight)
+	}
+}
