--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -17,8 +17,13 @@
 	ID, Key string
 	Body    []byte
 	Timeout time.Duration
+	// WriteBy, where it is set, is when its last byte must have left: written later it may run a second time.
+	WriteBy time.Time
 }
 
+// Late tells whether a request may not be written any more.
+func (r *Request) Late() bool { return !r.WriteBy.IsZero() && !time.Now().Before(r.WriteBy) }
+
 // Result is how a call ended.
 type Result struct {
 	Outcome  policy.Outcome
--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -99,10 +99,16 @@
 		return hosts.Result{Outcome: policy.Ignored}
 	}
 	defer p.end()
-	c, fresh, err := p.get(ctx, r.Target)
+	dial := ctx
+	if !r.WriteBy.IsZero() {
+		var done context.CancelFunc
+		dial, done = context.WithDeadline(ctx, r.WriteBy)
+		defer done()
+	}
+	c, fresh, err := p.get(dial, r.Target)
 	switch {
-	case err != nil && p.isFrozen():
-		return hosts.Result{Outcome: policy.Ignored}
+	case err != nil && (p.isFrozen() || r.Late()):
+		return hosts.Result{Outcome: policy.Ignored, Fresh: fresh}
 	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.EADDRNOTAVAIL):
 		slog.Error("call not made", "err", err) // for want of something here: no fault of the host
 		return hosts.Result{Outcome: policy.Ignored}
@@ -133,6 +139,17 @@
 // exchange writes a request and reads its answer; reuse tells whether the connection may carry another.
 func (p *Pool) exchange(ctx context.Context, c *conn, r hosts.Request, write bool) (res hosts.Result, reuse bool) {
 	if write {
+		// Guards against a connection that came up late, as when a cut link is back: written now, the request would
+		// run again at a host that has forgotten its key.
+		if r.Late() {
+			return hosts.Result{Outcome: policy.Ignored}, c.SetDeadline(time.Time{}) == nil
+		}
+		if !r.WriteBy.IsZero() {
+			_ = c.SetWriteDeadline(r.WriteBy)
+			if ctx.Err() != nil { // its deadline was overwritten
+				return hosts.Result{Outcome: policy.ConnectError}, false
+			}
+		}
 		deadline, _ := ctx.Deadline()
 		out, err := encode(r, time.Until(deadline))
 		if err != nil {
--- /dev/null
+++ b/internal/hosts/http1/writeby_test.go
@@ -0,0 +1,63 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"mallowlead/internal/hosts"
+	"mallowlead/policy"
+)
+
+// A request whose last moment passes while its connection is made, or has passed, is not written: it never ran. The connection
+// carries the next one.
+func TestNotWrittenTooLate(t *testing.T) {
+	var calls atomic.Int32
+	addr := rawHost(t, func(c net.Conn) {
+		for in := bufio.NewReader(c); ; {
+			if _, err := readCall(in); err != nil {
+				return
+			}
+			calls.Add(1)
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		}
+	})
+	p := testPool()
+	unwritten := hosts.Result{Outcome: policy.Ignored, Fresh: true}
+	slow := testCall(addr)
+	slow.WriteBy = time.Now().Add(20 * time.Millisecond)
+	p.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+		<-ctx.Done() // as a link that is cut
+		return ctx.Err()
+	}
+	if got := p.Call(t.Context(), slow); got != unwritten {
+		t.Errorf("no connection in time: %+v", got)
+	}
+	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		time.Sleep(time.Until(slow.WriteBy)) // it comes up, but late
+		return nil
+	}
+	late := testCall(addr)
+	late.WriteBy = slow.WriteBy
+	if got := p.Call(t.Context(), late); got.Outcome != policy.Ignored || !got.Unrun() {
+		t.Errorf("written too late: %+v", got)
+	}
+	p.dialer.ControlContext = nil
+	inTime := testCall(addr)
+	inTime.WriteBy = time.Now().Add(time.Minute)
+	for _, r := range []hosts.Request{inTime, testCall(addr)} {
+		if got := p.Call(t.Context(), r); got.Outcome != policy.OK {
+			t.Errorf("in time: %+v", got)
+		}
+	}
+	if r, _ := p.exchange(t.Context(), p.idle[late.Target].conns[0], late, true); r.Outcome != policy.Ignored {
+		t.Errorf("on a connection that stood: %+v", r)
+	}
+	if calls.Load() != 2 || p.count != 1 {
+		t.Errorf("%d calls were written, and %d connections are kept", calls.Load(), p.count)
+	}
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -19,6 +19,7 @@
 	attempt int
 	host    discovery.Member
 	timeout time.Duration
+	writeBy time.Time // its last byte must have left; zero: at any time
 }
 
 // send notes an attempt and makes it ready to go.
@@ -33,6 +34,9 @@
 	if a.Timeout > 0 {
 		s.timeout = min(left, a.Timeout)
 	}
+	if a.Within > 0 {
+		s.writeBy = l.start.Add(now + a.Within - l.clock(l.start))
+	}
 	l.journal.Begin(m.Entry, a.Endpoint, l.wall(now))
 	if !ok || h.Block != m.Dest {
 		// Guards the protocol's rule that a message goes only to a listed host of its destination.
@@ -62,7 +66,7 @@
 	begun := s.m.begun
 	s.m.call, s.m.cancel = s, cancel
 	r := hosts.Request{Target: hosts.Target{Host: s.host.Host, Addr: s.host.Dial}, ID: s.m.ID, Key: s.m.Key, Body: s.m.Body,
-		Timeout: max(s.timeout-time.Since(begun), time.Millisecond)}
+		Timeout: max(s.timeout-time.Since(begun), time.Millisecond), WriteBy: s.writeBy}
 	l.out++
 	go func() {
 		defer cancel()
--- a/policy/api.go
+++ b/policy/api.go
@@ -186,11 +186,14 @@
 
 // The actions.
 type (
-	// Send starts the next attempt of a message; Timeout 0 leaves it out until the deadline.
+	// Send starts the next attempt of a message; Timeout 0 leaves it out until the deadline. Where Within is not 0, its
+	// last byte may leave within that time only: later, an earlier attempt's effect is not remembered any more. One that
+	// can't is Ignored.
 	Send struct {
 		ID       string
 		Endpoint string
 		Timeout  time.Duration
+		Within   time.Duration
 	}
 	// Refuse ends a message undelivered; the client may safely come again.
 	Refuse struct {
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -22,5 +22,5 @@
 		policy.Arrived{ID: "m", Destination: 7, Left: 10 * time.Second},
 	})
 	fmt.Println(actions[0])
-	// Output: {m a 3.333333333s}
+	// Output: {m a 3.333333333s 0s}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -461,7 +461,12 @@
 	case m.class.Effect == Unsafe || ep != nil && m.class.ByZone && first.call.ep.Zone != ep.Zone:
 		return false
 	}
-	return d.now+2*d.s.Tick < first.sent+m.class.Memory
+	return d.now < d.forgotten(m)
+}
+
+// forgotten is when a destination may not remember any more that a keyed message has run there.
+func (d *Dispatcher) forgotten(m *message) time.Duration {
+	return m.firstRun().sent + m.class.Memory - 2*d.s.Tick
 }
 
 // endpoint chooses where in a queue a message goes: a sick endpoint whose trial is due, else a healthy
@@ -570,11 +575,15 @@
 // attempt adds one message to a call.
 func (d *Dispatcher) attempt(m *message, c *call) {
 	m.release()
+	within := time.Duration(0)
+	if m.firstRun() != nil && m.class.Effect == Keyed {
+		within = d.forgotten(m) - d.now // and that may pass while a connection is made
+	}
 	m.attempts = append(m.attempts, attempt{call: c, sent: d.now, open: true})
 	m.open++
 	c.open++
 	c.msgs = append(c.msgs, m)
-	d.act(Send{ID: m.ID, Endpoint: c.ep.ID, Timeout: d.timeout(m, c)})
+	d.act(Send{ID: m.ID, Endpoint: c.ep.ID, Timeout: d.timeout(m, c), Within: within})
 }
 
 // timeout is how long an answer is waited for; an unsafe message waits to its end, since after a
@@ -1004,8 +1013,8 @@
 	for _, m := range d.live {
 		if m.q != nil {
 			soon(d.lastChance(m))
-			if first := m.firstRun(); first != nil && m.class.Effect == Keyed {
-				soon(first.sent + m.class.Memory - 2*d.s.Tick)
+			if m.firstRun() != nil && m.class.Effect == Keyed {
+				soon(d.forgotten(m))
 			}
 		}
 	}
