--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -18,6 +18,10 @@
 	// herd relays or more spread their first asks too, and all asks over herdSpan at least: what serves a small fleet is
 	// sized for it, and may take some seconds for a call of each.
 	herd, herdSpan = 10, 4 * time.Second
+	// allCalls is the longest first span, however many share discovery: it can take one call from every relay in 2 to 8 s at
+	// any scale (all_call_s of the site's ranges), and serves watches and changes beside. A relay that asks later than it
+	// must knows nothing of drains and new hosts meanwhile.
+	allCalls = 10 * time.Second
 	// held is how long a watch must have stood to count as had: the first line may come before discovery has done its work,
 	// which it gives up on after 2 s.
 	held = 2500 * time.Millisecond
@@ -33,7 +37,7 @@
 func NewSchedule(relays int, seed int64) *Schedule {
 	span := time.Duration(max(1, relays)) * callPace
 	if relays >= herd {
-		span = max(span, herdSpan)
+		span = min(max(span, herdSpan), allCalls)
 	}
 	return &Schedule{backoff.New(askAgain, span, max(askAgainMost, mostPaces*span), seed), relays >= herd}
 }
