--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -127,7 +127,7 @@
 				if i == 0 && (q.pace < before) != tt.cut {
 					t.Errorf("%s: pace %v after %v", tt.name, q.pace, before)
 				}
-				if q.holdUntil <= now {
+				if q.pausedUntil() <= now {
 					t.Errorf("%s: no pause", tt.name)
 				}
 			} else {
--- a/policy/memory.go
+++ b/policy/memory.go
@@ -37,6 +37,7 @@
 	Latency     LatencyMemory `json:"latency"`
 	WaitUntil   time.Duration `json:"wait_until,omitempty"`
 	HoldUntil   time.Duration `json:"hold_until,omitempty"`
+	DoorUntil   time.Duration `json:"door_until,omitempty"`
 	PausedAt    time.Duration `json:"paused_at,omitempty"`
 	Fulls       int           `json:"fulls,omitempty"`
 	FirstFull   time.Duration `json:"first_full,omitempty"`
@@ -86,7 +87,7 @@
 	mem := &Memory{Kinds: map[int]LatencyMemory{}, Unanswered: d.unanswered}
 	for _, no := range sortedKeys(d.dests) {
 		for _, q := range d.dests[no].queues {
-			m := QueueMemory{Destination: no, Latency: q.latencies.memory(), WaitUntil: q.waitUntil, HoldUntil: q.holdUntil,
+			m := QueueMemory{Destination: no, Latency: q.latencies.memory(), WaitUntil: q.waitUntil, HoldUntil: q.holdUntil, DoorUntil: q.doorUntil,
 				PausedAt: q.pausedAt, Limit: q.limit, Fulls: q.fulls, FirstFull: q.firstFull, LastOK: q.lastOK, Weight: q.weight, Pace: q.pace, Tokens: q.tokens,
 				TokensAt: q.tokensAt, Arrivals: q.arrivals.memory(), Misses: q.misses.memory(), CopyWork: q.copyWork,
 				CopyAt: q.copyAt, Ill: q.ill}
@@ -126,7 +127,8 @@
 			q = ep.q
 		}
 		q.latencies.recall(m.Latency)
-		q.waitUntil, q.holdUntil, q.pausedAt, q.lastOK = m.WaitUntil, m.HoldUntil, m.PausedAt, m.LastOK
+		q.waitUntil, q.holdUntil, q.doorUntil = m.WaitUntil, m.HoldUntil, m.DoorUntil
+		q.pausedAt, q.lastOK = m.PausedAt, m.LastOK
 		q.fulls, q.firstFull, q.limit = m.Fulls, m.FirstFull, m.Limit
 		if q.weight == m.Weight { // else the list has told another rate since, and the pace began anew
 			q.pace, q.tokens, q.tokensAt = m.Pace, m.Tokens, m.TokensAt
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,6 +60,10 @@
 	// idleRoom, which even small receivers take, all may keep theirs; where they are more than connRoom,
 	// about all that a small one takes, a connection that idles at one relay is a call refused at another.
 	reuses, idleRoom, connRoom = 4, 6, 9
+	// aheadCalls of its pace a queue may send on a connection that has just carried a call, where connections are not kept: a
+	// new one keeps one of the host's few places for some round trips before its call has begun, and a call on one that stands
+	// for one. It is sent in a row, not more: the pace falls behind by as many.
+	aheadCalls = 3
 	// connRaise is added to a learned connection cap by each success.
 	connRaise = 0.05
 	// pacedCalls a span is where a pace starts at least: where the even share is less, relays come by
@@ -142,6 +146,7 @@
 	}
 	d.expire()
 	d.dispatch()
+	d.closeIdle()
 	d.reap()
 	d.rest()
 	d.arm()
@@ -183,7 +188,7 @@
 // held there or out with another one, none of its endpoints is or was out, and slots and pace leave room for
 // what is fresh.
 func (d *Dispatcher) idle(q *queue) bool {
-	if len(q.held) > 0 || d.now < q.waitUntil || d.now < q.holdUntil || d.stopping ||
+	if len(q.held) > 0 || d.now < q.pausedUntil() || d.stopping ||
 		float64(d.out+1) > backgroundShare*float64(d.s.Slots) ||
 		float64(len(d.live)) > backgroundShare*float64(d.s.HoldRoom) {
 		return false
@@ -273,7 +278,7 @@
 // opens is the time until the next call of a queue may leave with n messages ahead of it, as far as
 // waits, pace and health tell.
 func (d *Dispatcher) opens(q *queue, n int) float64 {
-	wait := math.Max(0, (max(q.waitUntil, q.holdUntil) - d.now).Seconds())
+	wait := math.Max(0, (q.pausedUntil() - d.now).Seconds())
 	calls := float64(n) / float64(q.bundle)
 	if q.pace > 0 {
 		wait = math.Max(wait, (calls+1-d.tokens(q))/q.pace)
@@ -426,7 +431,14 @@
 	if len(q.held) == 0 || d.now < q.waitUntil || d.now < q.holdUntil || len(q.out) >= most {
 		return nil, nil
 	}
-	if q.pace > 0 && d.tokens(q) < 1 {
+	if ep := q.warm; ep != nil && d.open(ep) && (q.pace == 0 || d.tokens(q) >= 1-aheadCalls) {
+		for _, m := range q.held {
+			if d.sendable(m) && d.repeatable(m, ep) {
+				return ep, m
+			}
+		}
+	}
+	if d.now < q.doorUntil || q.pace > 0 && d.tokens(q) < 1 {
 		return nil, nil
 	}
 	for _, m := range q.held {
@@ -439,6 +451,18 @@
 	return nil, nil
 }
 
+// closeIdle closes connections that have ended their calls and carry no further one, where they are not worth keeping,
+// and lets go of those that stood for one.
+func (d *Dispatcher) closeIdle() {
+	for _, ep := range d.done {
+		ep.q.warm = nil
+		if ep.lastUsed != d.now && (len(ep.out) == 0 || !d.keeps()) && d.seldom(ep) {
+			d.act(CloseIdle{Endpoint: ep.ID})
+		}
+	}
+	d.done = nil
+}
+
 // sendable tells whether the rules allow another attempt of a held message now.
 func (d *Dispatcher) sendable(m *message) bool {
 	if len(m.attempts) >= d.s.MaxAttempts || d.now >= m.expires {
@@ -552,6 +576,9 @@
 	c := &call{ep: ep, sent: d.now}
 	d.turn++
 	q.served = d.turn
+	if q.warm == ep {
+		q.warm = nil // that connection is taken
+	}
 	d.out++
 	d.wake(q)
 	q.out, ep.out = append(q.out, c), append(ep.out, c)
@@ -664,8 +691,8 @@
 		d.out--
 		c.ep.out, c.ep.q.out = remove(c.ep.out, c), remove(c.ep.q.out, c)
 		d.learn(c, m, e)
-		if len(c.ep.out) == 0 && d.seldom(c.ep) {
-			d.act(CloseIdle{Endpoint: c.ep.ID})
+		if !slices.Contains(d.done, c.ep) {
+			d.done = append(d.done, c.ep)
 		}
 	}
 	if e.Outcome == TimedOut || e.Outcome == Reset || e.Outcome == Canceled {
@@ -775,6 +802,9 @@
 		}
 	}
 	q.fulls, q.ill = 0, false
+	if room && !ep.ramping && !d.keeps() {
+		q.warm = ep
+	}
 	if q.pace > 0 && len(q.held) > 0 && room {
 		own := math.Max(d.even(q), math.Min(q.pace, pacedCalls/burstSpan.Seconds()))
 		q.pace = math.Min(q.pace+paceRaise*own*math.Min(1, raisesASecond/q.pace), q.rate())
@@ -849,7 +879,11 @@
 	}
 	hold = math.Min(hold*math.Pow(2, float64(q.fulls-1)), math.Max(hold, longestHold.Seconds()))
 	hold *= 0.5 + d.chance.Float64() // relays that were refused together do not come back together
-	q.holdUntil, q.pausedAt = max(q.holdUntil, d.now+time.Duration(hold*float64(time.Second))), d.now
+	until := &q.holdUntil
+	if door {
+		until = &q.doorUntil // what is in already may go on
+	}
+	*until, q.pausedAt = max(*until, d.now+time.Duration(hold*float64(time.Second))), d.now
 	if d.once(q, q.fulls) || q.fulls > failuresToSick && d.now-q.firstFull > shutAfter {
 		for _, ep := range q.eps {
 			d.sicken(ep)
@@ -1029,7 +1063,7 @@
 		if len(q.held) == 0 {
 			continue
 		}
-		at := max(q.waitUntil, q.holdUntil, d.now)
+		at := max(q.pausedUntil(), d.now)
 		if q.pace > 0 && d.tokens(q) < 1 {
 			at = max(at, d.now+wait(1-q.tokens, q.pace))
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -36,6 +36,7 @@
 	resub      time.Duration // when to subscribe
 	wakeAt     time.Duration // when the next timer is due; 0 for none
 	stopping   bool          // send nothing more
+	done       []*endpoint   // at which calls ended in this batch
 	actions    []Action
 	chance     *rand.Rand
 	pools      map[int]*latencies // by kind of destination
@@ -62,6 +63,7 @@
 	kind      int
 	waitUntil time.Duration
 	holdUntil time.Duration // our own pause after a refusal without a wait
+	doorUntil time.Duration // the same after a refusal at the door: for new connections only
 	pausedAt  time.Duration // when that pause began
 	fulls     int           // refusals in a row
 	firstFull time.Duration // of the refusals in a row
@@ -78,8 +80,13 @@
 	apart     bool
 	active    bool // among Dispatcher.active
 	ill       bool // the last that was heard of an endpoint's health was bad
+	// warm is an endpoint at which a call ended well in this batch: its connection may carry the next.
+	warm *endpoint
 }
 
+// pausedUntil is when the next call may leave on a new connection, as far as waits and pauses tell.
+func (q *queue) pausedUntil() time.Duration { return max(q.waitUntil, q.holdUntil, q.doorUntil) }
+
 // latencies are mean latencies in seconds; 0 for unknown.
 type latencies struct {
 	n     int     // outcomes counted
--- /dev/null
+++ b/policy/warm_test.go
@@ -0,0 +1,96 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// warmed is a relay of a large fleet whose first call of n messages for one destination has just ended at host a.
+func warmed(t *testing.T, n int, how Ended) (*Dispatcher, []Action) {
+	t.Helper()
+	s := plain()
+	s.Weights, s.Instances = WeightsNominal, 20
+	d := start(t, s, Endpoint{ID: "a", Weight: 20}, Endpoint{ID: "b", Weight: 20})
+	d.endpoints["a"].lot, d.endpoints["b"].lot = 0, 1 // a is the first
+	q := d.queues[0]
+	q.tokens, q.tokensAt = 1, time.Second
+	var events []Event
+	for i := range n {
+		events = append(events, arrive(fmt.Sprint("m", i), 0))
+	}
+	d.Handle(time.Second, events)
+	how.ID, how.Endpoint, how.Took = "m0", "a", 200*ms
+	return d, d.Handle(time.Second+200*ms, []Event{how})
+}
+
+func closes(actions []Action) (n int) {
+	for _, a := range actions {
+		if _, ok := a.(CloseIdle); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Where relays keep no connections, one that has carried a call carries the next that waits, ahead of the pace; it is closed once
+// none does.
+func TestConnectionCarriesWhatWaits(t *testing.T) {
+	ok := Ended{Outcome: OK, Over: true, Report: &Report{Left: 0.9, Limit: 20}}
+	full := ok
+	full.Report = &Report{Left: 0.1, Limit: 20}
+	for _, tt := range []struct {
+		name   string
+		end    Ended
+		next   string // said next
+		closed int
+	}{
+		{"room at the destination", ok, "m1>a", 0},
+		{"little of its allowance left", full, "", 1},
+		{"the call failed", Ended{Outcome: Failed}, "", 1},
+	} {
+		d, actions := warmed(t, 3, tt.end)
+		expect(t, tt.name, actions, tt.next)
+		if got := closes(actions); got != tt.closed {
+			t.Errorf("%s: closed %d times, want %d", tt.name, got, tt.closed)
+		}
+		if d.queues[0].warm != nil {
+			t.Errorf("%s: the connection is still taken to stand", tt.name)
+		}
+	}
+
+	// So many ahead, and no more; the pace catches up.
+	d, actions := warmed(t, 9, ok)
+	sent, now := 1, time.Second+200*ms
+	for ; said(actions) != ""; sent++ {
+		expect(t, "in a row", actions, fmt.Sprintf("m%d>a", sent))
+		now += 60 * ms
+		end := ok
+		end.ID, end.Endpoint, end.Took = fmt.Sprint("m", sent), "a", 60*ms
+		actions = d.Handle(now, []Event{end})
+	}
+	if sent < 1+aheadCalls || sent > 2+aheadCalls || closes(actions) != 1 {
+		t.Errorf("%d calls in a row, %d closes", sent, closes(actions))
+	}
+	q := d.queues[0]
+	if q.tokens > 1-aheadCalls || q.tokens < -aheadCalls {
+		t.Errorf("%v tokens left", q.tokens)
+	}
+
+	// A refusal at the door keeps new connections away, and not what has one; a refusal at the limit does both.
+	for _, door := range []bool{true, false} {
+		d, actions := warmed(t, 1, ok)
+		expect(t, "nothing waits", actions, "")
+		q := d.queues[0]
+		q.tokens = 1
+		d.Handle(now, []Event{arrive("x", 0), arrive("y", 0)}) // x goes
+		d.full(q, door)
+		end := ok
+		end.ID, end.Endpoint, end.Took = "x", d.messages["x"].attempts[0].call.ep.ID, 60*ms
+		want := ""
+		if door {
+			want = "y>" + end.Endpoint
+		}
+		expect(t, fmt.Sprintf("refused at the door: %v", door), d.Handle(now+60*ms, []Event{end}), want)
+	}
+}
