Keep rows of calls within the limit: none ahead of the pace where it refuses or was lowered

A report of room is up to 0.4 s old and is high at the start of each span, so that it does not protect a limit that binds; and three calls are more than half of what a partner with 5 calls a second takes in a span.

Nothing goes ahead of the pace while the limit stands lowered or has refused a call within the last 2.5 s, and a row is a sixteenth of what the destination takes in a span at most.

--- a/policy/memory.go
+++ b/policy/memory.go
@@ -39,6 +39,7 @@
 	HoldUntil   time.Duration `json:"hold_until,omitempty"`
 	DoorUntil   time.Duration `json:"door_until,omitempty"`
 	PausedAt    time.Duration `json:"paused_at,omitempty"`
+	LimitAt     time.Duration `json:"limit_at,omitempty"`
 	Fulls       int           `json:"fulls,omitempty"`
 	FirstFull   time.Duration `json:"first_full,omitempty"`
 	LastOK      time.Duration `json:"last_ok,omitempty"`
@@ -88,7 +89,7 @@
 	for _, no := range sortedKeys(d.dests) {
 		for _, q := range d.dests[no].queues {
 			m := QueueMemory{Destination: no, Latency: q.latencies.memory(), WaitUntil: q.waitUntil, HoldUntil: q.holdUntil, DoorUntil: q.doorUntil,
-				PausedAt: q.pausedAt, Limit: q.limit, Fulls: q.fulls, FirstFull: q.firstFull, LastOK: q.lastOK, Weight: q.weight, Pace: q.pace, Tokens: q.tokens,
+				PausedAt: q.pausedAt, LimitAt: q.limitAt, Limit: q.limit, Fulls: q.fulls, FirstFull: q.firstFull, LastOK: q.lastOK, Weight: q.weight, Pace: q.pace, Tokens: q.tokens,
 				TokensAt: q.tokensAt, Arrivals: q.arrivals.memory(), Misses: q.misses.memory(), CopyWork: q.copyWork,
 				CopyAt: q.copyAt, Ill: q.ill}
 			if q.apart && len(q.eps) > 0 {
@@ -128,7 +129,7 @@
 		}
 		q.latencies.recall(m.Latency)
 		q.waitUntil, q.holdUntil, q.doorUntil = m.WaitUntil, m.HoldUntil, m.DoorUntil
-		q.pausedAt, q.lastOK = m.PausedAt, m.LastOK
+		q.pausedAt, q.limitAt, q.lastOK = m.PausedAt, m.LimitAt, m.LastOK
 		q.fulls, q.firstFull, q.limit = m.Fulls, m.FirstFull, m.Limit
 		if q.weight == m.Weight { // else the list has told another rate since, and the pace began anew
 			q.pace, q.tokens, q.tokensAt = m.Pace, m.Tokens, m.TokensAt
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,8 +62,9 @@
 	reuses, idleRoom, connRoom = 4, 6, 9
 	// aheadCalls of its pace a queue may send on a connection that has just carried a call, where connections are not kept: a
 	// new one keeps one of the host's few places for some round trips before its call has begun, and a call on one that stands
-	// for one. It is sent in a row, not more: the pace falls behind by as many.
-	aheadCalls = 3
+	// for one. It is sent in a row, not more: the pace falls behind by as many. A row is aheadShare of what the destination
+	// takes in a span at most, so that the rows of a few relays are not what fills it.
+	aheadCalls, aheadShare = 3, 1.0 / 16
 	// connRaise is added to a learned connection cap by each success.
 	connRaise = 0.05
 	// pacedCalls a span is where a pace starts at least: where the even share is less, relays come by
@@ -431,7 +432,7 @@
 	if len(q.held) == 0 || d.now < q.waitUntil || d.now < q.holdUntil || len(q.out) >= most {
 		return nil, nil
 	}
-	if ep := q.warm; ep != nil && d.open(ep) && (q.pace == 0 || d.tokens(q) >= 1-aheadCalls) {
+	if ep := q.warm; ep != nil && d.open(ep) && (q.pace == 0 || d.tokens(q) >= 1-d.ahead(q)) {
 		for _, m := range q.held {
 			if d.sendable(m) && d.repeatable(m, ep) {
 				return ep, m
@@ -451,6 +452,15 @@
 	return nil, nil
 }
 
+// ahead is how many calls a queue may send before its pace allows them: none where the limit was lowered or has refused a call not
+// long ago, since there the pace is what keeps the sum of all relays to it.
+func (d *Dispatcher) ahead(q *queue) float64 {
+	if q.rate() < q.weight || q.limitAt > 0 && d.now-q.limitAt < shutAfter {
+		return 0
+	}
+	return math.Min(aheadCalls, aheadShare*q.rate()*burstSpan.Seconds())
+}
+
 // closeIdle closes connections that have ended their calls and carry no further one, where they are not worth keeping,
 // and lets go of those that stood for one.
 func (d *Dispatcher) closeIdle() {
@@ -882,6 +892,8 @@
 	until := &q.holdUntil
 	if door {
 		until = &q.doorUntil // what is in already may go on
+	} else {
+		q.limitAt = d.now
 	}
 	*until, q.pausedAt = max(*until, d.now+time.Duration(hold*float64(time.Second))), d.now
 	if d.once(q, q.fulls) || q.fulls > failuresToSick && d.now-q.firstFull > shutAfter {
--- a/policy/state.go
+++ b/policy/state.go
@@ -65,6 +65,7 @@
 	holdUntil time.Duration // our own pause after a refusal without a wait
 	doorUntil time.Duration // the same after a refusal at the door: for new connections only
 	pausedAt  time.Duration // when that pause began
+	limitAt   time.Duration // the last refusal that was not at the door; 0 for never
 	fulls     int           // refusals in a row
 	firstFull time.Duration // of the refusals in a row
 	lastOK    time.Duration // 0 for never
--- a/policy/warm_test.go
+++ b/policy/warm_test.go
@@ -10,8 +10,8 @@
 func warmed(t *testing.T, n int, how Ended) (*Dispatcher, []Action) {
 	t.Helper()
 	s := plain()
-	s.Weights, s.Instances = WeightsNominal, 20
-	d := start(t, s, Endpoint{ID: "a", Weight: 20}, Endpoint{ID: "b", Weight: 20})
+	s.Weights, s.Instances = WeightsNominal, 80
+	d := start(t, s, Endpoint{ID: "a", Weight: 80}, Endpoint{ID: "b", Weight: 80})
 	d.endpoints["a"].lot, d.endpoints["b"].lot = 0, 1 // a is the first
 	q := d.queues[0]
 	q.tokens, q.tokensAt = 1, time.Second
@@ -36,9 +36,9 @@
 // Where relays keep no connections, one that has carried a call carries the next that waits, ahead of the pace; it is closed once
 // none does.
 func TestConnectionCarriesWhatWaits(t *testing.T) {
-	ok := Ended{Outcome: OK, Over: true, Report: &Report{Left: 0.9, Limit: 20}}
+	ok := Ended{Outcome: OK, Over: true, Report: &Report{Left: 0.9, Limit: 80}}
 	full := ok
-	full.Report = &Report{Left: 0.1, Limit: 20}
+	full.Report = &Report{Left: 0.1, Limit: 80}
 	for _, tt := range []struct {
 		name   string
 		end    Ended
@@ -77,12 +77,21 @@
 		t.Errorf("%v tokens left", q.tokens)
 	}
 
+	// Not ahead where the limit refused a call just now, or was lowered, nor by more than a part of what is taken in a span.
+	q = &queue{weight: 80}
+	for i, change := range []func(){func() {}, func() { q.limitAt = now }, func() { q.limitAt, q.limit = 0, 20 }, func() { q.weight, q.limit = 16, 0 }} {
+		change()
+		if got, want := d.ahead(q), []float64{aheadCalls, 0, 0, 1}[i]; got != want {
+			t.Errorf("case %d: %v calls ahead, want %v", i, got, want)
+		}
+	}
+
 	// A refusal at the door keeps new connections away, and not what has one; a refusal at the limit does both.
 	for _, door := range []bool{true, false} {
 		d, actions := warmed(t, 1, ok)
 		expect(t, "nothing waits", actions, "")
 		q := d.queues[0]
-		q.tokens = 1
+		q.tokens, q.tokensAt = 1, now
 		d.Handle(now, []Event{arrive("x", 0), arrive("y", 0)}) // x goes
 		d.full(q, door)
 		end := ok
