fleet follow: one message's course over all relays, and which messages have something wrong

A message that ended wrongly had to be followed through 300 logs by hand: a trace had neither a hand-in's key and time, nor what a restart took up, nor notices.

Traces tell with each message taken, refused or resumed its key's digest, its client's retry mark, when its time is up and its class's terms; also hand-ins under a known id, notices received and planned ends. `frostlinkctl fleet follow ID LOG...` prints its course, `--wrong` lists messages without an end, ended twice or late, or sent again against their class's rule (exit code 1). Torn lines, missing logs and clocks that step back are said. A log of another version ends fleet commands with code 2.

Tested: each fault planted in a log and named, 28 cases. Taking in of messages moved to arrive.go.

--- a/cmd/frostlinkctl/fleet.go
+++ b/cmd/frostlinkctl/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -23,10 +24,24 @@
 		Long:    "What is harmless at one relay may be harmful when all do it. These commands look at the sum.",
 		Example: "  frostlinkctl fleet count logs",
 	}
-	c.AddCommand(fleetCount(), fleetPlay())
+	c.AddCommand(fleetCount(), fleetFollow(), fleetPlay())
 	return c
 }
 
+// readTraces reads a fleet's logs, which must hold some trace and none of another version.
+func readTraces(paths []string) (*fleet.Logs, error) {
+	logs, err := fleet.ReadFiles(paths)
+	switch {
+	case err != nil:
+		return nil, err
+	case logs.Foreign != nil:
+		return nil, errors.New(logs.Foreign.String())
+	case len(logs.Events) == 0 && len(logs.Bad) == 0:
+		return nil, fmt.Errorf("%s: no trace in %d lines; turn it on with [trace] log = true in the operator's file", paths[0], logs.Other)
+	}
+	return logs, nil
+}
+
 func fleetCount() *cobra.Command {
 	var asJSON string
 	c := &cobra.Command{
@@ -38,13 +53,10 @@
 		Example: "  frostlinkctl fleet count logs --json table.json",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			logs, err := fleet.ReadFiles(args)
+			logs, err := readTraces(args)
 			if err != nil {
 				return err
 			}
-			if len(logs.Events) == 0 && len(logs.Bad) == 0 {
-				return fmt.Errorf("%s: no trace in %d lines; turn it on with [trace] log = true in the operator's file", args[0], logs.Other)
-			}
 			table := fleet.Count(logs.Events)
 			out := c.OutOrStdout()
 			if asJSON != "" {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -35,6 +35,8 @@
 type Arrival struct {
 	Entry   *journal.Entry
 	Verdict chan Verdict // room for one
+	// Retry is what the client says of an earlier hand-in; empty: nothing. It is for the trace.
+	Retry string
 	// Quiet tells whether the client has sent nothing more and is still there.
 	Quiet func() (quiet, there bool)
 }
@@ -90,7 +92,7 @@
 		return nil, http.StatusNotFound, fmt.Errorf("unknown class %q", name)
 	}
 	value := map[string]string{}
-	for _, name := range []string{"Tenant", "Request-Id", "Idempotency-Key", "X-Envelope", "Request-Timeout"} {
+	for _, name := range []string{"Tenant", "Request-Id", "Idempotency-Key", "X-Envelope", "Request-Timeout", "Client-Retry"} {
 		v, err := one(r.Header, name)
 		if err != nil {
 			return nil, http.StatusBadRequest, err
@@ -120,7 +122,7 @@
 	}
 	// The client counts from when it sent; no class gives a message more than its deadline.
 	expires := now.Add(settings.Seconds(min(left, class.Deadline.Seconds())))
-	return &Arrival{Verdict: make(chan Verdict, 1), Entry: &journal.Entry{ID: id, Class: name, Dest: no, Key: key,
+	return &Arrival{Verdict: make(chan Verdict, 1), Retry: value["Client-Retry"], Entry: &journal.Entry{ID: id, Class: name, Dest: no, Key: key,
 		Tenant: value["Tenant"], Taken: now, Expires: expires}}, 0, nil
 }
 
--- /dev/null
+++ b/internal/relay/arrive.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"mallowlead/internal/clients"
+	"mallowlead/internal/management"
+	"mallowlead/internal/trace"
+	"mallowlead/policy"
+)
+
+// This file takes in messages as they are handed in, and copies of those that are known.
+
+// arrive takes in a message that is handed in.
+func (l *loop) arrive(a *clients.Arrival) {
+	switch quiet, there := a.Quiet(); {
+	case !there:
+		// The client left before an answer: it may hand the message in again, and this copy counts for nothing.
+		a.Verdict <- clients.Verdict{}
+		return
+	case !quiet:
+		// More has come than the request's length says, or a request that nobody is to send yet.
+		a.Verdict <- clients.Malformed(http.StatusBadRequest)
+		return
+	}
+	if m := l.messages[a.Entry.ID]; m != nil {
+		// The same message once more, as after a connection that broke: it is ours already, unless it is over.
+		switch {
+		case len(m.verdicts) > 0: // in this batch: the same answer, once it is recorded
+			m.verdicts = append(m.verdicts, a.Verdict)
+		case m.over && !m.Delivered:
+			l.answerAgain(a, http.StatusServiceUnavailable)
+		default:
+			l.answerAgain(a, http.StatusAccepted)
+		}
+		return
+	}
+	if l.past[a.Entry.ID] {
+		// Guards against a copy that comes when its message is over: made anew it could have its effect twice.
+		l.answerAgain(a, http.StatusAccepted)
+		return
+	}
+	if !l.dests[a.Entry.Dest] || !l.reserve(a.Entry) {
+		// Guards the module against destinations that no list has named, and the disk against overflow.
+		l.book.Ended(a.Entry.Class, management.Busy, false)
+		l.traceTurn(a.Entry, a.Retry, l.cfg.policy.MaxStayAway)
+		a.Verdict <- clients.Verdict{Status: http.StatusServiceUnavailable, After: l.cfg.policy.MaxStayAway}
+		return
+	}
+	if l.keeper == nil {
+		a.Entry.Tenant, a.Entry.Taken = "", time.Time{} // nobody will ask
+	}
+	if a.Entry.Order != nil {
+		l.arrivals = max(l.arrivals+1, time.Now().UnixNano())
+		a.Entry.Order.Arrival = l.arrivals
+	}
+	m := &message{Entry: a.Entry, verdicts: []chan clients.Verdict{a.Verdict}, retry: a.Retry}
+	l.messages[m.ID] = m
+	l.fresh = append(l.fresh, m)
+	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest,
+		Left: l.clock(m.Expires) - l.now()})
+}
+
+// answerAgain answers a message that is handed in under an id that is known.
+func (l *loop) answerAgain(a *clients.Arrival, status int) {
+	l.note(trace.Event{Kind: trace.Again, ID: a.Entry.ID, Class: a.Entry.Class, Dest: a.Entry.Dest, Count: status, Retry: a.Retry})
+	a.Verdict <- clients.Verdict{Status: status}
+}
+
+// forgetEnds drops the ids of messages whose copies can't come any more.
+func (l *loop) forgetEnds() {
+	for len(l.ends) > 0 && l.now()-l.ends[0].at > l.cfg.longest() {
+		delete(l.past, l.ends[0].id)
+		l.ends = l.ends[1:]
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -61,6 +61,7 @@
 	cancel   context.CancelFunc     // of the call out; nil while there is none
 	call     send                   // that call
 	begun    time.Time              // when it did
+	retry    string                 // what its client says of an earlier hand-in
 	over     bool                   // ended, but a call is still out
 	resumed  bool                   // taken on by an earlier process
 	noticed  bool                   // the platform has its notice, and it waits for the store
@@ -159,6 +160,7 @@
 		m := &message{Entry: e, resumed: true}
 		l.messages[e.ID] = m
 		l.begun(m)
+		l.traceResume(e)
 		switch {
 		case e.Owed != nil:
 			m.over = true
@@ -259,6 +261,7 @@
 	case received:
 		for _, id := range e.ids {
 			if m := l.messages[id]; m != nil {
+				l.note(trace.Event{Kind: trace.Notice, ID: id, Class: m.Class, Dest: m.Dest})
 				l.noticed(m)
 			}
 		}
@@ -295,56 +298,6 @@
 	}
 }
 
-// arrive takes in a message that is handed in.
-func (l *loop) arrive(a *clients.Arrival) {
-	switch quiet, there := a.Quiet(); {
-	case !there:
-		// The client left before an answer: it may hand the message in again, and this copy counts for nothing.
-		a.Verdict <- clients.Verdict{}
-		return
-	case !quiet:
-		// More has come than the request's length says, or a request that nobody is to send yet.
-		a.Verdict <- clients.Malformed(http.StatusBadRequest)
-		return
-	}
-	if m := l.messages[a.Entry.ID]; m != nil {
-		// The same message once more, as after a connection that broke: it is ours already, unless it is over.
-		switch {
-		case len(m.verdicts) > 0: // in this batch: the same answer, once it is recorded
-			m.verdicts = append(m.verdicts, a.Verdict)
-		case m.over && !m.Delivered:
-			a.Verdict <- clients.Verdict{Status: http.StatusServiceUnavailable}
-		default:
-			a.Verdict <- clients.Verdict{Status: http.StatusAccepted}
-		}
-		return
-	}
-	if l.past[a.Entry.ID] {
-		// Guards against a copy that comes when its message is over: made anew it could have its effect twice.
-		a.Verdict <- clients.Verdict{Status: http.StatusAccepted}
-		return
-	}
-	if !l.dests[a.Entry.Dest] || !l.reserve(a.Entry) {
-		// Guards the module against destinations that no list has named, and the disk against overflow.
-		l.book.Ended(a.Entry.Class, management.Busy, false)
-		l.traceTurn(a.Entry, l.cfg.policy.MaxStayAway)
-		a.Verdict <- clients.Verdict{Status: http.StatusServiceUnavailable, After: l.cfg.policy.MaxStayAway}
-		return
-	}
-	if l.keeper == nil {
-		a.Entry.Tenant, a.Entry.Taken = "", time.Time{} // nobody will ask
-	}
-	if a.Entry.Order != nil {
-		l.arrivals = max(l.arrivals+1, time.Now().UnixNano())
-		a.Entry.Order.Arrival = l.arrivals
-	}
-	m := &message{Entry: a.Entry, verdicts: []chan clients.Verdict{a.Verdict}}
-	l.messages[m.ID] = m
-	l.fresh = append(l.fresh, m)
-	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest,
-		Left: l.clock(m.Expires) - l.now()})
-}
-
 // answered takes in the end of a call.
 func (l *loop) answered(e answered) {
 	m := l.messages[e.id] // stays as long as a call is out
@@ -368,7 +321,7 @@
 		l.traceEnd(m, trace.Delivered)
 		l.count(m, management.Success)
 	default: // withdrawn, or out of time
-		l.traceEnd(m, trace.Undeliverable)
+		l.traceEnd(m, trace.Withdrawn)
 		l.count(m, management.Failure)
 	}
 	switch {
@@ -440,14 +393,6 @@
 	}
 }
 
-// forgetEnds drops the ids of messages whose copies can't come any more.
-func (l *loop) forgetEnds() {
-	for len(l.ends) > 0 && l.now()-l.ends[0].at > l.cfg.longest() {
-		delete(l.past, l.ends[0].id)
-		l.ends = l.ends[1:]
-	}
-}
-
 // step lets the module act on a batch, and carries its actions out once what they need is in the journal.
 func (l *loop) step() {
 	now := l.now()
@@ -482,7 +427,7 @@
 				l.journal.Under(m.Entry, l.cfg.policy.Classes[class])
 			}
 			l.journal.Take(m.Entry)
-			l.note(trace.Event{Kind: trace.Take, ID: m.ID, Class: m.Class, Dest: m.Dest})
+			l.traceMessage(trace.Take, m.Entry, m.retry, trace.Event{})
 			l.taken(m)
 			l.begun(m)
 		}
@@ -504,7 +449,7 @@
 		l.count(m, management.Failure)
 	}
 	if replies := m.verdicts; replies != nil {
-		l.traceTurn(m.Entry, v.After)
+		l.traceTurn(m.Entry, m.retry, v.After)
 		l.refusedAt(m, status)
 		m.verdicts = nil
 		l.effects = append(l.effects, func() { reply(replies, v) })
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -199,6 +199,7 @@
 	l := n.l
 	begun := time.Now()
 	until := func(stage time.Duration) time.Duration { return time.Until(begun.Add(stage)) }
+	l.trace.Note(l.now(), trace.Event{Kind: trace.Stop})
 	l.stance.End()
 	time.Sleep(until(listenOn))
 	_ = n.listener.Close()
--- a/internal/relay/trace.go
+++ b/internal/relay/trace.go
@@ -5,6 +5,7 @@
 
 	"mallowlead/internal/journal"
 	"mallowlead/internal/trace"
+	"mallowlead/policy"
 )
 
 // This file is what the loop notes in the relay's trace.
@@ -29,9 +30,44 @@
 	l.note(t)
 }
 
+// effects are those of classes, as the trace names them.
+var effects = map[policy.Effect]string{policy.Safe: trace.Safe, policy.Keyed: trace.Keyed, policy.Unsafe: trace.Unsafe}
+
+// traceMessage notes what becomes of a message as it comes, with its terms.
+func (l *loop) traceMessage(kind trace.Kind, m *journal.Entry, retry string, t trace.Event) {
+	if l.trace == nil {
+		return
+	}
+	t.Kind, t.ID, t.Class, t.Dest = kind, m.ID, m.Class, m.Dest
+	t.Key, t.Retry, t.Due = trace.Digest(m.Key), retry, float64(m.Expires.UnixMicro())/1000
+	terms := l.journal.Terms(m)
+	if class := l.class(m.Class); terms == nil && class >= 0 {
+		terms = &l.cfg.policy.Classes[class]
+	}
+	if terms != nil {
+		t.Effect = effects[terms.Effect]
+		if terms.Effect == policy.Keyed {
+			t.MemoryMs = float64(terms.Memory.Microseconds()) / 1000
+		}
+	}
+	l.note(t)
+}
+
 // traceTurn notes a message that is refused at its arrival, with how long its client is to stay away.
-func (l *loop) traceTurn(m *journal.Entry, away time.Duration) {
-	l.note(trace.Event{Kind: trace.Turn, ID: m.ID, Class: m.Class, Dest: m.Dest, Ms: float64(away.Milliseconds())})
+func (l *loop) traceTurn(m *journal.Entry, retry string, away time.Duration) {
+	l.traceMessage(trace.Turn, m, retry, trace.Event{Ms: float64(away.Milliseconds())})
+}
+
+// traceResume notes a message that was taken up from the journal.
+func (l *loop) traceResume(e *journal.Entry) {
+	t := trace.Event{Count: len(e.Attempts)}
+	switch {
+	case e.Owed != nil:
+		t.How = e.Owed.Status
+	case e.Delivered:
+		t.How = trace.Delivered
+	}
+	l.traceMessage(trace.Resume, e, "", t)
 }
 
 // traceEnd notes the end of a message that was taken on.
--- a/internal/trace/fleet/fleet.go
+++ b/internal/trace/fleet/fleet.go
@@ -21,6 +21,7 @@
 const (
 	turnedAway   = "turned away"
 	noConnection = "no connection"
+	notSent      = "not sent"
 )
 
 // Counts are what happened in a time or at a destination.
--- /dev/null
+++ b/internal/trace/fleet/follow_test.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"mallowlead/internal/trace"
+)
+
+// logged is a relay's log in short: each line "AT KIND ARGS" with times in milliseconds, for message m unless one is named.
+func logged(relay, text string) (out []Logged) {
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		var at float64
+		var kind, arg string
+		if n, _ := fmt.Sscan(line, &at, &kind, &arg); n < 2 {
+			panic(line)
+		}
+		e := trace.Event{Version: trace.Version, At: at, Kind: trace.Kind(kind), ID: "m", Dest: 3, Class: "fee"}
+		switch e.Kind {
+		case trace.Start:
+			e = trace.Event{Version: trace.Version, At: at, Kind: e.Kind, Count: 2}
+		case trace.Stop:
+			e = trace.Event{Version: trace.Version, At: at, Kind: e.Kind}
+		case trace.Take, trace.Turn: // arg: the effect
+			e.Effect, e.Due, e.MemoryMs, e.Key = arg, 12000, 6000, "k"
+		case trace.Resume: // arg: calls
+			e.Due, e.Key = 12000, "k"
+			fmt.Sscan(arg, &e.Count)
+		case trace.Send: // arg: number
+			fmt.Sscan(arg, &e.Count)
+			e.Host = "h"
+		case trace.Answer:
+			e.How, e.Host = strings.ReplaceAll(arg, "-", " "), "h"
+		case trace.End:
+			e.How = arg
+		case "other": // the relay runs on
+			e = trace.Event{Version: trace.Version, At: at, Kind: trace.Ask}
+		}
+		out = append(out, Logged{relay, e})
+	}
+	return out
+}
+
+// Each thing that can be wrong with a message is planted in a log and named, and what is in order is not.
+func TestFollow(t *testing.T) {
+	for _, tt := range []struct {
+		name, log string
+		wrong     []Wrong
+		unsure    string // a part of what is said
+	}{
+		{"delivered", "0 start\n1 take keyed\n2 send 1\n9 answer delivered\n9 end delivered\n20000 other", nil, ""},
+		{"refused at its arrival", "0 start\n1 turn keyed\n20000 other", nil, ""},
+		{"repeated in time", "0 start\n1 take keyed\n2 send 1\n9 answer reset\n5900 send 2\n5950 answer delivered\n5950 end delivered\n20000 other", nil, ""},
+		{"repeated once its key is forgotten", "0 start\n1 take keyed\n2 send 1\n9 answer reset\n6100 send 2\n6200 answer delivered\n6200 end delivered", []Wrong{Twice}, ""},
+		{"repeated at the last moment over a connection that came late", "0 start\n1 take keyed\n2 send 1\n9 answer error\n5990 send 2\n7200 answer delivered\n7200 end delivered", nil, "left in time"},
+		{"repeated late, but never run", "0 start\n1 take keyed\n2 send 1\n9 answer turned-away\n9000 send 2\n9100 answer delivered\n9100 end delivered", nil, ""},
+		{"unsafe, repeated after a reset", "0 start\n1 take unsafe\n2 send 1\n9 answer reset\n20 send 2\n30 answer delivered\n30 end delivered", []Wrong{Twice}, ""},
+		{"unsafe, out at a kill and sent again", "0 start\n1 take unsafe\n2 send 1\n1000 start\n1000 resume 1\n1010 send 2\n1100 answer delivered\n1100 end delivered", []Wrong{Twice}, ""},
+		{"unsafe, never run and repeated", "0 start\n1 take unsafe\n2 send 1\n9 answer no-connection\n20 send 2\n30 answer delivered\n30 end delivered", nil, ""},
+		{"safe, repeated at will", "0 start\n1 take safe\n2 send 1\n9 answer timed-out\n9000 send 2\n9100 answer delivered\n9100 end delivered", nil, ""},
+		{"two copies out", "0 start\n1 take safe\n2 send 1\n3 send 2\n9 answer delivered\n9 end delivered", []Wrong{TwoCopies}, ""},
+		{"out at a kill, sent again", "0 start\n1 take safe\n2 send 1\n1000 start\n1000 resume 1\n1010 send 2\n1100 answer delivered\n1100 end delivered", nil, ""},
+		{"two ends", "0 start\n1 take safe\n2 send 1\n9 answer delivered\n9 end delivered\n30 end deferred", []Wrong{TwoEnds}, ""},
+		{"an end that the process did not live to journal", "0 start\n1 take safe\n2 send 1\n9 answer delivered\n9 end delivered\n1000 start\n1000 resume 1\n1010 send 2\n1100 answer delivered\n1100 end delivered", nil, ""},
+		{"two ends over a restart", "0 start\n1 take safe\n2 send 1\n9 answer delivered\n9 end delivered\n1000 start\n1000 resume 1\n1100 end deferred", []Wrong{TwoEnds}, ""},
+		{"sent after its end", "0 start\n1 take safe\n2 end deferred\n3 send 1\n9 answer delivered\n50 notice", []Wrong{AfterEnd}, ""},
+		{"no end", "0 start\n1 take safe\n2 send 1\n9 answer reset\n20000 other", []Wrong{Lost}, ""},
+		{"no end yet", "0 start\n1 take safe\n2 send 1\n9 answer reset\n9000 other", nil, "3000 ms before its time was up"},
+		{"no end, and its relay was told to end", "0 start\n1 take safe\n9000 stop\n14000 other", nil, "no end yet"},
+		{"late", "0 start\n1 take safe\n12400 end deferred\n12410 notice", []Wrong{LateEnd}, ""},
+		{"delivered late", "0 start\n1 take safe\n11000 send 1\n12400 answer delivered\n12400 end delivered", []Wrong{LateEnd}, ""},
+		{"in the slack", "0 start\n1 take safe\n12300 end deferred\n12310 notice", nil, ""},
+		{"late after a restart", "0 start\n1 take safe\n12500 start\n12500 resume 0\n13000 end deferred\n13010 notice", nil, ""},
+		{"late long after a restart", "0 start\n1 take safe\n9000 start\n9000 resume 0\n13000 end deferred\n13010 notice", []Wrong{LateEnd}, ""},
+		{"lost and sent again: the worst is first", "0 start\n1 take unsafe\n2 send 1\n9 answer reset\n20 send 2\n30 answer reset\n20000 other", []Wrong{Lost, Twice}, ""},
+		{"its lines begin in the middle", "9 answer delivered\n9 end delivered", nil, "no line that it was made"},
+		{"its journal knows more", "0 start\n1 take safe\n1000 start\n1000 resume 2\n1010 send 3\n1100 answer delivered\n1100 end delivered", nil, "the journal knows of 2 calls"},
+		{"no notice", "0 start\n1 take safe\n2 end deferred\n20000 other", nil, "no line that the platform"},
+	} {
+		trail := NewTrail(&Logs{Events: logged("n0", tt.log)})
+		c := trail.Follow("m")
+		var got []Wrong
+		for _, f := range c.Faults {
+			got = append(got, f.What)
+		}
+		if !slices.Equal(got, tt.wrong) {
+			t.Errorf("%s: wrong %v, want %q", tt.name, c.Faults, tt.wrong)
+		}
+		if all := strings.Join(c.Unsure, "; "); (all == "") != (tt.unsure == "") || !strings.Contains(all, tt.unsure) {
+			t.Errorf("%s: unsure %q, want %q", tt.name, all, tt.unsure)
+		}
+		if named := len(trail.Wrong()) == 1; named != (len(tt.wrong) > 0) {
+			t.Errorf("%s: among the wrong ones: %v", tt.name, named)
+		}
+	}
+}
+
+// A course goes over all relays, by time, with their restarts; the same message's other ids are named, and what the logs lack is said.
+func TestFollowOverRelays(t *testing.T) {
+	other := logged("n1", "0 start\n500 take keyed\n510 send 1\n600 answer delivered\n600 end delivered\n30000 other\n29900 other")
+	for i := range other {
+		if other[i].ID != "" {
+			other[i].ID, other[i].Retry = "m2", "again"
+		}
+	}
+	events := append(logged("n0", "0 start\n1 take keyed\n700 start\n700 resume 0\n12100 end deferred\n12101 notice\n30000 other"), other...)
+	events[0].Count = 5
+	trail := NewTrail(&Logs{Events: events, Bad: []BadLine{{"n0.log", 3, "torn"}}})
+	c := trail.Follow("m")
+	var kinds []string
+	for _, e := range c.Events {
+		kinds = append(kinds, string(e.Kind))
+	}
+	if got := strings.Join(kinds, " "); got != "take resume start end notice" && got != "take start resume end notice" {
+		t.Errorf("course %s", got)
+	}
+	if len(c.Kin) != 1 || c.Kin[0].ID != "m2" || c.Kin[0].How != "taken on" || c.Kin[0].Retry != "again" || len(c.Faults) > 0 {
+		t.Errorf("kin %+v, faults %v", c.Kin, c.Faults)
+	}
+	said := strings.Join(trail.Unsure, "; ")
+	for _, want := range []string{"the other 3 did", "clock of n1 steps back by up to 100 ms", "1 lines can't be used"} {
+		if !strings.Contains(said, want) {
+			t.Errorf("said %q, want %q", said, want)
+		}
+	}
+	if trail.Follow("x") != nil || trail.Messages() != 2 {
+		t.Error("an id that no log names is followed")
+	}
+	// Without the first relay's log the hand-in that says "again" is the earliest.
+	if c := NewTrail(&Logs{Events: other}).Follow("m2"); len(c.Unsure) != 1 || !strings.Contains(c.Unsure[0], "handed in before") {
+		t.Errorf("unsure %q", c.Unsure)
+	}
+}
--- a/internal/trace/fleet/read.go
+++ b/internal/trace/fleet/read.go
@@ -27,9 +27,10 @@
 
 // Logs are the traces of a fleet.
 type Logs struct {
-	Events []Logged
-	Bad    []BadLine
-	Other  int // lines without a trace
+	Events  []Logged
+	Bad     []BadLine
+	Other   int      // lines without a trace
+	Foreign *BadLine // the first of the bad ones that another version of the program wrote
 }
 
 // ReadFiles reads logs: files, or folders with one *.log for each relay. A relay is named by its file.
@@ -82,6 +83,9 @@
 			l.Bad = append(l.Bad, BadLine{name, n, fmt.Sprintf("longer than %d bytes", maxLine)})
 		case bad != nil:
 			l.Bad = append(l.Bad, BadLine{name, n, bad.Error()})
+			if _, foreign := bad.(trace.VersionError); foreign && l.Foreign == nil {
+				l.Foreign = &l.Bad[len(l.Bad)-1]
+			}
 		case !ok:
 			l.Other++
 		default:
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -4,6 +4,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -36,6 +38,10 @@
 	End    Kind = "end"    // one taken on came to its end; Class, How, Ms: its age, Late
 	Send   Kind = "send"   // a call was made; Host, Count: its number among the message's
 	Answer Kind = "answer" // a call ended; Host, How, Ms: how long it took, Left, Limit, Fresh
+	Again  Kind = "again"  // a message was handed in once more under an id that the relay knows; Count: the answer's status
+	Resume Kind = "resume" // one was taken up from the journal; Class, How: its end, where only the notice is owed, Count: calls made
+	Notice Kind = "notice" // the platform has a message's notice
+	Stop   Kind = "stop"   // a planned end was asked for
 )
 
 // How messages and calls end.
@@ -43,8 +49,25 @@
 	Delivered     = "delivered"
 	Deferred      = "deferred"
 	Undeliverable = "undeliverable"
+	Withdrawn     = "withdrawn" // a host said that it is over: nothing more is owed
 )
 
+// What a second effect of a message would do, as Event.Effect says it.
+const (
+	Safe   = "safe"
+	Keyed  = "keyed"
+	Unsafe = "unsafe"
+)
+
+// Digest stands for an idempotency key in a trace: equal keys have equal ones, and none gives its key away.
+func Digest(key string) string {
+	if key == "" {
+		return ""
+	}
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:8])
+}
+
 // Event is one line.
 type Event struct {
 	Version int     `json:"trace"`
@@ -63,6 +86,13 @@
 	Fresh   bool    `json:"fresh,omitempty"` // a connection was opened, or tried to be, for the call
 	Whole   bool    `json:"whole,omitempty"`
 	Late    bool    `json:"late,omitempty"` // after its class's aim
+	// With Take, Turn and Resume: the digest of its key, what its client says of an earlier hand-in, when its time is up (Unix
+	// time in milliseconds), and under which terms it was taken on.
+	Key      string  `json:"key,omitempty"`
+	Retry    string  `json:"retry,omitempty"`
+	Due      float64 `json:"due,omitempty"`
+	Effect   string  `json:"effect,omitempty"`
+	MemoryMs float64 `json:"memory_ms,omitempty"` // how long a destination keeps its key
 }
 
 // Recorder writes events. The nil Recorder writes none.
@@ -94,6 +124,13 @@
 	_, _ = r.out.Write(append(line, '\n'))
 }
 
+// VersionError is the version of a line that this program does not read.
+type VersionError int
+
+func (v VersionError) Error() string {
+	return fmt.Sprintf("version %d; this program reads version %d", int(v), Version)
+}
+
 // mark begins each line of a trace, whatever a platform writes in front of it.
 var mark = []byte(`{"trace":`)
 
@@ -108,7 +145,7 @@
 	}
 	switch {
 	case e.Version != Version:
-		return e, true, fmt.Errorf("version %d; this program reads version %d", e.Version, Version)
+		return e, true, VersionError(e.Version)
 	case !(e.At >= 0 && e.At <= latest):
 		return e, true, fmt.Errorf("at: %v is no Unix time in milliseconds", e.At)
 	}
