--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,10 +60,10 @@
 	// idleRoom, which even small receivers take, all may keep theirs; where they are more than connRoom,
 	// about all that a small one takes, a connection that idles at one relay is a call refused at another.
 	reuses, idleRoom, connRoom = 4, 6, 9
-	// aheadCalls of its pace a queue may send on a connection that has just carried a call, where connections are not kept: a
-	// new one keeps one of the host's few places for some round trips before its call has begun, and a call on one that stands
-	// for one. It is sent in a row, not more: the pace falls behind by as many. A row is aheadShare of what the destination
-	// takes in a span at most, so that the rows of a few relays are not what fills it.
+	// aheadCalls of its pace a queue may send on a connection that has just carried a call, where
+	// connections are not kept: a new one keeps one of the host's few places for some round trips before
+	// its call has begun, and a call on one that stands for one. The pace falls behind by as many. A row is
+	// aheadShare of what the destination takes in a span at most, so that a few relays do not fill it.
 	aheadCalls, aheadShare = 3, 1.0 / 16
 	// connRaise is added to a learned connection cap by each success.
 	connRaise = 0.05
@@ -452,8 +452,8 @@
 	return nil, nil
 }
 
-// ahead is how many calls a queue may send before its pace allows them: none where the limit was lowered or has refused a call not
-// long ago, since there the pace is what keeps the sum of all relays to it.
+// ahead is how many calls a queue may send before its pace allows them: none where the limit was lowered
+// or has refused a call not long ago, since there the pace is what keeps the sum of all relays to it.
 func (d *Dispatcher) ahead(q *queue) float64 {
 	if q.rate() < q.weight || q.limitAt > 0 && d.now-q.limitAt < shutAfter {
 		return 0
@@ -461,8 +461,8 @@
 	return math.Min(aheadCalls, aheadShare*q.rate()*burstSpan.Seconds())
 }
 
-// closeIdle closes connections that have ended their calls and carry no further one, where they are not worth keeping,
-// and lets go of those that stood for one.
+// closeIdle closes connections that have ended their calls and carry no further one, where they are not
+// worth keeping, and lets go of those that stood for one.
 func (d *Dispatcher) closeIdle() {
 	for _, ep := range d.done {
 		ep.q.warm = nil
