--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -92,7 +92,7 @@
 		return nil, http.StatusNotFound, fmt.Errorf("unknown class %q", name)
 	}
 	value := map[string]string{}
-	for _, name := range []string{"Tenant", "Request-Id", "Idempotency-Key", "X-Envelope", "Request-Timeout", "Client-Retry"} {
+	for _, name := range []string{"Tenant", "Request-Id", "Idempotency-Key", "X-Envelope", "Request-Timeout"} {
 		v, err := one(r.Header, name)
 		if err != nil {
 			return nil, http.StatusBadRequest, err
@@ -122,7 +122,11 @@
 	}
 	// The client counts from when it sent; no class gives a message more than its deadline.
 	expires := now.Add(settings.Seconds(min(left, class.Deadline.Seconds())))
-	return &Arrival{Verdict: make(chan Verdict, 1), Retry: value["Client-Retry"], Entry: &journal.Entry{ID: id, Class: name, Dest: no, Key: key,
+	retry, err := one(r.Header, "Client-Retry")
+	if err != nil {
+		retry = "" // it is for the trace, and turns nobody away
+	}
+	return &Arrival{Verdict: make(chan Verdict, 1), Retry: retry, Entry: &journal.Entry{ID: id, Class: name, Dest: no, Key: key,
 		Tenant: value["Tenant"], Taken: now, Expires: expires}}, 0, nil
 }
 
