Coordination: the replicated state, its members and the client's side, proved in virtual time

Fleet-wide tasks want one holder at a time. New: package coord (sessions, leases with fencing tokens, compare-and-set values; pure), coord/replica (etcd's raft round it; pure), lease (may this process act now?; pure, and its connection), coord/disk (bbolt, checksums, a start writes what it has checked into a new file), coord/server, frostlink-coord init, join, run, verify and prove, frostlinkctl coord and lease. Off unless [coordination] is in the operator's file, and no task uses it yet.

The guard round bbolt files that may be damaged is now a package that the store of undelivered messages shares, and exit codes and JSON of both tools are one package.

--- /dev/null
+++ b/cmd/frostlink-coord/main.go
@@ -0,0 +1,28 @@
+// Command frostlink-coord is the coordination service: three or five of its processes agree on who holds which
+// lease. It is the only program here that links consensus; relays and frostlinkctl only call it.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"mallowlead/internal/tool"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	root := &cobra.Command{
+		Use:     "frostlink-coord",
+		Short:   "The coordination service: leases, fencing tokens and small values on a quorum of processes",
+		Long:    "The coordination service of a fleet of relays: docs/operators/coordination.md.\nExit codes: 0 fine, 1 found something, 2 could not run.",
+		Example: "  frostlink-coord prove --seeds 1000",
+	}
+	root.AddCommand(initCommand(), joinCommand(), runCommand(), verifyCommand(), proveCommand())
+	code := tool.Run(ctx, root, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- a/cmd/frostlinkctl/fleet.go
+++ b/cmd/frostlinkctl/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"mallowlead/internal/rehearsal/virtual"
+	"mallowlead/internal/tool"
 	"mallowlead/internal/trace/fleet"
 )
 
@@ -60,7 +61,7 @@
 			table := fleet.Count(logs.Events)
 			out := c.OutOrStdout()
 			if asJSON != "" {
-				err = writeJSON(out, asJSON, struct {
+				err = tool.WriteJSON(out, asJSON, struct {
 					*fleet.Table
 					Bad   []fleet.BadLine `json:"bad_lines"`
 					Other int             `json:"other_lines"`
@@ -75,7 +76,7 @@
 				}
 			}
 			if err == nil && len(logs.Bad) > 0 {
-				return errFound
+				return tool.ErrFound
 			}
 			return err
 		},
@@ -140,13 +141,13 @@
 			}
 			var err error
 			if asJSON != "" {
-				err = writeJSON(c.OutOrStdout(), asJSON, rows)
+				err = tool.WriteJSON(c.OutOrStdout(), asJSON, rows)
 			}
 			if asJSON != "-" {
 				printRows(c.OutOrStdout(), days, rows)
 			}
 			if err == nil && found {
-				return errFound
+				return tool.ErrFound
 			}
 			return err
 		},
--- a/cmd/frostlinkctl/fleet_test.go
+++ b/cmd/frostlinkctl/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"mallowlead/internal/tool"
 	"os"
 	"path/filepath"
 	"strings"
@@ -24,21 +25,21 @@
 		code int
 		out  string // in the output, or in the error's one line
 	}{
-		{"fleet count " + good, exitFine, "1 events of 1 relays"},
-		{"fleet count " + dir, exitFound, "n1.log:2: "},
-		{"fleet count " + filepath.Join(dir, "none"), exitFail, "none: no such file"},
-		{"fleet play --relays 2 --plays 1 --day calm", exitFine, "calm"},
-		{"fleet play --drawn --relays 12 --plays 2 --day split --seed 5", exitFine, "split"},
-		{"fleet play --drawn --relays 2 --plays 1 --day rush", exitFail, `"rush" is no kind`},
-		{"fleet play --day hurd", exitFail, `"hurd" is no day`},
-		{"fleet play --relays 0", exitFail, "--relays: 0"},
-		{"fleet play --plays 0", exitFail, "--plays: 0"},
+		{"fleet count " + good, tool.ExitFine, "1 events of 1 relays"},
+		{"fleet count " + dir, tool.ExitFound, "n1.log:2: "},
+		{"fleet count " + filepath.Join(dir, "none"), tool.ExitFail, "none: no such file"},
+		{"fleet play --relays 2 --plays 1 --day calm", tool.ExitFine, "calm"},
+		{"fleet play --drawn --relays 12 --plays 2 --day split --seed 5", tool.ExitFine, "split"},
+		{"fleet play --drawn --relays 2 --plays 1 --day rush", tool.ExitFail, `"rush" is no kind`},
+		{"fleet play --day hurd", tool.ExitFail, `"hurd" is no day`},
+		{"fleet play --relays 0", tool.ExitFail, "--relays: 0"},
+		{"fleet play --plays 0", tool.ExitFail, "--plays: 0"},
 	} {
 		var out, errs bytes.Buffer
 		if code := run(t.Context(), strings.Fields(tt.args), nil, &out, &errs); code != tt.code {
 			t.Errorf("%s: code %d, want %d: %s", tt.args, code, tt.code, errs.String())
 		}
-		if !strings.Contains(out.String()+errs.String(), tt.out) || tt.code == exitFail && strings.Count(errs.String(), "\n") != 1 {
+		if !strings.Contains(out.String()+errs.String(), tt.out) || tt.code == tool.ExitFail && strings.Count(errs.String(), "\n") != 1 {
 			t.Errorf("%s: printed %q and %q, want %q", tt.args, out.String(), errs.String(), tt.out)
 		}
 	}
@@ -47,7 +48,7 @@
 		Relays int   `json:"relays"`
 		Bad    []any `json:"bad_lines"`
 	}
-	if code := run(t.Context(), []string{"fleet", "count", dir, "--json", "-"}, nil, &out, &errs); code != exitFound {
+	if code := run(t.Context(), []string{"fleet", "count", dir, "--json", "-"}, nil, &out, &errs); code != tool.ExitFound {
 		t.Errorf("code %d", code)
 	}
 	if err := json.Unmarshal(out.Bytes(), &table); err != nil || table.Relays != 2 || len(table.Bad) != 1 {
--- a/cmd/frostlinkctl/follow.go
+++ b/cmd/frostlinkctl/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"mallowlead/internal/tool"
 	"mallowlead/internal/trace"
 	"mallowlead/internal/trace/fleet"
 )
@@ -62,14 +63,14 @@
 				return fmt.Errorf("%s: none of %d messages in the logs has that id", id, trail.Messages())
 			}
 			if asJSON != "" {
-				err = writeJSON(c.OutOrStdout(), asJSON, out)
+				err = tool.WriteJSON(c.OutOrStdout(), asJSON, out)
 			}
 			if asJSON != "-" {
 				printFollowed(c.OutOrStdout(), &out, wrong)
 			}
 			for _, course := range out.Courses {
 				if err == nil && len(course.Faults) > 0 {
-					return errFound
+					return tool.ErrFound
 				}
 			}
 			return err
--- a/cmd/frostlinkctl/rehearse.go
+++ b/cmd/frostlinkctl/rehearse.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +14,7 @@
 	"mallowlead/internal/rehearsal/rig"
 	"mallowlead/internal/rehearsal/script"
 	"mallowlead/internal/strict"
+	"mallowlead/internal/tool"
 )
 
 // scriptsDir is where scripts that are named without a path are looked for.
@@ -89,7 +89,7 @@
 			}
 			res.Print(out)
 			if o.json != "" {
-				if err := writeJSON(c.OutOrStdout(), o.json, res); err != nil {
+				if err := tool.WriteJSON(c.OutOrStdout(), o.json, res); err != nil {
 					return err
 				}
 			}
@@ -97,7 +97,7 @@
 			case res.Void:
 				return fmt.Errorf("void: %.2f%% of the rig's events were later than 5 ms", 100*res.Late)
 			case !res.Good():
-				return errFound
+				return tool.ErrFound
 			}
 			return nil
 		},
@@ -131,14 +131,14 @@
 				}
 			}
 			if asJSON {
-				if err := writeJSON(c.OutOrStdout(), "-", found); err != nil {
+				if err := tool.WriteJSON(c.OutOrStdout(), "-", found); err != nil {
 					return err
 				}
 			} else if len(found) > 0 {
 				fmt.Fprintln(c.OutOrStdout(), found.Error())
 			}
 			if len(found) > 0 {
-				return errFound
+				return tool.ErrFound
 			}
 			return nil
 		},
@@ -184,7 +184,7 @@
 				rows = append(rows, row{p, s.Name, s.About, s.Length, s.Relays})
 			}
 			if asJSON {
-				err = writeJSON(c.OutOrStdout(), "-", rows)
+				err = tool.WriteJSON(c.OutOrStdout(), "-", rows)
 			} else {
 				t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 				for _, r := range rows {
@@ -193,7 +193,7 @@
 				err = t.Flush()
 			}
 			if err == nil && bad {
-				err = errFound
+				err = tool.ErrFound
 			}
 			return err
 		},
@@ -236,17 +236,3 @@
 	}
 	return []string{path}, nil
 }
-
-// writeJSON writes a value to a file, or to out where the path is "-".
-func writeJSON(out io.Writer, path string, v any) error {
-	raw, err := json.MarshalIndent(v, "", "  ")
-	if err != nil {
-		return err
-	}
-	raw = append(raw, '\n')
-	if path == "-" {
-		_, err = out.Write(raw)
-		return err
-	}
-	return os.WriteFile(path, raw, 0o644)
-}
--- a/cmd/frostlinkctl/repeat.go
+++ b/cmd/frostlinkctl/repeat.go
@@ -9,6 +9,7 @@
 
 	"mallowlead/internal/rehearsal/audit"
 	"mallowlead/internal/rehearsal/rig"
+	"mallowlead/internal/tool"
 )
 
 // mostVoids runs on which the rig was late are played again.
@@ -64,7 +65,7 @@
 			}
 			rows := spreads(results)
 			if o.json != "" {
-				if err := writeJSON(c.OutOrStdout(), o.json, rows); err != nil {
+				if err := tool.WriteJSON(c.OutOrStdout(), o.json, rows); err != nil {
 					return err
 				}
 			}
@@ -79,7 +80,7 @@
 				}
 			}
 			if bad {
-				return errFound
+				return tool.ErrFound
 			}
 			return nil
 		},
--- a/cmd/frostlinkctl/undelivered.go
+++ b/cmd/frostlinkctl/undelivered.go
@@ -17,6 +17,7 @@
 
 	"mallowlead/internal/operator"
 	"mallowlead/internal/relay"
+	"mallowlead/internal/tool"
 	"mallowlead/internal/undelivered"
 )
 
@@ -138,7 +139,7 @@
 				return err
 			}
 			if o.json {
-				return writeJSON(c.OutOrStdout(), "-", l)
+				return tool.WriteJSON(c.OutOrStdout(), "-", l)
 			}
 			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 			fmt.Fprintln(t, "id\tclass\ttenant\tpartner\tgiven up\treason\tattempts\tmay have run\tstate\twhy")
@@ -191,9 +192,9 @@
 			out := c.OutOrStdout()
 			if o.json {
 				if asHex || asText {
-					return writeJSON(out, "-", undelivered.Exported{Record: *r, Body: body})
+					return tool.WriteJSON(out, "-", undelivered.Exported{Record: *r, Body: body})
 				}
-				return writeJSON(out, "-", r)
+				return tool.WriteJSON(out, "-", r)
 			}
 			printRecord(out, r)
 			if asHex {
@@ -259,7 +260,7 @@
 			}
 			out := c.OutOrStdout()
 			if o.json {
-				return writeJSON(out, "-", s)
+				return tool.WriteJSON(out, "-", s)
 			}
 			fmt.Fprintf(out, "%d messages, %d bytes of bodies, file of %d bytes; %d listed as not kept\n", s.Messages, s.Bytes, s.File, s.Unkept)
 			t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
@@ -308,13 +309,13 @@
 				return err
 			}
 			if o.json {
-				err = writeJSON(c.OutOrStdout(), "-", rules)
+				err = tool.WriteJSON(c.OutOrStdout(), "-", rules)
 			} else {
 				printChecks(c.OutOrStdout(), rules, own.Undelivered.Rules)
 			}
 			for _, r := range rules {
 				if len(r.Faults) > 0 && err == nil {
-					err = errFound
+					err = tool.ErrFound
 				}
 			}
 			return err
@@ -365,7 +366,7 @@
 				return err
 			}
 			if o.json {
-				if err := writeJSON(c.OutOrStdout(), "-", v); err != nil {
+				if err := tool.WriteJSON(c.OutOrStdout(), "-", v); err != nil {
 					return err
 				}
 			} else {
@@ -375,7 +376,7 @@
 				fmt.Fprintf(c.OutOrStdout(), "%d messages are whole, %d faults\n", v.Good, len(v.Faults))
 			}
 			if len(v.Faults) > 0 {
-				return errFound
+				return tool.ErrFound
 			}
 			return nil
 		}),
@@ -430,7 +431,7 @@
 			}
 			fmt.Fprintf(c.ErrOrStderr(), "%d messages exported, %d damaged\n", n, damaged)
 			if damaged > 0 {
-				return errFound
+				return tool.ErrFound
 			}
 			return nil
 		}),
@@ -519,12 +520,12 @@
 		}
 	}
 	if o.json {
-		if err := writeJSON(c.OutOrStdout(), "-", done); err != nil {
+		if err := tool.WriteJSON(c.OutOrStdout(), "-", done); err != nil {
 			return err
 		}
 	}
 	if refused {
-		return errFound
+		return tool.ErrFound
 	}
 	return nil
 }
--- a/cmd/frostlinkctl/undelivered_test.go
+++ b/cmd/frostlinkctl/undelivered_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"mallowlead/internal/tool"
 	"mallowlead/internal/undelivered"
 )
 
@@ -56,30 +57,30 @@
 		out  string // a part of what is printed
 		errs string
 	}{
-		{"list --folder DIR --may-have-run --class fee-payment", "", exitFine, "no rule matches it", ""},
-		{"list --folder DIR --most 2", "", exitFine, "a  ", "there is more: --from 3"},
-		{"list --folder DIR --state gone", "", exitFail, "", `state: "gone" is none of`},
-		{"list --folder DIR/none", "", exitFail, "", "no store"},
-		{"list", "", exitFail, "", "which store?"},
-		{"list --operator OPERATOR --json", "", exitFine, `"id": "a"`, ""},
-		{"show a --folder DIR --text", "", exitFine, `"body of a"`, ""},
-		{"show a --folder DIR", "", exitFine, "ran: may", ""},
-		{"show z --folder DIR", "", exitFail, "", "no such message"},
-		{"stats --folder DIR", "", exitFine, "3 messages, 27 bytes", ""},
-		{"attest a --folder DIR --by Amina", "", exitFail, "", "evidence"},
-		{"attest - --folder DIR --by Amina --evidence ledger", "a b\nz\n", exitFound, "b: held", "no such message"},
-		{"attest a --folder DIR --by Amina --evidence ledger", "", exitFound, "", "an attest for it is there already"},
-		{"show a --folder DIR", "", exitFine, "attested by Amina", ""},
-		{"discard c --folder DIR", "", exitFail, "", "why"},
-		{"discard c --folder DIR --why booked --by Bilal", "", exitFine, "c: discarded, discarded by Bilal: booked", ""},
-		{"resend c --folder DIR", "", exitFound, "", "c: it is discarded already"},
-		{"hold b --folder DIR --by Bilal", "", exitFine, "b: held, held by Bilal", ""},
-		{"export --folder DIR --to EXPORT", "", exitFine, "", "3 messages exported, 0 damaged"},
-		{"export --folder DIR --to EXPORT", "", exitFail, "", "exists"},
-		{"import EXPORT --folder EMPTY", "", exitFine, "3 messages read, 3 of them news", ""},
-		{"import EXPORT --folder EMPTY", "", exitFine, "3 messages read, 0 of them news", ""},
-		{"verify --folder EMPTY", "", exitFine, "3 messages are whole, 0 faults", ""},
-		{"list --folder EMPTY --state discarded", "", exitFine, "c  ", ""},
+		{"list --folder DIR --may-have-run --class fee-payment", "", tool.ExitFine, "no rule matches it", ""},
+		{"list --folder DIR --most 2", "", tool.ExitFine, "a  ", "there is more: --from 3"},
+		{"list --folder DIR --state gone", "", tool.ExitFail, "", `state: "gone" is none of`},
+		{"list --folder DIR/none", "", tool.ExitFail, "", "no store"},
+		{"list", "", tool.ExitFail, "", "which store?"},
+		{"list --operator OPERATOR --json", "", tool.ExitFine, `"id": "a"`, ""},
+		{"show a --folder DIR --text", "", tool.ExitFine, `"body of a"`, ""},
+		{"show a --folder DIR", "", tool.ExitFine, "ran: may", ""},
+		{"show z --folder DIR", "", tool.ExitFail, "", "no such message"},
+		{"stats --folder DIR", "", tool.ExitFine, "3 messages, 27 bytes", ""},
+		{"attest a --folder DIR --by Amina", "", tool.ExitFail, "", "evidence"},
+		{"attest - --folder DIR --by Amina --evidence ledger", "a b\nz\n", tool.ExitFound, "b: held", "no such message"},
+		{"attest a --folder DIR --by Amina --evidence ledger", "", tool.ExitFound, "", "an attest for it is there already"},
+		{"show a --folder DIR", "", tool.ExitFine, "attested by Amina", ""},
+		{"discard c --folder DIR", "", tool.ExitFail, "", "why"},
+		{"discard c --folder DIR --why booked --by Bilal", "", tool.ExitFine, "c: discarded, discarded by Bilal: booked", ""},
+		{"resend c --folder DIR", "", tool.ExitFound, "", "c: it is discarded already"},
+		{"hold b --folder DIR --by Bilal", "", tool.ExitFine, "b: held, held by Bilal", ""},
+		{"export --folder DIR --to EXPORT", "", tool.ExitFine, "", "3 messages exported, 0 damaged"},
+		{"export --folder DIR --to EXPORT", "", tool.ExitFail, "", "exists"},
+		{"import EXPORT --folder EMPTY", "", tool.ExitFine, "3 messages read, 3 of them news", ""},
+		{"import EXPORT --folder EMPTY", "", tool.ExitFine, "3 messages read, 0 of them news", ""},
+		{"verify --folder EMPTY", "", tool.ExitFine, "3 messages are whole, 0 faults", ""},
+		{"list --folder EMPTY --state discarded", "", tool.ExitFine, "c  ", ""},
 	} {
 		words := strings.Fields("undelivered " + strings.NewReplacer("OPERATOR", operator, "EXPORT", export, "EMPTY", empty, "DIR", dir).Replace(c.args))
 		code, out, errs := ctl(t, c.in, words...)
@@ -103,12 +104,12 @@
 	}
 	for _, args := range []string{"list", "discard a --why booked"} {
 		code, out, errs := ctl(t, "", append(append([]string{"undelivered"}, strings.Fields(args)...), "--folder", dir)...)
-		if code != exitFail || out != "" || !strings.Contains(errs, "in use by another process") || !strings.Contains(errs, "by its socket") {
+		if code != tool.ExitFail || out != "" || !strings.Contains(errs, "in use by another process") || !strings.Contains(errs, "by its socket") {
 			t.Errorf("%s: exit %d, %s%s", args, code, out, errs)
 		}
 	}
 	_ = s.Close()
-	if code, out, errs := ctl(t, "", "undelivered", "list", "--folder", dir); code != exitFine || !strings.Contains(out, "held") {
+	if code, out, errs := ctl(t, "", "undelivered", "list", "--folder", dir); code != tool.ExitFine || !strings.Contains(out, "held") {
 		t.Errorf("exit %d, %s%s", code, out, errs)
 	}
 }
--- /dev/null
+++ b/internal/coord/disk/disk_test.go
@@ -0,0 +1,159 @@
+package disk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"mallowlead/internal/boltfile"
+	"mallowlead/internal/coord"
+	"mallowlead/internal/coord/replica"
+)
+
+func entry(index, term uint64, data string) *raftpb.Entry {
+	return &raftpb.Entry{Index: &index, Term: &term, Data: []byte(data)}
+}
+
+// filled makes a folder with some writes in it, and gives what it should hold.
+func filled(t *testing.T) (string, replica.Disk) {
+	t.Helper()
+	dir := filepath.Join(t.TempDir(), "m")
+	want := replica.First("c", []coord.Member{{ID: 1, Address: "a:1"}})
+	if err := Create(dir, Identity{Cluster: "c", ID: 1, Address: "a:1"}, want); err != nil {
+		t.Fatal(err)
+	}
+	d, _, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	for _, w := range []replica.Write{
+		{Lives: []replica.Life{{Number: 1, Nonce: 9}}},
+		{Entries: []*raftpb.Entry{entry(2, 1, "a"), entry(3, 1, "b"), entry(4, 1, "c")}, Marks: map[uint64]replica.Life{2: {Number: 4}}},
+		{Entries: []*raftpb.Entry{entry(3, 2, "d")}, Hard: &raftpb.HardState{Term: new(uint64(2))}},
+		{Marks: map[uint64]replica.Life{3: {Number: 5}}, Entries: []*raftpb.Entry{entry(4, 2, "e"), entry(5, 2, "f")}},
+		{Snapshot: &raftpb.Snapshot{Data: []byte("s"), Metadata: &raftpb.SnapshotMetadata{Index: new(uint64(4)), Term: new(uint64(2))}}, First: 4},
+	} {
+		if err := d.Save(w); err != nil {
+			t.Fatal(err)
+		}
+		want.Apply(w)
+	}
+	return dir, want
+}
+
+func read(dir string) (replica.Disk, error) {
+	_, got, err := Read(dir)
+	return got, err
+}
+
+// TestSaveAndLoad: what is read is what the model of a disk, which the quorums in virtual time have, holds.
+func TestSaveAndLoad(t *testing.T) {
+	dir, want := filled(t)
+	got, err := read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Lives) != 1 || got.Lives[0] != want.Lives[0] || len(got.Marks) != 2 || got.Marks[3] != want.Marks[3] || got.Hard.GetTerm() != want.Hard.GetTerm() ||
+		got.Snapshot.GetMetadata().GetIndex() != 4 || len(got.Entries) != len(want.Entries) {
+		t.Fatalf("%+v, want %+v", got, want)
+	}
+	for i, e := range got.Entries {
+		if e.GetIndex() != want.Entries[i].GetIndex() || string(e.GetData()) != string(want.Entries[i].GetData()) {
+			t.Errorf("entry %d: %v, want %v", i, e, want.Entries[i])
+		}
+	}
+	if err := Create(dir, Identity{}, replica.Disk{}); err == nil || !strings.Contains(err.Error(), "already") {
+		t.Errorf("made anew: %v", err)
+	}
+	if _, _, _, err := Open(t.TempDir()); err == nil {
+		t.Error("an empty folder was opened")
+	}
+}
+
+// TestFlippedBytes: a byte that is flipped anywhere in the file is either of no account, or an error; it never ends the
+// process, and never gives anything else than what was written.
+func TestFlippedBytes(t *testing.T) {
+	dir, want := filled(t)
+	path := filepath.Join(dir, fileName)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := 0
+	for at := 0; at < len(whole); at += 13 {
+		raw := append([]byte{}, whole...)
+		raw[at] ^= 0x40
+		if err := os.WriteFile(path, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, err := read(dir)
+		if err != nil {
+			found++
+			continue
+		}
+		if d, _, _, err := Open(dir); err != nil { // must not end the process, either
+			t.Fatalf("byte %d flipped: read, and not opened: %v", at, err)
+		} else if err := errors.Join(d.Save(replica.Write{Entries: []*raftpb.Entry{entry(6, 2, "g")}}), d.Close()); err != nil {
+			t.Fatalf("byte %d flipped: %v", at, err)
+		}
+		for i, e := range got.Entries {
+			if len(got.Entries) != len(want.Entries) || string(e.GetData()) != string(want.Entries[i].GetData()) {
+				t.Fatalf("byte %d flipped: %v", at, got.Entries)
+			}
+		}
+	}
+	if found == 0 {
+		t.Error("no flipped byte was found")
+	}
+}
+
+func TestCutShort(t *testing.T) {
+	dir, _ := filled(t)
+	path := filepath.Join(dir, fileName)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for size := len(whole) - 4096; size >= 0; size -= 4096 {
+		if err := os.WriteFile(path, whole[:size], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = read(dir) // an error, or nothing that counted was cut off; never the process's end
+	}
+	if _, err := read(dir); err == nil {
+		t.Error("an empty file was read")
+	}
+}
+
+func TestInUse(t *testing.T) {
+	dir, _ := filled(t)
+	d, _, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	if _, _, _, err := Open(dir); !errors.Is(err, boltfile.ErrInUse) {
+		t.Errorf("opened twice: %v", err)
+	}
+}
+
+func TestNewerVersion(t *testing.T) {
+	dir, _ := filled(t)
+	db, err := bbolt.Open(filepath.Join(dir, fileName), 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = errors.Join(db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bMeta).Put(kVersion, []byte{0, 0, 0, 9}) }), db.Close())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := read(dir); err == nil || !strings.Contains(err.Error(), "version 1") {
+		t.Errorf("a newer folder: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/lease/client.go
@@ -0,0 +1,217 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"mallowlead/internal/boottime"
+	"mallowlead/internal/coord"
+	"mallowlead/internal/coord/api"
+)
+
+const (
+	// callWithin bounds one call; a renewal that takes longer is made anew elsewhere.
+	callWithin = 500 * time.Millisecond
+	// endWithin is how long giving back may take when the client ends.
+	endWithin = time.Second
+	// hintPause is between waits for hints where one failed.
+	hintPause = 200 * time.Millisecond
+)
+
+// Client keeps a Core by calling the service. Its methods may be called from any goroutine.
+type Client struct {
+	caller  *api.Caller
+	members []coord.Member
+	log     *slog.Logger
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	core    *Core
+	open    map[uint64]*Act
+	changed chan struct{} // closed when something may be held that was not, or the other way round
+	ended   bool
+}
+
+// NewClient makes a client of a cluster's members. A time to live is that of its session.
+func NewClient(name, cluster string, members []coord.Member, ttl, guard time.Duration, log *slog.Logger) *Client {
+	return &Client{caller: api.NewCaller(cluster), members: members, log: log, wake: make(chan struct{}, 1), open: map[uint64]*Act{},
+		changed: make(chan struct{}),
+		core:    New(Config{Name: name, TTL: ttl, Guard: guard, Timeout: min(callWithin, ttl/4), Servers: len(members), Seed: rand.Uint64()})}
+}
+
+// with does something with the core, and lets Run see to what follows.
+func (c *Client) with(f func(now time.Duration)) {
+	c.mu.Lock()
+	f(boottime.Now())
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Want asks for a lease, as Core.Want.
+func (c *Client) Want(name, reason string) {
+	c.with(func(time.Duration) {
+		if !c.ended {
+			c.core.Want(name, reason)
+		}
+	})
+}
+
+// Drop gives a lease back, as Core.Drop.
+func (c *Client) Drop(name, to string) { c.with(func(time.Duration) { c.core.Drop(name, to) }) }
+
+// Holds tells under which token a lease is held now.
+func (c *Client) Holds(name string) (token uint64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	token, _, ok = c.core.Holds(boottime.Now(), name)
+	return token, ok
+}
+
+// Act is one act under a lease. Its context ends when the act has to be cut off.
+type Act struct {
+	context.Context
+	Token  uint64
+	client *Client
+	permit Permit
+	cut    context.CancelFunc
+}
+
+// Act allows one act that ends within cost, or says why not.
+func (c *Client) Act(ctx context.Context, name string, cost time.Duration) (*Act, error) {
+	var a *Act
+	var err error
+	c.with(func(now time.Duration) {
+		var p Permit
+		if p, err = c.core.Act(now, name, cost); err != nil {
+			return
+		}
+		a = &Act{Token: p.Token, client: c, permit: p}
+		a.Context, a.cut = context.WithCancel(ctx)
+		c.open[p.id] = a
+	})
+	return a, err
+}
+
+// Done ends the act. It is false where it ended too late: then another may have acted meanwhile.
+func (a *Act) Done() (inTime bool) {
+	a.cut()
+	a.client.with(func(now time.Duration) {
+		delete(a.client.open, a.permit.id)
+		inTime = a.client.core.Done(now, a.permit)
+	})
+	return inTime
+}
+
+// Run keeps the session until its context ends, and gives back what is held then.
+func (c *Client) Run(ctx context.Context) {
+	calls, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer stop()
+	work.Go(func() { c.hints(calls) })
+	var end <-chan time.Time
+	over := ctx.Done()
+	for {
+		wait, idle := c.next(calls, &work)
+		if end != nil && idle {
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-over:
+			over, end = nil, time.After(endWithin)
+			c.with(func(time.Duration) {
+				c.ended = true
+				for name := range c.core.want {
+					c.core.Drop(name, "")
+				}
+			})
+		case <-end:
+			return
+		case <-c.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// next cuts off what has to be, and sends what there is to send.
+func (c *Client) next(ctx context.Context, work *sync.WaitGroup) (wait time.Duration, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := boottime.Now()
+	for _, p := range c.core.Cancelled(now) {
+		if a := c.open[p.id]; a != nil {
+			a.cut()
+		}
+	}
+	calls, wake := c.core.Next(now)
+	for _, call := range calls {
+		work.Go(func() { c.call(ctx, call) })
+	}
+	if len(c.core.acts) == 0 && c.core.trusted > now {
+		wake = min(wake, c.core.trusted) // what is held ends then, and its task is to know
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return max(wake-now, time.Millisecond), c.core.idle() && c.core.session == 0
+}
+
+func (c *Client) call(ctx context.Context, call Call) {
+	within, stop := context.WithTimeout(ctx, c.core.cfg.Timeout)
+	defer stop()
+	answer, err := c.caller.Post(within, c.members[call.Server].Address, api.PathCommand, api.Request{Command: &call.Command})
+	if errors.Is(err, api.ErrRefused) {
+		c.log.Warn("the coordination service refuses", "why", err)
+	}
+	c.with(func(now time.Duration) {
+		if err == nil && answer.Result != nil {
+			c.core.Answered(now, call.ID, *answer.Result)
+			return
+		}
+		c.core.Failed(now, call.ID, c.number(answer.Leader))
+	})
+}
+
+// number gives the number of the server that a member is, or -1.
+func (c *Client) number(id uint64) int {
+	for i, m := range c.members {
+		if m.ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// hints waits for word that something became of the session.
+func (c *Client) hints(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		session, server, changed := c.core.session, c.core.server, c.changed
+		c.mu.Unlock()
+		if session == 0 {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		answer, err := c.caller.Post(ctx, c.members[server].Address, api.PathWait, api.Request{Wait: &api.Wait{Session: session}})
+		if err == nil && answer.Hint {
+			c.with(c.core.Hint)
+		}
+		if err != nil {
+			select {
+			case <-time.After(hintPause):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"mallowlead/internal/lease"
 	"mallowlead/internal/strict"
 	"mallowlead/internal/trace"
 	"mallowlead/internal/undelivered"
@@ -16,6 +17,9 @@
 	Version     int                  `toml:"version"`
 	Undelivered *undelivered.Section `toml:"undelivered"`
 	Trace       *trace.Section       `toml:"trace"`
+
+	// Coordination names the service by which relays agree on who does the fleet's tasks.
+	Coordination *lease.Section `toml:"coordination"`
 }
 
 // Off is the file in which every section is absent.
@@ -35,6 +39,9 @@
 	if f.Undelivered != nil {
 		f.Undelivered.Check(doc, "undelivered")
 	}
+	if f.Coordination != nil {
+		f.Coordination.Check(doc, "coordination")
+	}
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/undelivered/store.go
+++ b/internal/undelivered/store.go
@@ -6,16 +6,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"math"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
+
+	"mallowlead/internal/boltfile"
 )
 
 // The store is one bbolt file with these buckets, and those of subjects.go:
@@ -34,8 +33,6 @@
 	storeVersion = 2 // 1: without topics
 	// growBy is by how much the file grows at once, in bytes: a small quota is not to be overshot by much.
 	growBy = 128 << 10
-	// openWithin is how long another process may hold the file: one that just ends is waited for.
-	openWithin = 300 * time.Millisecond
 )
 
 var (
@@ -45,7 +42,6 @@
 	buckets                  = [][]byte{bMeta, bRecords, bBodies, bIDs, bDue, bGroups, bUnkept, bNewest, bYoung, bWaiting, bEras}
 	kVersion, kTotals        = []byte("version"), []byte("totals")
 	kRules                   = []byte("rules")
-	castagnoli               = crc32.MakeTable(crc32.Castagnoli)
 )
 
 // The errors that callers tell apart.
@@ -53,14 +49,14 @@
 	ErrInUse    = errors.New("the store is in use by another process")
 	ErrUnknown  = errors.New("no such message in the store")
 	ErrFull     = errors.New("the store is full")
-	ErrDamaged  = errors.New("damaged")
+	ErrDamaged  = boltfile.ErrDamaged
 	ErrNewer    = errors.New("the store was written by a newer version")
 	errNoRecord = errors.New("no record")
 )
 
 // Store keeps undelivered messages in a folder. It is safe for concurrent use.
 type Store struct {
-	db    *bbolt.DB
+	db    *boltfile.File
 	path  string
 	limit int64 // bytes of the file; 0: none
 	most  int   // messages; 0: any number
@@ -92,9 +88,9 @@
 
 func open(dir string, limit int64, most int, readOnly bool) (*Store, error) {
 	path := filepath.Join(dir, fileName)
-	db, err := openFile(path, readOnly)
+	db, err := boltfile.Open(path, boltfile.Options{ReadOnly: readOnly, NoSync: true})
 	switch {
-	case errors.Is(err, bbolt.ErrTimeout):
+	case errors.Is(err, boltfile.ErrInUse):
 		return nil, fmt.Errorf("undelivered: %s: %w", path, ErrInUse)
 	case err != nil:
 		return nil, fmt.Errorf("undelivered: %s: %w", path, err)
@@ -108,30 +104,8 @@
 	return s, nil
 }
 
-// openFile opens the file. Where a damaged page makes bbolt panic in that, its lock is given back.
-func openFile(path string, readOnly bool) (db *bbolt.DB, err error) {
-	var file *os.File
-	defer func() {
-		if db == nil && err != nil && file != nil {
-			// The file is still mapped into memory, so that its lock outlives it.
-			_ = syscall.Flock(int(file.Fd()), syscall.LOCK_UN)
-			_ = file.Close()
-		}
-	}()
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer guard(&err)
-	return bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWithin, NoSync: true, NoGrowSync: true,
-		FreelistType: bbolt.FreelistMapType, ReadOnly: readOnly,
-		OpenFile: func(name string, flag int, mode os.FileMode) (f *os.File, err error) {
-			file, err = os.OpenFile(name, flag, mode)
-			return file, err
-		}})
-}
-
 // prepare checks the version, and makes the buckets that a new file or one of an earlier version lacks.
-func (s *Store) prepare(readOnly bool) (err error) {
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer guard(&err) // a page that is damaged is no reason to end the relay
+func (s *Store) prepare(readOnly bool) error {
 	older := false
 	check := func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(bMeta)
@@ -180,12 +154,12 @@
 
 // seal puts a checksum before a value.
 func seal(v []byte) []byte {
-	return append(binary.BigEndian.AppendUint32(make([]byte, 0, len(v)+4), crc32.Checksum(v, castagnoli)), v...)
+	return append(binary.BigEndian.AppendUint32(make([]byte, 0, len(v)+4), boltfile.Sum(v)), v...)
 }
 
 // unseal checks a value and gives it without its checksum. It is valid within its transaction only.
 func unseal(v []byte) ([]byte, error) {
-	if len(v) < 4 || crc32.Checksum(v[4:], castagnoli) != binary.BigEndian.Uint32(v) {
+	if len(v) < 4 || boltfile.Sum(v[4:]) != binary.BigEndian.Uint32(v) {
 		return nil, ErrDamaged
 	}
 	return v[4:], nil
@@ -283,33 +257,21 @@
 	return r, nil
 }
 
-// update runs a transaction. A page that was damaged makes bbolt panic: that is an error of the store, and not the
-// relay's end.
-func (s *Store) update(do func(tx *bbolt.Tx) error) (err error) {
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer guard(&err)
+// update runs a transaction.
+func (s *Store) update(do func(tx *bbolt.Tx) error) error {
 	if err := s.db.Update(do); err != nil {
 		return fmt.Errorf("undelivered: %w", err)
 	}
 	return nil
 }
 
-func (s *Store) view(do func(tx *bbolt.Tx) error) (err error) {
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer guard(&err)
+func (s *Store) view(do func(tx *bbolt.Tx) error) error {
 	if err := s.db.View(do); err != nil {
 		return fmt.Errorf("undelivered: %w", err)
 	}
 	return nil
 }
 
-// guard turns a panic into an error. A file that was cut short faults where it is read, as it is mapped into memory.
-func guard(err *error) {
-	if p := recover(); p != nil {
-		*err = fmt.Errorf("undelivered: %w: %v", ErrDamaged, p)
-	}
-}
-
 // find gives the key of a message by the id of any of its lives.
 func find(tx *bbolt.Tx, id string) ([]byte, error) {
 	k := tx.Bucket(bIDs).Get([]byte(id))
--- a/internal/undelivered/verify.go
+++ b/internal/undelivered/verify.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"go.etcd.io/bbolt"
+
+	"mallowlead/internal/boltfile"
 )
 
 // Fault is something that Verify found.
@@ -69,7 +71,7 @@
 
 // bodyThere checks a body; a damaged page under it is a fault of this body alone.
 func bodyThere(b *bbolt.Bucket, k []byte) (err error) {
-	defer guard(&err)
+	defer boltfile.Guard(&err)
 	_, err = unseal(b.Get(k))
 	return err
 }
