--- a/internal/lease/client.go
+++ b/internal/lease/client.go
@@ -74,9 +74,9 @@
 	return token, ok
 }
 
-// Act is one act under a lease. Its context ends when the act has to be cut off.
+// Act is one act under a lease.
 type Act struct {
-	context.Context
+	Ctx    context.Context // ends when the act has to be cut off
 	Token  uint64
 	client *Client
 	permit Permit
@@ -93,14 +93,14 @@
 			return
 		}
 		a = &Act{Token: p.Token, client: c, permit: p}
-		a.Context, a.cut = context.WithCancel(ctx)
+		a.Ctx, a.cut = context.WithCancel(ctx)
 		c.open[p.id] = a
 	})
 	return a, err
 }
 
-// Done ends the act. It is false where it ended too late: then another may have acted meanwhile.
-func (a *Act) Done() (inTime bool) {
+// End ends the act. It is false where it ended too late: then another may have acted meanwhile.
+func (a *Act) End() (inTime bool) {
 	a.cut()
 	a.client.with(func(now time.Duration) {
 		delete(a.client.open, a.permit.id)
--- a/internal/lease/task.go
+++ b/internal/lease/task.go
@@ -49,7 +49,7 @@
 func (h *Hold) Act(ctx context.Context, cost time.Duration) (*Act, error) {
 	a, err := h.client.Act(ctx, h.lease, cost)
 	if err == nil && a.Token != h.Token {
-		a.Done()
+		a.End()
 		return nil, Refused("the lease was lost and granted again meanwhile")
 	}
 	return a, err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -3,8 +3,8 @@
 package operator
 
 import (
-	"mallowlead/internal/lease"
 	"mallowlead/internal/strict"
+	"mallowlead/internal/tasks"
 	"mallowlead/internal/trace"
 	"mallowlead/internal/undelivered"
 )
@@ -19,7 +19,7 @@
 	Trace       *trace.Section       `toml:"trace"`
 
 	// Coordination names the service by which relays agree on who does the fleet's tasks.
-	Coordination *lease.Section `toml:"coordination"`
+	Coordination *tasks.Section `toml:"coordination"`
 }
 
 // Off is the file in which every section is absent.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"mallowlead/internal/notices"
 	"mallowlead/internal/settings"
 	"mallowlead/internal/standby"
+	"mallowlead/internal/tasks"
 	"mallowlead/internal/trace"
 	"mallowlead/policy"
 )
@@ -190,6 +191,9 @@
 	if l.keeper != nil {
 		n.work.Go(func() { l.keeper.run(n.live) })
 	}
+	if cfg := n.cfg.Own; cfg != nil && cfg.Coordination != nil {
+		n.work.Go(func() { tasks.Run(n.live, cfg.Coordination, n.cfg.Name) })
+	}
 	go func() { n.served <- n.srv.Serve(n.listener) }()
 }
 
--- a/internal/lease/section.go
+++ b/internal/tasks/section.go
@@ -1,6 +1,8 @@
-package lease
+// Package tasks is the work that is the whole fleet's: each task is done by one relay at a time, under a lease.
+package tasks
 
 import (
+	"net/url"
 	"time"
 
 	"mallowlead/internal/coord"
@@ -14,12 +16,23 @@
 	Members []string `toml:"members"` // ID=HOST:PORT
 	TTLMS   int      `toml:"ttl_ms"`  // of a relay's session; 0: DefaultTTL
 	GuardMS int      `toml:"guard_ms"`
+	Beat    *Beat    `toml:"beat"`
+}
+
+// Beat is [coordination.beat]: one relay of the fleet tells a monitor that the fleet lives.
+type Beat struct {
+	URL      string  `toml:"url"`
+	EveryS   float64 `toml:"every_s"`   // between beats; 0: DefaultBeat
+	WithinMS int     `toml:"within_ms"` // that the monitor takes for one; 0: DefaultWithin
 }
 
 // The defaults.
 const (
 	DefaultTTL   = 3 * time.Second
 	DefaultGuard = 50 * time.Millisecond
+
+	DefaultBeat   = 10 * time.Second
+	DefaultWithin = 500 * time.Millisecond
 )
 
 // TTL is the time to live of a relay's session.
@@ -51,4 +64,30 @@
 	if guard := s.Guard(); guard < 0 || guard > s.TTL()/4 {
 		doc.Bad(at+".guard_ms", "is %d; 0 to a quarter of ttl_ms are wanted", s.GuardMS)
 	}
+	if s.Beat != nil {
+		s.Beat.check(doc, at+".beat", s.TTL()-s.Guard())
+	}
+}
+
+// Every is the time between beats.
+func (b *Beat) Every() time.Duration {
+	if b.EveryS == 0 {
+		return DefaultBeat
+	}
+	return time.Duration(b.EveryS * float64(time.Second))
+}
+
+// Within is how long one may take.
+func (b *Beat) Within() time.Duration { return orElse(b.WithinMS, DefaultWithin) }
+
+func (b *Beat) check(doc *strict.Doc, at string, lasts time.Duration) {
+	if u, err := url.Parse(b.URL); err != nil || u.Scheme != "http" || u.Host == "" {
+		doc.Bad(at+".url", "%q is no http:// address", b.URL)
+	}
+	if b.EveryS < 0 || b.EveryS > 3600 {
+		doc.Bad(at+".every_s", "is %v; 0 to 3600 are wanted", b.EveryS)
+	}
+	if within := b.Within(); within <= 0 || within > lasts/2 {
+		doc.Bad(at+".within_ms", "is %d; 1 to half of what a lease lasts, %d, are wanted", b.WithinMS, (lasts / 2).Milliseconds())
+	}
 }
