--- a/cmd/frostlinkctl/coord.go
+++ b/cmd/frostlinkctl/coord.go
@@ -103,7 +103,7 @@
 		Example: "  frostlinkctl coord status --cluster lahore --member 1=127.0.0.1:7101 --member 2=127.0.0.1:7102 --member 3=127.0.0.1:7103",
 	}
 	s.flags(c)
-	c.AddCommand(s.statusCommand(), s.membersCommand(), s.addCommand(), s.removeCommand(), s.snapshotCommand(), coordVerify(), coordRehearse())
+	c.AddCommand(s.statusCommand(), s.membersCommand(), s.addCommand(), s.removeCommand(), s.snapshotCommand(), coordVerify(), coordRehearse(), s.measureCommand())
 	return c
 }
 
--- a/internal/boltfile/boltfile.go
+++ b/internal/boltfile/boltfile.go
@@ -105,6 +105,10 @@
 		return err
 	}
 	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return err
+	}
 	size := int64(0)
 	for page := range int64(2) {
 		raw := make([]byte, pageHead+metaSize+8)
@@ -118,6 +122,9 @@
 			return fmt.Errorf("meta page %d: %w", page, ErrDamaged)
 		}
 		size = int64(binary.LittleEndian.Uint32(meta[8:]))
+		if pages := int64(binary.LittleEndian.Uint64(meta[40:])); pages > info.Size()/max(size, 1) {
+			return fmt.Errorf("%w: cut short: %d bytes, of %d pages of %d", ErrDamaged, info.Size(), pages, size)
+		}
 	}
 	return nil
 }
--- a/internal/coord/command.go
+++ b/internal/coord/command.go
@@ -66,6 +66,7 @@
 type Grant struct {
 	Lease string `json:"lease"`
 	Token uint64 `json:"token"`
+	Wait  int    `json:"wait,omitempty"` // so many wait for it
 }
 
 // Result is the answer to a command.
--- a/internal/coord/machine.go
+++ b/internal/coord/machine.go
@@ -233,7 +233,7 @@
 	r.Held, r.Revoked = nil, nil
 	for _, name := range slices.Sorted(maps.Keys(s.holds)) {
 		l := s.holds[name]
-		g := Grant{Lease: name, Token: l.Token}
+		g := Grant{Lease: name, Token: l.Token, Wait: len(l.Queue)}
 		if l.Revoked {
 			r.Revoked = append(r.Revoked, g)
 		} else {
--- a/internal/coord/replica/core.go
+++ b/internal/coord/replica/core.go
@@ -69,6 +69,7 @@
 	conf    *raftpb.ConfState
 	applied uint64
 	taken   uint64 // applied index of the last snapshot
+	anew    bool   // the members have changed: a snapshot in which one that joined is missing is of no use to it
 
 	lives
 	failed error // set for good: this member must not go on
@@ -470,6 +471,7 @@
 		return err
 	}
 	c.conf = c.node.ApplyConfChange(&v2)
+	c.anew = true
 	if len(v2.GetContext()) == 0 {
 		return nil // the library's own: it leaves a joint configuration
 	}
@@ -487,9 +489,10 @@
 
 // snapshot makes a snapshot when enough was applied since the last one.
 func (c *Core) snapshot() {
-	if c.applied < c.taken+c.cfg.SnapshotEvery {
+	if c.applied < c.taken+c.cfg.SnapshotEvery && !c.anew {
 		return
 	}
+	c.anew = false
 	s, err := c.storage.CreateSnapshot(c.applied, c.conf, c.machine.Snapshot())
 	if err != nil {
 		c.fail(fmt.Errorf("snapshot: %w", err))
@@ -516,5 +519,8 @@
 // caughtUp tells whether a member has all but the last entries of the log.
 func (c *Core) caughtUp(id uint64) bool {
 	p, ok := c.node.Status().Progress[id]
-	return ok && p.Match+uint64(mostBatch) >= c.applied
+	return ok && p.Match > 0 && p.Match+mostBehind >= c.applied
 }
+
+// mostBehind the last entry a learner may be that gets its vote.
+const mostBehind = 100
--- a/internal/lease/client.go
+++ b/internal/lease/client.go
@@ -74,6 +74,14 @@
 	return token, ok
 }
 
+// Grant tells how a lease is held now.
+func (c *Client) Grant(name string) (g coord.Grant, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	token, _, ok := c.core.Holds(boottime.Now(), name)
+	return coord.Grant{Lease: name, Token: token, Wait: c.core.Wait(name)}, ok
+}
+
 // Act is one act under a lease.
 type Act struct {
 	Ctx    context.Context // ends when the act has to be cut off
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -76,7 +76,7 @@
 	pending  *coord.Command // the one with an effect that has no answer yet: it is sent until it has
 	trusted  time.Duration  // the session lasts until then, by this process's clock
 	stamp    uint64         // of the newest answer
-	held     map[string]uint64
+	held     map[string]coord.Grant
 	revoked  map[string]uint64
 	want     map[string]*wanted
 	acts     map[uint64]Permit
@@ -105,7 +105,7 @@
 func (c *Core) forget() {
 	c.session, c.seq, c.stamp, c.trusted, c.pending = 0, 0, 0, 0, nil
 	c.nonce = fmt.Sprintf("%016x%016x", c.rand.Uint64(), c.rand.Uint64())
-	c.held, c.revoked = map[string]uint64{}, map[string]uint64{}
+	c.held, c.revoked = map[string]coord.Grant{}, map[string]uint64{}
 	for _, w := range c.want {
 		w.asked = false
 	}
@@ -136,10 +136,13 @@
 
 // Holds tells under which token a lease is held, and until when if nothing more is heard.
 func (c *Core) Holds(now time.Duration, name string) (token uint64, until time.Duration, ok bool) {
-	token, ok = c.held[name]
-	return token, c.trusted, ok && now < c.trusted
+	g, ok := c.held[name]
+	return g.Token, c.trusted, ok && now < c.trusted
 }
 
+// Wait tells how many wait for a lease that is held, as of the newest answer.
+func (c *Core) Wait(name string) int { return c.held[name].Wait }
+
 // Act allows one act that ends within cost, or refuses. An act that was allowed is reported with Done when it has
 // ended; Cancelled names those that have to be cut off.
 func (c *Core) Act(now time.Duration, name string, cost time.Duration) (Permit, error) {
@@ -170,7 +173,7 @@
 func (c *Core) Cancelled(now time.Duration) []Permit {
 	var list []Permit
 	for _, id := range slices.Sorted(maps.Keys(c.acts)) {
-		if p := c.acts[id]; now >= p.Until || c.held[p.Lease] != p.Token {
+		if p := c.acts[id]; now >= p.Until || c.held[p.Lease].Token != p.Token {
 			list = append(list, p)
 		}
 	}
@@ -271,13 +274,13 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.want)) {
 		w := c.want[name]
-		token, held := c.held[name]
+		g, held := c.held[name]
 		switch {
 		case w.drop && held && c.open(name), now < w.pause:
 		case w.drop && held && w.to != "":
-			return release(coord.Command{Op: coord.Handover, Lease: name, Token: token, To: w.to})
+			return release(coord.Command{Op: coord.Handover, Lease: name, Token: g.Token, To: w.to})
 		case w.drop && (held || w.asked):
-			return release(coord.Command{Op: coord.Release, Lease: name, Token: token})
+			return release(coord.Command{Op: coord.Release, Lease: name, Token: g.Token})
 		case w.drop:
 			delete(c.want, name)
 		case !held && !w.asked:
@@ -346,7 +349,7 @@
 		w.asked = false
 	}
 	for _, g := range r.Held {
-		c.held[g.Lease] = g.Token
+		c.held[g.Lease] = g
 	}
 	for _, g := range r.Revoked {
 		c.revoked[g.Lease] = g.Token
--- a/internal/rehearsal/faults/fleet.go
+++ b/internal/rehearsal/faults/fleet.go
@@ -134,7 +134,8 @@
 	for _, text := range first {
 		args = append(args, "--member", text)
 	}
-	init := &Process{Name: "init", command: args, log: filepath.Join(f.o.Dir, fmt.Sprint("member-", m.id, ".log")), launcher: f.launcher}
+	log := filepath.Join(f.o.Dir, fmt.Sprint("member-", m.id, ".log"))
+	init := NewProcess("init", log, f.launcher, args...)
 	if err := init.Start(); err != nil {
 		return err
 	}
@@ -152,7 +153,7 @@
 		m.links = append(m.links, link)
 		args = append(args, "--reach", fmt.Sprintf("%d=%s", other.id, link.Addr()))
 	}
-	m.Process = &Process{Name: fmt.Sprint("member-", m.id), command: args, log: init.log, launcher: f.launcher}
+	m.Process = NewProcess(fmt.Sprint("member-", m.id), log, f.launcher, args...)
 	m.ended = f.noteEnd(m.Process)
 	return nil
 }
@@ -221,8 +222,8 @@
 			return nil, err
 		}
 	}
-	r.Process = &Process{Name: name, command: []string{f.o.Relay, "-config", filepath.Join(dir, "config.json"), "-state", filepath.Join(dir, "state"),
-		"-operator", filepath.Join(dir, "frostlink.toml")}, log: filepath.Join(f.o.Dir, name+".log"), launcher: f.launcher}
+	r.Process = NewProcess(name, filepath.Join(f.o.Dir, name+".log"), f.launcher, f.o.Relay, "-config", filepath.Join(dir, "config.json"),
+		"-state", filepath.Join(dir, "state"), "-operator", filepath.Join(dir, "frostlink.toml"))
 	r.ended = f.noteEnd(r.Process)
 	return r, nil
 }
--- a/internal/rehearsal/faults/process.go
+++ b/internal/rehearsal/faults/process.go
@@ -57,6 +57,11 @@
 	ended    func(life int, expected bool, err error)
 }
 
+// NewProcess makes a process that is not started yet. What it prints goes to the end of a log.
+func NewProcess(name, log string, launcher *Launcher, command ...string) *Process {
+	return &Process{Name: name, log: log, launcher: launcher, command: command}
+}
+
 // Start starts the process, where it does not run.
 func (p *Process) Start() error {
 	p.mu.Lock()
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -46,6 +46,7 @@
 	store    *undelivered.Store // nil until it could be opened
 	bounds   *undelivered.Bounds
 	resender *undelivered.Resender
+	gate     undelivered.Gate // of resends; nil: none
 	admin    *undelivered.Admin
 	bounded  time.Time      // when the bounds were last kept
 	tools    sync.WaitGroup // goroutines beside it: the clock of the bounds, and what answers the tool
@@ -243,6 +244,7 @@
 	}
 	k.bounds = undelivered.NewBounds(k.store, k.section)
 	k.resender = k.newResender(k.store)
+	k.resender.Through(k.gate)
 	k.resender.Reclass(k.classes)
 	k.admin = &undelivered.Admin{Store: k.store, Now: time.Now, Classes: k.classes}
 	if k.section.Socket != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,6 +51,7 @@
 	stance     *standby.Stance
 	book       *management.Book
 	door       *door
+	fleet      *tasks.Fleet // its part of the fleet's tasks; nil: it has none
 	live       context.Context
 	stop       context.CancelFunc
 	work       sync.WaitGroup
@@ -171,6 +172,14 @@
 			}
 		})
 	}
+	if cfg.Own != nil && cfg.Own.Coordination != nil {
+		if n.fleet, err = tasks.New(cfg.Own.Coordination, cfg.Name); err != nil {
+			return err
+		}
+		if gate := n.fleet.Resend(); gate != nil && l.keeper != nil {
+			l.keeper.gate = gate
+		}
+	}
 	n.l = l
 	n.srv = front.New(front.Config{Check: cfg.clientCheck(), Stance: n.stance, MemoryMB: cfg.Limits.MemoryMB, Room: cfg.clientRoom(),
 		Keep: cfg.idleRoom()}, func(a *clients.Arrival) { l.put(a) }, func(class string) { l.put(refusedUnread{class}) })
@@ -191,8 +200,8 @@
 	if l.keeper != nil {
 		n.work.Go(func() { l.keeper.run(n.live) })
 	}
-	if cfg := n.cfg.Own; cfg != nil && cfg.Coordination != nil {
-		n.work.Go(func() { tasks.Run(n.live, cfg.Coordination, n.cfg.Name) })
+	if n.fleet != nil {
+		n.work.Go(func() { n.fleet.Run(n.live) })
 	}
 	go func() { n.served <- n.srv.Serve(n.listener) }()
 }
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -99,6 +99,9 @@
 			return true // it is not the time to decide
 		}
 	})
+	if k.gate != nil {
+		defer k.gate.End() // the round's offers are made by then
+	}
 	for _, o := range offers {
 		body, bodyErr := k.store.Body(o.Record.ID)
 		if bodyErr != nil {
--- a/internal/tasks/section.go
+++ b/internal/tasks/section.go
@@ -16,6 +16,7 @@
 	Members []string `toml:"members"` // ID=HOST:PORT
 	TTLMS   int      `toml:"ttl_ms"`  // of a relay's session; 0: DefaultTTL
 	GuardMS int      `toml:"guard_ms"`
+	Resend  bool     `toml:"resend"` // the rate of a rule for undelivered messages is the fleet's, not each relay's
 	Beat    *Beat    `toml:"beat"`
 }
 
--- a/internal/tasks/tasks.go
+++ b/internal/tasks/tasks.go
@@ -9,30 +9,51 @@
 	"mallowlead/internal/lease"
 )
 
-// Run does a relay's part of the fleet's tasks until its context ends. Nothing on a message's path waits for it.
-func Run(ctx context.Context, s *Section, relay string) {
+// Fleet is a relay's part of the fleet's tasks.
+type Fleet struct {
+	section *Section
+	relay   string
+	client  *lease.Client
+	resend  *Resend // nil: each relay resends by itself
+}
+
+// New makes a relay's part of the tasks that a section turns on. It begins with Run.
+func New(s *Section, relay string) (*Fleet, error) {
 	members, err := api.ParseMembers(s.Members)
 	if err != nil {
-		slog.Error("fleet tasks", "err", err) // the section was checked
-		return
+		return nil, err
 	}
-	client := lease.NewClient(relay, s.Cluster, members, s.TTL(), s.Guard(), slog.Default())
+	f := &Fleet{section: s, relay: relay, client: lease.NewClient(relay, s.Cluster, members, s.TTL(), s.Guard(), slog.Default())}
+	if s.Resend {
+		f.resend = &Resend{client: f.client, turns: NewTurns()}
+	}
+	return f, nil
+}
+
+// Resend is what lets resends through, one relay of the fleet at a time; nil where the section does not want that.
+func (f *Fleet) Resend() *Resend { return f.resend }
+
+// Run does the relay's part until its context ends. Nothing on a message's path waits for it.
+func (f *Fleet) Run(ctx context.Context) {
 	var work sync.WaitGroup
 	defer work.Wait()
-	for _, t := range s.tasks(relay) {
+	for _, t := range f.tasks() {
 		work.Go(func() {
-			if err := client.Keep(ctx, t); err != nil && ctx.Err() == nil {
+			if err := f.client.Keep(ctx, t); err != nil && ctx.Err() == nil {
 				slog.Error("a fleet task", "lease", t.Lease, "err", err)
 			}
 		})
 	}
-	client.Run(ctx)
+	if f.resend != nil {
+		work.Go(func() { f.resend.run(ctx) })
+	}
+	f.client.Run(ctx)
 }
 
-// tasks are those that the section turns on.
-func (s *Section) tasks(relay string) (list []lease.Task) {
-	if s.Beat != nil {
-		list = append(list, beat(s.Beat, relay))
+// tasks are those that take turns by themselves.
+func (f *Fleet) tasks() (list []lease.Task) {
+	if f.section.Beat != nil {
+		list = append(list, beat(f.section.Beat, f.relay))
 	}
 	return list
 }
--- a/internal/undelivered/resend.go
+++ b/internal/undelivered/resend.go
@@ -43,8 +43,20 @@
 	fail   time.Duration
 	out    string    // the life that is out; empty: none
 	lost   time.Time // when that counts as lost
+	turn   uint64    // the gate's token under which it goes
 }
 
+// Gate lets resends through where one relay of a fleet at a time is to resend towards a partner.
+type Gate interface {
+	// Begin allows resends towards a partner until End, or refuses. The token is another one for each turn.
+	Begin(partner int) (token uint64, ok bool)
+	// End says that what was decided since has been offered.
+	End()
+}
+
+// gatePause is before the gate is asked again for a partner for which it refused.
+const gatePause = 100 * time.Millisecond
+
 // Resender decides what of a store is resent when: which messages the rules want, in which order, and at which pace.
 // It is not safe for concurrent use; times come in as arguments.
 type Resender struct {
@@ -54,6 +66,7 @@
 	relay   string
 	newID   func() string
 	lanes   map[int]*lane
+	gate    Gate // nil: there is none
 	// sweep goes over all records once after the rules have changed; 0: it is through.
 	sweep uint64
 }
@@ -66,6 +79,25 @@
 	return r
 }
 
+// Through has resends go through a gate from now on.
+func (r *Resender) Through(g Gate) { r.gate = g }
+
+// let asks the gate. A turn begins without tokens: another relay may just have used the partner's rate.
+func (r *Resender) let(l *lane, partner int, now time.Time) bool {
+	if r.gate == nil {
+		return true
+	}
+	turn, ok := r.gate.Begin(partner)
+	if !ok {
+		l.until = now.Add(gatePause)
+		return false
+	}
+	if turn != l.turn {
+		l.turn, l.tokens, l.at = turn, 0, now
+	}
+	return true
+}
+
 // Reclass has the classes be others from now on.
 func (r *Resender) Reclass(classes []Class) {
 	clear(r.classes)
@@ -142,7 +174,7 @@
 		if p.Action != Resend {
 			return r.settle(rec, p, now), nil
 		}
-		if l.out != "" || !l.take(p.Rate, now) {
+		if l.out != "" || !r.let(l, rec.Partner, now) || !l.take(p.Rate, now) {
 			return rec.Due, errLater
 		}
 		life := Life{ID: r.newID(), Relay: r.relay, Taken: now, Expires: now.Add(r.lifeOf(rec))}
--- a/internal/undelivered/resend_test.go
+++ b/internal/undelivered/resend_test.go
@@ -293,3 +293,45 @@
 		t.Errorf("%d went in a minute to a partner that is down", went)
 	}
 }
+
+// turns is a gate that the test opens.
+type turns struct {
+	token  uint64
+	rounds int
+}
+
+func (g *turns) Begin(int) (uint64, bool) { return g.token, g.token != 0 }
+func (g *turns) End()                     { g.rounds++ }
+
+// TestResendsInTurns: nothing is resent without a turn, what is not to be resent is settled all the same, and a turn begins
+// without what the rate has left over: another relay may just have used it.
+func TestResendsInTurns(t *testing.T) {
+	rule := always
+	rule.Rate = 1
+	d := newDesk(t, Safe, rule)
+	gate := &turns{}
+	d.Through(gate)
+	d.keep("a", "b", "c")
+	if got := d.round(time.Minute); got != "" {
+		t.Fatalf("offered %q without a turn", got)
+	}
+	gate.token = 1
+	if got := d.round(gatePause); got != "" {
+		t.Errorf("offered %q at the begin of a turn", got)
+	}
+	if got := d.round(time.Second); got != "a=r1 " {
+		t.Errorf("offered %q a second later", got)
+	}
+	d.returns("r1", true)
+	gate.token = 0
+	if got := d.round(time.Minute); got != "" {
+		t.Errorf("offered %q after the turn", got)
+	}
+	gate.token = 2
+	if got := d.round(time.Minute); got != "" {
+		t.Errorf("offered %q at the begin of the next turn", got)
+	}
+	if got := d.round(time.Second); got != "b=r2 " {
+		t.Errorf("offered %q in the next turn", got)
+	}
+}
