The fleet's export of undelivered messages: slices that count by a ledger under the lease's token

[coordination.export]: relays take turns in adding what they keep to one folder that all see, slice by slice. No file is written by two holders: a slice's name holds the token, its head names the one before, and it counts once it is on the ledger, a value of the coordination service written under the lease's token. frostlinkctl export check and cat read what counts.

TestExport: three relays with 1,200 records each, one of them ended and come again, the leader ended: every record once. TestPausedExporter: a holder whose slice is written when another holds the lease adds nothing; without the service's look at the token it does (planted, seen).

--- a/cmd/frostlinkctl/main.go
+++ b/cmd/frostlinkctl/main.go
@@ -27,6 +27,6 @@
 		Short: "The operator's tool for frostlink relays",
 		Long:  "The operator's tool for frostlink relays.\nExit codes: 0 fine, 1 found something, 2 could not run.",
 	}
-	root.AddCommand(rehearseCommand(), undeliveredCommand(), fleetCommand(), coordCommand(), leaseCommand())
+	root.AddCommand(rehearseCommand(), undeliveredCommand(), fleetCommand(), coordCommand(), leaseCommand(), exportCommand())
 	return tool.Run(ctx, root, args, in, out, errs)
 }
--- /dev/null
+++ b/internal/coord/server/servertest/servertest.go
@@ -0,0 +1,124 @@
+// Package servertest runs members of the coordination service in a test's own process, on real sockets and disks.
+package servertest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"mallowlead/internal/coord"
+	"mallowlead/internal/coord/api"
+	"mallowlead/internal/coord/disk"
+	"mallowlead/internal/coord/replica"
+	"mallowlead/internal/coord/server"
+)
+
+// Within is how long anything may take that takes a second at most on a machine with nothing else to do.
+const Within = 30 * time.Second
+
+// Name is the cluster's.
+const Name = "c"
+
+// Cluster is three members.
+type Cluster struct {
+	Members []coord.Member
+	Caller  *api.Caller
+	t       *testing.T
+	dir     string
+	stops   map[uint64]func()
+}
+
+// New starts three members, and ends them with the test.
+func New(t *testing.T) *Cluster {
+	t.Helper()
+	c := &Cluster{t: t, dir: t.TempDir(), Caller: api.NewCaller(Name), stops: map[uint64]func(){}}
+	listeners := map[uint64]net.Listener{}
+	for id := uint64(1); id <= 3; id++ {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[id] = ln
+		c.Members = append(c.Members, coord.Member{ID: id, Address: ln.Addr().String()})
+	}
+	for _, m := range c.Members {
+		if err := disk.Create(c.folder(m.ID), disk.Identity{Cluster: Name, ID: m.ID, Address: m.Address}, replica.First(Name, c.Members)); err != nil {
+			t.Fatal(err)
+		}
+		c.Start(m.ID, listeners[m.ID])
+	}
+	t.Cleanup(func() {
+		for _, stop := range c.stops {
+			stop()
+		}
+	})
+	return c
+}
+
+func (c *Cluster) folder(id uint64) string { return filepath.Join(c.dir, fmt.Sprint(id)) }
+
+// Start runs a member. Its listener is bound already, or is bound anew at its old address.
+func (c *Cluster) Start(id uint64, ln net.Listener) {
+	c.t.Helper()
+	var err error
+	if ln == nil {
+		if ln, err = net.Listen("tcp", c.Members[id-1].Address); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	node, err := server.New(c.folder(id), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: node.Handler()}
+	ctx, stop := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	work.Go(func() { _ = srv.Serve(ln) })
+	work.Go(func() {
+		if err := node.Run(ctx); err != nil {
+			c.t.Errorf("member %d: %v", id, err)
+		}
+		_ = srv.Close()
+	})
+	c.stops[id] = sync.OnceFunc(func() { stop(); work.Wait() })
+}
+
+// Lead calls the member that leads.
+func (c *Cluster) Lead(path string, r api.Request) (api.Answer, error) {
+	ctx, stop := context.WithTimeout(context.Background(), Within)
+	defer stop()
+	return c.Caller.Lead(ctx, c.Members, path, r)
+}
+
+// Eventually waits for what has to come.
+func Eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Within); !is(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", Within, what)
+		}
+	}
+}
+
+// Leader gives the id of the member that says that it leads, or 0.
+func (c *Cluster) Leader() uint64 {
+	for _, m := range c.Members {
+		ctx, stop := context.WithTimeout(context.Background(), time.Second)
+		s, err := c.Caller.Status(ctx, m.Address)
+		stop()
+		if err == nil && s.Member.Role == "leader" {
+			return m.ID
+		}
+	}
+	return 0
+}
+
+// Stop ends a member.
+func (c *Cluster) Stop(id uint64) { c.stops[id]() }
--- a/internal/lease/client.go
+++ b/internal/lease/client.go
@@ -33,20 +33,27 @@
 	core    *Core
 	open    map[uint64]*Act
 	changed chan struct{} // closed when something may be held that was not, or the other way round
+	puts    map[uint64]chan PutEnd
 	ended   bool
 }
 
 // NewClient makes a client of a cluster's members. A time to live is that of its session.
 func NewClient(name, cluster string, members []coord.Member, ttl, guard time.Duration, log *slog.Logger) *Client {
 	return &Client{caller: api.NewCaller(cluster), members: members, log: log, wake: make(chan struct{}, 1), open: map[uint64]*Act{},
-		changed: make(chan struct{}),
-		core:    New(Config{Name: name, TTL: ttl, Guard: guard, Timeout: min(callWithin, ttl/4), Servers: len(members), Seed: rand.Uint64()})}
+		changed: make(chan struct{}), puts: map[uint64]chan PutEnd{},
+		core: New(Config{Name: name, TTL: ttl, Guard: guard, Timeout: min(callWithin, ttl/4), Servers: len(members), Seed: rand.Uint64()})}
 }
 
 // with does something with the core, and lets Run see to what follows.
 func (c *Client) with(f func(now time.Duration)) {
 	c.mu.Lock()
 	f(boottime.Now())
+	for _, end := range c.core.PutEnds() {
+		if to := c.puts[end.ID]; to != nil {
+			to <- end // has room for it
+			delete(c.puts, end.ID)
+		}
+	}
 	c.mu.Unlock()
 	select {
 	case c.wake <- struct{}{}:
@@ -117,6 +124,38 @@
 	return inTime
 }
 
+// ErrUnknown is the end of a Put of which it is not known whether it was made.
+var ErrUnknown = errors.New("it is not known whether the value is written")
+
+// Put writes a value under a lease, as Core.Put, and waits for what becomes of it.
+func (c *Client) Put(ctx context.Context, lease string, token uint64, key string, value []byte, expect uint64) (coord.Result, error) {
+	end := make(chan PutEnd, 1)
+	c.with(func(time.Duration) { c.puts[c.core.Put(lease, token, key, value, expect)] = end })
+	select {
+	case e := <-end:
+		if e.Lost {
+			return coord.Result{}, ErrUnknown
+		}
+		return e.Result, nil
+	case <-ctx.Done():
+		return coord.Result{}, ErrUnknown
+	}
+}
+
+// Value reads a value as it is at some moment from now on; none has version 0.
+func (c *Client) Value(ctx context.Context, key string) (value []byte, version uint64, err error) {
+	a, err := c.caller.Lead(ctx, c.members, api.PathRead, api.Request{Query: &api.Query{Values: key}})
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, v := range a.Values {
+		if v.Key == key {
+			return v.Value, v.Version, nil
+		}
+	}
+	return nil, 0, nil
+}
+
 // Run keeps the session until its context ends, and gives back what is held then.
 func (c *Client) Run(ctx context.Context) {
 	calls, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -223,3 +262,6 @@
 		}
 	}
 }
+
+// TTL is the time to live of the client's session.
+func (c *Client) TTL() time.Duration { return c.core.cfg.TTL }
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -65,6 +65,19 @@
 	pause  time.Duration // not to be asked for before: an operator took it away
 }
 
+// put is a value to be written.
+type put struct {
+	id      uint64
+	command coord.Command
+}
+
+// PutEnd is what became of a Put. One that was lost may be written or not.
+type PutEnd struct {
+	ID     uint64
+	Result coord.Result
+	Lost   bool
+}
+
 // Core keeps a session and its leases. It is not safe for use by several goroutines.
 type Core struct {
 	cfg  Config
@@ -79,6 +92,9 @@
 	held     map[string]coord.Grant
 	revoked  map[string]uint64
 	want     map[string]*wanted
+	puts     []put    // to be written, the first one next
+	putEnds  []PutEnd // that nobody has asked for yet
+	nextPut  uint64
 	acts     map[uint64]Permit
 	nextAct  uint64
 	calls    map[uint64]call
@@ -109,6 +125,30 @@
 	for _, w := range c.want {
 		w.asked = false
 	}
+	for _, p := range c.puts {
+		c.putEnds = append(c.putEnds, PutEnd{ID: p.id, Lost: true})
+	}
+	c.puts = nil
+}
+
+// Put has a value written under a lease that is held, if it is still held under that token then and the value's version is the
+// one expected. PutEnds tells what became of it.
+func (c *Core) Put(lease string, token uint64, key string, value []byte, expect uint64) (id uint64) {
+	c.nextPut++
+	p := put{c.nextPut, coord.Command{Op: coord.Put, Lease: lease, Token: token, Key: key, Value: value, Expect: expect}}
+	if c.session == 0 {
+		c.putEnds = append(c.putEnds, PutEnd{ID: p.id, Result: coord.Result{Code: coord.NotHeld}})
+		return p.id
+	}
+	c.puts = append(c.puts, p)
+	return p.id
+}
+
+// PutEnds gives what became of Puts, once.
+func (c *Core) PutEnds() []PutEnd {
+	ends := c.putEnds
+	c.putEnds = nil
+	return ends
 }
 
 // Want asks for a lease, and for it again whenever it is lost, until Drop.
@@ -252,7 +292,7 @@
 }
 
 // idle tells that nothing is wanted and nothing left to be given back.
-func (c *Core) idle() bool { return len(c.want)+len(c.held)+len(c.revoked) == 0 }
+func (c *Core) idle() bool { return len(c.want)+len(c.held)+len(c.revoked)+len(c.puts) == 0 }
 
 // effect gives the next command that changes something: what was taken away goes back first, since others wait for it.
 func (c *Core) effect(now time.Duration) *coord.Command {
@@ -272,6 +312,9 @@
 			return release(coord.Command{Op: coord.Release, Lease: name, Token: c.revoked[name], Reason: "revoked"})
 		}
 	}
+	if len(c.puts) > 0 {
+		return numbered(c.puts[0].command)
+	}
 	for _, name := range slices.Sorted(maps.Keys(c.want)) {
 		w := c.want[name]
 		g, held := c.held[name]
@@ -333,6 +376,9 @@
 	c.pending = nil
 	w := c.want[cmd.Lease]
 	switch {
+	case cmd.Op == coord.Put:
+		c.putEnds = append(c.putEnds, PutEnd{ID: c.puts[0].id, Result: r})
+		c.puts = c.puts[1:]
 	case w == nil:
 	case r.Code == coord.Full || r.Code == coord.Invalid:
 		w.pause = now + c.cfg.TTL
--- a/internal/lease/task.go
+++ b/internal/lease/task.go
@@ -33,6 +33,8 @@
 	Reason string // for people
 	Guard  Guard
 	Again  time.Duration // after its end, before the lease is asked for again
+	// Due tells whether there is anything to do; the lease is not asked for else. nil: there always is.
+	Due func(ctx context.Context) bool
 	// Turn does the work while the lease is held; its context ends when it is lost. Each act asks Hold.Act. After a
 	// nil error the lease goes to the next who waits.
 	Turn func(ctx context.Context, h *Hold) error
@@ -65,13 +67,15 @@
 	}
 	defer c.Drop(t.Lease, "")
 	for ctx.Err() == nil {
-		c.Want(t.Lease, t.Reason)
-		token, ok := c.await(ctx, t.Lease)
-		if !ok {
-			break
+		if t.Due == nil || t.Due(ctx) {
+			c.Want(t.Lease, t.Reason)
+			token, ok := c.await(ctx, t.Lease)
+			if !ok {
+				break
+			}
+			c.turn(ctx, t, token)
+			c.Drop(t.Lease, "")
 		}
-		c.turn(ctx, t, token)
-		c.Drop(t.Lease, "")
 		select {
 		case <-time.After(t.Again):
 		case <-ctx.Done():
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mallowlead/internal/journal"
@@ -46,7 +47,8 @@
 	store    *undelivered.Store // nil until it could be opened
 	bounds   *undelivered.Bounds
 	resender *undelivered.Resender
-	gate     undelivered.Gate // of resends; nil: none
+	gate     undelivered.Gate                  // of resends; nil: none
+	shared   atomic.Pointer[undelivered.Store] // once it is open, for those who only read
 	admin    *undelivered.Admin
 	bounded  time.Time      // when the bounds were last kept
 	tools    sync.WaitGroup // goroutines beside it: the clock of the bounds, and what answers the tool
@@ -82,6 +84,14 @@
 	return k
 }
 
+// keptIn gives the store of undelivered messages, or nil while there is none.
+func (l *loop) keptIn() *undelivered.Store {
+	if l.keeper == nil {
+		return nil
+	}
+	return l.keeper.shared.Load()
+}
+
 // reclass has the classes be those of new settings.
 func (k *keeper) reclass(classes []undelivered.Class) {
 	k.set(func() { k.anew = classes })
@@ -243,6 +253,7 @@
 		return err
 	}
 	k.bounds = undelivered.NewBounds(k.store, k.section)
+	k.shared.Store(k.store)
 	k.resender = k.newResender(k.store)
 	k.resender.Through(k.gate)
 	k.resender.Reclass(k.classes)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -173,7 +173,7 @@
 		})
 	}
 	if cfg.Own != nil && cfg.Own.Coordination != nil {
-		if n.fleet, err = tasks.New(cfg.Own.Coordination, cfg.Name); err != nil {
+		if n.fleet, err = tasks.New(cfg.Own.Coordination, cfg.Name, l.keptIn); err != nil {
 			return err
 		}
 		if gate := n.fleet.Resend(); gate != nil && l.keeper != nil {
--- a/internal/tasks/section.go
+++ b/internal/tasks/section.go
@@ -18,6 +18,7 @@
 	GuardMS int      `toml:"guard_ms"`
 	Resend  bool     `toml:"resend"` // the rate of a rule for undelivered messages is the fleet's, not each relay's
 	Beat    *Beat    `toml:"beat"`
+	Export  *Export  `toml:"export"`
 }
 
 // Beat is [coordination.beat]: one relay of the fleet tells a monitor that the fleet lives.
@@ -27,6 +28,20 @@
 	WithinMS int     `toml:"within_ms"` // that the monitor takes for one; 0: DefaultWithin
 }
 
+// Export is [coordination.export]: what all relays keep as undelivered is collected into one folder that all of them see.
+type Export struct {
+	Folder string  `toml:"folder"`
+	EveryS float64 `toml:"every_s"` // between looks for something new; 0: DefaultExport
+}
+
+// Every is the time between looks.
+func (e *Export) Every() time.Duration {
+	if e.EveryS == 0 {
+		return DefaultExport
+	}
+	return time.Duration(e.EveryS * float64(time.Second))
+}
+
 // The defaults.
 const (
 	DefaultTTL   = 3 * time.Second
@@ -34,6 +49,7 @@
 
 	DefaultBeat   = 10 * time.Second
 	DefaultWithin = 500 * time.Millisecond
+	DefaultExport = time.Minute
 )
 
 // TTL is the time to live of a relay's session.
@@ -65,6 +81,14 @@
 	if guard := s.Guard(); guard < 0 || guard > s.TTL()/4 {
 		doc.Bad(at+".guard_ms", "is %d; 0 to a quarter of ttl_ms are wanted", s.GuardMS)
 	}
+	if s.Export != nil {
+		if s.Export.Folder == "" {
+			doc.Bad(at+".export.folder", "is missing")
+		}
+		if s.Export.EveryS < 0 || s.Export.EveryS > 24*3600 {
+			doc.Bad(at+".export.every_s", "is %v; 0 to 86400 are wanted", s.Export.EveryS)
+		}
+	}
 	if s.Beat != nil {
 		s.Beat.check(doc, at+".beat", s.TTL()-s.Guard())
 	}
--- a/internal/tasks/tasks.go
+++ b/internal/tasks/tasks.go
@@ -7,6 +7,7 @@
 
 	"mallowlead/internal/coord/api"
 	"mallowlead/internal/lease"
+	"mallowlead/internal/undelivered"
 )
 
 // Fleet is a relay's part of the fleet's tasks.
@@ -15,15 +16,17 @@
 	relay   string
 	client  *lease.Client
 	resend  *Resend // nil: each relay resends by itself
+	store   func() *undelivered.Store
 }
 
-// New makes a relay's part of the tasks that a section turns on. It begins with Run.
-func New(s *Section, relay string) (*Fleet, error) {
+// New makes a relay's part of the tasks that a section turns on. It begins with Run. store gives the relay's store of
+// undelivered messages, or nil while it has none.
+func New(s *Section, relay string, store func() *undelivered.Store) (*Fleet, error) {
 	members, err := api.ParseMembers(s.Members)
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{section: s, relay: relay, client: lease.NewClient(relay, s.Cluster, members, s.TTL(), s.Guard(), slog.Default())}
+	f := &Fleet{section: s, relay: relay, store: store, client: lease.NewClient(relay, s.Cluster, members, s.TTL(), s.Guard(), slog.Default())}
 	if s.Resend {
 		f.resend = &Resend{client: f.client, turns: NewTurns()}
 	}
@@ -55,5 +58,8 @@
 	if f.section.Beat != nil {
 		list = append(list, beat(f.section.Beat, f.relay))
 	}
+	if f.section.Export != nil {
+		list = append(list, newExport(f.section.Export, f.relay, f.client, f.store).task())
+	}
 	return list
 }
--- a/internal/undelivered/store.go
+++ b/internal/undelivered/store.go
@@ -436,6 +436,24 @@
 	return page, next, damaged, err
 }
 
+// Slice gives up to so many records from a number on, and the number behind the last one that was looked at. What is
+// damaged is passed over.
+func (s *Store) Slice(from uint64, most int) (list []*Record, to uint64, err error) {
+	to = from
+	err = s.view(func(tx *bbolt.Tx) error {
+		records := tx.Bucket(bRecords)
+		c := records.Cursor()
+		for k, _ := c.Seek(key(from)); k != nil && len(list) < most; k, _ = c.Next() {
+			to = binary.BigEndian.Uint64(k) + 1
+			if r, err := read(records, k); err == nil {
+				list = append(list, r)
+			}
+		}
+		return nil
+	})
+	return list, to, err
+}
+
 // Remove takes messages that leave by a bound out of the store, and counts them by class and tenant.
 func (s *Store) Remove(ids []string) error {
 	return s.update(func(tx *bbolt.Tx) error {
