--- /dev/null
+++ b/internal/rehearsal/rig/coordination.go
@@ -0,0 +1,107 @@
+package rig
+
+import (
+	"fmt"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"mallowlead/internal/rehearsal/audit"
+	"mallowlead/internal/rehearsal/faults"
+	"mallowlead/internal/rehearsal/script"
+)
+
+// coordination is the coordination service beside the relays.
+type coordination struct {
+	text    string // what names it in the operator's file
+	members []*faults.Process
+}
+
+// coordCluster is its name.
+const coordCluster = "rehearsal"
+
+// openCoordination starts the members that the script wants. Their program lies beside the relay's.
+func (r *rig) openCoordination() error {
+	if r.s.Coordination.Members == 0 {
+		return nil
+	}
+	program := filepath.Join(filepath.Dir(r.o.Command[0]), "frostlink-coord")
+	var list []string
+	for i := range r.s.Coordination.Members {
+		// Reserved for a moment to learn a free port, as for relays.
+		ln, err := net.Listen("tcp", net.JoinHostPort(net.IPv4(127, 9, byte(i), 1).String(), "0"))
+		if err != nil {
+			return err
+		}
+		list = append(list, fmt.Sprintf("%d=%s", i+1, ln.Addr()))
+		_ = ln.Close()
+	}
+	r.coordination.text = fmt.Sprintf("cluster = %q\nmembers = [\"%s\"]", coordCluster, strings.Join(list, "\", \""))
+	for i := range list {
+		dir := filepath.Join(r.dir, fmt.Sprint("coord-", i+1))
+		args := []string{"init", "--folder", dir, "--cluster", coordCluster, "--id", fmt.Sprint(i + 1)}
+		for _, m := range list {
+			args = append(args, "--member", m)
+		}
+		if out, err := exec.CommandContext(r.ctx, program, args...).CombinedOutput(); err != nil {
+			return fmt.Errorf("%s: %w: %s", program, err, out)
+		}
+		p := faults.NewProcess(filepath.Base(dir), dir+".log", r.launcher, program, "run", "--folder", dir)
+		if err := p.Start(); err != nil {
+			return err
+		}
+		r.coordination.members = append(r.coordination.members, p)
+	}
+	return nil
+}
+
+// Resends are the calls that a partner got for messages under ids of relays' own making.
+type Resends struct {
+	Partner string        `json:"partner"`
+	Calls   int           `json:"calls"`
+	Relays  int           `json:"relays"` // that made them
+	Turns   int           `json:"turns"`  // so often another relay made the next one, and the first
+	Most    int           `json:"most"`   // in any second
+	From    time.Duration `json:"from"`
+	To      time.Duration `json:"to"`
+}
+
+// resends counts them, from what the partners themselves have written down.
+func resends(log []audit.Event, s *script.Script) (list []Resends) {
+	resent := map[string]bool{}
+	by := make([][]audit.Event, len(s.Partners))
+	for _, e := range log {
+		switch {
+		case e.Kind == audit.Resent:
+			resent[e.ID] = true
+		case e.Kind == audit.Called && e.Dest < len(by):
+			by[e.Dest] = append(by[e.Dest], e)
+		}
+	}
+	for dest, calls := range by {
+		calls = slices.DeleteFunc(calls, func(e audit.Event) bool { return !resent[e.ID] })
+		if len(calls) == 0 {
+			continue
+		}
+		slices.SortFunc(calls, func(a, b audit.Event) int { return int(a.First - b.First) })
+		r := Resends{Partner: s.Partners[dest].Name, Calls: len(calls), From: calls[0].First, To: calls[len(calls)-1].First}
+		relays := map[int]bool{}
+		first := 0
+		for i, e := range calls {
+			for e.First-calls[first].First >= time.Second {
+				first++
+			}
+			r.Most = max(r.Most, i-first+1)
+			relays[e.Relay] = true
+			if i == 0 || e.Relay != calls[i-1].Relay {
+				r.Turns++
+			}
+		}
+		r.Relays = len(relays)
+		list = append(list, r)
+	}
+	return list
+}
--- a/internal/rehearsal/rig/rig.go
+++ b/internal/rehearsal/rig/rig.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"mallowlead/internal/rehearsal/audit"
+	"mallowlead/internal/rehearsal/faults"
 	"mallowlead/internal/rehearsal/script"
 	"mallowlead/internal/wait"
 )
@@ -62,6 +63,7 @@
 	Notes                    Datagrams      `json:"datagrams"`
 	Undelivered              map[string]int `json:"undelivered,omitempty"` // messages in the relays' stores, by state
 	Falls                    map[string]int `json:"falls,omitempty"`       // partners pushed over, by whomever
+	Resends                  []Resends      `json:"resends,omitempty"`     // by partner, where there were any
 	Timeline                 []string       `json:"timeline"`
 	PartnerNames, RelayNames []string       `json:"-"`
 }
@@ -79,7 +81,8 @@
 	ctx     context.Context
 
 	*recorder
-	launcher *launcher
+	launcher *faults.Launcher
+	coordination
 	book     *book
 	partners []*live
 	register *register
@@ -159,7 +162,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	r := &rig{s: s, d: script.NewDraws(o.Seed), o: o, dir: dir, recorder: &recorder{start: time.Now()}, launcher: newLauncher()}
+	r := &rig{s: s, d: script.NewDraws(o.Seed), o: o, dir: dir, recorder: &recorder{start: time.Now()}, launcher: faults.NewLauncher()}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	r.ctx = ctx
@@ -223,6 +226,9 @@
 			l.hosts = append(l.hosts, h)
 		}
 	}
+	if err := r.openCoordination(); err != nil {
+		return err
+	}
 	var err error
 	if r.register, err = newRegister(r); err != nil {
 		return err
@@ -305,7 +311,12 @@
 	for _, rel := range r.relays { // one may have been on its way up
 		rel.finish()
 	}
-	close(r.launcher.jobs)
+	for _, p := range r.coordination.members {
+		if err := p.Kill(); err != nil {
+			r.fault("%v", err)
+		}
+	}
+	r.launcher.Close()
 }
 
 // figures are what the auditor judges by.
@@ -357,6 +368,7 @@
 		}
 		l.mu.Unlock()
 	}
+	res.Resends = resends(log, r.s)
 	if r.s.Relay.Operator == "" {
 		return res, nil
 	}
--- a/internal/rehearsal/rig/table.go
+++ b/internal/rehearsal/rig/table.go
@@ -58,6 +58,10 @@
 		}
 		fmt.Fprintln(out)
 	}
+	for _, p := range r.Resends {
+		fmt.Fprintf(out, "resent %s: %d calls by %d relays in %d turns, from %.1f to %.1f s, at most %d in any second\n", p.Partner, p.Calls, p.Relays,
+			p.Turns, p.From.Seconds(), p.To.Seconds(), p.Most)
+	}
 	if r.Notes.Sent > 0 {
 		fmt.Fprintf(out, "notes  %d datagrams of %d bytes in all, %d lost, %d halved\n", r.Notes.Sent, r.Notes.Bytes, r.Notes.Lost, r.Notes.Halved)
 	}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -23,6 +23,9 @@
 	Relays  int     `toml:"relays,required"`
 	Seed    int64   `toml:"seed"`
 
+	// Coordination is the service by which relays agree on the fleet's tasks.
+	Coordination Coordination `toml:"coordination"`
+
 	Relay    Relay     `toml:"relay"`
 	Limits   Limits    `toml:"limits"`
 	Rules    Rules     `toml:"rules"`
@@ -58,6 +61,12 @@
 	Backlog int `toml:"backlog"`
 }
 
+// Coordination is how many members the coordination service has; 0: there is none. {coordination} in the operator's text stands for
+// the two lines that name it.
+type Coordination struct {
+	Members int `toml:"members"`
+}
+
 // Limits are the platform's allowances.
 type Limits struct {
 	Attempts       int     `toml:"attempts"`
