--- a/internal/coord/api/api.go
+++ b/internal/coord/api/api.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -59,6 +60,7 @@
 type Answer struct {
 	Error   string         `json:"error,omitempty"`
 	Leader  uint64         `json:"leader,omitempty"`  // with a status of 421: the member to call instead, if one is known
+	Address string         `json:"address,omitempty"` // and where it is
 	Result  *coord.Result  `json:"result,omitempty"`  // of a command
 	Hint    bool           `json:"hint,omitempty"`    // of a wait
 	Leases  []coord.Lease  `json:"leases,omitempty"`  // of a query, and the rest
@@ -199,6 +201,16 @@
 	return list, nil
 }
 
+// Learn adds the member that an answer names as the one that leads, where it is not known yet: it has joined since the list was
+// written. One that is known keeps its address: the list may name another way to it.
+func Learn(members []coord.Member, a Answer) []coord.Member {
+	known := func(m coord.Member) bool { return m.ID == a.Leader }
+	if a.Leader == 0 || a.Address == "" || len(members) >= 4*coord.MostMembers || slices.ContainsFunc(members, known) {
+		return members
+	}
+	return append(slices.Clone(members), coord.Member{ID: a.Leader, Address: a.Address})
+}
+
 // ErrNoLeader is the end of a call to a cluster of which no member was found to lead.
 var ErrNoLeader = errors.New("no member leads, or none that leads can be reached")
 
@@ -215,6 +227,9 @@
 			return a, err
 		}
 		last = fmt.Errorf("member %d: %w", m.ID, err)
+		if errors.Is(err, ErrNotLeader) {
+			members = Learn(members, a)
+		}
 		for i, other := range members {
 			if errors.Is(err, ErrNotLeader) && other.ID == a.Leader {
 				turn = i - 1
--- a/internal/coord/server/http.go
+++ b/internal/coord/server/http.go
@@ -60,13 +60,18 @@
 
 // notLeader names who leads, if it is known.
 func (n *Node) notLeader(ctx context.Context, w http.ResponseWriter) {
-	var leader uint64
+	a := api.Answer{Error: "this member does not lead"}
 	n.do(ctx, func() {
 		if leads, id := n.core.Leading(); !leads {
-			leader = id
+			a.Leader = id
+		}
+		for _, m := range n.core.State().Members() {
+			if m.ID == a.Leader {
+				a.Address = m.Address
+			}
 		}
 	})
-	reply(w, http.StatusMisdirectedRequest, api.Answer{Error: "this member does not lead", Leader: leader})
+	reply(w, http.StatusMisdirectedRequest, a)
 }
 
 func (n *Node) command(w http.ResponseWriter, r *http.Request) {
--- a/internal/lease/client.go
+++ b/internal/lease/client.go
@@ -24,13 +24,13 @@
 
 // Client keeps a Core by calling the service. Its methods may be called from any goroutine.
 type Client struct {
-	caller  *api.Caller
-	members []coord.Member
-	log     *slog.Logger
-	wake    chan struct{}
+	caller *api.Caller
+	log    *slog.Logger
+	wake   chan struct{}
 
 	mu      sync.Mutex
 	core    *Core
+	members []coord.Member
 	open    map[uint64]*Act
 	changed chan struct{} // closed when something may be held that was not, or the other way round
 	puts    map[uint64]chan PutEnd
@@ -144,7 +144,10 @@
 
 // Value reads a value as it is at some moment from now on; none has version 0.
 func (c *Client) Value(ctx context.Context, key string) (value []byte, version uint64, err error) {
-	a, err := c.caller.Lead(ctx, c.members, api.PathRead, api.Request{Query: &api.Query{Values: key}})
+	c.mu.Lock()
+	members := c.members
+	c.mu.Unlock()
+	a, err := c.caller.Lead(ctx, members, api.PathRead, api.Request{Query: &api.Query{Values: key}})
 	if err != nil {
 		return nil, 0, err
 	}
@@ -201,7 +204,8 @@
 	}
 	calls, wake := c.core.Next(now)
 	for _, call := range calls {
-		work.Go(func() { c.call(ctx, call) })
+		at := c.members[call.Server].Address
+		work.Go(func() { c.call(ctx, call, at) })
 	}
 	if len(c.core.acts) == 0 && c.core.trusted > now {
 		wake = min(wake, c.core.trusted) // what is held ends then, and its task is to know
@@ -211,10 +215,10 @@
 	return max(wake-now, time.Millisecond), c.core.idle() && c.core.session == 0
 }
 
-func (c *Client) call(ctx context.Context, call Call) {
+func (c *Client) call(ctx context.Context, call Call, at string) {
 	within, stop := context.WithTimeout(ctx, c.core.cfg.Timeout)
 	defer stop()
-	answer, err := c.caller.Post(within, c.members[call.Server].Address, api.PathCommand, api.Request{Command: &call.Command})
+	answer, err := c.caller.Post(within, at, api.PathCommand, api.Request{Command: &call.Command})
 	if errors.Is(err, api.ErrRefused) {
 		c.log.Warn("the coordination service refuses", "why", err)
 	}
@@ -223,6 +227,8 @@
 			c.core.Answered(now, call.ID, *answer.Result)
 			return
 		}
+		c.members = api.Learn(c.members, answer)
+		c.core.Extend(len(c.members))
 		c.core.Failed(now, call.ID, c.number(answer.Leader))
 	})
 }
@@ -241,7 +247,10 @@
 func (c *Client) hints(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.mu.Lock()
-		session, server, changed := c.core.session, c.core.server, c.changed
+		session, changed, at := c.core.session, c.changed, ""
+		if session != 0 {
+			at = c.members[c.core.server].Address
+		}
 		c.mu.Unlock()
 		if session == 0 {
 			select {
@@ -250,7 +259,7 @@
 			}
 			continue
 		}
-		answer, err := c.caller.Post(ctx, c.members[server].Address, api.PathWait, api.Request{Wait: &api.Wait{Session: session}})
+		answer, err := c.caller.Post(ctx, at, api.PathWait, api.Request{Wait: &api.Wait{Session: session}})
 		if err == nil && answer.Hint {
 			c.with(c.core.Hint)
 		}
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -419,6 +419,9 @@
 // Hint tells that something became of what this process holds or waits for. It is only a hint: a renewal asks.
 func (c *Core) Hint(now time.Duration) { c.hinted, c.renewAt = true, min(c.renewAt, now) }
 
+// Extend has further servers be called: a member joined.
+func (c *Core) Extend(servers int) { c.cfg.Servers = max(c.cfg.Servers, servers) }
+
 // Failed reports a call without an answer, or with word that the server does not lead: leader is the one to call
 // instead, or -1. The command may have been applied.
 func (c *Core) Failed(now time.Duration, id uint64, leader int) {
--- a/internal/lease/task.go
+++ b/internal/lease/task.go
@@ -73,7 +73,13 @@
 			if !ok {
 				break
 			}
+			c.log.Info("a fleet task begins", "lease", t.Lease, "token", token)
 			c.turn(ctx, t, token)
+			if g, ok := c.Grant(t.Lease); !ok || g.Token != token {
+				c.log.Warn("a fleet task stopped: its lease was lost", "lease", t.Lease, "token", token)
+			} else {
+				c.log.Info("a fleet task ends its turn", "lease", t.Lease, "token", token)
+			}
 			c.Drop(t.Lease, "")
 		}
 		select {
--- a/internal/rehearsal/quorum/clients.go
+++ b/internal/rehearsal/quorum/clients.go
@@ -189,6 +189,7 @@
 				c.core.Answered(now, call.ID, r.result)
 				c.heard(command, r.result, sent)
 			} else {
+				c.core.Extend(r.leader + 1) // who leads is told with its address
 				c.core.Failed(now, call.ID, r.leader)
 			}
 			c.step()
--- a/internal/rehearsal/quorum/run.go
+++ b/internal/rehearsal/quorum/run.go
@@ -24,6 +24,7 @@
 	snapshotEvery uint64
 	keepEntries   uint64
 	calm          bool
+	replaced      bool // the member that was to be
 	clocks        bool // a run about clocks: clients are cut off, and little else
 
 	acts    []*act
@@ -142,7 +143,7 @@
 	for _, m := range r.members {
 		m.busy = min(m.busy, w.now)
 		m.full, m.slow = false, 2*time.Millisecond
-		m.start()
+		w.after(0, nil, m.start)
 	}
 	for _, c := range r.clients {
 		c.busy = min(c.busy, w.now)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,7 @@
 	book       *management.Book
 	door       *door
 	fleet      *tasks.Fleet // its part of the fleet's tasks; nil: it has none
+	endTasks   func()       // gives back what of them it holds; nil: it has none
 	live       context.Context
 	stop       context.CancelFunc
 	work       sync.WaitGroup
@@ -201,7 +202,9 @@
 		n.work.Go(func() { l.keeper.run(n.live) })
 	}
 	if n.fleet != nil {
-		n.work.Go(func() { n.fleet.Run(n.live) })
+		var ctx context.Context
+		ctx, n.endTasks = context.WithCancel(n.live)
+		n.work.Go(func() { n.fleet.Run(ctx) })
 	}
 	go func() { n.served <- n.srv.Serve(n.listener) }()
 }
@@ -211,6 +214,9 @@
 func (n *node) drain() {
 	l := n.l
 	begun := time.Now()
+	if n.endTasks != nil { // others need not wait for their leases to run out, nor the end of this relay for their giving back
+		n.endTasks()
+	}
 	until := func(stage time.Duration) time.Duration { return time.Until(begun.Add(stage)) }
 	l.trace.Note(l.now(), trace.Event{Kind: trace.Stop})
 	l.stance.End()
