--- a/internal/coord/replica/core.go
+++ b/internal/coord/replica/core.go
@@ -164,9 +164,6 @@
 	return nil
 }
 
-// Err is why this member must not go on, or nil.
-func (c *Core) Err() error { return c.failed }
-
 // State is the state machine, as far as it is applied. It may be read between calls, not kept.
 func (c *Core) State() *coord.Machine { return c.machine }
 
--- a/internal/rehearsal/faults/process.go
+++ b/internal/rehearsal/faults/process.go
@@ -98,13 +98,6 @@
 	return nil
 }
 
-// Life is which of its lives the process is in, or was in last.
-func (p *Process) Life() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lives
-}
-
 // signal sends a signal, where the process runs.
 func (p *Process) signal(sig syscall.Signal) {
 	if p.cmd != nil {
