Waits longer than a message lives are heeded, and answers in the instant of a time-out read

Wrong: classify in internal/hosts/http1/http1.go, which cut a wait to the longest deadline of a class, "since no message lives longer": the ones that come later are held back as well. The test of an absurd wait (1e18 ms) asks for that bound in place of the old one: it is as strict, the old bound was the fault.

Beside it, found by reading: a read past its deadline does not look whether bytes are there (internal/poll), so an answer that came in the same instant as its call's time-out or cancel was lost, with the wait it may tell. Now the socket is looked at, and an answer that has begun gets 100 ms to its end.

--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -16,7 +16,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +36,11 @@
 	maxAnswer, maxBodyIn = 128 << 10, 64 << 10
 	// mostInterim 1xx answers may come ahead of the real one.
 	mostInterim = 8
+	// mostWait is the longest wait that a host is taken at its word for: what is longer fits no clock.
+	mostWait = 24 * time.Hour
+	// lastLook is how long an answer that has begun may still take to its end once its call's time is up: what a host has
+	// written counts, also a wait that it tells. A final answer may be half a second late.
+	lastLook = 100 * time.Millisecond
 	// maxLimit is the highest limit, in calls a second, that a report is believed to tell, and maxLeft the
 	// highest share of it that is left: reports are noisy.
 	maxLimit, maxLeft = 1e6, 2
@@ -49,8 +53,7 @@
 type Pool struct {
 	dialer net.Dialer
 	keep   time.Duration
-	room   int          // connections at most, idle or with a call out; no fewer than calls out at once
-	most   atomic.Int64 // nanoseconds: the longest wait that is believed, since no message lives longer
+	room   int // connections at most, idle or with a call out; no fewer than calls out at once
 	// Written, where set, hears of each request whose last byte was written. Set before the first call.
 	Written func()
 
@@ -77,20 +80,35 @@
 	limit *io.LimitedReader // what may still be read for the call
 	in    *bufio.Reader     // reads from limit
 	since time.Time         // idle since
+
+	mu    sync.Mutex
+	begun bool // its answer has: the end of the call's time does not interrupt that
+}
+
+// setBegun says whether the answer to a call has begun.
+func (c *conn) setBegun(is bool) {
+	c.mu.Lock()
+	c.begun = is
+	c.mu.Unlock()
+}
+
+// interrupt ends the reading and writing of a call, unless its answer has begun.
+func (c *conn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.begun {
+		_ = c.SetDeadline(socket.Past)
+	}
 }
 
 // New has room for so many connections, and keeps idle ones for less than hostIdle.
-func New(connect, hostIdle, most time.Duration, room int) *Pool {
+func New(connect, hostIdle time.Duration, room int) *Pool {
 	p := &Pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[hosts.Target]*shelf{},
 		keep: time.Duration(idleShare * float64(hostIdle)), out: map[*conn]bool{}}
-	p.Believe(most)
 	p.dials, p.freeze = context.WithCancel(context.Background())
 	return p
 }
 
-// Believe sets the longest wait that is believed when a host tells one: no message lives longer.
-func (p *Pool) Believe(most time.Duration) { p.most.Store(int64(most)) }
-
 // Call makes one call. When it returns, the call is off the wire: answered, or its connection closed.
 func (p *Pool) Call(ctx context.Context, r hosts.Request) hosts.Result {
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
@@ -126,7 +144,8 @@
 		p.put(r.Target, c, true)
 		return hosts.Result{Outcome: policy.Ignored}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(socket.Past) })
+	c.setBegun(false)
+	stop := context.AfterFunc(ctx, c.interrupt)
 	res, reuse := p.exchange(ctx, c, r, write)
 	reuse = stop() && reuse
 	p.disengage(c, res.Parked != nil)
@@ -169,12 +188,15 @@
 	}
 	var resp *http.Response
 	ok := false
-	if err == nil {
+	// Guards against an answer that came in the same instant as the end of its call: a read past its deadline does not look,
+	// and the message would be sent again, or within a wait that was told.
+	if err == nil || ctx.Err() != nil && c.has() {
+		c.setBegun(true)
 		resp, ok, err = c.answer(ctx)
 	}
 	switch {
 	case err == nil:
-		res = p.classify(resp)
+		res = classify(resp)
 	case ok:
 		// The first line said so, and it is true whatever came after it.
 		return hosts.Result{Outcome: policy.OK, Over: true}, false
@@ -212,11 +234,16 @@
 // answer reads the whole answer to a request, once its first byte has come, past any interim ones: a status is not believed before that,
 // since a spoilt answer's request has run. ok tells that the first line says 200, which is true all the same.
 func (c *conn) answer(ctx context.Context) (resp *http.Response, ok bool, err error) {
-	_ = c.SetReadDeadline(time.Now().Add(answerTime))
+	now := time.Now()
+	until := now.Add(answerTime)
+	switch end, bounded := ctx.Deadline(); {
+	case ctx.Err() != nil:
+		until = now.Add(lastLook)
+	case bounded && end.Add(lastLook).Before(until):
+		until = end.Add(lastLook)
+	}
+	_ = c.SetReadDeadline(until)
 	for range mostInterim + 1 {
-		if ctx.Err() != nil { // its deadline was overwritten
-			return nil, ok, ctx.Err()
-		}
 		if line, _ := c.in.Peek(len("HTTP/1.1 200 ")); saysOK(line) {
 			ok = true
 			_ = c.SetReadDeadline(time.Now().Add(drainTime))
@@ -251,7 +278,7 @@
 }
 
 // classify reads an outcome from an answer, as the protocol has them.
-func (p *Pool) classify(resp *http.Response) hosts.Result {
+func classify(resp *http.Response) hosts.Result {
 	res := hosts.Result{Outcome: policy.Failed}
 	if loads := resp.Header["Server-Load"]; len(loads) == 1 {
 		res.Report = parseReport(loads[0])
@@ -262,7 +289,8 @@
 	case http.StatusTooManyRequests:
 		res.Outcome = policy.QueueFull
 		if ms, err := strconv.ParseFloat(resp.Header.Get("X-Retry-In-Ms"), 64); err == nil && ms > 0 {
-			res.Wait = time.Duration(min(ms, float64(time.Duration(p.most.Load()).Milliseconds())) * float64(time.Millisecond))
+			// Guards against a wait that is cut to the life of a message: those that come later are held back as well.
+			res.Wait = time.Duration(min(ms, float64(mostWait.Milliseconds())) * float64(time.Millisecond))
 		}
 	case http.StatusServiceUnavailable:
 		res.Outcome = policy.QueueFull
@@ -416,6 +444,16 @@
 	}
 }
 
+// has tells whether a connection has something to read.
+func (c *conn) has() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	n, err := socket.Peek(sc)
+	return err == nil && n > 0
+}
+
 // up tells whether an idle connection is open and has nothing to read: a host may close one at any time, and
 // a request written after that would end as a reset, which may have run.
 func (c *conn) up() bool {
--- a/internal/hosts/http1/http1_test.go
+++ b/internal/hosts/http1/http1_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-func testPool() *Pool { return New(time.Second, 10*time.Second, 12*time.Second, 4) }
+func testPool() *Pool { return New(time.Second, 10*time.Second, 4) }
 
 func testCall(addr string) hosts.Request {
 	return hosts.Request{Target: hosts.Target{Host: "h", Addr: addr}, ID: "m1", Key: "k1", Body: []byte("a\x00b"), Timeout: waittest.Long}
@@ -94,6 +94,9 @@
 		{"error", reply("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), hosts.Result{Outcome: policy.Failed}},
 		{"told to wait", reply("HTTP/1.1 429 No\r\nX-Retry-In-Ms: 250\r\nContent-Length: 0\r\n\r\n"),
 			hosts.Result{Outcome: policy.QueueFull, Wait: 250 * time.Millisecond}},
+		// Before, a wait was cut to the life of a message, and what came after that was sent within it.
+		{"told to wait for long", reply("HTTP/1.1 429 No\r\nX-Retry-In-Ms: 3600000\r\nContent-Length: 0\r\n\r\n"),
+			hosts.Result{Outcome: policy.QueueFull, Wait: time.Hour}},
 		{"turned away", reply("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), hosts.Result{Outcome: policy.QueueFull}},
 		{"no slot", reply("HTTP/1.1 503 No\r\nX-No-Slot: 1\r\nContent-Length: 0\r\n\r\n"), hosts.Result{Outcome: policy.Ignored}},
 		{"attempts spent", reply("HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n"), hosts.Result{Outcome: policy.Ignored, Spent: true}},
@@ -145,7 +148,7 @@
 		{"a good answer and a copy", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 			hosts.Result{Outcome: policy.OK, Over: true, Doubtful: true}},
 		{"interim ones and an absurd wait", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n" + wait +
-			"Content-Length: 0\r\n\r\n", hosts.Result{Outcome: policy.QueueFull, Wait: 12 * time.Second}},
+			"Content-Length: 0\r\n\r\n", hosts.Result{Outcome: policy.QueueFull, Wait: mostWait}},
 		{"interim ones without end", strings.Repeat("HTTP/1.1 103 Hints\r\n\r\n", 100), reset},
 	}
 	for _, tt := range tests {
@@ -333,7 +336,7 @@
 // Connections to hosts stay within their room, idle ones and those with a call out together: the one that was
 // used longest ago makes room.
 func TestPoolBounds(t *testing.T) {
-	p := New(time.Second, 10*time.Second, time.Second, 2)
+	p := New(time.Second, 10*time.Second, 2)
 	var addrs []string
 	for range 3 {
 		addrs = append(addrs, rawHost(t, answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")))
--- /dev/null
+++ b/internal/hosts/http1/instant_test.go
@@ -0,0 +1,77 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"mallowlead/internal/hosts"
+	"mallowlead/internal/wait/waittest"
+	"mallowlead/policy"
+)
+
+// lateReader is a connection that is read only once its deadline has been set: as where a process got no turn between the
+// answer and the end of the call's time.
+type lateReader struct {
+	*net.TCPConn
+	once sync.Once
+	set  chan bool
+}
+
+func (c *lateReader) SetDeadline(t time.Time) error {
+	err := c.TCPConn.SetDeadline(t)
+	c.once.Do(func() { close(c.set) })
+	return err
+}
+
+func (c *lateReader) Read(b []byte) (int, error) {
+	<-c.set
+	return c.TCPConn.Read(b)
+}
+
+// An answer that is there when the time of its call is up, or the call is called off, counts: it says that the message was
+// delivered, or for how long to wait. Before, the call was taken for one without an answer, and the wait went unheard.
+func TestAnswerInTheInstantOfTheEnd(t *testing.T) {
+	for _, tt := range []struct {
+		name, text string
+		want       hosts.Result
+	}{
+		{"delivered", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", hosts.Result{Outcome: policy.OK, Over: true}},
+		{"told to wait", "HTTP/1.1 429 No\r\nX-Retry-In-Ms: 900\r\nContent-Length: 0\r\n\r\n",
+			hosts.Result{Outcome: policy.QueueFull, Wait: 900 * time.Millisecond}},
+		{"delivered, and no end of it", "HTTP/1.1 200 OK\r\nContent-", hosts.Result{Outcome: policy.OK, Over: true}},
+		{"nothing", "", hosts.Result{Outcome: policy.Canceled}},
+		{"less than a first line", "HTTP/1.1 4", hosts.Result{Outcome: policy.Canceled}},
+	} {
+		written := make(chan bool)
+		addr := rawHost(t, func(c net.Conn) {
+			in := bufio.NewReader(c)
+			if _, err := readCall(in); err == nil {
+				_, _ = io.WriteString(c, tt.text)
+				close(written)
+				_, _ = in.ReadByte() // until the caller closes
+			}
+		})
+		raw, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := testPool()
+		r := testCall(addr)
+		ctx, cancel := context.WithCancel(t.Context())
+		got := make(chan hosts.Result)
+		go func() {
+			p.count++
+			got <- p.carry(ctx, newConn(&lateReader{TCPConn: raw.(*net.TCPConn), set: make(chan bool)}, &shelf{}), r, true)
+		}()
+		waittest.Receive(t, written)
+		cancel()
+		if res := waittest.Receive(t, got); res != tt.want {
+			t.Errorf("%s: %+v, want %+v", tt.name, res, tt.want)
+		}
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -328,7 +328,6 @@
 		l.book.Know(name)
 	}
 	l.events = append(l.events, policy.Retuned{Settings: next.policy})
-	l.pool.Believe(next.longest())
 	l.recheck(next.clientCheck())
 	if l.keeper != nil {
 		l.keeper.reclass(next.ResendClasses(next.Own.Undelivered))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -155,8 +155,7 @@
 	l := &loop{cfg: cfg, d: d, journal: kept, inbox: make(chan any, inboxSize), start: time.Now(), calls: n.live,
 		book: n.book, stance: n.stance, parked: map[string]*net.TCPConn{},
 		messages: map[string]*message{}, hosts: map[string]discovery.Member{}, dests: map[int]bool{},
-		pool: http1.New(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.longest(),
-			cfg.hostRoom())}
+		pool: http1.New(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.hostRoom())}
 	l.pool.Written = func() { l.book.Calls.Add(1) }
 	l.watch = discovery.NewWatcher(cfg.Discovery, func(m discovery.Members, from string) { l.put(told{m, from}) },
 		func(lines int) { l.put(watchEnded{lines}) })
