Classes in order are kept in order on sockets, through notices and kills

Wrong: clients.Check.Message does not read the key; loop.restore, loop.arrive and loop.resend hand Arrived on without one. Now the key is read (two values: 400, as which one holds can't be told), journalled (a field that earlier programs pass over), kept with undelivered messages, and given to the module, also after a restart. With it an end that is decided is not yet known: the next of a key could overtake the notice of the one before. The module waits for Settled where Settings.Settles says so; the relay tells it when the notice is received or the answer handed over.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -26,6 +26,8 @@
 	maxTimeout = 24 * time.Hour
 	// MaxName bounds an id or a key that a client sends.
 	MaxName = 256
+	// itemCookie is the cookie that holds the key of a message whose class keeps its order.
+	itemCookie = "subject"
 )
 
 // envelope finds the destination in the X-Envelope header.
@@ -120,16 +122,37 @@
 	if err != nil || !(left > 0 && left <= maxTimeout.Seconds()) {
 		return nil, http.StatusBadRequest, fmt.Errorf("time-out %q", value["Request-Timeout"])
 	}
+	item, err := itemOf(r, class)
+	if err != nil {
+		return nil, http.StatusBadRequest, err
+	}
 	// The client counts from when it sent; no class gives a message more than its deadline.
 	expires := now.Add(settings.Seconds(min(left, class.Deadline.Seconds())))
 	retry, err := one(r.Header, "Client-Retry")
 	if err != nil {
 		retry = "" // it is for the trace, and turns nobody away
 	}
-	return &Arrival{Verdict: make(chan Verdict, 1), Retry: retry, Entry: &journal.Entry{ID: id, Class: name, Dest: no, Key: key,
+	return &Arrival{Verdict: make(chan Verdict, 1), Retry: retry, Entry: &journal.Entry{ID: id, Class: name, Dest: no, Key: key, Item: item,
 		Tenant: value["Tenant"], Taken: now, Expires: expires}}, 0, nil
 }
 
+// itemOf gives what a message of a class in order is about: messages with one item take turns. Empty: it is free of order.
+func itemOf(r *http.Request, class *policy.Class) (string, error) {
+	if !class.Ordered {
+		return "", nil
+	}
+	switch found := r.CookiesNamed(itemCookie); {
+	case len(found) == 0:
+		return "", nil
+	case len(found) > 1: // which one it takes turns by can't be told
+		return "", fmt.Errorf("cookie %s: %d values", itemCookie, len(found))
+	case len(found[0].Value) > MaxName:
+		return "", fmt.Errorf("cookie %s: too long", itemCookie)
+	default:
+		return found[0].Value, nil
+	}
+}
+
 // About reads what a message is about. One of which that can't be told is served as any other; while it may have been
 // delivered, no older one of its class and partner is resent.
 func (c *Check) About(e *journal.Entry, h http.Header) {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -42,13 +42,15 @@
 
 // Entry is a message that was taken on and has not come to its end.
 type Entry struct {
-	ID      string    `json:"id"`
-	Class   string    `json:"class,omitempty"`
-	Dest    int       `json:"dest,omitempty"`
-	Tenant  string    `json:"tenant,omitempty"` // where undelivered messages are kept
-	Taken   time.Time `json:"taken,omitzero"`   // the same
-	Resend  bool      `json:"resend,omitempty"` // from the store of undelivered messages: its end goes there, not to the platform
-	Key     string    `json:"key,omitempty"`
+	ID     string    `json:"id"`
+	Class  string    `json:"class,omitempty"`
+	Dest   int       `json:"dest,omitempty"`
+	Tenant string    `json:"tenant,omitempty"` // where undelivered messages are kept
+	Taken  time.Time `json:"taken,omitzero"`   // the same
+	Resend bool      `json:"resend,omitempty"` // from the store of undelivered messages: its end goes there, not to the platform
+	Key    string    `json:"key,omitempty"`
+	// Item is what messages of a class in order take turns by; empty: it is free of order, or an earlier program took it on.
+	Item    string    `json:"item,omitempty"`
 	Expires time.Time `json:"expires,omitzero"`
 	// Terms is the number of the terms of its class as it was taken on, in this journal; 0: an earlier program took it
 	// on, and it is under the settings'.
@@ -242,7 +244,7 @@
 
 // need is the room that an entry takes up, with its later records.
 func (j *Journal) need(e *Entry) int {
-	n := len(e.Body) + 4*len(e.ID) + len(e.Key) + len(e.Tenant) + attemptsRoom
+	n := len(e.Body) + 4*len(e.ID) + len(e.Key) + len(e.Item) + len(e.Tenant) + attemptsRoom
 	if j.detailed {
 		n += detailRoom
 	}
--- a/internal/relay/arrive.go
+++ b/internal/relay/arrive.go
@@ -29,9 +29,9 @@
 		switch {
 		case len(m.verdicts) > 0: // in this batch: the same answer, once it is recorded
 			m.verdicts = append(m.verdicts, a.Verdict)
-		case m.over && !m.Delivered:
-			l.answerAgain(a, http.StatusServiceUnavailable)
 		default:
+			// Also where its end is decided and only the platform is still to hear of it: it was taken on under this id, and
+			// ends once. A refusal would say that it never ran, which is not known of one that may have.
 			l.answerAgain(a, http.StatusAccepted)
 		}
 		return
@@ -58,7 +58,7 @@
 	m := &message{Entry: a.Entry, verdicts: []chan clients.Verdict{a.Verdict}, retry: a.Retry}
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
-	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest,
+	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest, Key: m.Item,
 		Left: l.clock(m.Expires) - l.now()})
 }
 
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -206,11 +206,25 @@
 			return fmt.Errorf("settings: categories[%d].name: %q can't be the first part of a path", i, name)
 		}
 	}
-	c.policy.Slots = min(c.policy.Slots, c.hostRoom()) // a call needs a connection
-	_, err = policy.New(c.policy, c.seed)              // its own check of the settings
+	c.overSockets()
+	_, err = policy.New(c.policy, c.seed) // its own check of the settings
 	return err
 }
 
+// overSockets has the module know what differs from the simulator's wire on sockets.
+func (c *Config) overSockets() {
+	c.policy.Slots = min(c.policy.Slots, c.hostRoom()) // a call needs a connection
+	// A list that the platform pushes comes on a watch as well: what its agent has counts as told whether or not one is open.
+	c.policy.Subscribe = true
+	c.policy.Settles = true // a notice is posted, and an answer written, after it is decided on
+	for i := range c.policy.Kinds {
+		c.policy.Kinds[i].Bundle = 1 // a call carries one message
+	}
+}
+
+// pushed tells whether each relay has a list of its own to ask, that its platform's agent keeps, and no discovery that all share.
+func (c *Config) pushed() bool { return c.Settings.Discovery == "automatic" }
+
 // lacks names the first key that a running configuration has and a new one does not: a file of which a part was lost
 // can still be JSON, and what is missing would count as 0. Lists are held against the keys that all their elements
 // share. The list of hosts is not looked at: it may be empty.
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -10,9 +10,9 @@
 )
 
 // hostLine is a change of one host, as a watch tells it.
-func hostLine(t *testing.T, seq int64, m discovery.Member) string {
+func hostLine(t *testing.T, seq int64, hosts ...discovery.Member) string {
 	t.Helper()
-	line, err := json.Marshal(discovery.Members{Seq: seq, Hosts: []discovery.Member{m}})
+	line, err := json.Marshal(discovery.Members{Seq: seq, Hosts: hosts})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -481,7 +481,7 @@
 
 // record makes the store's record of a message that is over.
 func (l *loop) record(m *message, life undelivered.Life) undelivered.Kept {
-	return undelivered.Kept{Record: undelivered.Record{ID: m.ID, Class: m.Class, Tenant: m.Tenant, Partner: m.Dest, Key: m.Key,
+	return undelivered.Kept{Record: undelivered.Record{ID: m.ID, Class: m.Class, Tenant: m.Tenant, Partner: m.Dest, Key: m.Key, Item: m.Item,
 		Subject: m.Subject, Order: m.Order, Lives: []undelivered.Life{life}, State: undelivered.Held, Since: life.Over, Due: life.Over},
 		Body: m.Body}
 }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -127,17 +127,27 @@
 // put hands the loop an event.
 func (l *loop) put(e any) { l.inbox <- e }
 
+// lastList is the newest list that this relay, or its platform for it, is known to have had.
+func (l *loop) lastList() discovery.Members {
+	list := l.cfg.Known
+	told, from := l.journal.Listed()
+	switch {
+	case told == nil:
+	case from != l.cfg.Discovery: // versions are one discovery's own: nothing tells which is newer
+		list = *told
+		list.Seq = 0
+	case told.Seq >= list.Seq:
+		// The configuration's list may be older than what an earlier process was told: a host that drains gets nothing new
+		// from this one either. It may be newer as well, since the platform goes on listening while no process runs.
+		list = *told
+	}
+	return list
+}
+
 // restore takes up what the journal holds, and the list that the configuration gives; from is what another process has
 // handed over beside the journal, or nil.
 func (l *loop) restore(from *inheritance) {
-	list := l.cfg.Known
-	if told, from := l.journal.Listed(); told != nil {
-		// The configuration's list may be older than what an earlier process was told: a host that drains
-		// gets nothing new from this one either. Versions are one discovery's own.
-		if list = *told; from != l.cfg.Discovery {
-			list.Seq = 0
-		}
-	}
+	list := l.lastList()
 	list.Whole = true
 	l.note(trace.Event{Kind: trace.Start, Relay: l.cfg.Name, Count: l.cfg.Settings.NInstances})
 	l.told(list)
@@ -170,7 +180,7 @@
 			continue
 		}
 		l.taken(m)
-		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true, Background: e.Resend, Terms: l.journal.Terms(e),
+		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Key: e.Item, Resumed: true, Background: e.Resend, Terms: l.journal.Terms(e),
 			Left: l.clock(e.Expires) - l.now()}
 		for _, t := range e.Attempts {
 			// An attempt that was out when the process ended may have run.
@@ -255,6 +265,7 @@
 		for _, id := range e.ids {
 			if m := l.messages[id]; m != nil {
 				l.note(trace.Event{Kind: trace.Notice, ID: id, Class: m.Class, Dest: m.Dest})
+				l.settled(m)
 				l.noticed(m)
 			}
 		}
@@ -443,7 +454,10 @@
 		l.traceTurn(m.Entry, m.retry, v.After)
 		l.refusedAt(m, status)
 		m.verdicts = nil
-		l.effects = append(l.effects, func() { reply(replies, v) })
+		l.effects = append(l.effects, func() {
+			reply(replies, v)
+			l.settled(m)
+		})
 		l.end(m)
 		return
 	}
@@ -454,6 +468,15 @@
 	l.effects = append(l.effects, func() { l.tellEnd(m) })
 }
 
+// settled tells the module that the end which it gave a message of a class in order is known where it is owed: only then
+// the next one of its item may go. A call that overtakes the notice of the message before it is a call out of turn.
+func (l *loop) settled(m *message) {
+	if m.Item != "" {
+		l.events = append(l.events, policy.Settled{ID: m.ID})
+		l.wakeAt = 0 // the module has an event to act on
+	}
+}
+
 // reply answers all requests that brought a message.
 func reply(to []chan clients.Verdict, v clients.Verdict) {
 	for _, c := range to {
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -110,7 +110,7 @@
 			continue
 		}
 		k.offer(resend{&journal.Entry{ID: o.Life.ID, Class: o.Record.Class, Dest: o.Record.Partner, Tenant: o.Record.Tenant,
-			Key: o.Record.Key, Subject: o.Record.Subject, Order: o.Record.Order, Taken: o.Life.Taken, Expires: o.Life.Expires,
+			Key: o.Record.Key, Item: o.Record.Item, Subject: o.Record.Subject, Order: o.Record.Order, Taken: o.Life.Taken, Expires: o.Life.Expires,
 			Body: body, Resend: true}})
 	}
 	return err
@@ -136,7 +136,7 @@
 	}
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
-	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest, Background: true,
+	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest, Key: m.Item, Background: true,
 		Left: l.clock(m.Expires) - l.now()})
 }
 
@@ -150,6 +150,7 @@
 		delete(l.messages, m.ID)
 	}
 	l.keeper.result(undelivered.Result{Life: undelivered.Life{ID: m.ID}, Overtaken: by})
+	l.settled(m)
 }
 
 // endResend ends a resend: the store is told, and only then the journal lets go of it. by is the newer message that has
@@ -170,6 +171,7 @@
 	}
 	l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: status}, string(reason), l.wall(now))
 	l.effects = append(l.effects, func() { l.tellEnd(m) })
+	l.settled(m) // nobody but the store is told
 }
 
 // begun notes what a message that was taken on is about, where the operator says where that stands.
--- a/internal/undelivered/record.go
+++ b/internal/undelivered/record.go
@@ -89,6 +89,7 @@
 	Tenant   string    `json:"tenant,omitempty"`
 	Partner  int       `json:"partner"`
 	Key      string    `json:"key,omitempty"`
+	Item     string    `json:"item,omitempty"`    // what its class keeps order by
 	Subject  string    `json:"subject,omitempty"` // what it is about, where the operator names that
 	Order    *Order    `json:"order,omitempty"`
 	Lives    []Life    `json:"lives"`
--- a/policy/api.go
+++ b/policy/api.go
@@ -81,6 +81,9 @@
 	OverloadFor    time.Duration // for this long, a cold destination falls over
 	ConnIdle       time.Duration // idle connections close by themselves after this; 0 for never
 	OrderPause     time.Duration // rest of a key after an attempt that may still run
+	// Settles says that ends take a while to be known where they are owed, and that Settled tells when they are: until then
+	// the next message of the key waits.
+	Settles bool
 }
 
 // Endpoint is one entry of the list of endpoints.
@@ -145,6 +148,8 @@
 		Doubtful bool    // it may have run, whatever the outcome proves elsewhere
 		Report   *Report // or nil
 	}
+	// Settled says that the end which was given a message is known where it was owed.
+	Settled struct{ ID string }
 	// Withdrawn says that nobody wants a message any more; no answer is owed.
 	Withdrawn struct{ ID string }
 	// Listed changes the list of endpoints, or replaces it when Whole.
@@ -171,6 +176,7 @@
 
 func (Arrived) event()    {}
 func (Ended) event()      {}
+func (Settled) event()    {}
 func (Withdrawn) event()  {}
 func (Listed) event()     {}
 func (ListFailed) event() {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -116,6 +116,8 @@
 			}
 		case Ended:
 			d.ended(e)
+		case Settled:
+			d.settle(e.ID)
 		case Withdrawn:
 			d.withdraw(e.ID)
 		case Listed:
@@ -492,7 +494,9 @@
 	switch {
 	case first == nil || m.class.Effect == Safe:
 		return true
-	case m.class.Effect == Unsafe || ep != nil && m.class.ByZone && first.call.ep.Zone != ep.Zone:
+	case m.class.Effect == Unsafe:
+		return false
+	case ep != nil && m.class.ByZone && (first.call.ep.Zone != ep.Zone || ep.Zone <= nowhere):
 		return false
 	}
 	return d.now < d.forgotten(m)
@@ -978,13 +982,13 @@
 		return
 	}
 	d.act(Fail{ID: m.ID})
-	d.finish(m)
+	d.told(m)
 }
 
 func (d *Dispatcher) refuse(m *message, after float64) {
 	stay := time.Duration(math.Min(math.Max(0, after), d.s.MaxStayAway.Seconds()) * float64(time.Second))
 	d.act(Refuse{ID: m.ID, StayAway: stay})
-	d.finish(m)
+	d.told(m)
 }
 
 // even is this relay's even share of a queue's limit, in calls a second.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -223,6 +223,58 @@
 	expect(t, "rested", d.Handle(1300*ms, []Event{Woken{}}), "n>a")
 }
 
+// Where ends take a while to be known, the next of a key waits for that: a call that overtakes the notice of the message
+// before it is out of turn. What has no key, and what was delivered, holds up nothing.
+func TestOrderWaitsForTheEnd(t *testing.T) {
+	for _, settles := range []bool{false, true} {
+		s := plain()
+		s.Settles = settles
+		d := start(t, s, Endpoint{ID: "a"})
+		d.Handle(0, []Event{arrive("m", 2), arrive("n", 2)})
+		got := said(d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: Failed}}))
+		if !settles {
+			if got != "fail m n>a" {
+				t.Errorf("ends count at once: %q", got)
+			}
+			continue
+		}
+		if got != "fail m" {
+			t.Errorf("given up: %q", got)
+		}
+		expect(t, "of another message", d.Handle(2*ms, []Event{Settled{ID: "x"}, Settled{ID: "n"}}), "")
+		expect(t, "known", d.Handle(3*ms, []Event{Settled{ID: "m"}}), "n>a")
+		expect(t, "delivered", d.Handle(4*ms, []Event{Ended{ID: "n", Endpoint: "a", Outcome: OK, Over: true}, arrive("o", 2)}), "o>a")
+		expect(t, "without a key", d.Handle(5*ms, []Event{Ended{ID: "o", Endpoint: "a", Outcome: Failed},
+			Arrived{ID: "p", Class: 2, Left: time.Second}}), "fail o p>a")
+		if n := len(d.keys); n != 1 { // o's, of which nobody has heard
+			t.Errorf("%d keys are held", n)
+		}
+	}
+}
+
+// A keyed message that may have run at an endpoint which has left the list goes nowhere after a restart where only its zone
+// drops repeats: which one that was is not known any more. Before, it counted as the first zone.
+func TestZoneThatIsNotKnown(t *testing.T) {
+	s := plain()
+	s.Classes[1].ByZone = true
+	for _, tt := range []struct {
+		name, tried, want string
+		zones             []int
+	}{
+		{"gone", "gone", "", []int{0, 1}},
+		{"listed without a zone", "a", "", []int{-1, -1}},
+		{"listed", "a", "m>a", []int{0, 1}},
+	} {
+		d := start(t, s, Endpoint{ID: "a", Zone: tt.zones[0]}, Endpoint{ID: "b", Zone: tt.zones[1]})
+		got := d.Handle(time.Second, []Event{Arrived{ID: "m", Class: 1, Left: 10 * time.Second, Key: "k", Resumed: true,
+			Tried: []Tried{{Endpoint: tt.tried, Sent: 0}}}})
+		expect(t, tt.name, got, tt.want)
+		if tt.want == "" {
+			expect(t, tt.name+", forgotten", d.Handle(4*time.Second, []Event{Woken{}}), "fail m")
+		}
+	}
+}
+
 func TestWaits(t *testing.T) {
 	for _, tt := range []struct {
 		kind int
--- a/policy/state.go
+++ b/policy/state.go
@@ -42,8 +42,11 @@
 	pools      map[int]*latencies // by kind of destination
 }
 
-// never is later than every moment.
-const never = time.Duration(math.MaxInt64)
+// never is later than every moment, and nowhere the zone of an endpoint whose zone is not known.
+const (
+	never   = time.Duration(math.MaxInt64)
+	nowhere = -1
+)
 
 func (d *Dispatcher) act(a Action) { d.actions = append(d.actions, a) }
 
@@ -165,6 +168,7 @@
 	attempts []attempt
 	open     int // attempts without an outcome
 	over     bool
+	telling  bool          // its end is still to be known where it is owed
 	rest     time.Duration // until when its key rests after it
 }
 
@@ -232,7 +236,8 @@
 	for _, t := range m.Tried {
 		ep := d.endpoints[t.Endpoint]
 		if ep == nil {
-			ep = &endpoint{Endpoint: Endpoint{ID: t.Endpoint, Destination: m.Destination, Gone: true},
+			// Its zone is not known any more: a repeat that has to stay in it has nowhere to go.
+			ep = &endpoint{Endpoint: Endpoint{ID: t.Endpoint, Destination: m.Destination, Zone: nowhere, Gone: true},
 				q: d.dest(m.Destination).queues[0], strikes: make([]float64, len(d.s.Classes))}
 		}
 		c := &call{ep: ep, sent: t.Sent, msgs: []*message{m}}
@@ -564,6 +569,20 @@
 	d.retire(m)
 }
 
+// told finishes a message whose end was just given: its key is free once that is known where it is owed.
+func (d *Dispatcher) told(m *message) {
+	m.telling = d.s.Settles && m.class.Ordered && m.Key != ""
+	d.finish(m)
+}
+
+// settle notes that a message's end is known where it is owed.
+func (d *Dispatcher) settle(id string) {
+	if m := d.messages[id]; m != nil && m.telling {
+		m.telling = false
+		d.retire(m)
+	}
+}
+
 func (d *Dispatcher) spend(q *queue) {
 	if q.pace > 0 {
 		d.tokens(q)
@@ -573,7 +592,7 @@
 
 // retire forgets a message that is over and has nothing out, and lets the next of its key go.
 func (d *Dispatcher) retire(m *message) {
-	if !m.over || m.open > 0 {
+	if !m.over || m.open > 0 || m.telling {
 		return
 	}
 	if d.now < m.rest {
