--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,12 +2,11 @@
 package discovery
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
@@ -22,11 +21,17 @@
 )
 
 const (
-	// watchSilence without a byte means that a watch is dead: an empty line comes every 2 s, and what
-	// discovery has to tell counts as told after 6 s, so that the answer to a new ask comes in time.
-	watchSilence = 4500 * time.Millisecond
-	// maxMemberLine bounds one line of a watch.
-	maxMemberLine = 1 << 20
+	// watchSilence without a byte means that a watch is dead: an empty line comes every 2 s, and an answer begins within the
+	// 2 s that discovery works on a call. What it misses counts as told 6 s after it fell silent, whether or not it came: that
+	// leaves time for a new watch, also where all relays want one at once (silentSpan).
+	watchSilence = 3 * time.Second
+	// maxList bounds one list of a watch, in bytes.
+	maxList = 1 << 20
+)
+
+var (
+	errSilent = errors.New("no byte came for too long")
+	errOlder  = errors.New("a list older than the one that is held")
 )
 
 // Members is the list of hosts, or a change of it, in discovery's form.
@@ -170,7 +175,9 @@
 			return
 		}
 		slog.Warn("watch ended", "lines", lines, "err", err)
-		pause = asks.Again(time.Since(begun))
+		if pause = asks.Again(time.Since(begun)); errors.Is(err, errSilent) {
+			pause = asks.Silent()
+		}
 		w.failed(lines)
 	}
 }
@@ -180,11 +187,16 @@
 	if w.Asked != nil {
 		w.Asked()
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	// Guards against a watch that has gone silent: a cut link ends no connection.
-	dead := time.AfterFunc(w.silence, cancel)
+	dead := time.AfterFunc(w.silence, func() { cancel(errSilent) })
 	defer dead.Stop()
+	defer func() {
+		if err != nil && context.Cause(ctx) == errSilent {
+			err = errSilent
+		}
+	}()
 	query := url.Values{"stream": {"1"}, "index": {strconv.FormatInt(w.Seq, 10)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.from+"/catalog/members?"+query.Encode(), nil)
 	if err != nil {
@@ -198,26 +210,47 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	in := bufio.NewScanner(resp.Body)
-	in.Buffer(nil, maxMemberLine)
-	for in.Scan() {
-		dead.Reset(w.silence)
-		line := bytes.TrimSpace(in.Bytes())
-		if len(line) == 0 {
-			continue
-		}
+	in := &bounded{from: resp.Body, heard: func() { dead.Reset(w.silence) }}
+	for lists := json.NewDecoder(in); ; lines++ { // a list may be indented, over several lines
 		var m Members
-		if err := json.Unmarshal(line, &m); err != nil {
-			// What an unreadable line held is lost to the changes that follow: ask for the whole list.
+		in.left = maxList
+		err := lists.Decode(&m)
+		switch {
+		case errors.Is(err, io.EOF):
+			return lines, errors.New("end of the answer")
+		case errors.As(err, new(*json.SyntaxError)), errors.As(err, new(*json.UnmarshalTypeError)), errors.Is(err, errTooLong):
+			// What an unreadable list held is lost to the changes that follow: ask for the whole list.
+			w.Seq = 0
+			return lines, fmt.Errorf("unreadable list: %w", err)
+		case err != nil:
+			return lines, err
+		case m.Seq < w.Seq:
+			// Guards against a list that has lain somewhere: hosts that drain would be served again. The whole list that is
+			// asked for next is what discovery has, also where it counts anew.
 			w.Seq = 0
-			return lines, fmt.Errorf("unreadable line: %w", err)
+			return lines, errOlder
 		}
 		w.Seq = m.Seq
 		w.told(m, w.from)
-		lines++
 	}
-	if err := in.Err(); err != nil {
-		return lines, err
+}
+
+var errTooLong = fmt.Errorf("a list of over %d bytes", maxList)
+
+// bounded reads no more than left bytes, and tells of each read that brought some.
+type bounded struct {
+	from  io.Reader
+	left  int
+	heard func()
+}
+
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.from.Read(p[:min(len(p), b.left)])
+	if b.left -= n; n > 0 {
+		b.heard()
 	}
-	return lines, errors.New("end of the answer")
+	return n, err
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -99,3 +99,91 @@
 		t.Errorf("then after %v", gap)
 	}
 }
+
+// A list that goes over several lines is read as one on a line. Before, it was taken for unreadable, and its watch ended.
+func TestIndentedList(t *testing.T) {
+	_, members, _ := watchOf(t, waittest.Long, func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(rw, "\n{\n  \"seq\": 41,\n  \"whole\": true,\n  \"hosts\": [\n    {\"host\": \"h\"}\n  ]\n}\n\n{\"seq\":42}\n")
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	if m := waittest.Receive(t, members); m.Seq != 41 || !m.Whole || len(m.Hosts) != 1 {
+		t.Errorf("told %+v", m)
+	}
+	if m := waittest.Receive(t, members); m.Seq != 42 {
+		t.Errorf("then %+v", m)
+	}
+}
+
+// A list cut in two is unreadable, one that is older than what is held is not believed, and one without end is not read to
+// it: the whole list is asked for, and that is taken as it is.
+func TestListsNotTaken(t *testing.T) {
+	for name, first := range map[string]string{
+		"cut in two":  "{\"seq\":41,\"who\nle\":true}\n",
+		"older":       "{\"seq\":39,\"whole\":true,\"hosts\":[]}\n",
+		"without end": "{\"seq\":41,\"hosts\":[" + strings.Repeat(`{"host":"h"},`, maxList/10),
+	} {
+		asked := make(chan string, 10)
+		w, members, failed := watchOf(t, waittest.Long, func(rw http.ResponseWriter, r *http.Request) {
+			index := r.URL.Query().Get("index")
+			asked <- index
+			if index == "40" {
+				_, _ = io.WriteString(rw, first)
+				return
+			}
+			_, _ = io.WriteString(rw, `{"seq":39,"whole":true,"hosts":[]}`+"\n")
+		})
+		waittest.Receive(t, failed)
+		w.Ask()
+		if a, b := waittest.Receive(t, asked), waittest.Receive(t, asked); a != "40" || b != "0" {
+			t.Errorf("%s: indexes %s, %s", name, a, b)
+		}
+		if m := waittest.Receive(t, members); m.Seq != 39 {
+			t.Errorf("%s: told %+v", name, m)
+		}
+	}
+}
+
+// Watches that fall silent at a whole fleet are opened anew within the clock of silence: 6 s after they fell silent, which
+// is up to 2 s after their last byte, the module's pause before it asks again, and 1 s for the answer counted in.
+func TestSilentFleetHearsInTime(t *testing.T) {
+	const told, modulePause, answer = 6 * time.Second, 500 * time.Millisecond, time.Second
+	for _, relays := range []int{1, 24, 300, 3000} {
+		for seed := range int64(200) {
+			s := NewSchedule(relays, seed)
+			s.Start()
+			for i := range 4 { // also several in a row
+				if at := watchSilence + modulePause + s.Silent() + answer; at > told {
+					t.Fatalf("%d relays, silence %d: heard %v after the last byte", relays, i, at)
+				}
+			}
+		}
+	}
+}
+
+// Each watch that falls silent is followed by an ask without the back-off of failed ones, the first one of all as well.
+func TestSilenceInARow(t *testing.T) {
+	asked := make(chan string, 10)
+	w := newWatcher(t, 50*time.Millisecond, func(rw http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.Query().Get("index")
+		<-r.Context().Done() // no byte at all
+	})
+	w.Share(3000, 1) // a back-off of failed asks would last for minutes
+	ended := make(chan bool, 10)
+	w.failed = func(int) { ended <- true }
+	ctx := t.Context()
+	go func() {
+		for range 3 {
+			w.Ask()
+			<-ended
+		}
+	}()
+	schedule := NewSchedule(3000, 1)
+	if schedule.Start() > waittest.Long/2 {
+		t.Fatal("the first ask of this seed is too late for a test")
+	}
+	go w.Run(ctx)
+	for range 3 {
+		waittest.Receive(t, asked)
+	}
+}
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -22,6 +22,9 @@
 	// any scale (all_call_s of the site's ranges), and serves watches and changes beside. A relay that asks later than it
 	// must knows nothing of drains and new hosts meanwhile.
 	allCalls = 10 * time.Second
+	// silentSpan is what the first asks after watches that fell silent are spread over at most, beside the 2 s over which
+	// they are found silent: those who have not heard 6 s after that are held to what they could not know.
+	silentSpan = 1500 * time.Millisecond
 	// held is how long a watch must have stood to count as had: the first line may come before discovery has done its work,
 	// which it gives up on after 2 s.
 	held = 2500 * time.Millisecond
@@ -29,8 +32,8 @@
 
 // Schedule says when one relay of a fleet asks discovery: none asks because all others do.
 type Schedule struct {
-	repeat *backoff.Backoff
-	spread bool
+	repeat, silent *backoff.Backoff
+	spread         bool
 }
 
 // NewSchedule is for one of so many relays that share a discovery; the seed is its own.
@@ -39,7 +42,8 @@
 	if relays >= herd {
 		span = min(max(span, herdSpan), allCalls)
 	}
-	return &Schedule{backoff.New(askAgain, span, max(askAgainMost, mostPaces*span), seed), relays >= herd}
+	return &Schedule{backoff.New(askAgain, span, max(askAgainMost, mostPaces*span), seed),
+		backoff.New(0, min(span, silentSpan), 0, seed), relays >= herd}
 }
 
 // Start is the delay of the first ask. Guards against a release that starts the whole fleet: each would ask at once for a
@@ -59,3 +63,7 @@
 	}
 	return s.repeat.Next()
 }
+
+// Silent is the delay of the next ask after a watch that fell silent, or one that was not answered: a link may be cut, and
+// the clock of what is not told runs. It grows with no further one.
+func (s *Schedule) Silent() time.Duration { return s.silent.Start() }
