Calls not written go back when a drain is told; unread requests are not closed on

Wrong: the module took calls back for told waits alone (policy.unsend); now also where an endpoint drains or leaves the list. TestDrainTakesBack. - a connection without a request was closed to make room, at the end, or when it had been idle for long, also where a request had come and only its reading was still to happen (clients/http1 evict, crowded, talk: a read past its deadline does not look). Ruled out as harmful: bytes that come between that look and the close. No answer is under way there, and the protocol has the client send once more.

--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -155,6 +155,12 @@
 			continue
 		}
 		if worst == nil || rank(c) < rank(worst) || rank(c) == rank(worst) && c.since.Before(worst.since) {
+			if c.stage == idle || c.stage == fresh {
+				// Guards against a close with a request that has come and was not read: it would be cut off.
+				if c.has() {
+					continue
+				}
+			}
 			worst = c
 		}
 	}
@@ -201,11 +207,11 @@
 	for s.count[idle] >= s.keep {
 		var oldest *client
 		for c := range s.clients {
-			if c.stage == idle && (oldest == nil || c.since.Before(oldest.since)) {
+			if c.stage == idle && (oldest == nil || c.since.Before(oldest.since)) && !c.has() {
 				oldest = c
 			}
 		}
-		if time.Since(oldest.since) < restTime {
+		if oldest == nil || time.Since(oldest.since) < restTime {
 			return true
 		}
 		s.remove(oldest)
@@ -224,9 +230,9 @@
 		s.readUntil(c, quiet)
 		c.limit.N = maxHead
 		c.came.begin()
-		if _, err := c.in.Peek(1); err != nil {
+		if _, err := c.in.Peek(1); err != nil && (s.parks(c, err) || !c.has()) {
 			return s.parks(c, err)
-		}
+		} // a request that came in the instant of the time-out is served: a read past its deadline does not look
 		if !s.enter(c, reading) {
 			return false
 		}
@@ -351,6 +357,12 @@
 	return clients.Malformed(http.StatusBadRequest)
 }
 
+// has tells whether something has come that was not read.
+func (c *client) has() bool {
+	n, err := socket.Peek(c.TCPConn)
+	return err == nil && n > 0
+}
+
 // quiet tells whether the client waits for its answer and has sent nothing behind its request, and whether
 // it is still there at all.
 func (c *client) quiet() (quiet, there bool) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,7 +32,7 @@
 	sendOn    = 2700 * time.Millisecond // until then calls begin
 	callsOn   = 3300 * time.Millisecond // until then calls come to their end
 	askIdle   = 50 * time.Millisecond   // between looks whether all is done
-	lastWords = 100 * time.Millisecond  // for answers that are being written
+	lastWords = 250 * time.Millisecond  // for requests that are being read, and their answers
 )
 
 // journalShare of the memory is what the journal may take at most: files count as memory, and what the file
--- a/policy/api.go
+++ b/policy/api.go
@@ -214,7 +214,7 @@
 		Attempt int
 	}
 	// Unsend takes an attempt back if nothing of it has left, as while its connection is made: its destination has told to
-	// wait. It ends as Ignored then; one that has left goes on.
+	// wait, or its endpoint drains or is gone. It ends as Ignored then; one that has left goes on.
 	Unsend struct {
 		ID      string
 		Attempt int
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -700,7 +700,7 @@
 	}
 	if e.Outcome == QueueFull && e.Wait > 0 {
 		c.ep.q.waitUntil = max(c.ep.q.waitUntil, d.now+min(e.Wait, never-d.now))
-		d.unsend(c)
+		d.unsend(c.ep.q.out, c)
 	}
 	if c.open--; c.open == 0 {
 		d.out--
@@ -727,9 +727,10 @@
 	}
 }
 
-// unsend takes back what is out, and has not left yet, to the destination of a call that was told to wait.
-func (d *Dispatcher) unsend(told *call) {
-	for _, c := range told.ep.q.out {
+// unsend takes back those calls that have not left yet, as while their connections are made: their destination has told
+// one to wait, or their endpoint takes nothing new any more.
+func (d *Dispatcher) unsend(calls []*call, told *call) {
+	for _, c := range calls {
 		for _, m := range c.msgs {
 			if i := len(m.attempts) - 1; c != told && m.attempts[i].call == c && m.attempts[i].open {
 				d.act(Unsend{ID: m.ID, Attempt: i})
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -212,6 +212,32 @@
 	expect(t, "gone", d.Handle(3, []Event{arrive("o", 0)}), "o>c")
 }
 
+// Calls that have not left as an endpoint begins to drain, or is gone, are taken back: their connections may come up when
+// nothing new may go there any more. Told once more, nothing is said again.
+func TestDrainTakesBack(t *testing.T) {
+	for name, change := range map[string]Listed{
+		"draining":          {Endpoints: []Endpoint{{ID: "a", Draining: true}}},
+		"gone":              {Endpoints: []Endpoint{{ID: "a", Gone: true}}},
+		"missing in a list": {Whole: true, Endpoints: []Endpoint{{ID: "b"}}},
+	} {
+		d := start(t, plain(), Endpoint{ID: "a"}, Endpoint{ID: "b"})
+		d.Handle(0, []Event{arrive("m", 0), arrive("n", 0)})
+		back := 0
+		for range 2 {
+			for _, a := range d.Handle(ms, []Event{change}) {
+				if u, ok := a.(Unsend); ok {
+					if back++; d.messages[u.ID].attempts[u.Attempt].call.ep.ID != "a" {
+						t.Errorf("%s: takes back %+v", name, u)
+					}
+				}
+			}
+		}
+		if back != 1 {
+			t.Errorf("%s: %d taken back", name, back)
+		}
+	}
+}
+
 func TestOrder(t *testing.T) {
 	s := plain()
 	s.OrderPause = 300 * ms
--- a/policy/state.go
+++ b/policy/state.go
@@ -544,12 +544,16 @@
 		ep.q.eps = append(ep.q.eps, ep)
 		defer d.joins(ep)
 	}
+	if e.Draining && !ep.Draining {
+		d.unsend(ep.out, nil)
+	}
 	ep.Endpoint = e
 	d.weigh(ep.q, e.Weight)
 }
 
 // drop forgets an endpoint that left the list; calls out there still end.
 func (d *Dispatcher) drop(ep *endpoint) {
+	d.unsend(ep.out, nil)
 	ep.Gone = true
 	if ep.sick {
 		d.down--
