A 200 that is read once its call's time is up is a time-out again

Wrong: exchange in internal/hosts/http1, which believed a 200 read by the last look whatever had ended the call. Now one read once the time is up is a time-out, as it was: the end is told, and a notice for a message that is over does no harm. A told wait counts all the same, as does a 200 of a call that was called off within its time. What has begun gets 20 ms in place of 100, since an end may have to be posted twice within 300 ms.

--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -39,8 +39,8 @@
 	// mostWait is the longest wait that a host is taken at its word for: what is longer fits no clock.
 	mostWait = 24 * time.Hour
 	// lastLook is how long an answer that has begun may still take to its end once its call's time is up: what a host has
-	// written counts, also a wait that it tells. A final answer may be half a second late.
-	lastLook = 100 * time.Millisecond
+	// written counts, also a wait that it tells. A message's end has to be told within 300 ms of its time, for posts that stall.
+	lastLook = 20 * time.Millisecond
 	// maxLimit is the highest limit, in calls a second, that a report is believed to tell, and maxLeft the
 	// highest share of it that is left: reports are noisy.
 	maxLimit, maxLeft = 1e6, 2
@@ -195,6 +195,9 @@
 		resp, ok, err = c.answer(ctx)
 	}
 	switch {
+	case err == nil && resp.StatusCode == http.StatusOK && !ok:
+		// Guards against a 200 that was written when the time was up, and delivers nothing: the message's end is still owed.
+		return hosts.Result{Outcome: policy.TimedOut}, false
 	case err == nil:
 		res = classify(resp)
 	case ok:
@@ -232,7 +235,7 @@
 }
 
 // answer reads the whole answer to a request, once its first byte has come, past any interim ones: a status is not believed before that,
-// since a spoilt answer's request has run. ok tells that the first line says 200, which is true all the same.
+// since a spoilt answer's request has run. ok tells that the first line says 200 and came in time, which is true all the same.
 func (c *conn) answer(ctx context.Context) (resp *http.Response, ok bool, err error) {
 	now := time.Now()
 	until := now.Add(answerTime)
@@ -244,7 +247,7 @@
 	}
 	_ = c.SetReadDeadline(until)
 	for range mostInterim + 1 {
-		if line, _ := c.in.Peek(len("HTTP/1.1 200 ")); saysOK(line) {
+		if line, _ := c.in.Peek(len("HTTP/1.1 200 ")); saysOK(line) && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			ok = true
 			_ = c.SetReadDeadline(time.Now().Add(drainTime))
 		}
--- a/internal/hosts/http1/instant_test.go
+++ b/internal/hosts/http1/instant_test.go
@@ -33,19 +33,43 @@
 	return c.TCPConn.Read(b)
 }
 
+// ending is the time of a call, which ends when the test says so.
+type ending struct {
+	context.Context
+	done chan struct{}
+	err  error
+}
+
+func (e *ending) Done() <-chan struct{} { return e.done }
+
+func (e *ending) Err() error {
+	select {
+	case <-e.done:
+		return e.err
+	default:
+		return nil
+	}
+}
+
 // An answer that is there when the time of its call is up, or the call is called off, counts: it says that the message was
 // delivered, or for how long to wait. Before, the call was taken for one without an answer, and the wait went unheard.
 func TestAnswerInTheInstantOfTheEnd(t *testing.T) {
+	const wait = "HTTP/1.1 429 No\r\nX-Retry-In-Ms: 900\r\nContent-Length: 0\r\n\r\n"
 	for _, tt := range []struct {
 		name, text string
 		want       hosts.Result
+		timeUp     bool // in place of being called off
 	}{
-		{"delivered", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", hosts.Result{Outcome: policy.OK, Over: true}},
-		{"told to wait", "HTTP/1.1 429 No\r\nX-Retry-In-Ms: 900\r\nContent-Length: 0\r\n\r\n",
-			hosts.Result{Outcome: policy.QueueFull, Wait: 900 * time.Millisecond}},
-		{"delivered, and no end of it", "HTTP/1.1 200 OK\r\nContent-", hosts.Result{Outcome: policy.OK, Over: true}},
-		{"nothing", "", hosts.Result{Outcome: policy.Canceled}},
-		{"less than a first line", "HTTP/1.1 4", hosts.Result{Outcome: policy.Canceled}},
+		{"delivered", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", hosts.Result{Outcome: policy.OK, Over: true}, false},
+		{"told to wait", wait, hosts.Result{Outcome: policy.QueueFull, Wait: 900 * time.Millisecond}, false},
+		{"told to wait, time up", wait, hosts.Result{Outcome: policy.QueueFull, Wait: 900 * time.Millisecond}, true},
+		// One may have come in time, and may not: the message's end is told, which does no harm to one that is over.
+		{"200, time up", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", hosts.Result{Outcome: policy.TimedOut}, true},
+		{"200 and no end, time up", "HTTP/1.1 200 OK\r\nContent-", hosts.Result{Outcome: policy.TimedOut}, true},
+		{"delivered, and no end of it", "HTTP/1.1 200 OK\r\nContent-", hosts.Result{Outcome: policy.OK, Over: true}, false},
+		{"nothing", "", hosts.Result{Outcome: policy.Canceled}, false},
+		{"nothing, time up", "", hosts.Result{Outcome: policy.TimedOut}, true},
+		{"less than a first line", "HTTP/1.1 4", hosts.Result{Outcome: policy.Canceled}, false},
 	} {
 		written := make(chan bool)
 		addr := rawHost(t, func(c net.Conn) {
@@ -62,14 +86,17 @@
 		}
 		p := testPool()
 		r := testCall(addr)
-		ctx, cancel := context.WithCancel(t.Context())
+		ctx := &ending{Context: t.Context(), done: make(chan struct{}), err: context.Canceled}
+		if tt.timeUp {
+			ctx.err = context.DeadlineExceeded
+		}
 		got := make(chan hosts.Result)
 		go func() {
 			p.count++
 			got <- p.carry(ctx, newConn(&lateReader{TCPConn: raw.(*net.TCPConn), set: make(chan bool)}, &shelf{}), r, true)
 		}()
 		waittest.Receive(t, written)
-		cancel()
+		close(ctx.done)
 		if res := waittest.Receive(t, got); res != tt.want {
 			t.Errorf("%s: %+v, want %+v", tt.name, res, tt.want)
 		}
