The auditor knows the renewed terms: untried after a restart, silence, lost ends, late taking on

New in internal/rehearsal/audit, each with a planted violation that is caught as itself and with its edge kept: - over half of what restarts find taken on and untried given up with no call (whose time was not up by then and whose partner was not out: what a kernel refuses no stand-in sees; three or fewer say nothing); - one clock of silence: what a silent watch misses counts as told 6 s after it fell silent, not 6 s after the change; - an end later than half a second after a message's time (and than the excuse of a restart) is none: message lost; - over half of the messages taken on only after their delivery. The case "late after a restart" of the planted breaches is "message lost" now: its end is 6 s after its time, beyond both bounds, and the platform counts that as lost; that is stricter. "Late end" keeps its other cases, and half a second has one of its own. Nothing in the rig makes an open watch fall silent yet, so that term is judged on planted logs alone.

--- a/internal/rehearsal/audit/audit_test.go
+++ b/internal/rehearsal/audit/audit_test.go
@@ -84,8 +84,37 @@
 		"lost in a planned restart":  {NoEnd, func(n *notes) { n.take(sec, "a", status); n.restart(2 * sec) }},
 		"lost by a crash":            {NoEnd, func(n *notes) { n.take(sec, "a", status); n.crash(2 * sec) }},
 		"its notice comes late":      {LateEnd, func(n *notes) { n.take(sec, "a", status); n.notice(11400*ms, "a", Deferred) }},
-		"it is delivered late":       {LateEnd, func(n *notes) { n.take(sec, "a", status); n.call(9*sec, "a", "h", OK, 2400*ms) }},
-		"late after a restart":       {LateEnd, func(n *notes) { n.take(sec, "a", status); n.restart(10 * sec); n.notice(17*sec, "a", Deferred) }},
+		"its notice comes too late":  {NoEnd, func(n *notes) { n.take(sec, "a", status); n.notice(11600*ms, "a", Deferred) }},
+		"untried, given up after a restart": {GivenUntried, func(n *notes) {
+			for i := range 7 {
+				n.take(sec+time.Duration(i)*ms, fmt.Sprint(i), status)
+			}
+			n.call(1500*ms, "0", "h", Full, ms) // tried before
+			n.restart(2 * sec)
+			n.call(7*sec, "0", "h", OK, ms)
+			n.call(7*sec, "1", "h", OK, ms)
+			n.call(7*sec, "2", "h", Full, ms)
+			for i := 2; i < 7; i++ {
+				n.notice(8*sec+time.Duration(i)*ms, fmt.Sprint(i), Deferred)
+			}
+		}},
+		"taken on once delivered": {TakenLate, func(n *notes) {
+			for i := range 3 {
+				at, id := time.Duration(i+1)*sec, fmt.Sprint(i)
+				n.add(Event{At: at, Kind: HandedIn, ID: id, Class: status, For: 10 * sec})
+				n.call(at+ms, id, "h", OK, ms)
+				n.add(Event{At: at + 5*ms, Kind: Answered, ID: id, Status: 202})
+			}
+			n.take(5*sec, "in time", status)
+			n.call(6*sec, "in time", "h", OK, ms)
+		}},
+		"sent in spite of the clock of silence": {DrainBroken, func(n *notes) {
+			n.silence()
+			n.take(8*sec, "a", status)
+			n.call(8100*ms, "a", "h", OK, ms)
+		}},
+		"it is delivered late": {LateEnd, func(n *notes) { n.take(sec, "a", status); n.call(9*sec, "a", "h", OK, 2400*ms) }},
+		"lost after a restart": {NoEnd, func(n *notes) { n.take(sec, "a", status); n.restart(10 * sec); n.notice(17*sec, "a", Deferred) }},
 		"two notices that differ": {TwoEnds, func(n *notes) {
 			n.take(sec, "a", status)
 			n.notice(2*sec, "a", Deferred)
@@ -224,6 +253,38 @@
 // None of these breaks a rule, though only just.
 func TestTheEdgesOfTheRulesAreKept(t *testing.T) {
 	for name, run := range map[string]func(n *notes){
+		"sent before the clock of silence": func(n *notes) {
+			n.silence()
+			n.take(7*sec, "a", status)
+			n.call(8*sec, "a", "h", OK, ms)
+		},
+		"a watch anew before that": func(n *notes) { // and it brings what was missed
+			n.silence()
+			n.add(Event{At: 2500 * ms, Kind: Asked, OK: true})
+			n.take(8*sec, "a", status)
+			n.call(8100*ms, "a", "h", OK, ms)
+		},
+		"half of the untried given up": func(n *notes) {
+			for i := range 6 {
+				n.take(sec+time.Duration(i)*ms, fmt.Sprint(i), status)
+			}
+			n.restart(2 * sec)
+			for i := range 6 {
+				if i%2 == 0 {
+					n.call(7*sec+time.Duration(i)*ms, fmt.Sprint(i), "h", Full, ms)
+				}
+				n.notice(8*sec+time.Duration(i)*ms, fmt.Sprint(i), Deferred)
+			}
+		},
+		"untried, their partner out": func(n *notes) {
+			for i := range 6 {
+				n.take(sec+time.Duration(i)*ms, fmt.Sprint(i), status)
+				n.notice(9*sec+time.Duration(i)*ms, fmt.Sprint(i), Deferred)
+			}
+			n.add(Event{At: 3 * sec, Kind: Out, State: "refuse"})
+			n.add(Event{At: 8 * sec, Kind: Back})
+			n.restart(2 * sec)
+		},
 		"ended at the last moment": func(n *notes) { n.take(sec, "a", status); n.notice(11290*ms, "a", Deferred) },
 		"the same notice twice": func(n *notes) {
 			n.take(sec, "a", status)
@@ -410,6 +471,13 @@
 	n.add(Event{At: at + 4600*ms, Kind: Ready})
 }
 
+// silence has relay 0's watch fall silent after 1 s; from 3 s on the register shows that h drains.
+func (n *notes) silence() {
+	n.add(Event{At: 100 * ms, Kind: Asked, OK: true})
+	n.add(Event{At: sec, Kind: Silent})
+	n.add(Event{At: 3 * sec, Kind: Shown, Host: "h", State: Draining})
+}
+
 func (n *notes) crash(at time.Duration) {
 	n.add(Event{At: at, Kind: Killed})
 	n.add(Event{At: at + sec, Kind: Ready})
--- a/internal/rehearsal/audit/judge.go
+++ b/internal/rehearsal/audit/judge.go
@@ -16,6 +16,8 @@
 	letThrough = 100 * time.Millisecond
 	// restartSlack after it is ready again a restarted relay's notices may be overdue.
 	restartSlack = 1500 * time.Millisecond
+	// lostAfter the time of a message its end is none any more: up to then it only earns nothing.
+	lostAfter = 500 * time.Millisecond
 	// crossing bounds how long two sides may take for the same: an answer that is written while the relay gives
 	// its call up, a notice that is on its way while the next call goes out.
 	crossing = 250 * time.Millisecond
@@ -101,6 +103,7 @@
 	}
 	j.resends()
 	j.overwritten()
+	j.standing(log)
 	j.drains(log)
 	j.waits()
 	j.returns(log)
@@ -251,6 +254,8 @@
 	case end < 0 && due < j.over:
 		j.breach(NoEnd, due, c.id, c.relay, c.dest, "taken on at %s, no end by %s", clock(c.answered), clock(due))
 		return
+	case end > max(due, c.expires+lostAfter+socketSlack):
+		j.breach(NoEnd, end, c.id, c.relay, c.dest, "ended at %s, %s after its time was up: that is no end", clock(end), clock(end-c.expires))
 	case end > due:
 		j.breach(LateEnd, end, c.id, c.relay, c.dest, "ended at %s, due by %s", clock(end), clock(due))
 	}
--- a/internal/rehearsal/audit/log.go
+++ b/internal/rehearsal/audit/log.go
@@ -32,6 +32,7 @@
 	Before    Kind = "before"     // ID Msg Relay Dest Class Subject: it was given up before the run, and never ran
 	Asked     Kind = "asked"      // Relay OK: a watch began, or failed
 	Unwatched Kind = "unwatched"  // Relay: a watch ended
+	Silent    Kind = "silent"     // Relay: its watch stays open and says nothing from now on
 	Noticed   Kind = "noticed"    // ID Relay State: the platform has received an end
 	Started   Kind = "started"    // Relay Process: its n-th process, from 1; it may come to stand beside the one before
 	Ready     Kind = "ready"      // Relay Process: it takes clients, also in the place of the one before
@@ -133,6 +134,8 @@
 	Unknown      Rule = "message nobody handed in"
 	NotKept      Rule = "undelivered message not kept"
 	Overwritten  Rule = "newer status overwritten"
+	GivenUntried Rule = "untried messages given up after a restart"
+	TakenLate    Rule = "taken on only after delivery"
 	FiguresWrong Rule = "figures wrong"
 	KeptWrong    Rule = "undelivered message kept wrongly"
 )
--- a/internal/rehearsal/audit/register.go
+++ b/internal/rehearsal/audit/register.go
@@ -11,7 +11,7 @@
 const failedAsk = 4
 
 // ofRegister are the events that say what a relay could know of the register.
-var ofRegister = map[Kind]bool{Shown: true, RegDown: true, RegUp: true, Asked: true, Unwatched: true, Ready: true, Resumed: true,
+var ofRegister = map[Kind]bool{Shown: true, RegDown: true, RegUp: true, Asked: true, Unwatched: true, Silent: true, Ready: true, Resumed: true,
 	Moved: true, Killed: true, Lost: true, Crashed: true, Halted: true}
 
 // drains checks that no relay sent anything new to an endpoint later than the grace after it was told that this
@@ -60,6 +60,7 @@
 func (j *judge) countsAsTold(log []Event, relay int, shown time.Duration) time.Duration {
 	within := settings.Seconds(j.Settings.Rules.AskWithinS)
 	up, watching, alive := true, false, false
+	silent := never                  // since then its watch says nothing: one clock for all that it misses
 	var since, upSince time.Duration // it last watched or asked; the register has been up, from shown on
 	upSince = shown
 	patience := within
@@ -68,6 +69,9 @@
 		if up && alive && upSince+j.TellWithin < at {
 			best = max(shown, upSince) + j.TellWithin
 		}
+		if heard := silent + j.TellWithin; silent < never && alive && max(heard, shown) < at {
+			best = min(best, max(heard, shown))
+		}
 		if !watching && alive && max(since, shown)+patience < at {
 			best = min(best, max(since, shown)+patience)
 		}
@@ -85,8 +89,13 @@
 		case e.Kind == RegUp:
 			up, upSince = true, max(e.At, shown)
 		case e.Relay != relay:
+		case e.Kind == Silent:
+			silent = e.At
 		case e.Kind == Asked:
 			since, watching, patience = e.At, e.OK, within
+			if e.OK {
+				silent = never
+			}
 			if !e.OK {
 				patience = failedAsk * within
 			}
@@ -95,9 +104,9 @@
 		case e.Kind == Ready, e.Kind == Resumed:
 			alive, since, upSince = true, e.At, max(upSince, e.At)
 		case e.Kind == Moved:
-			upSince = max(upSince, e.At)
+			upSince, silent = max(upSince, e.At), never
 		case e.Kind == Killed, e.Kind == Lost, e.Kind == Crashed, e.Kind == Halted:
-			alive, watching = false, false
+			alive, watching, silent = false, false, never
 		}
 	}
 	return earliest(j.over)
