--- a/policy/policy.go
+++ b/policy/policy.go
@@ -727,8 +727,8 @@
 	}
 }
 
-// unsend takes back those calls that have not left yet, as while their connections are made: their destination has told
-// one to wait, or their endpoint takes nothing new any more.
+// unsend takes back those calls that have not left yet, as while their connections are made: their
+// destination has told one to wait, or their endpoint takes nothing new any more.
 func (d *Dispatcher) unsend(calls []*call, told *call) {
 	for _, c := range calls {
 		for _, m := range c.msgs {
