--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -30,8 +30,9 @@
 )
 
 var (
-	errSilent = errors.New("no byte came for too long")
-	errOlder  = errors.New("a list older than the one that is held")
+	errSilent  = errors.New("no byte came for too long")
+	errOlder   = errors.New("a list older than the one that is held")
+	errTooLong = fmt.Errorf("a list of over %d bytes", maxList)
 )
 
 // Members is the list of hosts, or a change of it, in discovery's form.
@@ -235,8 +236,6 @@
 	}
 }
 
-var errTooLong = fmt.Errorf("a list of over %d bytes", maxList)
-
 // bounded reads no more than left bytes, and tells of each read that brought some.
 type bounded struct {
 	from  io.Reader
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -159,11 +159,11 @@
 	l.pool.Written = func() { l.book.Calls.Add(1) }
 	l.watch = discovery.NewWatcher(cfg.Discovery, func(m discovery.Members, from string) { l.put(told{m, from}) },
 		func(lines int) { l.put(watchEnded{lines}) })
-	if share := s.NInstances; cfg.pushed() {
-		l.watch.Share(1, cfg.seed) // what is asked is this relay's own
-	} else {
-		l.watch.Share(share, cfg.seed)
+	share := s.NInstances
+	if cfg.pushed() {
+		share = 1 // what is asked is this relay's own
 	}
+	l.watch.Share(share, cfg.seed)
 	l.trace = trace.New(cfg.tracing(), os.Stderr)
 	l.watch.Asked = func() { l.trace.Note(l.now(), trace.Event{Kind: trace.Ask}) }
 	l.notices = notices.New(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
