A refusal on its way when its call is given up is heard, and its wait heeded

Told waits are in the trace now (wait_ms); no relay sent within a wait that it had read. A wait counts from when it is written, and the closed connection never brings it. Ruled out: a slow process (answers read are handled within the batch; CPU at 0.03 of a second at most), restarts (the two relays had been up for seconds or had restarted before the call), the module (no send within a wait in its books, over all relays). Tried: to end the sending alone and read on. With connections open past the message's end and the call reported as over, the rule on order broke: the attempt was still out.

Wrong: interrupt in internal/hosts/http1, which closed on whatever was under way. Now a call is listened to for 250 ms from its last byte at least (five times what its connection took, if more; 1 s at most). Where the message's time is up meanwhile, its end is told at once (policy.Expired), and key and slot are free once the call has ended.

--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -18,6 +18,10 @@
 	ID, Key string
 	Body    []byte
 	Timeout time.Duration
+	// Expires is when the message's time is up; zero: when Timeout is over. Where TimeUp is set, it is called then if an answer
+	// is still listened to.
+	Expires time.Time
+	TimeUp  func()
 	// WriteBy, where it is set, is when its last byte must have left: written later it may run a second time.
 	WriteBy time.Time
 	// Unsend, once it holds true, says that it is not to be written any more. May be nil.
--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -41,6 +41,11 @@
 	// lastLook is how long an answer that has begun may still take to its end once its call's time is up: what a host has
 	// written counts, also a wait that it tells. A message's end has to be told within 300 ms of its time, for posts that stall.
 	lastLook = 20 * time.Millisecond
+	// Hosts refuse at once: within refusedWithin times what the making of its connection took, since the first request on a new one
+	// may wait for a handshake of some round trips more. leastGrace is for where that shows in the first answer alone: two and a half
+	// times the 100 ms for which the protocol lets calls through after a told wait. mostGrace is for connections that came up late.
+	refusedWithin         = 5
+	leastGrace, mostGrace = 250 * time.Millisecond, time.Second
 	// maxLimit is the highest limit, in calls a second, that a report is believed to tell, and maxLeft the
 	// highest share of it that is left: reports are noisy.
 	maxLimit, maxLeft = 1e6, 2
@@ -80,9 +85,31 @@
 	limit *io.LimitedReader // what may still be read for the call
 	in    *bufio.Reader     // reads from limit
 	since time.Time         // idle since
+	grace time.Duration     // how long after a request was written a refusal may be on its way
 
 	mu    sync.Mutex
-	begun bool // its answer has: the end of the call's time does not interrupt that
+	begun bool      // its answer has: the end of the call's time does not interrupt that
+	until time.Time // when its answer is given up at the soonest; zero before its request is written
+}
+
+// writing notes that a call's request is written now: within the grace its answer is listened to.
+func (c *conn) writing(r *hosts.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = time.Now().Add(c.grace)
+	if r.TimeUp == nil && c.until.After(r.Expires) {
+		c.until = r.Expires
+	}
+}
+
+// timeUp tells that a call is listened to past its message's time: the message's end is due all the same.
+func (c *conn) timeUp(whole context.Context, r *hosts.Request) {
+	c.mu.Lock()
+	listening := time.Now().Before(c.until)
+	c.mu.Unlock()
+	if listening && r.TimeUp != nil && errors.Is(whole.Err(), context.DeadlineExceeded) {
+		r.TimeUp()
+	}
 }
 
 // setBegun says whether the answer to a call has begun.
@@ -92,11 +119,17 @@
 	c.mu.Unlock()
 }
 
-// interrupt ends the reading and writing of a call, unless its answer has begun.
+// interrupt ends the reading and writing of a call, unless its answer has begun. It guards against a connection that is
+// closed on a refusal which is on its way: what that tells counts from when it is written, and would go unheard.
 func (c *conn) interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.begun {
+	switch {
+	case c.begun:
+	case time.Now().Before(c.until):
+		_ = c.SetReadDeadline(c.until)
+		_ = c.SetWriteDeadline(socket.Past)
+	default:
 		_ = c.SetDeadline(socket.Past)
 	}
 }
@@ -111,7 +144,7 @@
 
 // Call makes one call. When it returns, the call is off the wire: answered, or its connection closed.
 func (p *Pool) Call(ctx context.Context, r hosts.Request) hosts.Result {
-	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	whole, ctx, cancel := times(ctx, &r)
 	defer cancel()
 	if !p.begin() {
 		return hosts.Result{Outcome: policy.Ignored}
@@ -133,20 +166,34 @@
 	case err != nil:
 		return hosts.Result{Outcome: policy.ConnectError, Fresh: fresh}
 	}
-	res := p.carry(ctx, c, r, true)
+	res := p.carry(whole, ctx, c, r, true)
 	res.Fresh = fresh
 	return res
 }
 
-// carry carries a call on a connection; write is false where the request was written by then.
-func (p *Pool) carry(ctx context.Context, c *conn, r hosts.Request, write bool) hosts.Result {
+// times gives the time of a call's message and, within it, that of the call.
+func times(ctx context.Context, r *hosts.Request) (whole, call context.Context, cancel func()) {
+	if r.Expires.IsZero() {
+		r.Expires = time.Now().Add(r.Timeout)
+	}
+	whole, endWhole := context.WithDeadline(ctx, r.Expires)
+	call, endCall := context.WithTimeout(whole, r.Timeout)
+	return whole, call, func() { endCall(); endWhole() }
+}
+
+// carry carries a call on a connection, within the time of its message and its own; write is false where the request was
+// written by then.
+func (p *Pool) carry(whole, ctx context.Context, c *conn, r hosts.Request, write bool) hosts.Result {
 	if !p.engage(c, write) {
 		p.put(r.Target, c, true)
 		return hosts.Result{Outcome: policy.Ignored}
 	}
-	c.setBegun(false)
+	c.mu.Lock()
+	c.begun, c.until = false, time.Time{}
+	c.mu.Unlock()
 	stop := context.AfterFunc(ctx, c.interrupt)
-	res, reuse := p.exchange(ctx, c, r, write)
+	defer context.AfterFunc(whole, func() { c.timeUp(whole, &r) })()
+	res, reuse := p.exchange(whole, ctx, c, r, write)
 	reuse = stop() && reuse
 	p.disengage(c, res.Parked != nil)
 	if res.Parked == nil {
@@ -156,7 +203,7 @@
 }
 
 // exchange writes a request and reads its answer; reuse tells whether the connection may carry another.
-func (p *Pool) exchange(ctx context.Context, c *conn, r hosts.Request, write bool) (res hosts.Result, reuse bool) {
+func (p *Pool) exchange(whole, ctx context.Context, c *conn, r hosts.Request, write bool) (res hosts.Result, reuse bool) {
 	if write {
 		// Guards against a connection that came up late, as when a cut link is back: written now, the request would
 		// run again at a host that has forgotten its key, or come in a wait that was told meanwhile.
@@ -174,6 +221,7 @@
 		if err != nil {
 			return hosts.Result{Outcome: policy.ConnectError}, false
 		}
+		c.writing(&r)
 		if n, _ := c.Write(out); n < len(out) {
 			return hosts.Result{Outcome: policy.ConnectError}, false // the last byte never left: it can't have run
 		}
@@ -192,7 +240,7 @@
 	// and the message would be sent again, or within a wait that was told.
 	if err == nil || ctx.Err() != nil && c.has() {
 		c.setBegun(true)
-		resp, ok, err = c.answer(ctx)
+		resp, ok, err = c.answer(whole)
 	}
 	switch {
 	case err == nil && resp.StatusCode == http.StatusOK && !ok:
@@ -360,6 +408,7 @@
 	stop := context.AfterFunc(p.dials, cancel)
 	p.mu.Unlock()
 	defer stop()
+	begun := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", t.Addr)
 	if err != nil {
 		p.mu.Lock()
@@ -367,12 +416,14 @@
 		p.mu.Unlock()
 		return nil, true, fmt.Errorf("connect to %s: %w", t.Addr, err)
 	}
-	return newConn(raw, home), true, nil
+	made := newConn(raw, home)
+	made.grace = min(max(refusedWithin*time.Since(begun), leastGrace), mostGrace)
+	return made, true, nil
 }
 
 func newConn(raw net.Conn, home *shelf) *conn {
 	limit := &io.LimitedReader{R: raw, N: maxAnswer}
-	return &conn{Conn: raw, home: home, limit: limit, in: bufio.NewReader(limit)}
+	return &conn{Conn: raw, home: home, limit: limit, in: bufio.NewReader(limit), grace: leastGrace}
 }
 
 // put takes a connection back after a call, and keeps it for the next where it may carry one.
--- a/internal/hosts/http1/instant_test.go
+++ b/internal/hosts/http1/instant_test.go
@@ -93,7 +93,7 @@
 		got := make(chan hosts.Result)
 		go func() {
 			p.count++
-			got <- p.carry(ctx, newConn(&lateReader{TCPConn: raw.(*net.TCPConn), set: make(chan bool)}, &shelf{}), r, true)
+			got <- p.carry(ctx, ctx, newConn(&lateReader{TCPConn: raw.(*net.TCPConn), set: make(chan bool)}, &shelf{}), r, true)
 		}()
 		waittest.Receive(t, written)
 		close(ctx.done)
--- a/internal/hosts/http1/park.go
+++ b/internal/hosts/http1/park.go
@@ -144,7 +144,7 @@
 
 // Resume waits for the answer to a call whose request was written, on the connection on which it was.
 func (p *Pool) Resume(ctx context.Context, r hosts.Request, raw *net.TCPConn) hosts.Result {
-	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	whole, ctx, cancel := times(ctx, &r)
 	defer cancel()
 	p.mu.Lock()
 	if p.frozen {
@@ -160,5 +160,5 @@
 	}
 	p.mu.Unlock()
 	defer p.end()
-	return p.carry(ctx, newConn(raw, home), r, false)
+	return p.carry(whole, ctx, newConn(raw, home), r, false)
 }
--- a/internal/hosts/http1/writeby_test.go
+++ b/internal/hosts/http1/writeby_test.go
@@ -54,7 +54,7 @@
 			t.Errorf("in time: %+v", got)
 		}
 	}
-	if r, _ := p.exchange(t.Context(), p.idle[late.Target].conns[0], late, true); r.Outcome != policy.Ignored {
+	if r, _ := p.exchange(t.Context(), t.Context(), p.idle[late.Target].conns[0], late, true); r.Outcome != policy.Ignored {
 		t.Errorf("on a connection that stood: %+v", r)
 	}
 	if calls.Load() != 2 || p.count != 1 {
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -67,7 +67,8 @@
 	begun := s.m.begun
 	s.m.call, s.m.cancel, s.m.unsend = s, cancel, new(atomic.Bool)
 	r := hosts.Request{Target: hosts.Target{Host: s.host.Host, Addr: s.host.Dial}, ID: s.m.ID, Key: s.m.Key, Body: s.m.Body,
-		Timeout: max(s.timeout-time.Since(begun), time.Millisecond), WriteBy: s.writeBy, Unsend: s.m.unsend}
+		Timeout: max(s.timeout-time.Since(begun), time.Millisecond), WriteBy: s.writeBy, Unsend: s.m.unsend,
+		Expires: s.m.Expires, TimeUp: func() { l.put(timeUp{s.m.ID}) }}
 	l.out++
 	go func() {
 		defer cancel()
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -35,6 +35,8 @@
 		made    bool // it was given to the pool
 		hosts.Result
 	}
+	// timeUp says that a message's time is up while the answer to its call is still listened to.
+	timeUp struct{ id string }
 	// told is a list, or a change of it.
 	told struct {
 		discovery.Members
@@ -247,6 +249,8 @@
 		l.arrive(e)
 	case answered:
 		l.answered(e)
+	case timeUp:
+		l.events = append(l.events, policy.Expired{ID: e.id})
 	case told:
 		l.note(trace.Event{Kind: trace.Told, Whole: e.Whole, Count: len(e.Hosts)})
 		l.told(e.Members)
--- a/internal/relay/trace.go
+++ b/internal/relay/trace.go
@@ -23,7 +23,7 @@
 		return
 	}
 	t := trace.Event{Kind: trace.Answer, ID: m.ID, Class: m.Class, Dest: m.Dest, Host: e.host, How: outcomes[e.Outcome], Count: e.attempt + 1,
-		Ms: float64(e.took.Microseconds()) / 1000, Fresh: e.Fresh}
+		Ms: float64(e.took.Microseconds()) / 1000, Fresh: e.Fresh, WaitMs: float64(e.Wait.Microseconds()) / 1000}
 	if e.Report != nil {
 		t.Left, t.Limit = e.Report.Left, e.Report.Limit
 	}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -85,7 +85,8 @@
 	Limit   float64 `json:"limit,omitempty"` // calls a second, as reported
 	Fresh   bool    `json:"fresh,omitempty"` // a connection was opened, or tried to be, for the call
 	Whole   bool    `json:"whole,omitempty"`
-	Late    bool    `json:"late,omitempty"` // after its class's aim
+	Late    bool    `json:"late,omitempty"`    // after its class's aim
+	WaitMs  float64 `json:"wait_ms,omitempty"` // with Answer: told to wait so long
 	// With Take, Turn and Resume: the digest of its key, what its client says of an earlier hand-in, when its time is up (Unix
 	// time in milliseconds), and under which terms it was taken on.
 	Key      string  `json:"key,omitempty"`
--- a/policy/api.go
+++ b/policy/api.go
@@ -148,6 +148,8 @@
 		Doubtful bool    // it may have run, whatever the outcome proves elsewhere
 		Report   *Report // or nil
 	}
+	// Expired says that a message's time is up while it is out: its end is due, and that of its attempt is still to be told.
+	Expired struct{ ID string }
 	// Settled says that the end which was given a message is known where it was owed.
 	Settled struct{ ID string }
 	// Withdrawn says that nobody wants a message any more; no answer is owed.
@@ -176,6 +178,7 @@
 
 func (Arrived) event()    {}
 func (Ended) event()      {}
+func (Expired) event()    {}
 func (Settled) event()    {}
 func (Withdrawn) event()  {}
 func (Listed) event()     {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -116,6 +116,10 @@
 			}
 		case Ended:
 			d.ended(e)
+		case Expired:
+			if m := d.messages[e.ID]; m != nil && !m.over {
+				d.giveUp(m)
+			}
 		case Settled:
 			d.settle(e.ID)
 		case Withdrawn:
