--- a/internal/relay/customers_test.go
+++ b/internal/relay/customers_test.go
@@ -118,6 +118,35 @@
 	p.until("nothing is left", func() bool { return len(readEntries(t, p.dir)) == 0 })
 }
 
+// The notice of a message that an earlier process ended is still owed: the next of its key, taken on by that process as well, goes
+// once it was received, and what has another key before.
+func TestOrderWaitsForAnEarlierNotice(t *testing.T) {
+	p := newPlatform(t)
+	p.inOrder("status")
+	p.addHost("h1", 7)
+	j := earlier(t, p.dir)
+	for _, id := range []string{"a1", "a2", "b1"} {
+		j.Take(&journal.Entry{ID: id, Class: "status", Dest: 7, Item: id[:1], Expires: time.Now().Add(time.Minute)})
+	}
+	commit(t, j)
+	j.Owe(j.Get("a1"), notices.Notice{ID: "a1", Status: notices.Deferred}, "", time.Now())
+	commit(t, j)
+	p.deaf = 1 << 30
+	p.start()
+	p.take("status", "free", "20")
+	p.until("what is free goes", func() bool { return slices.Contains(p.sent(), "b1") && slices.Contains(p.sent(), "free") })
+	p.set(func() {
+		p.deaf = 0
+		if slices.Contains(p.calls, "a2") {
+			t.Error("a2 was sent before the notice of a1 was received")
+		}
+	})
+	p.until("nothing is left", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	if sent := p.sent(); !slices.Contains(sent, "a2") || slices.Contains(sent, "a1") {
+		t.Errorf("sent %v", sent)
+	}
+}
+
 // Order outlasts a kill: what was taken on before goes first, one at a time.
 func TestOrderAfterAKill(t *testing.T) {
 	p := newPlatform(t)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -170,6 +170,10 @@
 		case e.Owed != nil:
 			m.over = true
 			l.tellEnd(m)
+			if class := l.class(e.Class); class >= 0 && e.Item != "" {
+				// Guards against a call for the next of its key that overtakes its notice.
+				l.events = append(l.events, policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Key: e.Item, Resumed: true, Decided: true})
+			}
 			continue
 		case e.Delivered:
 			m.over = true
--- a/policy/api.go
+++ b/policy/api.go
@@ -131,6 +131,8 @@
 		// admission again. Tried are that process's attempts, which count as this one's.
 		Resumed bool
 		Tried   []Tried
+		// Decided, of a resumed one, says that its end is given and still to be known where it is owed: Settled tells.
+		Decided bool
 		// Background says that it waited elsewhere until nothing else was wanted there, and can do so again: it is
 		// refused unless it can go at once, and after one attempt that did not deliver it.
 		Background bool
--- a/policy/memory.go
+++ b/policy/memory.go
@@ -14,6 +14,13 @@
 	Endpoints  []EndpointMemory      `json:"endpoints"`
 	Kinds      map[int]LatencyMemory `json:"kinds,omitempty"`
 	Unanswered float64               `json:"unanswered,omitempty"`
+	Rests      []RestMemory          `json:"rests,omitempty"`
+}
+
+// RestMemory is a key that rests after a message that is over.
+type RestMemory struct {
+	Key   string        `json:"key"`
+	Until time.Duration `json:"until"`
 }
 
 // LatencyMemory are mean latencies in seconds.
@@ -87,6 +94,11 @@
 // Memory gives what this dispatcher has learned.
 func (d *Dispatcher) Memory() *Memory {
 	mem := &Memory{Kinds: map[int]LatencyMemory{}, Unanswered: d.unanswered}
+	for _, m := range d.resting {
+		if m.class.Ordered && m.Key != "" {
+			mem.Rests = append(mem.Rests, RestMemory{m.Key, m.rest})
+		}
+	}
 	for _, no := range sortedKeys(d.dests) {
 		for _, q := range d.dests[no].queues {
 			m := QueueMemory{Destination: no, Latency: q.latencies.memory(), WaitUntil: q.waitUntil, HoldUntil: q.holdUntil, DoorUntil: q.doorUntil,
@@ -117,6 +129,11 @@
 // have any more is left out, but for a destination's waits: they hold for whatever endpoint comes next.
 func (d *Dispatcher) inherit(mem *Memory) {
 	d.unanswered = mem.Unanswered
+	for _, r := range mem.Rests {
+		m := &message{Arrived: Arrived{Key: r.Key}, over: true, rest: r.Until}
+		d.keys[r.Key] = append(d.keys[r.Key], m)
+		d.resting = append(d.resting, m)
+	}
 	for kind, m := range mem.Kinds {
 		d.pool(kind).recall(m)
 	}
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -127,3 +127,25 @@
 	}
 	expect(t, "a third where two may be held", d.Handle(time.Second, events), "refuse l m>b")
 }
+
+// A key that rests after a message that is over goes on resting in a process that takes the place of another, and a message whose
+// end is decided holds its key there until that is known.
+func TestKeysOutlastAReplacement(t *testing.T) {
+	s := plain()
+	s.OrderPause, s.Settles = 2*time.Second, true
+	old := start(t, s, Endpoint{ID: "a"})
+	old.Handle(0, []Event{arrive("m", 2)})
+	expect(t, "may have run", old.Handle(time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: Reset}}), "fail m")
+	old.Handle(time.Second+ms, []Event{Settled{ID: "m"}})
+	next := start(t, s, Endpoint{ID: "a"})
+	expect(t, "at rest", next.Handle(2*time.Second, []Event{Inherited{old.Memory()}, arrive("n", 2)}), "")
+	expect(t, "rested", next.Handle(3*time.Second, []Event{Woken{}}), "n>a")
+	if len(next.resting) != 0 {
+		t.Errorf("%d keys rest", len(next.resting))
+	}
+	next = start(t, s, Endpoint{ID: "a"})
+	decided := arrive("m", 2).(Arrived)
+	decided.Resumed, decided.Decided = true, true
+	expect(t, "decided", next.Handle(ms, []Event{decided, arrive("n", 2)}), "")
+	expect(t, "known", next.Handle(2*ms, []Event{Settled{ID: "m"}}), "n>a")
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -231,8 +231,13 @@
 	return m
 }
 
-// resume puts a message that an earlier process admitted back into its queue, with the attempts made for it.
+// resume puts a message that an earlier process admitted back into its queue, with the attempts made for it. One whose end is
+// decided holds its key until that is known.
 func (d *Dispatcher) resume(m *message) {
+	if m.Decided {
+		d.told(m)
+		return
+	}
 	for _, t := range m.Tried {
 		ep := d.endpoints[t.Endpoint]
 		if ep == nil {
