The operators' door ends with its answers; a read of figures was reset as a process ended

Found by reading: Door.Close in internal/management closed all connections under the calls on them (http.Server.Close), as the last thing of a process that ends or has handed over; a call that was being answered got a reset. Now the door takes no new call and lets those that are being answered get their answers, within 100 ms. What still waits in its listening queue is reset as before: the address goes with the process.

--- a/internal/management/door.go
+++ b/internal/management/door.go
@@ -22,6 +22,8 @@
 	callTime, answerTime = 2 * time.Second, time.Second
 	// maxHead and maxBody bound what is read of a call; no call needs a body.
 	maxHead, maxBody = 4 << 10, 4 << 10
+	// lastCalls is how long the door's end waits for calls that are being answered: a planned end has 150 ms left by then.
+	lastCalls = 100 * time.Millisecond
 	// acceptAgain is the pause after a failed accept.
 	acceptAgain = 5 * time.Millisecond
 )
@@ -42,6 +44,8 @@
 	relay Relay
 	room  int // connections at most
 	http  http.Server
+	// lastCalls is for tests to change.
+	lastCalls time.Duration
 
 	mu    sync.Mutex
 	conns []*caller // in the order in which they came
@@ -57,7 +61,7 @@
 // New makes a door; at most room connections are held. One more takes the place of the oldest that has said no whole call,
 // so that callers who say nothing shut nobody out.
 func New(relay Relay, room int) *Door {
-	d := &Door{relay: relay, room: room}
+	d := &Door{relay: relay, room: room, lastCalls: lastCalls}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		takes, state := relay.Status()
@@ -119,8 +123,15 @@
 	return fmt.Errorf("the operators' door: %w", err)
 }
 
-// Close ends the door at once.
-func (d *Door) Close() { _ = d.http.Close() }
+// Close ends the door: calls that are being answered get their answers, within lastCalls. It guards against a read of figures that is
+// reset as its process ends, or hands over.
+func (d *Door) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.lastCalls)
+	defer cancel()
+	if d.http.Shutdown(ctx) != nil {
+		_ = d.http.Close()
+	}
+}
 
 // guarded is a listener that keeps to the room.
 type guarded struct {
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -175,3 +175,45 @@
 		t.Errorf("with the relay back and one message it shows %d in flight", b.Read().Inflight)
 	}
 }
+
+// slow is a relay whose figures come when it is told.
+type slow struct {
+	told
+	asked, free chan bool
+}
+
+func (r *slow) Figures() ([]byte, error) {
+	r.asked <- true
+	<-r.free
+	return []byte("{}"), nil
+}
+
+// The door's end leaves a call that is being answered its answer. Before, its connection was reset.
+func TestEndLeavesAnswers(t *testing.T) {
+	r := &slow{asked: make(chan bool, 1), free: make(chan bool, 1)}
+	d := New(r, 4)
+	d.lastCalls = waittest.Long
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- d.Serve(l) }()
+	got, ended, ending := make(chan string, 1), make(chan bool), make(chan bool)
+	d.http.RegisterOnShutdown(func() { close(ending) })
+	go func() { got <- say(t, l.Addr().String(), "GET /status/metrics HTTP/1.1\r\nHost: x\r\n\r\n") }()
+	waittest.Receive(t, r.asked)
+	go func() { d.Close(); close(ended) }()
+	select {
+	case <-ending:
+	case <-ended: // at once
+	}
+	r.free <- true
+	if text := waittest.Receive(t, got); !strings.HasSuffix(text, "{}\n") {
+		t.Errorf("answered %q", text)
+	}
+	waittest.Receive(t, ended)
+	if err := waittest.Receive(t, served); err != nil {
+		t.Error(err)
+	}
+}
