--- a/internal/relay/endings_test.go
+++ b/internal/relay/endings_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"syscall"
 	"testing"
 	"time"
 
+	"mallowlead/internal/journal"
 	"mallowlead/internal/wait/waittest"
 )
 
@@ -113,3 +116,35 @@
 		t.Errorf("given up: %v", n)
 	}
 }
+
+// A signal during the start, at any moment of it, loses nothing of what an earlier process had taken on: no process of those that were
+// told to end leaves without it, and the next one that lives delivers it. The moments are drawn; none changes the verdict.
+func TestSignalDuringTheStart(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.answer = func(*http.Request) int { return 0 } // a host that hangs: nothing is over before the end
+	j := earlier(t, p.dir)
+	j.Take(&journal.Entry{ID: "kept", Class: "status", Dest: 7, Expires: time.Now().Add(10 * time.Minute)})
+	commit(t, j)
+	for moment := time.Duration(0); moment < 64*time.Millisecond; moment = 2*moment + 4*time.Millisecond {
+		c := p.begin()
+		time.Sleep(moment)
+		if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		err := waittest.Receive(t, c.exited)
+		var how *exec.ExitError
+		if errors.As(err, &how) && how.ExitCode() >= 0 { // else it had no time to catch the signal
+			t.Errorf("signalled after %v: %v\n%s", moment, err, c.Stderr)
+		}
+		if left := readEntries(t, p.dir); len(left) != 1 || left[0].ID != "kept" {
+			t.Fatalf("signalled after %v: the journal holds %d messages", moment, len(left))
+		}
+	}
+	p.set(func() { p.answer = func(*http.Request) int { return http.StatusOK } })
+	p.start()
+	p.until("it is delivered", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	if n := p.told(); len(n) != 0 {
+		t.Errorf("given up: %v", n)
+	}
+}
