A call is listened to for 250 ms past its message's time at most

Wrong: writing in internal/hosts/http1, which bounded the listening by the message's time only where nobody is told of it. TestGraceEnds fails with the bound taken out (30 times under -race with it).

--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -92,13 +92,18 @@
 	until time.Time // when its answer is given up at the soonest; zero before its request is written
 }
 
-// writing notes that a call's request is written now: within the grace its answer is listened to.
+// writing notes that a call's request is written now: within the grace its answer is listened to, also past the end of its
+// message's time where that is told meanwhile, but not for longer than leastGrace: a delivery after that end is none.
 func (c *conn) writing(r *hosts.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.until = time.Now().Add(c.grace)
-	if r.TimeUp == nil && c.until.After(r.Expires) {
-		c.until = r.Expires
+	most := r.Expires
+	if r.TimeUp != nil {
+		most = most.Add(leastGrace)
+	}
+	if c.until.After(most) {
+		c.until = most
 	}
 }
 
--- a/internal/hosts/http1/refusal_test.go
+++ b/internal/hosts/http1/refusal_test.go
@@ -82,6 +82,7 @@
 		told := make(chan bool, 1)
 		r := testCall(addr)
 		r.TimeUp = func() { told <- true }
+		r.Expires = time.Now().Add(waittest.Long) // that it is up the context says
 		given := &givenUp{TCPConn: raw.(*net.TCPConn), longer: make(chan bool, 1)}
 		c := newConn(given, &shelf{})
 		c.grace = tt.grace
@@ -115,3 +116,29 @@
 		}
 	}
 }
+
+// A call is listened to for the grace, but no longer than leastGrace past its message's time, and not past it at all where nobody is
+// told of that.
+func TestGraceEnds(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		grace, left time.Duration // of the call, and of its message's time as it is written
+		told        bool
+		want        time.Duration // until when, from the writing on
+	}{
+		{"time left", mostGrace, time.Hour, true, mostGrace},
+		{"time up in the grace", mostGrace, 10 * time.Millisecond, true, 10*time.Millisecond + leastGrace},
+		{"nobody is told", mostGrace, 10 * time.Millisecond, false, 10 * time.Millisecond},
+	} {
+		before := time.Now()
+		r := hosts.Request{Expires: before.Add(tt.left)}
+		if tt.told {
+			r.TimeUp = func() {}
+		}
+		c := &conn{grace: tt.grace}
+		c.writing(&r)
+		if c.until.Before(before.Add(tt.want)) || c.until.After(time.Now().Add(tt.want)) {
+			t.Errorf("%s: until %v after the writing, want %v", tt.name, c.until.Sub(before), tt.want)
+		}
+	}
+}
