--- a/internal/rehearsal/faults/faults_test.go
+++ b/internal/rehearsal/faults/faults_test.go
@@ -14,6 +14,10 @@
 
 // TestMain builds the programs that the rig starts.
 func TestMain(m *testing.M) {
+	if os.Getenv(clockReaderEnv) != "" {
+		readClocks()
+		return
+	}
 	code := func() int {
 		dir, err := os.MkdirTemp("", "faults-")
 		if err == nil {
--- /dev/null
+++ b/internal/rehearsal/faults/preload/wallclock.c
@@ -0,0 +1,136 @@
+/*
+ * Steps the wall clock of one process, and of that process alone.
+ *
+ * Loaded by LD_PRELOAD. The kernel maps the vDSO into every process and the Go runtime calls its clock_gettime without the
+ * C library, so that no symbol can be interposed. Instead the entries in this process's own, private copy of the page are
+ * replaced by jumps to the functions below, which ask the kernel and add an offset to the wall clock. All other clocks are
+ * passed on unchanged, as clock_settime(2) leaves them.
+ *
+ * The offset, in nanoseconds, is the int64 at the start of the file that FROSTLINK_WALL_CLOCK_OFFSET names. The file is
+ * mapped shared: whoever writes to it steps the clock.
+ */
+#define _GNU_SOURCE
+#include <elf.h>
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/auxv.h>
+#include <sys/mman.h>
+#include <sys/syscall.h>
+#include <sys/time.h>
+#include <time.h>
+#include <unistd.h>
+
+#ifndef __x86_64__
+#error "written for x86-64 only"
+#endif
+
+static volatile int64_t *offset;
+
+static long kernel_call(long number, long a, long b)
+{
+	long result;
+	__asm__ volatile("syscall" : "=a"(result) : "a"(number), "D"(a), "S"(b) : "rcx", "r11", "memory");
+	return result;
+}
+
+static void step(int64_t *seconds, int64_t *nanoseconds)
+{
+	int64_t sum = *seconds * 1000000000 + *nanoseconds + *offset;
+	*seconds = sum / 1000000000;
+	*nanoseconds = sum % 1000000000;
+}
+
+static int stepped_clock_gettime(clockid_t id, struct timespec *at)
+{
+	long result = kernel_call(SYS_clock_gettime, id, (long)at);
+	if (result == 0 && (id == CLOCK_REALTIME || id == CLOCK_REALTIME_COARSE))
+		step(&at->tv_sec, &at->tv_nsec);
+	return (int)result;
+}
+
+static int stepped_gettimeofday(struct timeval *at, void *zone)
+{
+	struct timespec exact;
+	(void)zone;
+	if (at != NULL) {
+		stepped_clock_gettime(CLOCK_REALTIME, &exact);
+		at->tv_sec = exact.tv_sec;
+		at->tv_usec = exact.tv_nsec / 1000;
+	}
+	return 0;
+}
+
+static time_t stepped_time(time_t *at)
+{
+	struct timespec exact;
+	stepped_clock_gettime(CLOCK_REALTIME, &exact);
+	if (at != NULL)
+		*at = exact.tv_sec;
+	return exact.tv_sec;
+}
+
+/* replace writes "mov rax, to; jmp rax" over a function's first bytes. */
+static void replace(unsigned char *function, void *to)
+{
+	unsigned char jump[12] = {0x48, 0xb8, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xe0};
+	uintptr_t page = (uintptr_t)function & ~(uintptr_t)4095;
+	memcpy(jump + 2, &to, sizeof to);
+	if (mprotect((void *)page, 8192, PROT_READ | PROT_WRITE | PROT_EXEC) != 0 &&
+	    mprotect((void *)page, 4096, PROT_READ | PROT_WRITE | PROT_EXEC) != 0)
+		_exit(125);
+	memcpy(function, jump, sizeof jump);
+}
+
+static void replace_entries(unsigned char *vdso)
+{
+	Elf64_Ehdr *header = (Elf64_Ehdr *)vdso;
+	Elf64_Phdr *segments = (Elf64_Phdr *)(vdso + header->e_phoff);
+	unsigned char *base = NULL;
+	Elf64_Dyn *dynamic = NULL;
+	Elf64_Sym *symbols = NULL;
+	const char *names = NULL;
+	uint32_t *hash = NULL;
+	for (int i = 0; i < header->e_phnum; i++) {
+		if (segments[i].p_type == PT_LOAD && base == NULL)
+			base = vdso + segments[i].p_offset - segments[i].p_vaddr;
+		if (segments[i].p_type == PT_DYNAMIC)
+			dynamic = (Elf64_Dyn *)(vdso + segments[i].p_offset);
+	}
+	for (Elf64_Dyn *d = dynamic; d != NULL && d->d_tag != DT_NULL; d++) {
+		if (d->d_tag == DT_SYMTAB)
+			symbols = (Elf64_Sym *)(base + d->d_un.d_ptr);
+		if (d->d_tag == DT_STRTAB)
+			names = (const char *)(base + d->d_un.d_ptr);
+		if (d->d_tag == DT_HASH)
+			hash = (uint32_t *)(base + d->d_un.d_ptr);
+	}
+	/* Without DT_HASH the symbol table ends where the string table begins. */
+	size_t count = hash != NULL ? hash[1] : ((uintptr_t)names - (uintptr_t)symbols) / sizeof(Elf64_Sym);
+	for (size_t i = 0; symbols != NULL && i < count; i++) {
+		const char *name = names + symbols[i].st_name;
+		unsigned char *at = base + symbols[i].st_value;
+		if (strcmp(name, "__vdso_clock_gettime") == 0)
+			replace(at, (void *)stepped_clock_gettime);
+		else if (strcmp(name, "__vdso_gettimeofday") == 0)
+			replace(at, (void *)stepped_gettimeofday);
+		else if (strcmp(name, "__vdso_time") == 0)
+			replace(at, (void *)stepped_time);
+	}
+}
+
+__attribute__((constructor)) static void load(void)
+{
+	const char *path = getenv("FROSTLINK_WALL_CLOCK_OFFSET");
+	unsigned char *vdso = (unsigned char *)getauxval(AT_SYSINFO_EHDR);
+	if (path == NULL)
+		return;
+	int file = open(path, O_RDONLY | O_CLOEXEC);
+	void *mapped = file < 0 ? MAP_FAILED : mmap(NULL, sizeof *offset, PROT_READ, MAP_SHARED, file, 0);
+	if (mapped == MAP_FAILED || vdso == NULL)
+		_exit(125);
+	close(file);
+	offset = mapped;
+	replace_entries(vdso);
+}
--- /dev/null
+++ b/internal/rehearsal/faults/wallclock_test.go
@@ -0,0 +1,82 @@
+package faults
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// clockReaderEnv has the test binary print its clocks, a line for each line that it reads.
+const clockReaderEnv = "FROSTLINK_TEST_CLOCK_READER"
+
+func readClocks() {
+	start := time.Now()
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		fmt.Println(time.Now().UnixNano(), int64(time.Since(start)))
+	}
+}
+
+// A step moves the wall clock of the process at once and leaves its monotonic clock alone.
+func TestWallClockStep(t *testing.T) {
+	dir := t.TempDir()
+	library, err := BuildWallClockLibrary(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock, err := NewWallClock(library, filepath.Join(dir, "offset"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	own, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(own)
+	cmd.Env = append(append(os.Environ(), clock.Env()...), clockReaderEnv+"=1")
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	read := func() (ahead, since time.Duration) {
+		t.Helper()
+		before := time.Now()
+		if _, err := fmt.Fprintln(in); err != nil {
+			t.Fatal(err)
+		}
+		var wall, monotonic int64
+		if _, err := fmt.Fscan(out, &wall, &monotonic); err != nil {
+			t.Fatal(err)
+		}
+		return time.Unix(0, wall).Sub(before.Round(0)), time.Duration(monotonic)
+	}
+	const slack = 10 * time.Second // far more than a busy machine takes for a line, far less than the steps
+	_, last := read()
+	for _, step := range []time.Duration{time.Hour, -2 * time.Hour, time.Hour} {
+		if err := clock.Step(step); err != nil {
+			t.Fatal(err)
+		}
+		ahead, since := read()
+		if d := (ahead - clock.Offset()).Abs(); d > slack {
+			t.Errorf("stepped by %v: the wall clock is ahead by %v, want %v", step, ahead, clock.Offset())
+		}
+		if since < last || since-last > slack {
+			t.Errorf("stepped by %v: the monotonic clock went from %v to %v", step, last, since)
+		}
+		last = since
+	}
+	_ = in.Close()
+	if err := cmd.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/rehearsal/rig/relays.go
+++ b/internal/rehearsal/rig/relays.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"mallowlead/internal/rehearsal/audit"
+	"mallowlead/internal/rehearsal/faults"
 	"mallowlead/internal/rehearsal/script"
 	"mallowlead/internal/wait"
 )
@@ -59,7 +60,8 @@
 	peersAll string
 	usage    Process
 
-	socket *os.File // where clients connect, held for all its processes; nil: each listens by itself
+	clock  *faults.WallClock // of all its processes; nil: the machine's
+	socket *os.File          // where clients connect, held for all its processes; nil: each listens by itself
 
 	mu        sync.Mutex
 	discovery string
@@ -118,6 +120,11 @@
 			return nil, err
 		}
 	}
+	if r.clockLibrary != "" {
+		if rel.clock, err = faults.NewWallClock(r.clockLibrary, filepath.Join(rel.dir(), "wall-clock-offset")); err != nil {
+			return nil, err
+		}
+	}
 	return rel, nil
 }
 
@@ -215,6 +222,9 @@
 		cmd.Env = append(cmd.Env, "NODE_LISTEN_FD=3") // the first of the further files
 	}
 	rel.mu.Unlock()
+	if rel.clock != nil {
+		cmd.Env = append(cmd.Env, rel.clock.Env()...)
+	}
 	cmd.Env = append(cmd.Env, o.Env...)
 	if err := rel.r.launcher.Start(cmd); err != nil {
 		return nil, fmt.Errorf("%s: %w", rel.name, err)
--- a/internal/rehearsal/rig/rig.go
+++ b/internal/rehearsal/rig/rig.go
@@ -81,7 +81,8 @@
 	ctx     context.Context
 
 	*recorder
-	launcher *faults.Launcher
+	launcher     *faults.Launcher
+	clockLibrary string // steps relays' wall clocks; empty: no clock is stepped
 	coordination
 	book     *book
 	partners []*live
@@ -208,6 +209,12 @@
 func (r *rig) open() error {
 	r.book = newBook()
 	r.front = newFront(r)
+	if r.s.StepsClocks() {
+		var err error
+		if r.clockLibrary, err = faults.BuildWallClockLibrary(r.dir); err != nil {
+			return err
+		}
+	}
 	for i := range r.s.Relays {
 		rel, err := newRelay(r, i)
 		if err != nil {
--- a/internal/rehearsal/rig/timeline.go
+++ b/internal/rehearsal/rig/timeline.go
@@ -106,6 +106,11 @@
 		"standby":  func(rel *relay) { rel.standby(script.Seconds(e.For)) },
 		"settings": func(rel *relay) { rel.settings(e) },
 		"scrape":   func(rel *relay) { rel.scrape(script.Seconds(e.For), e.Callers) },
+		"clock_step": func(rel *relay) {
+			if err := rel.clock.Step(script.Seconds(e.By)); err != nil {
+				r.fault("%s: %v", rel.name, err)
+			}
+		},
 		"move": func(rel *relay) {
 			if err := rel.move(); err != nil {
 				r.fault("%s: %v", rel.name, err)
@@ -114,7 +119,11 @@
 	}[e.What]
 	var out []happening
 	for _, rel := range of {
-		out = append(out, once(rel.name+": "+e.What, func() { r.work.Go(func() { do(rel) }) })...)
+		what := rel.name + ": " + e.What
+		if e.By != 0 {
+			what += fmt.Sprintf(" by %+v s", e.By)
+		}
+		out = append(out, once(what, func() { r.work.Go(func() { do(rel) }) })...)
 	}
 	return out
 }
--- a/internal/rehearsal/script/check.go
+++ b/internal/rehearsal/script/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -217,8 +218,16 @@
 	"standby":  {"relay!", "for_s!"},
 	"settings": {"classes", "attempts", "broken"},
 	"scrape":   {"relay", "for_s!", "callers"},
+	clockStep:  {"relay", "by_s!"},
 }
 
+const (
+	// clockStep steps the wall clock of relays; their monotonic clocks run on.
+	clockStep = "clock_step"
+	// mostStep is the longest step of a clock, in seconds.
+	mostStep = 86400
+)
+
 // Kinds of outage: what a partner is cold after.
 var outages = map[string]bool{"refuse": true, "shut": true, "silent": true, "gone": true, "failing": true}
 
@@ -245,7 +254,7 @@
 		}
 	}
 	for _, name := range []string{"for_s", "partner", "endpoint", "relay", "relays", "factor", "share", "rise_s", "drain_s",
-		"over_s", "reused", "back_s", "how", "warm", "classes", "attempts", "broken", "callers"} {
+		"over_s", "reused", "back_s", "how", "warm", "classes", "attempts", "broken", "callers", "by_s"} {
 		if c.Has(at+"."+name) && !takes[name] {
 			c.Bad(at+"."+name, "has no meaning for %q", e.What)
 		}
@@ -273,6 +282,9 @@
 		s.checkSettings(c, at, e)
 	}
 	c.least(at+".callers", float64(e.Callers), 0)
+	if takes["by_s"] && (e.By == 0 || math.Abs(e.By) > mostStep) {
+		c.Bad(at+".by_s", "%v is no step of at most %d s either way", e.By, mostStep)
+	}
 	if e.What == "register" {
 		c.oneOf(at+".how", e.How, "503", "reset", "silent")
 	}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -219,6 +219,7 @@
 	Broken   string   `toml:"broken"`   // what is wrong with a file of settings: empty, cut, lacking or zero
 	Callers  int      `toml:"callers"`  // of a door that say nothing
 	Warm     bool     `toml:"warm"`     // an outage after which the partner is not cold
+	By       float64  `toml:"by_s"`     // that a relay's wall clock is stepped, back where below 0
 }
 
 // Range is a number, or a span from which one is drawn.
@@ -482,8 +483,13 @@
 }
 
 // Upgrades tells whether processes are replaced.
-func (s *Script) Upgrades() bool {
-	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.What == "upgrade" })
+func (s *Script) Upgrades() bool { return s.has("upgrade") }
+
+// StepsClocks tells whether relays' wall clocks are stepped.
+func (s *Script) StepsClocks() bool { return s.has(clockStep) }
+
+func (s *Script) has(what string) bool {
+	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.What == what })
 }
 
 // Kinds are the kinds of partners, in the script's order.
