--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -35,8 +35,10 @@
 
 // Arrival is a message that a client hands in.
 type Arrival struct {
-	Entry   *journal.Entry
-	Verdict chan Verdict // room for one
+	Entry   *journal.Entry // without the times, which are the relay's timeline's
+	Came    time.Time      // read by this process
+	Left    time.Duration  // from Came on, until its time is up
+	Verdict chan Verdict   // room for one
 	// Retry is what the client says of an earlier hand-in; empty: nothing. It is for the trace.
 	Retry string
 	// Quiet tells whether the client has sent nothing more and is still there.
@@ -126,14 +128,14 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
-	// The client counts from when it sent; no class gives a message more than its deadline.
-	expires := now.Add(settings.Seconds(min(left, class.Deadline.Seconds())))
 	retry, err := one(r.Header, "Client-Retry")
 	if err != nil {
 		retry = "" // it is for the trace, and turns nobody away
 	}
-	return &Arrival{Verdict: make(chan Verdict, 1), Retry: retry, Entry: &journal.Entry{ID: id, Class: name, Dest: no, Key: key, Item: item,
-		Tenant: value["Tenant"], Taken: now, Expires: expires}}, 0, nil
+	// The client counts from when it sent; no class gives a message more than its deadline.
+	whole := settings.Seconds(min(left, class.Deadline.Seconds()))
+	return &Arrival{Came: now, Left: whole, Verdict: make(chan Verdict, 1), Retry: retry, Entry: &journal.Entry{ID: id, Class: name, Dest: no, Key: key, Item: item,
+		Tenant: value["Tenant"]}}, 0, nil
 }
 
 // itemOf gives what a message of a class in order is about: messages with one item take turns. Empty: it is free of order.
--- a/internal/coord/server/node.go
+++ b/internal/coord/server/node.go
@@ -8,7 +8,7 @@
 	"math/rand/v2"
 	"time"
 
-	"mallowlead/internal/boottime"
+	"mallowlead/internal/clock"
 	"mallowlead/internal/coord"
 	"mallowlead/internal/coord/disk"
 	"mallowlead/internal/coord/replica"
@@ -81,7 +81,7 @@
 			do()
 		case <-ticks.C:
 			n.core.Tick()
-			n.core.Pass(boottime.Now(), time.Now().UnixMilli())
+			n.core.Pass(clock.SinceBoot(), clock.WallMilliseconds())
 		}
 	more:
 		for range mostAtOnce {
@@ -105,7 +105,7 @@
 // rounds lets the core go on until there is nothing to do. The clock is read after the events were taken.
 func (n *Node) rounds() error {
 	for {
-		more, err := n.core.Round(boottime.Now(), time.Now().UnixMilli(), n.disk.Save, n.send)
+		more, err := n.core.Round(clock.SinceBoot(), clock.WallMilliseconds(), n.disk.Save, n.send)
 		if err != nil || !more {
 			return err
 		}
--- a/internal/handover/giver.go
+++ b/internal/handover/giver.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"mallowlead/internal/clock"
 )
 
 const (
@@ -35,10 +37,10 @@
 	// Fresh: nothing has ever come on a client's connection.
 	Fresh bool `json:"fresh,omitempty"`
 	// Host and Addr are a host's, ID the message's on call.
-	Host  string    `json:"host,omitempty"`
-	Addr  string    `json:"addr,omitempty"`
-	ID    string    `json:"id,omitempty"`
-	Since time.Time `json:"since,omitzero"` // when it became idle, or the call began
+	Host  string        `json:"host,omitempty"`
+	Addr  string        `json:"addr,omitempty"`
+	ID    string        `json:"id,omitempty"`
+	Since clock.Instant `json:"since,omitzero"` // when it became idle, or the call began
 
 	Conn *net.TCPConn `json:"-"`
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -12,8 +12,8 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"time"
 
+	"mallowlead/internal/clock"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
@@ -42,16 +42,16 @@
 
 // Entry is a message that was taken on and has not come to its end.
 type Entry struct {
-	ID     string    `json:"id"`
-	Class  string    `json:"class,omitempty"`
-	Dest   int       `json:"dest,omitempty"`
-	Tenant string    `json:"tenant,omitempty"` // where undelivered messages are kept
-	Taken  time.Time `json:"taken,omitzero"`   // the same
-	Resend bool      `json:"resend,omitempty"` // from the store of undelivered messages: its end goes there, not to the platform
-	Key    string    `json:"key,omitempty"`
+	ID     string        `json:"id"`
+	Class  string        `json:"class,omitempty"`
+	Dest   int           `json:"dest,omitempty"`
+	Tenant string        `json:"tenant,omitempty"` // where undelivered messages are kept
+	Taken  clock.Instant `json:"taken,omitzero"`   // the same
+	Resend bool          `json:"resend,omitempty"` // from the store of undelivered messages: its end goes there, not to the platform
+	Key    string        `json:"key,omitempty"`
 	// Item is what messages of a class in order take turns by; empty: it is free of order, or an earlier program took it on.
-	Item    string    `json:"item,omitempty"`
-	Expires time.Time `json:"expires,omitzero"`
+	Item    string        `json:"item,omitempty"`
+	Expires clock.Instant `json:"expires,omitzero"`
 	// Terms is the number of the terms of its class as it was taken on, in this journal; 0: an earlier program took it
 	// on, and it is under the settings'.
 	Terms    int       `json:"terms,omitempty"`
@@ -64,33 +64,34 @@
 	Delivered bool            `json:"-"`
 	Owed      *notices.Notice `json:"-"` // its end, until the platform has it
 	Reason    string          `json:"-"` // of that end, and Over when it came, where undelivered messages are kept
-	Over      time.Time       `json:"-"`
+	Over      clock.Instant   `json:"-"`
 }
 
 // Attempt is one call made for a message.
 type Attempt struct {
 	Host  string
-	Begun time.Time
+	Begun clock.Instant
 	Ended bool
 	Unrun bool // proved never to have run
 	// Where undelivered messages are kept:
-	At      time.Time // of its end
+	At      clock.Instant // of its end
 	Outcome string
 }
 
 // Health is what is remembered of a host's outage.
 type Health struct {
-	Sick bool      `json:"sick,omitempty"`
-	At   time.Time `json:"at,omitzero"`
+	Sick bool          `json:"sick,omitempty"`
+	At   clock.Instant `json:"at,omitzero"`
 }
 
-// record is one line of the journal. Times in it are those of the wall clock, since another process reads it.
+// record is one line of the journal. Times in it are instants of the relay's timeline, which its first record anchors; programs
+// before that record wrote times of the wall clock in the same form.
 type record struct {
 	Op     string             `json:"op"`
 	Entry  *Entry             `json:"entry,omitempty"`
 	ID     string             `json:"id,omitempty"`
 	Host   string             `json:"host,omitempty"`
-	At     time.Time          `json:"at,omitzero"`
+	At     clock.Instant      `json:"at,omitzero"`
 	Unrun  bool               `json:"unrun,omitempty"`
 	Why    string             `json:"why,omitempty"` // an attempt's outcome, or the reason of a message's end
 	Notice *notices.Notice    `json:"notice,omitempty"`
@@ -99,6 +100,7 @@
 	From   string             `json:"from,omitempty"` // the discovery that told List, or the store's name
 	Count  int64              `json:"count,omitempty"`
 	Terms  *policy.Class      `json:"terms,omitempty"` // number Count
+	Anchor *clock.Anchor      `json:"anchor,omitempty"`
 }
 
 // The kinds of record.
@@ -110,10 +112,11 @@
 	opOver   = "over"
 	opHealth = "health"
 	opList   = "list"
-	opDone   = "done"  // delivered, and the store is to know
-	opTerms  = "terms" // of a class, as some messages were taken on
-	opPast   = "past"  // messages that are over, in the body
-	opStore  = "store" // which store knows all that was delivered, and the count of arrivals
+	opDone   = "done"   // delivered, and the store is to know
+	opTerms  = "terms"  // of a class, as some messages were taken on
+	opPast   = "past"   // messages that are over, in the body
+	opAnchor = "anchor" // of the timeline that all instants are of
+	opStore  = "store"  // which store knows all that was delivered, and the count of arrivals
 )
 
 // Journal keeps what a relay has taken on in a file that outlasts its process. Changes are buffered until
@@ -139,6 +142,9 @@
 	lastTerm int
 	arrivals int64 // the highest Order.Arrival of all that was ever taken on
 	past     past
+	anchor   *clock.Anchor // as the file has it; nil: an earlier program wrote it
+	latest   clock.Instant // of all that the file tells of
+	timeline *clock.Timeline
 	pastLen  int // bytes of them that the last compaction wrote
 }
 
@@ -162,6 +168,10 @@
 	if rest > 0 {
 		slog.Warn("journal: unreadable end skipped", "bytes", rest)
 	}
+	j.timeline = clock.Continue(j.anchor, j.latest)
+	if j.anchor != nil && !j.timeline.Continued() {
+		slog.Warn("journal: written in another boot of this machine; the time since then is the wall clock's")
+	}
 	j.detailed, j.limit = detailed, int(diskShare*diskMB*1e6)
 	if !detailed {
 		j.store = "" // from now on no store is told
@@ -213,6 +223,9 @@
 	return j, j.replay(raw), nil
 }
 
+// Timeline is the clock that all instants of this journal are of.
+func (j *Journal) Timeline() *clock.Timeline { return j.timeline }
+
 // Close closes the file.
 func (j *Journal) Close() error {
 	if j.file == nil {
@@ -283,12 +296,12 @@
 }
 
 // Begin notes an attempt; it must be committed before the attempt's first byte goes out.
-func (j *Journal) Begin(e *Entry, host string, at time.Time) {
+func (j *Journal) Begin(e *Entry, host string, at clock.Instant) {
 	j.note(record{Op: opBegun, ID: e.ID, Host: host, At: at}, nil)
 }
 
 // End notes the outcome of a message's last attempt, and how and when it came where that is kept.
-func (j *Journal) End(e *Entry, unrun bool, outcome string, at time.Time) {
+func (j *Journal) End(e *Entry, unrun bool, outcome string, at clock.Instant) {
 	r := record{Op: opEnded, ID: e.ID, Unrun: unrun}
 	if j.detailed {
 		r.Why, r.At = outcome, at
@@ -297,7 +310,7 @@
 }
 
 // Owe notes that a message ends by a notice, and why and when where that is kept.
-func (j *Journal) Owe(e *Entry, n notices.Notice, reason string, at time.Time) {
+func (j *Journal) Owe(e *Entry, n notices.Notice, reason string, at clock.Instant) {
 	r := record{Op: opOwed, ID: e.ID, Notice: &n}
 	if j.detailed {
 		r.Why, r.At = reason, at
@@ -375,7 +388,8 @@
 
 // compact writes a new file with what is live and puts it in the old one's place.
 func (j *Journal) compact() error {
-	var b []byte
+	anchor := j.timeline.Anchor()
+	b := appendRecord(nil, record{Op: opAnchor, Anchor: &anchor}, nil)
 	pastLen := 0
 	j.order = j.Entries()
 	used := map[int]bool{}
@@ -455,7 +469,12 @@
 
 // apply changes the state in memory by one record.
 func (j *Journal) apply(r record, body []byte) {
+	j.latest = max(j.latest, r.At)
 	switch {
+	case r.Op == opAnchor && r.Anchor != nil:
+		j.anchor = r.Anchor
+		j.latest = max(j.latest, r.Anchor.At)
+		return
 	case r.Op == opTaken && r.Entry != nil:
 		r.Entry.Body = body
 		j.entries[r.Entry.ID] = r.Entry
@@ -479,9 +498,11 @@
 		}
 		for _, e := range ends {
 			j.past.add(e)
+			j.latest = max(j.latest, e.At)
 		}
 		return
 	case r.Op == opHealth && r.Health != nil:
+		j.latest = max(j.latest, r.Health.At)
 		j.health[r.Host] = *r.Health
 		return
 	case r.Op == opList && r.List != nil:
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"mallowlead/internal/clock"
 	"mallowlead/internal/notices"
 )
 
@@ -29,7 +30,7 @@
 }
 
 // fill notes three messages: one over, one tried twice, one that owes a notice.
-func fill(t *testing.T, j *Journal, at time.Time) {
+func fill(t *testing.T, j *Journal, at clock.Instant) {
 	t.Helper()
 	for _, id := range []string{"over", "tried", "owing"} {
 		j.Take(&Entry{ID: id, Class: "order", Dest: 7, Key: "k", Expires: at.Add(time.Minute), Body: []byte("body\x00" + id)})
@@ -38,15 +39,15 @@
 	j.Over(j.Get("over"), at)
 	e := j.Get("tried")
 	j.Begin(e, "h1", at)
-	j.End(e, true, "", time.Time{})
+	j.End(e, true, "", 0)
 	j.Begin(e, "h2", at.Add(time.Second))
-	j.Owe(j.Get("owing"), notices.Notice{ID: "owing", Status: notices.Deferred, AgainMS: 30}, "", time.Time{})
+	j.Owe(j.Get("owing"), notices.Notice{ID: "owing", Status: notices.Deferred, AgainMS: 30}, "", 0)
 	j.Remember("h2", Health{Sick: true, At: at})
 	commit(t, j)
 }
 
 func TestJournalReplay(t *testing.T) {
-	dir, at := t.TempDir(), time.Now()
+	dir, at := t.TempDir(), clock.New().Now()
 	fill(t, openJournal(t, dir, 3), at)
 	for range 2 { // from the log, and from its compaction
 		j := openJournal(t, dir, 3)
@@ -55,18 +56,18 @@
 			t.Fatalf("entries: %v", list)
 		}
 		e := list[0]
-		if e.Class != "order" || e.Dest != 7 || e.Key != "k" || !e.Expires.Equal(at.Add(time.Minute)) ||
+		if e.Class != "order" || e.Dest != 7 || e.Key != "k" || e.Expires != at.Add(time.Minute) ||
 			!bytes.Equal(e.Body, []byte("body\x00tried")) {
 			t.Errorf("entry: %+v", e)
 		}
 		if len(e.Attempts) != 2 || !e.Attempts[0].Unrun || e.Attempts[1].Ended || e.Attempts[1].Host != "h2" ||
-			!e.Attempts[1].Begun.Equal(at.Add(time.Second)) {
+			e.Attempts[1].Begun != at.Add(time.Second) {
 			t.Errorf("attempts: %+v", e.Attempts)
 		}
 		if n := list[1].Owed; n == nil || *n != (notices.Notice{ID: "owing", Status: notices.Deferred, AgainMS: 30}) {
 			t.Errorf("notice: %v", n)
 		}
-		if h := j.Health()["h2"]; !h.Sick || !h.At.Equal(at) {
+		if h := j.Health()["h2"]; !h.Sick || h.At != at {
 			t.Errorf("health: %v", j.Health())
 		}
 	}
@@ -125,14 +126,14 @@
 		e := &Entry{ID: fmt.Sprint("m", i), Body: make([]byte, 64<<10)}
 		if !j.Reserve(e) {
 			refused++
-			j.Over(j.Entries()[0], time.Now())
+			j.Over(j.Entries()[0], j.Timeline().Now())
 			commit(t, j)
 			continue
 		}
 		j.Take(e)
 		for range 12 {
-			j.Begin(e, "a-host-with-a-rather-long-name", time.Now())
-			j.End(e, true, "", time.Time{})
+			j.Begin(e, "a-host-with-a-rather-long-name", j.Timeline().Now())
+			j.End(e, true, "", 0)
 		}
 		commit(t, j)
 		// At worst both the old file and a new one with all that is live.
@@ -178,3 +179,36 @@
 		t.Errorf("entries after the mend: %d", len(again.Entries()))
 	}
 }
+
+// The timeline of a journal goes on from process to process; a file of a program before there was one is read as it is, and says
+// that nothing is known of the time since.
+func TestTimelineOutlastsTheProcess(t *testing.T) {
+	dir := t.TempDir()
+	j := openJournal(t, dir, 3)
+	if j.Timeline().Continued() {
+		t.Error("an empty folder continues a timeline")
+	}
+	first := j.Timeline().Anchor()
+	fill(t, j, j.Timeline().Now())
+	for range 2 {
+		j = openJournal(t, dir, 3)
+		if !j.Timeline().Continued() || j.Timeline().Anchor() != first {
+			t.Errorf("anchored at %+v, want %+v", j.Timeline().Anchor(), first)
+		}
+	}
+
+	ahead := clock.New().Now().Add(time.Hour) // the wall clock was an hour ahead when this was written
+	old := appendRecord(nil, record{Op: opTaken, Entry: &Entry{ID: "a", Expires: ahead.Add(time.Minute)}}, nil)
+	old = appendRecord(old, record{Op: opBegun, ID: "a", Host: "h", At: ahead}, nil)
+	if err := os.WriteFile(filepath.Join(dir, Name), old, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	j = openJournal(t, dir, 3)
+	e := j.Get("a")
+	if e == nil || e.Attempts[0].Begun != ahead || j.Timeline().Continued() {
+		t.Fatalf("%+v, continued: %v", e, j.Timeline().Continued())
+	}
+	if left := e.Expires.Sub(j.Timeline().Now()); left > time.Minute {
+		t.Errorf("%v left of a minute", left)
+	}
+}
--- a/internal/journal/past.go
+++ b/internal/journal/past.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/binary"
 	"errors"
+	"math"
 	"slices"
-	"time"
+
+	"mallowlead/internal/clock"
 )
 
 const (
@@ -12,16 +14,18 @@
 	mostPast = 1 << 16
 	// pastShare of the folder's limit is what they may take up in the file.
 	pastShare = 0.1
+	// mostMilliseconds is the furthest from 1970 that an end can be, either way: an instant counts nanoseconds in 64 bits.
+	mostMilliseconds = math.MaxInt64 / 1_000_000
 )
 
 // End is a message that was taken on and is over.
 type End struct {
 	ID string
-	At time.Time
+	At clock.Instant
 }
 
 // past are the ids of messages that came to their end not long ago, in that order: one that comes again under its id must not
-// be taken for new, also after a restart. It is pure state; times are those of the wall clock.
+// be taken for new, also after a restart. It is pure state.
 type past struct {
 	ids  map[string]bool
 	ends []End
@@ -43,9 +47,9 @@
 }
 
 // forget drops what ended before a time.
-func (p *past) forget(before time.Time) {
+func (p *past) forget(before clock.Instant) {
 	n := 0
-	for n < len(p.ends) && p.ends[n].At.Before(before) {
+	for n < len(p.ends) && p.ends[n].At < before {
 		n++
 	}
 	p.drop(n)
@@ -75,7 +79,7 @@
 // appendEnd encodes an end: the id's length as a uvarint, the id, Unix milliseconds as a varint.
 func appendEnd(b []byte, e End) []byte {
 	b = append(binary.AppendUvarint(b, uint64(len(e.ID))), e.ID...)
-	return binary.AppendVarint(b, e.At.UnixMilli())
+	return binary.AppendVarint(b, e.At.Milliseconds())
 }
 
 var errEnd = errors.New("ends that make no sense")
@@ -90,17 +94,17 @@
 		id := string(raw[n : n+int(length)])
 		raw = raw[n+int(length):]
 		at, n := binary.Varint(raw)
-		if n <= 0 {
+		if n <= 0 || at > mostMilliseconds || at < -mostMilliseconds {
 			return nil, errEnd
 		}
 		raw = raw[n:]
-		ends = append(ends, End{id, time.UnixMilli(at)})
+		ends = append(ends, End{id, clock.FromMilliseconds(at)})
 	}
 	return ends, nil
 }
 
 // Over notes that nothing more is owed for a message, from a time on.
-func (j *Journal) Over(e *Entry, at time.Time) { j.note(record{Op: opOver, ID: e.ID, At: at}, nil) }
+func (j *Journal) Over(e *Entry, at clock.Instant) { j.note(record{Op: opOver, ID: e.ID, At: at}, nil) }
 
 // Passed notes an end that another process has told.
 func (j *Journal) Passed(e End) { j.past.add(e) }
@@ -112,4 +116,4 @@
 func (j *Journal) Ends() []End { return slices.Clone(j.past.ends) }
 
 // ForgetPast drops what ended before a time; the file forgets with its next compaction.
-func (j *Journal) ForgetPast(before time.Time) { j.past.forget(before) }
+func (j *Journal) ForgetPast(before clock.Instant) { j.past.forget(before) }
--- a/internal/journal/past_test.go
+++ b/internal/journal/past_test.go
@@ -8,12 +8,14 @@
 	"strings"
 	"testing"
 	"time"
+
+	"mallowlead/internal/clock"
 )
 
 // Ends are remembered through replay and compaction, in order, until they are forgotten; a log of a program that noted no time of
 // its ends is read as before.
 func TestEndsOutlastTheProcess(t *testing.T) {
-	dir, at := t.TempDir(), time.Now().Truncate(time.Millisecond)
+	dir, at := t.TempDir(), clock.FromMilliseconds(clock.New().Now().Milliseconds())
 	j := openJournal(t, dir, 3)
 	for i := range 5 {
 		e := &Entry{ID: fmt.Sprint("m", i)}
@@ -27,7 +29,7 @@
 	for range 3 { // the log, its compaction, and that one's
 		j = openJournal(t, dir, 3)
 		ends := j.Ends()
-		if len(ends) != 5 || ends[0].ID != "m0" || !ends[4].At.Equal(at.Add(4*time.Second)) || !j.Past("m2") || j.Past("old") || j.Past("new") {
+		if len(ends) != 5 || ends[0].ID != "m0" || ends[4].At != at.Add(4*time.Second) || !j.Past("m2") || j.Past("old") || j.Past("new") {
 			t.Fatalf("%v", ends)
 		}
 	}
@@ -44,7 +46,7 @@
 // taken on as if there were none.
 func TestEndsAreBounded(t *testing.T) {
 	const mb = 1
-	dir, at := t.TempDir(), time.Now()
+	dir, at := t.TempDir(), clock.New().Now()
 	j := openJournal(t, dir, mb)
 	written, before := 0, 0
 	for i := range mostPast + 100 {
@@ -96,7 +98,7 @@
 }
 
 func FuzzReadEnds(f *testing.F) {
-	f.Add(appendEnd(appendEnd(nil, End{"9b1f03aa5c7e2d41", time.UnixMilli(1764625871000)}), End{"", time.UnixMilli(-1)}))
+	f.Add(appendEnd(appendEnd(nil, End{"9b1f03aa5c7e2d41", clock.FromMilliseconds(1764625871000)}), End{"", clock.FromMilliseconds(-1)}))
 	f.Add([]byte{200, 'x'})
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1})
 	f.Fuzz(func(t *testing.T, raw []byte) {
@@ -113,7 +115,7 @@
 			t.Fatalf("%v read again as %v, %v", ends, again, err)
 		}
 		for i := range ends {
-			if again[i].ID != ends[i].ID || !again[i].At.Equal(ends[i].At) {
+			if again[i].ID != ends[i].ID || again[i].At != ends[i].At {
 				t.Fatalf("%v read again as %v", ends[i], again[i])
 			}
 		}
--- a/internal/journal/store_test.go
+++ b/internal/journal/store_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"mallowlead/internal/undelivered"
 )
@@ -24,7 +23,7 @@
 	owed := &Entry{ID: "b", Class: "status", Subject: "k-1", Order: &undelivered.Order{Whole: 5, Arrival: 800}}
 	j.Told("store")
 	j.Take(over)
-	j.Over(over, time.Now())
+	j.Over(over, j.Timeline().Now())
 	j.Take(owed)
 	j.Deliver(owed)
 	if err := j.Commit(); err != nil {
--- a/internal/lease/client.go
+++ b/internal/lease/client.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"mallowlead/internal/boottime"
+	"mallowlead/internal/clock"
 	"mallowlead/internal/coord"
 	"mallowlead/internal/coord/api"
 )
@@ -47,7 +47,7 @@
 // with does something with the core, and lets Run see to what follows.
 func (c *Client) with(f func(now time.Duration)) {
 	c.mu.Lock()
-	f(boottime.Now())
+	f(clock.SinceBoot())
 	for _, end := range c.core.PutEnds() {
 		if to := c.puts[end.ID]; to != nil {
 			to <- end // has room for it
@@ -77,7 +77,7 @@
 func (c *Client) Holds(name string) (token uint64, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	token, _, ok = c.core.Holds(boottime.Now(), name)
+	token, _, ok = c.core.Holds(clock.SinceBoot(), name)
 	return token, ok
 }
 
@@ -85,7 +85,7 @@
 func (c *Client) Grant(name string) (g coord.Grant, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	token, _, ok := c.core.Holds(boottime.Now(), name)
+	token, _, ok := c.core.Holds(clock.SinceBoot(), name)
 	return coord.Grant{Lease: name, Token: token, Wait: c.core.Wait(name)}, ok
 }
 
@@ -196,7 +196,7 @@
 func (c *Client) next(ctx context.Context, work *sync.WaitGroup) (wait time.Duration, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := boottime.Now()
+	now := clock.SinceBoot()
 	for _, p := range c.core.Cancelled(now) {
 		if a := c.open[p.id]; a != nil {
 			a.cut()
--- a/internal/relay/arrive.go
+++ b/internal/relay/arrive.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"mallowlead/internal/clients"
 	"mallowlead/internal/management"
@@ -24,6 +23,8 @@
 		a.Verdict <- clients.Malformed(http.StatusBadRequest)
 		return
 	}
+	came := l.timeline.Of(a.Came)
+	a.Entry.Taken, a.Entry.Expires = came, came.Add(a.Left)
 	if m := l.messages[a.Entry.ID]; m != nil {
 		// The same message once more, as after a connection that broke: it is ours already, unless it is over.
 		switch {
@@ -49,17 +50,17 @@
 		return
 	}
 	if l.keeper == nil {
-		a.Entry.Tenant, a.Entry.Taken = "", time.Time{} // nobody will ask
+		a.Entry.Tenant, a.Entry.Taken = "", 0 // nobody will ask
 	}
 	if a.Entry.Order != nil {
-		l.arrivals = max(l.arrivals+1, time.Now().UnixNano())
+		l.arrivals = max(l.arrivals+1, int64(l.timeline.Now()))
 		a.Entry.Order.Arrival = l.arrivals
 	}
 	m := &message{Entry: a.Entry, verdicts: []chan clients.Verdict{a.Verdict}, retry: a.Retry}
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
 	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest, Key: m.Item,
-		Left: l.clock(m.Expires) - l.now()})
+		Left: m.Expires.Sub(l.timeline.Now())})
 }
 
 // answerAgain answers a message that is handed in under an id that is known.
@@ -69,4 +70,4 @@
 }
 
 // forgetEnds drops the ids of messages whose copies can't come any more.
-func (l *loop) forgetEnds() { l.journal.ForgetPast(l.wall(l.now() - l.cfg.longest())) }
+func (l *loop) forgetEnds() { l.journal.ForgetPast(l.timeline.Now().Add(-l.cfg.longest())) }
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"mallowlead/internal/clock"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/hosts"
 	"mallowlead/internal/trace"
@@ -30,15 +31,15 @@
 		return
 	}
 	h, ok := l.hosts[a.Endpoint]
-	left := l.clock(m.Expires) - now
+	left := m.Expires.Sub(clock.Instant(now))
 	s := send{m: m, attempt: len(m.Attempts), host: h, timeout: left}
 	if a.Timeout > 0 {
 		s.timeout = min(left, a.Timeout)
 	}
 	if a.Within > 0 {
-		s.writeBy = l.start.Add(now + a.Within - l.clock(l.start))
+		s.writeBy = l.timeline.Moment(clock.Instant(now + a.Within))
 	}
-	l.journal.Begin(m.Entry, a.Endpoint, l.wall(now))
+	l.journal.Begin(m.Entry, a.Endpoint, clock.Instant(now))
 	if !ok || h.Block != m.Dest {
 		// Guards the protocol's rule that a message goes only to a listed host of its destination.
 		slog.Error("send to a host that is not of the destination", "host", a.Endpoint, "dest", m.Dest)
@@ -68,7 +69,7 @@
 	s.m.call, s.m.cancel, s.m.unsend = s, cancel, new(atomic.Bool)
 	r := hosts.Request{Target: hosts.Target{Host: s.host.Host, Addr: s.host.Dial}, ID: s.m.ID, Key: s.m.Key, Body: s.m.Body,
 		Timeout: max(s.timeout-time.Since(begun), time.Millisecond), WriteBy: s.writeBy, Unsend: s.m.unsend,
-		Expires: s.m.Expires, TimeUp: func() { l.put(timeUp{s.m.ID}) }}
+		Expires: l.timeline.Moment(s.m.Expires), TimeUp: func() { l.put(timeUp{s.m.ID}) }}
 	l.out++
 	go func() {
 		defer cancel()
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"mallowlead/internal/clock"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/journal"
 	"mallowlead/policy"
@@ -17,16 +18,16 @@
 		t.Fatal(err)
 	}
 	defer j.Close()
-	l := &loop{start: time.Now(), journal: j, hosts: map[string]discovery.Member{"h": {Host: "h", Block: 3}}, messages: map[string]*message{}}
-	e := &journal.Entry{ID: "m", Dest: 3, Expires: l.start.Add(time.Minute)}
+	l := &loop{timeline: j.Timeline(), journal: j, hosts: map[string]discovery.Member{"h": {Host: "h", Block: 3}}, messages: map[string]*message{}}
+	e := &journal.Entry{ID: "m", Dest: 3, Expires: l.timeline.Now().Add(time.Minute)}
 	j.Take(e)
 	l.messages["m"] = &message{Entry: e}
 	now := l.now() + time.Second
 	for i, within := range []time.Duration{0, 300 * time.Millisecond} {
 		l.send(now, policy.Send{ID: "m", Endpoint: "h", Within: within})
 		got := l.sends[i].writeBy
-		if want := l.wall(now + within); within == 0 && !got.IsZero() || within > 0 && !got.Equal(want) {
-			t.Errorf("within %v of %v: by %v", within, l.wall(now), got)
+		if want := l.timeline.Moment(clock.Instant(now + within)); within == 0 && !got.IsZero() || within > 0 && !got.Equal(want) {
+			t.Errorf("within %v of %v: by %v", within, now, got)
 		}
 	}
 }
--- a/internal/relay/customers_test.go
+++ b/internal/relay/customers_test.go
@@ -126,10 +126,10 @@
 	p.addHost("h1", 7)
 	j := earlier(t, p.dir)
 	for _, id := range []string{"a1", "a2", "b1"} {
-		j.Take(&journal.Entry{ID: id, Class: "status", Dest: 7, Item: id[:1], Expires: time.Now().Add(time.Minute)})
+		j.Take(&journal.Entry{ID: id, Class: "status", Dest: 7, Item: id[:1], Expires: j.Timeline().Now().Add(time.Minute)})
 	}
 	commit(t, j)
-	j.Owe(j.Get("a1"), notices.Notice{ID: "a1", Status: notices.Deferred}, "", time.Now())
+	j.Owe(j.Get("a1"), notices.Notice{ID: "a1", Status: notices.Deferred}, "", j.Timeline().Now())
 	commit(t, j)
 	p.deaf = 1 << 30
 	p.start()
@@ -154,7 +154,7 @@
 	p.addHost("h1", 7)
 	j := earlier(t, p.dir)
 	for _, id := range []string{"a1", "a2"} {
-		j.Take(&journal.Entry{ID: id, Class: "status", Dest: 7, Item: "a", Expires: time.Now().Add(time.Minute)})
+		j.Take(&journal.Entry{ID: id, Class: "status", Dest: 7, Item: "a", Expires: j.Timeline().Now().Add(time.Minute)})
 	}
 	commit(t, j)
 	open := p.gate("a1")
@@ -288,7 +288,7 @@
 	}
 	p.kill(c)
 	j := earlier(t, p.dir)
-	j.Take(&journal.Entry{ID: "held", Class: "ferry", Dest: 7, Expires: time.Now().Add(time.Minute)})
+	j.Take(&journal.Entry{ID: "held", Class: "ferry", Dest: 7, Expires: j.Timeline().Now().Add(time.Minute)})
 	commit(t, j)
 	p.settings = func(string) string { return strings.Replace(made, `"deadline_s":23`, `"deadline_s":0`, 1) }
 	bad := p.begin()
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -10,6 +10,7 @@
 	"time"
 
 	front "mallowlead/internal/clients/http1"
+	"mallowlead/internal/clock"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/handover"
 	"mallowlead/internal/hosts"
@@ -27,16 +28,16 @@
 	Past    []passedEnd    `json:"past,omitempty"`
 	Calls   []passedCall   `json:"calls,omitempty"`
 	// Away: clients are sent away, since then.
-	Away  bool      `json:"away,omitempty"`
-	Since time.Time `json:"since,omitzero"`
+	Away  bool          `json:"away,omitempty"`
+	Since clock.Instant `json:"since,omitzero"`
 
 	conns map[string]*net.TCPConn // of the calls, by message
 }
 
 // passedEnd is a message that is over.
 type passedEnd struct {
-	ID string    `json:"id"`
-	At time.Time `json:"at"`
+	ID string        `json:"id"`
+	At clock.Instant `json:"at"`
 }
 
 // passedCall is a call out.
@@ -44,7 +45,7 @@
 	ID      string           `json:"id"`
 	Attempt int              `json:"attempt"`
 	Host    discovery.Member `json:"host"`
-	Begun   time.Time        `json:"begun"`
+	Begun   clock.Instant    `json:"begun"`
 	Timeout time.Duration    `json:"timeout"` // from Begun on
 }
 
@@ -57,7 +58,7 @@
 	delete(h.conns, m.ID)
 	for _, c := range h.Calls {
 		if c.ID == m.ID && c.Attempt == len(m.Attempts)-1 && !m.Attempts[c.Attempt].Ended {
-			m.begun = c.Begun
+			m.begun = l.timeline.Moment(c.Begun)
 			l.resumeCall(send{m: m, attempt: c.Attempt, host: c.Host, timeout: c.Timeout}, conn)
 			return true
 		}
@@ -105,13 +106,15 @@
 // inheritance is what this process hands over beside the journal.
 func (l *loop) inheritance() *inheritance {
 	h := &inheritance{Memory: l.d.Memory(), Classes: l.cfg.policy.Classes, conns: l.parked}
-	h.Away, h.Since = l.stance.Away()
+	if away, since := l.stance.Away(); away {
+		h.Away, h.Since = true, l.timeline.Of(since)
+	}
 	for _, e := range l.journal.Ends() { // what the file had no room for as well
 		h.Past = append(h.Past, passedEnd(e))
 	}
 	for id := range l.parked {
 		s := l.messages[id].call
-		h.Calls = append(h.Calls, passedCall{id, s.attempt, s.host, s.m.begun, s.timeout})
+		h.Calls = append(h.Calls, passedCall{id, s.attempt, s.host, l.timeline.Of(s.m.begun), s.timeout})
 	}
 	return h
 }
@@ -134,10 +137,10 @@
 		items = append(items, handover.Item{Kind: handover.OnCall, ID: id, Conn: conn})
 	}
 	for _, c := range n.frozen.clients {
-		items = append(items, handover.Item{Kind: handover.FromClient, Conn: c.Conn, Read: c.Read, Fresh: c.Fresh, Since: c.Since})
+		items = append(items, handover.Item{Kind: handover.FromClient, Conn: c.Conn, Read: c.Read, Fresh: c.Fresh, Since: n.l.timeline.Of(c.Since)})
 	}
 	for _, c := range n.frozen.idle {
-		items = append(items, handover.Item{Kind: handover.ToHost, Conn: c.Conn, Host: c.Host, Addr: c.Addr, Since: c.Since})
+		items = append(items, handover.Item{Kind: handover.ToHost, Conn: c.Conn, Host: c.Host, Addr: c.Addr, Since: n.l.timeline.Of(c.Since)})
 	}
 	return h, items, nil
 }
@@ -198,7 +201,7 @@
 	}
 	n.cfg.policy.Classes = policy.Merge(n.from.Classes, n.cfg.policy.Classes)
 	if n.from.Away {
-		n.stance.Leave(n.from.Since)
+		n.stance.Leave(kept.Timeline().Moment(n.from.Since))
 	}
 	return n.assemble(kept)
 }
@@ -223,7 +226,7 @@
 		case handover.OnCall:
 			n.from.conns[item.ID] = item.Conn
 		case handover.ToHost:
-			n.l.pool.Adopt(http1.Idle{Target: hosts.Target{Host: item.Host, Addr: item.Addr}, Conn: item.Conn, Since: item.Since})
+			n.l.pool.Adopt(http1.Idle{Target: hosts.Target{Host: item.Host, Addr: item.Addr}, Conn: item.Conn, Since: n.l.timeline.Moment(item.Since)})
 		case handover.FromClient:
 		default:
 			_ = item.Conn.Close()
@@ -236,7 +239,7 @@
 	n.from = nil
 	for _, item := range items {
 		if item.Kind == handover.FromClient {
-			n.srv.Adopt(front.Parked{Conn: item.Conn, Read: item.Read, Fresh: item.Fresh, Since: item.Since})
+			n.srv.Adopt(front.Parked{Conn: item.Conn, Read: item.Read, Fresh: item.Fresh, Since: n.l.timeline.Moment(item.Since)})
 		}
 	}
 	slog.Info("taken over", "connections", len(items), "messages", len(n.l.messages))
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"mallowlead/internal/clock"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
@@ -40,6 +41,7 @@
 	done        func(ids []string)
 	offer       func(any) // hands the loop an event
 	newResender func(*undelivered.Store) *undelivered.Resender
+	timeline    *clock.Timeline
 	last        string // the store that the journal says was told of all that was delivered
 	classes     []undelivered.Class
 
@@ -75,15 +77,18 @@
 }
 
 // newKeeper makes a keeper; last is the store that the journal says was told of all that was delivered.
-func newKeeper(cfg *Config, last string, put func(any)) *keeper {
+func newKeeper(cfg *Config, last string, timeline *clock.Timeline, put func(any)) *keeper {
 	s := cfg.Own.Undelivered
-	k := &keeper{section: s, last: last, offer: put, done: func(ids []string) { put(kept{ids}) }}
+	k := &keeper{section: s, last: last, timeline: timeline, offer: put, done: func(ids []string) { put(kept{ids}) }}
 	k.classes = cfg.ResendClasses(s)
 	k.newResender = func(store *undelivered.Store) *undelivered.Resender { return newResender(cfg, store) }
 	k.more.L = &k.mu
 	return k
 }
 
+// now is the time by which the store reckons: a date on the relay's timeline.
+func (k *keeper) now() time.Time { return k.timeline.Now().Calendar() }
+
 // keptIn gives the store of undelivered messages, or nil while there is none.
 func (l *loop) keptIn() *undelivered.Store {
 	if l.keeper == nil {
@@ -257,7 +262,7 @@
 	k.resender = k.newResender(k.store)
 	k.resender.Through(k.gate)
 	k.resender.Reclass(k.classes)
-	k.admin = &undelivered.Admin{Store: k.store, Now: time.Now, Classes: k.classes}
+	k.admin = &undelivered.Admin{Store: k.store, Now: k.now, Classes: k.classes}
 	if k.section.Socket != "" {
 		k.tools.Go(func() {
 			if err := undelivered.Serve(ctx, k.section.Socket, k.admin); err != nil {
@@ -279,7 +284,7 @@
 	misses := k.misses
 	k.mu.Unlock()
 	anew := misses > k.began || id != k.last
-	if err := k.store.Topics(k.section, anew, time.Now()); err != nil {
+	if err := k.store.Topics(k.section, anew, k.now()); err != nil {
 		return err
 	}
 	k.last, k.began = id, misses
@@ -293,7 +298,7 @@
 		return
 	}
 	k.bounded = time.Now()
-	left, err := k.bounds.Keep(time.Now(), full)
+	left, err := k.bounds.Keep(k.now(), full)
 	if err != nil {
 		slog.Error("bounds of the store of undelivered messages", "err", err)
 	} else if left > 0 {
@@ -315,7 +320,7 @@
 		}
 	}
 	if len(t.back) > 0 {
-		if err := k.resender.Return(t.back, time.Now()); err != nil {
+		if err := k.resender.Return(t.back, k.now()); err != nil {
 			return err
 		}
 		ids := make([]string, len(t.back))
@@ -340,7 +345,7 @@
 		k.done(ids)
 	}
 	if len(t.drop) > 0 {
-		if err := k.store.Unkept(t.drop, "the store did not take it, and the journal had no room", time.Now()); err != nil {
+		if err := k.store.Unkept(t.drop, "the store did not take it, and the journal had no room", k.now()); err != nil {
 			return err
 		}
 		k.set(func() { k.drop = k.drop[len(t.drop):] })
@@ -440,11 +445,12 @@
 	policy.Ignored: "not sent"}
 
 // reason says why a message ends undelivered.
-func (l *loop) reason(m *message, status string, now time.Duration) undelivered.Reason {
+func (l *loop) reason(m *message, status string) undelivered.Reason {
+	now := l.timeline.Now()
 	switch {
 	case l.class(m.Class) < 0:
 		return undelivered.Settings
-	case now > l.clock(m.Expires):
+	case now > m.Expires:
 		if m.resumed {
 			return undelivered.ProcessEnded
 		}
@@ -453,7 +459,7 @@
 		return undelivered.Spent
 	case status == notices.Undeliverable:
 		return undelivered.Doubtful
-	case now > l.clock(m.Expires)-endMargin:
+	case now > m.Expires.Add(-endMargin):
 		return undelivered.OutOfTime
 	}
 	return undelivered.RefusedLate
@@ -461,10 +467,10 @@
 
 // life is what this relay knows of one time that a message was taken on.
 func (l *loop) life(m *message) undelivered.Life {
-	life := undelivered.Life{ID: m.ID, Relay: l.cfg.Name, Taken: m.Taken, Expires: m.Expires, Over: m.Over,
+	life := undelivered.Life{ID: m.ID, Relay: l.cfg.Name, Taken: m.Taken.Calendar(), Expires: m.Expires.Calendar(), Over: m.Over.Calendar(),
 		Reason: undelivered.Reason(m.Reason), Status: m.Owed.Status}
 	if life.Taken.IsZero() { // taken on by a process that kept no undelivered messages
-		life.Taken = m.Over
+		life.Taken = life.Over
 	}
 	for _, a := range m.Attempts {
 		ran := undelivered.May // also of one that was out when a process ended
@@ -474,7 +480,7 @@
 		case a.Outcome == outcomes[policy.OK]:
 			ran = undelivered.Did
 		}
-		life.Attempts = append(life.Attempts, undelivered.Attempt{Host: a.Host, Begun: a.Begun, Ended: a.At, Outcome: a.Outcome, Ran: ran})
+		life.Attempts = append(life.Attempts, undelivered.Attempt{Host: a.Host, Begun: a.Begun.Calendar(), Ended: a.At.Calendar(), Outcome: a.Outcome, Ran: ran})
 	}
 	return life
 }
@@ -492,8 +498,8 @@
 	if l.keeper == nil || m.Resend {
 		return
 	}
-	now := l.wall(l.now())
-	l.keeper.refuse(l.record(m, undelivered.Life{ID: m.ID, Relay: l.cfg.Name, Taken: m.Taken, Expires: m.Expires, Over: now,
+	l.keeper.refuse(l.record(m, undelivered.Life{ID: m.ID, Relay: l.cfg.Name, Taken: m.Taken.Calendar(), Expires: m.Expires.Calendar(),
+		Over:   l.timeline.Now().Calendar(),
 		Reason: undelivered.AtArrival, Status: status}))
 }
 
@@ -526,13 +532,13 @@
 
 // gone ends a message of which a host says that it is over, though it was not delivered.
 func (l *loop) gone(m *message) {
-	now := l.now()
+	now := l.timeline.Now()
 	switch {
 	case m.Resend:
 		l.endResend(m, outOfTime, "")
-	case now > l.clock(m.Expires)-endMargin:
+	case now > m.Expires.Add(-endMargin):
 		m.over = true
-		l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: outOfTime}, string(undelivered.OutOfTime), l.wall(now))
+		l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: outOfTime}, string(undelivered.OutOfTime), now)
 		l.effects = append(l.effects, func() { l.tellEnd(m) })
 	default: // its client has withdrawn it
 		l.end(m)
--- a/internal/relay/keep_test.go
+++ b/internal/relay/keep_test.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"testing"
 
+	"mallowlead/internal/clock"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/operator"
@@ -223,7 +224,7 @@
 	cfg := readOwn(t, p)
 	ctx, stop := context.WithCancel(t.Context())
 	knows := make(chan any, 10)
-	k := newKeeper(cfg, "", func(e any) { knows <- e })
+	k := newKeeper(cfg, "", clock.New(), func(e any) { knows <- e })
 	done := make(chan struct{})
 	go func() { k.run(ctx); close(done) }()
 	waittest.Receive(t, knows) // the store is open
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mallowlead/internal/clients"
+	"mallowlead/internal/clock"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/hosts"
 	"mallowlead/internal/hosts/http1"
@@ -98,7 +99,8 @@
 	misses   int                  // so many of them were dropped, since the journal had no room
 	underway undelivered.Underway // messages taken on that are about something, until the store knows of their end
 	again    undelivered.Underway // resends that are
-	start    time.Time
+	timeline *clock.Timeline      // its instants are the module's clock
+	steps    *clock.StepWatch
 	messages map[string]*message
 	hosts    map[string]discovery.Member
 	dests    map[int]bool  // named by some list
@@ -116,15 +118,9 @@
 	effects  []func()   // of this batch, once its records are written
 }
 
-// now is the module's clock: the time since 1970 as of the start, and steady from there on, so that the
-// times in the journal and the module's are of one kind.
-func (l *loop) now() time.Duration { return time.Duration(l.start.UnixNano()) + time.Since(l.start) }
-
-// clock turns a wall time into the module's.
-func (l *loop) clock(t time.Time) time.Duration { return time.Duration(t.UnixNano()) }
-
-// wall turns the module's time into a wall time.
-func (l *loop) wall(t time.Duration) time.Time { return time.Unix(0, int64(t)) }
+// now is the module's clock: the relay's timeline, so that the module's times, the journal's and those of messages are of one
+// kind, whatever the wall clock does.
+func (l *loop) now() time.Duration { return time.Duration(l.timeline.Now()) }
 
 // put hands the loop an event.
 func (l *loop) put(e any) { l.inbox <- e }
@@ -187,10 +183,10 @@
 		}
 		l.taken(m)
 		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Key: e.Item, Resumed: true, Background: e.Resend, Terms: l.journal.Terms(e),
-			Left: l.clock(e.Expires) - l.now()}
+			Left: e.Expires.Sub(l.timeline.Now())}
 		for _, t := range e.Attempts {
 			// An attempt that was out when the process ended may have run.
-			a.Tried = append(a.Tried, policy.Tried{Endpoint: t.Host, Sent: l.clock(t.Begun), Unrun: t.Ended && t.Unrun})
+			a.Tried = append(a.Tried, policy.Tried{Endpoint: t.Host, Sent: l.sent(t), Unrun: t.Ended && t.Unrun})
 		}
 		if from != nil && from.resume(l, m) {
 			a.Tried[len(a.Tried)-1].Open = true
@@ -200,6 +196,15 @@
 	l.step()
 }
 
+// sent is when an attempt of an earlier process began, in the module's terms. Where that process did not run in this boot how
+// long ago it was is not known: it counts as longer ago than any destination keeps a key.
+func (l *loop) sent(a journal.Attempt) time.Duration {
+	if !l.timeline.Continued() {
+		return 0
+	}
+	return time.Duration(a.Begun)
+}
+
 // class gives the number of a class, or -1.
 func (l *loop) class(name string) int {
 	for i := range l.cfg.policy.Classes {
@@ -223,6 +228,7 @@
 			return
 		case <-sweep.C:
 			l.pool.Sweep()
+			l.steps.Look()
 			l.forgetEnds()
 			continue
 		case e := <-l.inbox:
@@ -323,7 +329,7 @@
 	m.cancel = nil
 	l.traceAnswer(m, e)
 	if l.journal.Get(m.ID) == m.Entry {
-		l.journal.End(m.Entry, e.Unrun(), outcomes[e.Outcome], l.wall(l.now()))
+		l.journal.End(m.Entry, e.Unrun(), outcomes[e.Outcome], l.timeline.Now())
 	}
 	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.Outcome,
 		Wait: e.Wait, Took: e.took, Over: e.Over, Spent: e.Spent, Doubtful: e.Doubtful, Report: e.Report})
@@ -368,7 +374,7 @@
 		l.dests[h.Block] = true
 		if health, ok := l.journal.Health()[h.Host]; ok && !had {
 			// An earlier process saw it go out; the list that came with the configuration may lack it.
-			recalled = append(recalled, policy.Recalled{Endpoint: h.Host, Sick: health.Sick, At: l.clock(health.At)})
+			recalled = append(recalled, policy.Recalled{Endpoint: h.Host, Sick: health.Sick, At: time.Duration(health.At)})
 		}
 	}
 	if m.Whole {
@@ -395,7 +401,7 @@
 		l.again.Ended(m.ID, m.topic())
 	}
 	if l.journal.Get(m.ID) == m.Entry {
-		l.journal.Over(m.Entry, l.wall(l.now()))
+		l.journal.Over(m.Entry, l.timeline.Now())
 	}
 	m.Owed = nil
 	if m.cancel == nil {
@@ -472,7 +478,7 @@
 	l.traceEnd(m, status)
 	m.over = true
 	n := notices.Notice{ID: m.ID, Status: status, AgainMS: v.After.Milliseconds()}
-	l.journal.Owe(m.Entry, n, string(l.reason(m, status, l.now())), l.wall(l.now()))
+	l.journal.Owe(m.Entry, n, string(l.reason(m, status)), l.timeline.Now())
 	l.effects = append(l.effects, func() { l.tellEnd(m) })
 }
 
@@ -515,7 +521,7 @@
 		l.watch.Ask()
 	case policy.Remember:
 		if _, ok := l.hosts[a.Endpoint]; ok {
-			l.journal.Remember(a.Endpoint, journal.Health{Sick: a.Sick, At: l.wall(a.At)})
+			l.journal.Remember(a.Endpoint, journal.Health{Sick: a.Sick, At: clock.Instant(a.At)})
 		}
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 
 	"mallowlead/internal/clients"
 	front "mallowlead/internal/clients/http1"
+	"mallowlead/internal/clock"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/handover"
 	"mallowlead/internal/hosts/http1"
@@ -152,7 +153,7 @@
 		return err
 	}
 	s := cfg.Settings
-	l := &loop{cfg: cfg, d: d, journal: kept, inbox: make(chan any, inboxSize), start: time.Now(), calls: n.live,
+	l := &loop{cfg: cfg, d: d, journal: kept, inbox: make(chan any, inboxSize), timeline: kept.Timeline(), steps: clock.NewStepWatch(kept.Timeline()), calls: n.live,
 		book: n.book, stance: n.stance, parked: map[string]*net.TCPConn{},
 		messages: map[string]*message{}, hosts: map[string]discovery.Member{}, dests: map[int]bool{},
 		pool: http1.New(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.hostRoom())}
@@ -169,7 +170,7 @@
 	l.notices = notices.New(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	if cfg.keeping() != nil {
 		l.arrivals = kept.Arrivals()
-		l.keeper = newKeeper(cfg, kept.Store(), func(e any) {
+		l.keeper = newKeeper(cfg, kept.Store(), kept.Timeline(), func(e any) {
 			select {
 			case l.inbox <- e:
 			case <-n.live.Done(): // nobody takes events any more
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -392,7 +392,7 @@
 func TestClassGone(t *testing.T) {
 	dir := t.TempDir()
 	j := earlier(t, dir)
-	j.Take(&journal.Entry{ID: "m", Class: "parcel", Dest: 7, Expires: time.Now().Add(time.Minute)})
+	j.Take(&journal.Entry{ID: "m", Class: "parcel", Dest: 7, Expires: j.Timeline().Now().Add(time.Minute)})
 	commit(t, j)
 	p := newPlatform(t)
 	p.dir = dir
@@ -408,7 +408,7 @@
 	p := newPlatform(t)
 	p.addHost("h1", 7)
 	j := earlier(t, p.dir)
-	j.Take(&journal.Entry{ID: "m", Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)})
+	j.Take(&journal.Entry{ID: "m", Class: "status", Dest: 7, Expires: j.Timeline().Now().Add(time.Minute)})
 	commit(t, j)
 	taken, err := net.Listen("tcp", p.addr)
 	if err != nil {
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -10,8 +10,8 @@
 	"fmt"
 	"log/slog"
 	"slices"
-	"time"
 
+	"mallowlead/internal/clock"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/notices"
 	"mallowlead/internal/undelivered"
@@ -89,7 +89,7 @@
 
 // resend offers the loop what is due.
 func (k *keeper) resend(ctx context.Context) error {
-	offers, err := k.resender.Round(time.Now(), func(id string) bool {
+	offers, err := k.resender.Round(k.now(), func(id string) bool {
 		q := holds{id, make(chan bool, 1)}
 		k.offer(q)
 		select {
@@ -110,7 +110,7 @@
 			continue
 		}
 		k.offer(resend{&journal.Entry{ID: o.Life.ID, Class: o.Record.Class, Dest: o.Record.Partner, Tenant: o.Record.Tenant,
-			Key: o.Record.Key, Item: o.Record.Item, Subject: o.Record.Subject, Order: o.Record.Order, Taken: o.Life.Taken, Expires: o.Life.Expires,
+			Key: o.Record.Key, Item: o.Record.Item, Subject: o.Record.Subject, Order: o.Record.Order, Taken: clock.FromCalendar(o.Life.Taken), Expires: clock.FromCalendar(o.Life.Expires),
 			Body: body, Resend: true}})
 	}
 	return err
@@ -137,7 +137,7 @@
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
 	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest, Key: m.Item, Background: true,
-		Left: l.clock(m.Expires) - l.now()})
+		Left: m.Expires.Sub(l.timeline.Now())})
 }
 
 // giveBack tells the store that a resend never left, and by which newer message it was overtaken if it was.
@@ -164,12 +164,11 @@
 		l.traceEnd(m, status)
 	}
 	m.over = true
-	now := l.now()
 	reason := undelivered.Reason(by)
 	if status != delivered && status != overtaken {
-		reason = l.reason(m, status, now)
+		reason = l.reason(m, status)
 	}
-	l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: status}, string(reason), l.wall(now))
+	l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: status}, string(reason), l.timeline.Now())
 	l.effects = append(l.effects, func() { l.tellEnd(m) })
 	l.settled(m) // nobody but the store is told
 }
--- a/internal/relay/trace.go
+++ b/internal/relay/trace.go
@@ -39,7 +39,7 @@
 		return
 	}
 	t.Kind, t.ID, t.Class, t.Dest = kind, m.ID, m.Class, m.Dest
-	t.Key, t.Retry, t.Due = trace.Digest(m.Key), retry, float64(m.Expires.UnixMicro())/1000
+	t.Key, t.Retry, t.Due = trace.Digest(m.Key), retry, float64(m.Expires)/float64(time.Millisecond)
 	terms := l.journal.Terms(m)
 	if class := l.class(m.Class); terms == nil && class >= 0 {
 		terms = &l.cfg.policy.Classes[class]
@@ -78,7 +78,7 @@
 	t := trace.Event{Kind: trace.End, ID: m.ID, Class: m.Class, Dest: m.Dest, How: how}
 	if class := l.class(m.Class); class >= 0 {
 		terms := &l.cfg.policy.Classes[class]
-		age := l.now() - l.clock(m.Expires) + terms.Deadline
+		age := l.timeline.Now().Sub(m.Expires) + terms.Deadline
 		t.Ms, t.Late = float64(age.Milliseconds()), age > terms.Aim
 	}
 	l.note(t)
--- a/internal/tasks/resend.go
+++ b/internal/tasks/resend.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"mallowlead/internal/boottime"
+	"mallowlead/internal/clock"
 	"mallowlead/internal/lease"
 )
 
@@ -39,7 +39,7 @@
 func (r *Resend) Begin(partner int) (token uint64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.turns.Need(partner, boottime.Now())
+	r.turns.Need(partner, clock.SinceBoot())
 	for i, p := range r.of {
 		if p == partner {
 			return r.acts[i].Token, r.acts[i].Ctx.Err() == nil
@@ -78,7 +78,7 @@
 		case <-ticks.C:
 		}
 		r.mu.Lock()
-		want, drop := r.turns.Step(boottime.Now(), func(partner int) (uint64, int, bool) {
+		want, drop := r.turns.Step(clock.SinceBoot(), func(partner int) (uint64, int, bool) {
 			g, ok := r.client.Grant(ResendLease(partner))
 			return g.Token, g.Wait, ok
 		})
