One guard for sending, repeating and ending, with counts of violated invariants

What violates is not done, counted by kind (GET /status/invariants) and logged with the request's id. An overdue message is ended by the guard.

TestGuard* plant each; a rehearsal counts a logged violation as a fault of its run.

--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -415,6 +415,13 @@
 	return nil
 }
 
+// Unanswered is how many requests were read and have no answer yet.
+func (s *Server) Unanswered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count[open]
+}
+
 // budget is an amount that many share.
 type budget struct {
 	mu   sync.Mutex
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -12,6 +12,7 @@
 
 import (
 	"log/slog"
+	"sync/atomic"
 	"time"
 )
 
@@ -76,6 +77,7 @@
 	started   time.Time // with a monotonic reading
 	at        Instant   // of started
 	continued bool
+	mixed     atomic.Int64 // times without a monotonic reading that Of was given
 }
 
 // sources are what a timeline is made from.
@@ -113,8 +115,17 @@
 // Now is the present instant.
 func (t *Timeline) Now() Instant { return t.at.Add(time.Since(t.started)) }
 
-// Of gives the instant of a time that was read in this process.
-func (t *Timeline) Of(read time.Time) Instant { return t.at.Add(read.Sub(t.started)) }
+// Of gives the instant of a time that was read in this process. One without a monotonic reading was not, and is counted: its
+// distance to the wall clock as of the start is no span.
+func (t *Timeline) Of(read time.Time) Instant {
+	if read == read.Round(0) {
+		t.mixed.Add(1)
+	}
+	return t.at.Add(read.Sub(t.started))
+}
+
+// Mixed is how often Of was given a time that was not read in this process, since it was last asked.
+func (t *Timeline) Mixed() int64 { return t.mixed.Swap(0) }
 
 // Moment gives an instant as a time of this process, for deadlines of sockets and contexts: it has a monotonic reading.
 func (t *Timeline) Moment(i Instant) time.Time { return t.started.Add(i.Sub(t.at)) }
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -73,6 +73,20 @@
 	}
 }
 
+// A time that lost its monotonic reading is noticed where it is taken for one of this process.
+func TestMixedClocksAreNoticed(t *testing.T) {
+	timeline := New()
+	timeline.Of(time.Now())
+	timeline.Of(timeline.Moment(timeline.Now()))
+	if n := timeline.Mixed(); n != 0 {
+		t.Errorf("%d without one", n)
+	}
+	timeline.Of(timeline.Now().Calendar())
+	if n := timeline.Mixed(); n != 1 || timeline.Mixed() != 0 {
+		t.Errorf("%d of one", n)
+	}
+}
+
 // The forms in which earlier programs wrote wall times are read.
 func TestInstantsReadOlderForms(t *testing.T) {
 	for text, want := range map[string]Instant{
--- /dev/null
+++ b/internal/invariant/invariant_test.go
@@ -0,0 +1,84 @@
+package invariant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mallowlead/internal/clock"
+	"mallowlead/internal/journal"
+	"mallowlead/policy"
+)
+
+// Each violation of sending is caught, and what is allowed beside it is let through.
+func TestSend(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	unrun := journal.Attempt{Begun: now.Add(-3 * time.Second), Ended: true, Unrun: true}
+	doubtful := journal.Attempt{Begun: now.Add(-2 * time.Second), Ended: true}
+	open := journal.Attempt{Begun: now.Add(-2 * time.Second)} // of a process that has ended
+	safe := &policy.Class{Effect: policy.Safe}
+	short := &policy.Class{Effect: policy.Keyed, Memory: time.Second}
+	long := &policy.Class{Effect: policy.Keyed, Memory: 3 * time.Second}
+	unsafe := &policy.Class{Effect: policy.Unsafe}
+	none := Kind(-1)
+	for name, c := range map[string]struct {
+		m    Message
+		left time.Duration
+		want Kind
+	}{
+		"the first attempt":              {Message{Terms: unsafe}, time.Second, none},
+		"after its end":                  {Message{Terms: safe, Ended: true}, time.Second, SendAfterEnd},
+		"in the instant of its time":     {Message{Terms: safe}, 0, SendAfterDeadline},
+		"after its time":                 {Message{Terms: safe}, -time.Second, SendAfterDeadline},
+		"while one is out":               {Message{Terms: safe, Out: true}, time.Second, SecondAttempt},
+		"unsafe, never run":              {Message{Terms: unsafe, Entry: attempts(unrun, unrun)}, time.Second, none},
+		"unsafe, may have run":           {Message{Terms: unsafe, Entry: attempts(unrun, doubtful)}, time.Second, UnsafeRepeat},
+		"unsafe, out at a restart":       {Message{Terms: unsafe, Entry: attempts(open)}, time.Second, UnsafeRepeat},
+		"safe, may have run":             {Message{Terms: safe, Entry: attempts(doubtful)}, time.Second, none},
+		"keyed, remembered":              {Message{Terms: long, Entry: attempts(doubtful)}, time.Second, none},
+		"keyed, forgotten":               {Message{Terms: short, Entry: attempts(doubtful)}, time.Second, ExpiredKeyRepeat},
+		"keyed, forgotten and never run": {Message{Terms: short, Entry: attempts(unrun)}, time.Second, none},
+		"of a class that is not known":   {Message{Entry: attempts(doubtful)}, time.Second, none},
+	} {
+		if c.m.Entry == nil {
+			c.m.Entry = attempts()
+		}
+		c.m.Expires = now.Add(c.left)
+		k, ok := Send(c.m, now)
+		if ok != (c.want == none) || !ok && k != c.want {
+			t.Errorf("%s: %v, allowed: %v", name, k, ok)
+		}
+	}
+}
+
+func attempts(a ...journal.Attempt) *journal.Entry { return &journal.Entry{Attempts: a} }
+
+// Messages are overdue in the order of their time, once each, and only those that are not ended.
+func TestOverdue(t *testing.T) {
+	var d Deadlines
+	for _, s := range []int{5, 1, 3, 2, 4} {
+		d.Add(fmt.Sprint("m", s), clock.Instant(s)*clock.Instant(time.Second))
+	}
+	open := func(id string) bool { return id != "m2" }
+	if got := d.Overdue(clock.Instant(time.Second), open); got != nil {
+		t.Errorf("%v overdue in the instant of its time", got)
+	}
+	if got := d.Overdue(clock.Instant(3500*time.Millisecond), open); fmt.Sprint(got) != "[m1 m3]" {
+		t.Errorf("overdue: %v", got)
+	}
+	if got, want := d.Next(), clock.Instant(4*time.Second).Add(endSlack); got != want {
+		t.Errorf("next at %v, want %v", got, want)
+	}
+	if got := d.Overdue(clock.Instant(time.Minute), open); fmt.Sprint(got) != "[m4 m5]" || d.Next() != 0 {
+		t.Errorf("overdue: %v", got)
+	}
+}
+
+func TestCounts(t *testing.T) {
+	var c Counts
+	c.Violated(EndTwice, "m", "outcome", "deferred")
+	by := c.ByKind()
+	if len(by) != int(kinds) || by["end_twice"] != 1 || by["send_after_end"] != 0 {
+		t.Errorf("%v", by)
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -130,6 +130,8 @@
 	live     int // bytes that the entries and the list need, with room for later records
 	reserved int // for messages that may be taken on before the next Commit
 	broken   bool
+	noted    uint64 // records noted so far
+	durable  uint64 // and how many of them a later process finds
 	pending  []byte
 	entries  map[string]*Entry
 	order    []*Entry // as taken; those that are over leave at the next compaction
@@ -351,9 +353,16 @@
 // note applies a record and buffers it.
 func (j *Journal) note(r record, body []byte) {
 	j.apply(r, body)
+	j.noted++
 	j.pending = appendRecord(j.pending, r, body)
 }
 
+// Noted is the number of the last record that was noted.
+func (j *Journal) Noted() uint64 { return j.noted }
+
+// Durable tells whether a later process finds a record of this number.
+func (j *Journal) Durable(record uint64) bool { return record <= j.durable }
+
 // Commit writes what was noted. After an error nothing that needs a record may go on; the next Commit
 // starts a new file from what is in memory.
 func (j *Journal) Commit() error {
@@ -375,6 +384,7 @@
 	if j.broken = err != nil; err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
+	j.durable = j.noted
 	return nil
 }
 
--- a/internal/management/door.go
+++ b/internal/management/door.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -37,6 +38,8 @@
 	Active()
 	// Figures gives the figures as JSON.
 	Figures() ([]byte, error)
+	// Violations gives how often invariants were violated, by kind.
+	Violations() map[string]int64
 }
 
 // Door serves operators.
@@ -68,6 +71,7 @@
 		answer(w, takes, state)
 	})
 	mux.HandleFunc("GET /status/metrics", d.figures)
+	mux.HandleFunc("GET /status/invariants", d.violations)
 	mux.HandleFunc("POST /standby", func(w http.ResponseWriter, _ *http.Request) { relay.Standby(); answer(w, true, "standing by") })
 	mux.HandleFunc("POST /active", func(w http.ResponseWriter, _ *http.Request) { relay.Active(); answer(w, true, "active") })
 	d.http = http.Server{Handler: d.heard(mux), ReadTimeout: callTime, WriteTimeout: callTime + answerTime, MaxHeaderBytes: maxHead,
@@ -101,6 +105,12 @@
 	_, _ = w.Write(append(out, '\n'))
 }
 
+// violations answers with the counts of violated invariants as JSON: all are 0 unless the program has a fault.
+func (d *Door) violations(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"violations": d.relay.Violations()})
+}
+
 // heard notes that a call was read, and bounds its body.
 func (d *Door) heard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -26,6 +26,8 @@
 func (r *told) Active()                  { s := "active"; r.words.Store(&s) }
 func (r *told) Figures() ([]byte, error) { return r.book.JSON() }
 
+func (r *told) Violations() map[string]int64 { return map[string]int64{"end_twice": 3} }
+
 // testDoor opens a door with so much room.
 func testDoor(t *testing.T, room int) (r *told, addr string) {
 	t.Helper()
--- a/internal/rehearsal/rig/relays.go
+++ b/internal/rehearsal/rig/relays.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"mallowlead/internal/invariant"
 	"mallowlead/internal/rehearsal/audit"
 	"mallowlead/internal/rehearsal/faults"
 	"mallowlead/internal/rehearsal/script"
@@ -275,6 +276,20 @@
 	return strconv.Quote(text)
 }
 
+// violations are the invariants that a relay found violated, by its log.
+func (rel *relay) violations() (found []string) {
+	raw, err := os.ReadFile(rel.logPath())
+	if err != nil {
+		return []string{err.Error()}
+	}
+	for line := range strings.Lines(string(raw)) {
+		if strings.Contains(line, invariant.LogMessage) {
+			found = append(found, rel.name+": "+strings.TrimSpace(line))
+		}
+	}
+	return found
+}
+
 func (rel *relay) frontNotices() time.Duration {
 	rel.mu.Lock()
 	starts := rel.starts
--- a/internal/rehearsal/rig/rig.go
+++ b/internal/rehearsal/rig/rig.go
@@ -352,6 +352,9 @@
 		Late: float64(r.late) / math.Max(1, float64(r.events)), Timeline: r.timeline}
 	over := r.now()
 	r.mu.Unlock()
+	for _, rel := range r.relays {
+		res.Faults = append(res.Faults, rel.violations()...)
+	}
 	log := r.written()
 	f := r.figures()
 	res.Report = audit.Judge(f, log, over)
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -9,6 +9,7 @@
 	"mallowlead/internal/clock"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/hosts"
+	"mallowlead/internal/invariant"
 	"mallowlead/internal/trace"
 	"mallowlead/policy"
 )
@@ -22,6 +23,7 @@
 	host    discovery.Member
 	timeout time.Duration
 	writeBy time.Time // its last byte must have left; zero: at any time
+	record  uint64    // the number of its record
 }
 
 // send notes an attempt and makes it ready to go.
@@ -39,7 +41,14 @@
 	if a.Within > 0 {
 		s.writeBy = l.timeline.Moment(clock.Instant(now + a.Within))
 	}
+	violated, allowed := invariant.Send(l.facts(m), clock.Instant(now))
 	l.journal.Begin(m.Entry, a.Endpoint, clock.Instant(now))
+	s.record, m.sending = l.journal.Noted(), true
+	if !allowed {
+		l.violated.Violated(violated, m.ID, "destination", m.Dest, "endpoint", a.Endpoint, "attempt", s.attempt+1, "left", left)
+		l.unsent(s)
+		return
+	}
 	if !ok || h.Block != m.Dest {
 		// Guards the protocol's rule that a message goes only to a listed host of its destination.
 		slog.Error("send to a host that is not of the destination", "host", a.Endpoint, "dest", m.Dest)
@@ -57,6 +66,11 @@
 
 // call makes a call in a goroutine of its own.
 func (l *loop) call(s send) {
+	if !l.journal.Durable(s.record) {
+		l.violated.Violated(invariant.SendUnrecorded, s.m.ID, "destination", s.m.Dest, "attempt", s.attempt+1)
+		l.unsent(s)
+		return
+	}
 	s.m.begun = time.Now()
 	l.note(trace.Event{Kind: trace.Send, ID: s.m.ID, Class: s.m.Class, Dest: s.m.Dest, Host: s.host.Host, Count: s.attempt + 1})
 	l.begin(s, l.pool.Call)
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	front "mallowlead/internal/clients/http1"
+	"mallowlead/internal/invariant"
 	"mallowlead/internal/management"
 	"mallowlead/internal/standby"
 )
@@ -38,16 +39,17 @@
 // door is what operators reach of a relay.
 type door struct {
 	*management.Door
-	stance *standby.Stance
-	book   *management.Book
-	front  atomic.Pointer[front.Server]
-	taking atomic.Bool // clients are taken, and no planned end has begun
+	stance   *standby.Stance
+	book     *management.Book
+	violated *invariant.Counts
+	front    atomic.Pointer[front.Server]
+	taking   atomic.Bool // clients are taken, and no planned end has begun
 }
 
 // openDoor opens the operators' door, where the platform names an address for it. It answers from the start on, and says no
 // until clients are taken.
-func openDoor(cfg *Config, stance *standby.Stance, book *management.Book) (*door, error) {
-	d := &door{stance: stance, book: book}
+func openDoor(cfg *Config, stance *standby.Stance, book *management.Book, violated *invariant.Counts) (*door, error) {
+	d := &door{stance: stance, book: book, violated: violated}
 	if cfg.Management == "" {
 		return d, nil
 	}
@@ -110,6 +112,9 @@
 // Figures gives the figures as JSON.
 func (d *door) Figures() ([]byte, error) { return d.book.JSON() }
 
+// Violations gives how often invariants were violated, by kind.
+func (d *door) Violations() map[string]int64 { return d.violated.ByKind() }
+
 // taken has the figures count a message as taken on; resends are none of the clients'.
 func (l *loop) taken(m *message) {
 	if !m.Resend {
--- /dev/null
+++ b/internal/relay/guard.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"time"
+
+	"mallowlead/internal/clients"
+	"mallowlead/internal/clock"
+	"mallowlead/internal/invariant"
+	"mallowlead/internal/notices"
+	"mallowlead/policy"
+)
+
+// This file has the loop's one guard for sending, repeating and ending messages: what package invariant checks.
+
+// facts are what the checks have to know of a message.
+func (l *loop) facts(m *message) invariant.Message {
+	return invariant.Message{Entry: m.Entry, Terms: l.journal.Terms(m.Entry), Ended: m.over, Out: m.sending}
+}
+
+// decide decides a message's terminal outcome; it has one only. Callers leave messages alone that are over.
+func (l *loop) decide(m *message, outcome string) {
+	if m.over {
+		l.violated.Violated(invariant.EndTwice, m.ID, "destination", m.Dest, "outcome", outcome)
+	}
+	m.over = true
+}
+
+// recorded checks that a terminal outcome which is about to be told would be found by a later process, or that its message's time
+// is up, so that a later process could only end it again.
+func (l *loop) recorded(m *message) bool {
+	if l.journal.Durable(m.outcome) || l.timeline.Now() >= m.Expires {
+		return true
+	}
+	l.violated.Violated(invariant.EndUnrecorded, m.ID, "destination", m.Dest, "left", m.Expires.Sub(l.timeline.Now()))
+	return false
+}
+
+// endOverdue ends messages that the module should have ended.
+func (l *loop) endOverdue() {
+	open := func(id string) bool { m := l.messages[id]; return m != nil && !m.over }
+	for _, id := range l.due.Overdue(l.timeline.Now(), open) {
+		m := l.messages[id]
+		l.violated.Violated(invariant.EndOverdue, id, "destination", m.Dest, "attempts", len(m.Attempts), "late", l.timeline.Now().Sub(m.Expires))
+		l.refuse(m, clients.Verdict{}, notices.Undeliverable)
+		l.events = append(l.events, policy.Withdrawn{ID: id})
+		l.wakeAt = 0 // the module has an event to act on
+		if m.cancel != nil {
+			l.effects = append(l.effects, m.cancel)
+		}
+	}
+}
+
+// nextWake is when the loop goes on by itself: for the module, or for a message whose outcome is due.
+func (l *loop) nextWake() time.Duration {
+	if due := l.due.Next(); due > 0 {
+		return min(l.wakeAt, time.Duration(due)+dueMargin)
+	}
+	return l.wakeAt
+}
+
+// dueMargin after a message's outcome is due the loop looks whether it was decided, so that one batch serves several.
+const dueMargin = 20 * time.Millisecond
+
+// checkClocks counts spans that were taken from two kinds of clock.
+func (l *loop) checkClocks() {
+	for range l.timeline.Mixed() {
+		l.violated.Violated(invariant.MixedClocks, "", "at", clock.Instant(l.now()).Calendar())
+	}
+}
--- /dev/null
+++ b/internal/relay/guard_test.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"mallowlead/internal/discovery"
+	"mallowlead/internal/invariant"
+	"mallowlead/internal/journal"
+	"mallowlead/internal/management"
+	"mallowlead/internal/notices"
+	"mallowlead/policy"
+)
+
+// guardedLoop is a loop with an accepted message of a class, and without anything that would act by itself.
+func guardedLoop(t *testing.T, class policy.Class, left time.Duration) (*loop, *message) {
+	t.Helper()
+	j, err := journal.Open(t.TempDir(), 1, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = j.Close() })
+	cfg := &Config{}
+	cfg.policy.Classes = []policy.Class{class}
+	l := &loop{cfg: cfg, timeline: j.Timeline(), journal: j, violated: &invariant.Counts{}, book: management.NewBook(nil),
+		notices: notices.New("127.0.0.1:0", nil), hosts: map[string]discovery.Member{"h": {Host: "h", Block: 3}}, messages: map[string]*message{}}
+	m := &message{Entry: &journal.Entry{ID: "m", Class: class.Name, Dest: 3, Expires: l.timeline.Now().Add(left)}}
+	j.Under(m.Entry, class)
+	j.Take(m.Entry)
+	l.messages[m.ID] = m
+	l.due.Add(m.ID, m.Expires)
+	return l, m
+}
+
+// Whatever the module asks for against the invariants is counted and not done.
+func TestGuardStopsWhatTheModuleMayNotDo(t *testing.T) {
+	unsafe := policy.Class{Name: "order", Effect: policy.Unsafe}
+	keyed := policy.Class{Name: "payment", Effect: policy.Keyed, Memory: time.Millisecond}
+	doubtful := func(l *loop, m *message) {
+		l.journal.Begin(m.Entry, "h", l.timeline.Now().Add(-time.Second))
+		l.journal.End(m.Entry, false, "reset", l.timeline.Now())
+	}
+	for name, c := range map[string]struct {
+		class   policy.Class
+		left    time.Duration
+		before  func(*loop, *message)
+		violate invariant.Kind
+	}{
+		"a send after the end":          {unsafe, time.Minute, func(_ *loop, m *message) { m.over = true }, -1}, // passed over: its end may cross the send
+		"a send after the deadline":     {unsafe, -time.Second, nil, invariant.SendAfterDeadline},
+		"a send while one is out":       {unsafe, time.Minute, func(_ *loop, m *message) { m.sending = true }, invariant.SecondAttempt},
+		"an unsafe message twice":       {unsafe, time.Minute, doubtful, invariant.UnsafeRepeat},
+		"a keyed message out of memory": {keyed, time.Minute, doubtful, invariant.ExpiredKeyRepeat},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, m := guardedLoop(t, c.class, c.left)
+			if c.before != nil {
+				c.before(l, m)
+			}
+			l.send(l.now(), policy.Send{ID: m.ID, Endpoint: "h"})
+			if len(l.sends) != 0 {
+				t.Error("it is sent")
+			}
+			if c.violate >= 0 && l.violated.ByKind()[c.violate.String()] != 1 {
+				t.Errorf("counted: %v", l.violated.ByKind())
+			}
+		})
+	}
+}
+
+// An attempt whose record was not written is not made.
+func TestGuardStopsUnrecordedSend(t *testing.T) {
+	l, m := guardedLoop(t, policy.Class{Name: "order", Effect: policy.Unsafe}, time.Minute)
+	l.send(l.now(), policy.Send{ID: m.ID, Endpoint: "h"})
+	l.call(l.sends[0]) // and no commit
+	if l.out != 0 || l.violated.ByKind()[invariant.SendUnrecorded.String()] != 1 {
+		t.Errorf("%d out, counted: %v", l.out, l.violated.ByKind())
+	}
+}
+
+// A message that the module forgets is ended all the same, and its call given up.
+func TestGuardEndsOverdueMessages(t *testing.T) {
+	l, m := guardedLoop(t, policy.Class{Name: "order", Effect: policy.Unsafe}, -time.Minute)
+	ctx, cancel := context.WithCancel(t.Context())
+	m.cancel = cancel
+	l.endOverdue()
+	l.endOverdue()
+	if err := l.journal.Commit(); err != nil {
+		t.Fatal(err)
+	}
+	for _, do := range l.effects {
+		do()
+	}
+	if !m.over || m.Owed == nil || ctx.Err() == nil || l.violated.ByKind()[invariant.EndOverdue.String()] != 1 {
+		t.Errorf("over %v, owed %v, call %v, counted: %v", m.over, m.Owed, ctx.Err(), l.violated.ByKind())
+	}
+	l.decide(m, "once more")
+	if l.violated.ByKind()[invariant.EndTwice.String()] != 1 {
+		t.Errorf("a second end is not counted: %v", l.violated.ByKind())
+	}
+}
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -506,6 +506,7 @@
 // tellEnd tells the end of a message that owes one: to the platform, and to the store where one is kept; that of a
 // resend to the store alone.
 func (l *loop) tellEnd(m *message) {
+	l.recorded(m)
 	switch {
 	case (m.Resend || m.Owed.Status == outOfTime) && l.keeper == nil: // the operator has turned the store off: nobody is left to tell
 		l.end(m)
@@ -537,8 +538,9 @@
 	case m.Resend:
 		l.endResend(m, outOfTime, "")
 	case now > m.Expires.Add(-endMargin):
-		m.over = true
+		l.decide(m, outOfTime)
 		l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: outOfTime}, string(undelivered.OutOfTime), now)
+		m.outcome = l.journal.Noted()
 		l.effects = append(l.effects, func() { l.tellEnd(m) })
 	default: // its client has withdrawn it
 		l.end(m)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -13,6 +13,7 @@
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/hosts"
 	"mallowlead/internal/hosts/http1"
+	"mallowlead/internal/invariant"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/management"
 	"mallowlead/internal/notices"
@@ -68,6 +69,8 @@
 	begun    time.Time              // when it did
 	retry    string                 // what its client says of an earlier hand-in
 	over     bool                   // ended, but a call is still out
+	sending  bool                   // an attempt was decided on whose end the loop has not heard
+	outcome  uint64                 // the number of the record of its terminal outcome
 	resumed  bool                   // taken on by an earlier process
 	noticed  bool                   // the platform has its notice, and it waits for the store
 	kept     bool                   // the store of undelivered messages has it
@@ -101,6 +104,8 @@
 	again    undelivered.Underway // resends that are
 	timeline *clock.Timeline      // its instants are the module's clock
 	steps    *clock.StepWatch
+	violated *invariant.Counts
+	due      invariant.Deadlines // of messages that were accepted
 	messages map[string]*message
 	hosts    map[string]discovery.Member
 	dests    map[int]bool  // named by some list
@@ -160,11 +165,14 @@
 	for _, e := range l.journal.Entries() {
 		m := &message{Entry: e, resumed: true}
 		l.messages[e.ID] = m
+		if l.journal.Past(e.ID) {
+			l.violated.Violated(invariant.ResumedAfterEnd, e.ID, "destination", e.Dest)
+		}
 		l.begun(m)
 		l.traceResume(e)
 		switch {
 		case e.Owed != nil:
-			m.over = true
+			m.over = true // by the process before
 			l.tellEnd(m)
 			if class := l.class(e.Class); class >= 0 && e.Item != "" {
 				// Guards against a call for the next of its key that overtakes its notice.
@@ -182,6 +190,7 @@
 			continue
 		}
 		l.taken(m)
+		l.due.Add(m.ID, m.Expires)
 		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Key: e.Item, Resumed: true, Background: e.Resend, Terms: l.journal.Terms(e),
 			Left: e.Expires.Sub(l.timeline.Now())}
 		for _, t := range e.Attempts {
@@ -222,13 +231,14 @@
 	sweep := time.NewTicker(time.Second)
 	defer sweep.Stop()
 	for {
-		timer.Reset(max(0, l.wakeAt-l.now()))
+		timer.Reset(max(0, l.nextWake()-l.now()))
 		select {
 		case <-ctx.Done():
 			return
 		case <-sweep.C:
 			l.pool.Sweep()
 			l.steps.Look()
+			l.checkClocks()
 			l.forgetEnds()
 			continue
 		case e := <-l.inbox:
@@ -326,7 +336,7 @@
 		l.parked[e.id] = e.Parked
 		return
 	}
-	m.cancel = nil
+	m.cancel, m.sending = nil, false
 	l.traceAnswer(m, e)
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.End(m.Entry, e.Unrun(), outcomes[e.Outcome], l.timeline.Now())
@@ -348,7 +358,7 @@
 	case e.Over && m.Resend && !m.over:
 		l.endResend(m, delivered, "")
 	case e.Over && m.Order != nil && l.keeper != nil && !m.over:
-		m.over = true
+		l.decide(m, delivered)
 		l.journal.Deliver(m.Entry)
 		l.effects = append(l.effects, func() { l.tellDelivered(m) })
 	case e.Over && !m.Resend, m.over && m.Owed == nil:
@@ -432,6 +442,7 @@
 		l.act(now, a)
 	}
 	l.overtake()
+	l.endOverdue()
 	l.commit()
 }
 
@@ -446,6 +457,7 @@
 			l.traceMessage(trace.Take, m.Entry, m.retry, trace.Event{})
 			l.taken(m)
 			l.begun(m)
+			l.due.Add(m.ID, m.Expires)
 		}
 	}
 }
@@ -476,9 +488,10 @@
 		return
 	}
 	l.traceEnd(m, status)
-	m.over = true
+	l.decide(m, status)
 	n := notices.Notice{ID: m.ID, Status: status, AgainMS: v.After.Milliseconds()}
 	l.journal.Owe(m.Entry, n, string(l.reason(m, status)), l.timeline.Now())
+	m.outcome = l.journal.Noted()
 	l.effects = append(l.effects, func() { l.tellEnd(m) })
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/handover"
 	"mallowlead/internal/hosts/http1"
+	"mallowlead/internal/invariant"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/management"
 	"mallowlead/internal/notices"
@@ -51,6 +52,7 @@
 	ownClasses []policy.Class // as the configuration has them
 	stance     *standby.Stance
 	book       *management.Book
+	violated   *invariant.Counts
 	door       *door
 	fleet      *tasks.Fleet // its part of the fleet's tasks; nil: it has none
 	endTasks   func()       // gives back what of them it holds; nil: it has none
@@ -74,14 +76,14 @@
 	if err := cfg.checkOwn(); err != nil {
 		return err
 	}
-	stance, book := &standby.Stance{}, management.NewBook(cfg.classNames())
-	door, err := openDoor(cfg, stance, book)
+	stance, book, violated := &standby.Stance{}, management.NewBook(cfg.classNames()), &invariant.Counts{}
+	door, err := openDoor(cfg, stance, book, violated)
 	if err != nil {
 		return err
 	}
 	defer door.close()
 	for {
-		n := &node{cfg: cfg, dir: dir, ownClasses: cfg.policy.Classes, stance: stance, book: book, door: door,
+		n := &node{cfg: cfg, dir: dir, ownClasses: cfg.policy.Classes, stance: stance, book: book, violated: violated, door: door,
 			served: make(chan error, 1)}
 		if err := n.run(ctx, reread); !errors.Is(err, errOrphan) {
 			return err
@@ -154,7 +156,7 @@
 	}
 	s := cfg.Settings
 	l := &loop{cfg: cfg, d: d, journal: kept, inbox: make(chan any, inboxSize), timeline: kept.Timeline(), steps: clock.NewStepWatch(kept.Timeline()), calls: n.live,
-		book: n.book, stance: n.stance, parked: map[string]*net.TCPConn{},
+		book: n.book, violated: n.violated, stance: n.stance, parked: map[string]*net.TCPConn{},
 		messages: map[string]*message{}, hosts: map[string]discovery.Member{}, dests: map[int]bool{},
 		pool: http1.New(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle, cfg.hostRoom())}
 	l.pool.Written = func() { l.book.Calls.Add(1) }
@@ -242,6 +244,9 @@
 	defer cancel()
 	if err := n.srv.Shutdown(ctx); err != nil {
 		slog.Warn("connections left", "err", err)
+		for range n.srv.Unanswered() {
+			n.violated.Violated(invariant.ClosedUnanswered, "")
+		}
 	}
 }
 
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -163,12 +163,13 @@
 	if status != delivered { // that is noted with the call
 		l.traceEnd(m, status)
 	}
-	m.over = true
+	l.decide(m, status)
 	reason := undelivered.Reason(by)
 	if status != delivered && status != overtaken {
 		reason = l.reason(m, status)
 	}
 	l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: status}, string(reason), l.timeline.Now())
+	m.outcome = l.journal.Noted()
 	l.effects = append(l.effects, func() { l.tellEnd(m) })
 	l.settled(m) // nobody but the store is told
 }
