--- a/internal/rehearsal/faults/faults_test.go
+++ b/internal/rehearsal/faults/faults_test.go
@@ -18,6 +18,10 @@
 		readClocks()
 		return
 	}
+	if folder := os.Getenv(callerEnv); folder != "" {
+		makeCalls(folder)
+		return
+	}
 	code := func() int {
 		dir, err := os.MkdirTemp("", "faults-")
 		if err == nil {
--- /dev/null
+++ b/internal/rehearsal/faults/preload/syscalls.c
@@ -0,0 +1,235 @@
+/*
+ * Has system calls of one process fail, or be short, as Linux documents that they may.
+ *
+ * Loaded by LD_PRELOAD. The Go runtime makes its calls without the C library, so that no function can be interposed: a system-call
+ * filter (seccomp(2)) on this process alone has the chosen calls raise SIGSYS, and the handler below answers them with an error, or
+ * makes them itself, from the one address that the filter lets through. It needs no rights.
+ *
+ * FROSTLINK_SYSCALL_RULES names a file that is mapped shared: who writes to it changes the rules at once. FROSTLINK_SYSCALL_FOLDER
+ * is the folder whose files are meant by rules on files. See syscalls.go for the layout and the meaning of the rules.
+ */
+#define _GNU_SOURCE
+#include <errno.h>
+#include <fcntl.h>
+#include <linux/audit.h>
+#include <linux/filter.h>
+#include <linux/seccomp.h>
+#include <signal.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/mman.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
+#include <ucontext.h>
+#include <unistd.h>
+
+#ifndef __x86_64__
+#error "written for x86-64 only"
+#endif
+
+enum { RULES = 16, SHORT = 0xffff };
+enum group { ACCEPT = 1, CONNECT, SOCKET, SOCKET_READ, SOCKET_WRITE, WAIT, FILE_WRITE, FILE_SYNC, FILE_OPEN, FILE_RENAME };
+
+struct rule {
+	uint32_t group;  /* 0: none */
+	uint32_t error;  /* an errno, or SHORT */
+	uint32_t chance; /* of 2^32 */
+	uint32_t hits;   /* so often it was applied */
+};
+
+struct rules {
+	uint64_t seed;
+	uint64_t calls; /* that were asked about */
+	struct rule rule[RULES];
+};
+
+static struct rules *rules;
+static char folder[4096];
+
+/* The only address from which the filter lets the chosen calls through is the one behind this syscall instruction. */
+extern const char frostlink_after_syscall[];
+long frostlink_syscall(long number, long a, long b, long c, long d, long e, long f);
+__asm__(".text\n"
+	".globl frostlink_syscall\n"
+	".globl frostlink_after_syscall\n"
+	".hidden frostlink_syscall\n"
+	".hidden frostlink_after_syscall\n"
+	"frostlink_syscall:\n"
+	"	mov %rdi, %rax\n"
+	"	mov %rsi, %rdi\n"
+	"	mov %rdx, %rsi\n"
+	"	mov %rcx, %rdx\n"
+	"	mov %r8, %r10\n"
+	"	mov %r9, %r8\n"
+	"	mov 8(%rsp), %r9\n"
+	"	syscall\n"
+	"frostlink_after_syscall:\n"
+	"	ret\n");
+
+/* Calls that may be answered, each with the groups of rules that it may fall under. */
+static const struct {
+	int number;
+	enum group socket, file; /* by what the first argument is; 0: never */
+} chosen[] = {
+	{SYS_accept, ACCEPT, 0},         {SYS_accept4, ACCEPT, 0},        {SYS_connect, CONNECT, 0},
+	{SYS_socket, SOCKET, 0},         {SYS_read, SOCKET_READ, 0},      {SYS_write, SOCKET_WRITE, FILE_WRITE},
+	{SYS_epoll_pwait, WAIT, 0},      {SYS_pwrite64, 0, FILE_WRITE},   {SYS_fsync, 0, FILE_SYNC},
+	{SYS_fdatasync, 0, FILE_SYNC},   {SYS_openat, 0, FILE_OPEN},      {SYS_rename, 0, FILE_RENAME},
+	{SYS_renameat, 0, FILE_RENAME},  {SYS_renameat2, 0, FILE_RENAME}, {SYS_ftruncate, 0, FILE_WRITE},
+};
+
+/* of says which kind of descriptor one is. */
+static unsigned of(long descriptor)
+{
+	struct stat s;
+	if (descriptor <= 2 || frostlink_syscall(SYS_fstat, descriptor, (long)&s, 0, 0, 0, 0) != 0)
+		return 0;
+	return s.st_mode & S_IFMT;
+}
+
+/* inside tells whether a descriptor, or a path, is in the folder. */
+static int inside(const char *path) { return folder[0] != 0 && strncmp(path, folder, strlen(folder)) == 0; }
+
+static int file_inside(long descriptor)
+{
+	char link[32] = "/proc/self/fd/", path[4096], digits[12];
+	int n = 0, at = 14;
+	for (long v = descriptor; v > 0 || n == 0; v /= 10)
+		digits[n++] = '0' + v % 10;
+	while (n > 0)
+		link[at++] = digits[--n];
+	link[at] = 0;
+	long length = frostlink_syscall(SYS_readlink, (long)link, (long)path, sizeof path - 1, 0, 0, 0);
+	if (length <= 0)
+		return 0;
+	path[length] = 0;
+	return inside(path);
+}
+
+/* group_of says which group of rules a call falls under, or 0. */
+static enum group group_of(int number, const long *argument)
+{
+	for (size_t i = 0; i < sizeof chosen / sizeof chosen[0]; i++) {
+		if (chosen[i].number != number)
+			continue;
+		switch (number) {
+		case SYS_accept:
+		case SYS_accept4:
+		case SYS_connect:
+		case SYS_epoll_pwait:
+			return chosen[i].socket;
+		case SYS_socket:
+			return argument[0] == 2 ? SOCKET : 0; /* AF_INET */
+		case SYS_openat: /* for writing, below the folder */
+			return (argument[2] & O_ACCMODE) != O_RDONLY && inside((const char *)argument[1]) ? FILE_OPEN : 0;
+		case SYS_rename:
+			return inside((const char *)argument[0]) ? FILE_RENAME : 0;
+		case SYS_renameat:
+		case SYS_renameat2:
+			return inside((const char *)argument[1]) ? FILE_RENAME : 0;
+		}
+		switch (of(argument[0])) {
+		case S_IFSOCK:
+			return chosen[i].socket;
+		case S_IFREG:
+			return chosen[i].file != 0 && file_inside(argument[0]) ? chosen[i].file : 0;
+		}
+	}
+	return 0;
+}
+
+/* draw is the same for the same seed and number of the call. */
+static uint32_t draw(uint64_t n)
+{
+	uint64_t z = rules->seed + n * 0x9e3779b97f4a7c15u;
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+	return (uint32_t)((z ^ (z >> 31)) >> 32);
+}
+
+static long answer(int number, long *argument)
+{
+	enum group group = 0;
+	int known = 0;
+	for (int i = 0; i < RULES; i++) {
+		struct rule *r = &rules->rule[i];
+		if (r->group == 0)
+			continue;
+		if (!known) {
+			group = group_of(number, argument);
+			known = 1;
+		}
+		if (r->group != group || group == 0)
+			continue;
+		if (r->error == SHORT && group != SOCKET_READ && group != SOCKET_WRITE && group != FILE_WRITE)
+			continue;
+		uint64_t n = __atomic_add_fetch(&rules->calls, 1, __ATOMIC_RELAXED);
+		if (draw(n) >= r->chance)
+			continue;
+		__atomic_add_fetch(&r->hits, 1, __ATOMIC_RELAXED);
+		if (r->error != SHORT)
+			return -(long)r->error;
+		if (argument[2] > 1) /* the length of read, write and pwrite64 */
+			argument[2] = 1 + draw(n ^ 0x5555555555555555u) % (uint32_t)(argument[2] - 1);
+		break;
+	}
+	return frostlink_syscall(number, argument[0], argument[1], argument[2], argument[3], argument[4], argument[5]);
+}
+
+static void handle(int signal, siginfo_t *info, void *context)
+{
+	greg_t *registers = ((ucontext_t *)context)->uc_mcontext.gregs;
+	long argument[6] = {registers[REG_RDI], registers[REG_RSI], registers[REG_RDX],
+			    registers[REG_R10], registers[REG_R8], registers[REG_R9]};
+	(void)signal;
+	registers[REG_RAX] = answer(info->si_syscall, argument);
+}
+
+/* filter has the chosen calls raise SIGSYS, and the handler stay: the Go runtime's own for SIGSYS is passed over. */
+static int filter(void)
+{
+	enum { COUNT = sizeof chosen / sizeof chosen[0] };
+	uint64_t pass = (uintptr_t)frostlink_after_syscall;
+	struct sock_filter program[COUNT + 16];
+	int n = 0;
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, arch));
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AUDIT_ARCH_X86_64, 1, 0);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, instruction_pointer));
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, (uint32_t)pass, 0, 3);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, instruction_pointer) + 4);
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, (uint32_t)(pass >> 32), 0, 1);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, nr));
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_rt_sigaction, 0, 3);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, args[0]));
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SIGSYS, 0, COUNT + 1);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ERRNO); /* 0: done */
+	for (int i = 0; i < COUNT; i++)
+		program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, chosen[i].number, COUNT - i, 0);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_TRAP);
+	struct sock_fprog whole = {.len = n, .filter = program};
+	return prctl(PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0) != 0 || prctl(PR_SET_SECCOMP, SECCOMP_MODE_FILTER, &whole) != 0;
+}
+
+__attribute__((constructor)) static void load(void)
+{
+	const char *path = getenv("FROSTLINK_SYSCALL_RULES"), *where = getenv("FROSTLINK_SYSCALL_FOLDER");
+	struct sigaction action = {.sa_sigaction = handle, .sa_flags = SA_SIGINFO | SA_ONSTACK | SA_NODEFER};
+	if (path == NULL)
+		return;
+	if (where != NULL && strlen(where) < sizeof folder)
+		strcpy(folder, where);
+	int file = open(path, O_RDWR | O_CLOEXEC);
+	void *mapped = file < 0 ? MAP_FAILED : mmap(NULL, sizeof *rules, PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
+	if (mapped == MAP_FAILED)
+		_exit(125);
+	close(file);
+	rules = mapped;
+	if (sigaction(SIGSYS, &action, NULL) != 0 || filter() != 0)
+		_exit(125);
+}
--- a/internal/rehearsal/faults/wallclock.go
+++ b/internal/rehearsal/faults/wallclock.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,13 +34,18 @@
 
 // BuildWallClockLibrary compiles the library into a folder and gives its path. It needs a C compiler.
 func BuildWallClockLibrary(dir string) (string, error) {
-	source, library := filepath.Join(dir, "wallclock.c"), filepath.Join(dir, "wallclock.so")
-	if err := os.WriteFile(source, wallClockSource, 0o600); err != nil {
+	return buildLibrary(dir, "wallclock", wallClockSource)
+}
+
+// buildLibrary compiles the source of a library that is to be preloaded.
+func buildLibrary(dir, name string, text []byte) (string, error) {
+	source, library := filepath.Join(dir, name+".c"), filepath.Join(dir, name+".so")
+	if err := os.WriteFile(source, text, 0o600); err != nil {
 		return "", err
 	}
-	out, err := exec.Command("cc", "-shared", "-fPIC", "-O2", "-o", library, source).CombinedOutput()
+	out, err := exec.Command("cc", "-shared", "-fPIC", "-O2", "-Wall", "-o", library, source).CombinedOutput()
 	if err != nil {
-		return "", fmt.Errorf("the library that steps clocks: %w: %s", err, out)
+		return "", fmt.Errorf("library %s: %w: %s", name, err, out)
 	}
 	return library, nil
 }
@@ -50,10 +56,14 @@
 	return c, c.Step(0)
 }
 
-// Env is what a process needs in its environment to go by this clock.
-func (c *WallClock) Env() []string {
-	return []string{preloadEnv + "=" + c.library, offsetEnv + "=" + c.path}
-}
+// Env is what a process needs in its environment to go by this clock, beside the library in LD_PRELOAD.
+func (c *WallClock) Env() []string { return []string{offsetEnv + "=" + c.path} }
+
+// Library is what has to be preloaded.
+func (c *WallClock) Library() string { return c.library }
+
+// Preload is the variable of the environment that has libraries loaded into a process before it starts.
+func Preload(libraries ...string) string { return preloadEnv + "=" + strings.Join(libraries, ":") }
 
 // Step moves the clock at once, for running processes and later ones.
 func (c *WallClock) Step(by time.Duration) error {
--- a/internal/rehearsal/faults/wallclock_test.go
+++ b/internal/rehearsal/faults/wallclock_test.go
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	cmd := exec.Command(own)
-	cmd.Env = append(append(os.Environ(), clock.Env()...), clockReaderEnv+"=1")
+	cmd.Env = append(append(os.Environ(), clock.Env()...), Preload(clock.Library()), clockReaderEnv+"=1")
 	in, err := cmd.StdinPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/rehearsal/rig/relays.go
+++ b/internal/rehearsal/rig/relays.go
@@ -61,8 +61,9 @@
 	peersAll string
 	usage    Process
 
-	clock  *faults.WallClock // of all its processes; nil: the machine's
-	socket *os.File          // where clients connect, held for all its processes; nil: each listens by itself
+	clock  *faults.WallClock     // of all its processes; nil: the machine's
+	calls  *faults.SyscallErrors // nil: no system call is made to fail
+	socket *os.File              // where clients connect, held for all its processes; nil: each listens by itself
 
 	mu        sync.Mutex
 	discovery string
@@ -126,6 +127,12 @@
 			return nil, err
 		}
 	}
+	if r.callLibrary != "" {
+		if rel.calls, err = faults.NewSyscallErrors(r.callLibrary, filepath.Join(rel.dir(), "syscall-rules"), rel.state(),
+			r.d.For("syscalls", number).Uint64()); err != nil {
+			return nil, err
+		}
+	}
 	return rel, nil
 }
 
@@ -223,9 +230,7 @@
 		cmd.Env = append(cmd.Env, "NODE_LISTEN_FD=3") // the first of the further files
 	}
 	rel.mu.Unlock()
-	if rel.clock != nil {
-		cmd.Env = append(cmd.Env, rel.clock.Env()...)
-	}
+	cmd.Env = append(cmd.Env, rel.injected()...)
 	cmd.Env = append(cmd.Env, o.Env...)
 	if err := rel.r.launcher.Start(cmd); err != nil {
 		return nil, fmt.Errorf("%s: %w", rel.name, err)
@@ -241,6 +246,40 @@
 	return p, nil
 }
 
+// injected is the environment by which faults are injected into a process.
+func (rel *relay) injected() (env []string) {
+	var libraries []string
+	if rel.clock != nil {
+		env, libraries = append(env, rel.clock.Env()...), append(libraries, rel.clock.Library())
+	}
+	if rel.calls != nil {
+		env, libraries = append(env, rel.calls.Env()...), append(libraries, rel.calls.Library())
+	}
+	if len(libraries) == 0 {
+		return nil
+	}
+	return append(env, faults.Preload(libraries...))
+}
+
+// failCalls has a share of a relay's system calls of some kinds fail for a while.
+func (rel *relay) failCalls(e *script.Event, calls ...faults.Call) {
+	var rules []faults.Rule
+	for _, call := range calls {
+		rule, err := rel.calls.Fail(call, script.Errno(e.Errno), e.Share)
+		if err != nil {
+			rel.r.fault("%s: %v", rel.name, err)
+			continue
+		}
+		rules = append(rules, rule)
+	}
+	wait.For(rel.r.ctx, script.Seconds(e.For))
+	for _, rule := range rules {
+		if _, err := rel.calls.Mend(rule); err != nil {
+			rel.r.fault("%s: %v", rel.name, err)
+		}
+	}
+}
+
 // wait notes a process's end.
 func (p *process) wait(cmd *exec.Cmd) {
 	err, rel := cmd.Wait(), p.rel
--- a/internal/rehearsal/rig/rig.go
+++ b/internal/rehearsal/rig/rig.go
@@ -83,6 +83,7 @@
 	*recorder
 	launcher     *faults.Launcher
 	clockLibrary string // steps relays' wall clocks; empty: no clock is stepped
+	callLibrary  string // has relays' system calls fail; empty: none is to
 	coordination
 	book     *book
 	partners []*live
@@ -215,6 +216,12 @@
 			return err
 		}
 	}
+	if r.s.FailsCalls() {
+		var err error
+		if r.callLibrary, err = faults.BuildSyscallLibrary(r.dir); err != nil {
+			return err
+		}
+	}
 	for i := range r.s.Relays {
 		rel, err := newRelay(r, i)
 		if err != nil {
--- a/internal/rehearsal/rig/timeline.go
+++ b/internal/rehearsal/rig/timeline.go
@@ -111,6 +111,8 @@
 				r.fault("%s: %v", rel.name, err)
 			}
 		},
+		"syscall_errors": func(rel *relay) { rel.failCalls(e, script.Calls[e.Call]) },
+		"disk_errors":    func(rel *relay) { rel.failCalls(e, script.FolderCalls...) },
 		"move": func(rel *relay) {
 			if err := rel.move(); err != nil {
 				r.fault("%s: %v", rel.name, err)
@@ -120,6 +122,9 @@
 	var out []happening
 	for _, rel := range of {
 		what := rel.name + ": " + e.What
+		if e.Errno != "" {
+			what = strings.TrimSpace(fmt.Sprintf("%s: %s %s with %s in %v of calls for %v s", rel.name, e.What, e.Call, e.Errno, e.Share, e.For))
+		}
 		if e.By != 0 {
 			what += fmt.Sprintf(" by %+v s", e.By)
 		}
--- a/internal/rehearsal/script/check.go
+++ b/internal/rehearsal/script/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -219,11 +220,16 @@
 	"settings": {"classes", "attempts", "broken"},
 	"scrape":   {"relay", "for_s!", "callers"},
 	clockStep:  {"relay", "by_s!"},
+
+	syscallErrors: {"relay", "for_s!", "call!", "errno!", "share!"},
+	diskErrors:    {"relay", "for_s!", "errno!", "share!"},
 }
 
 const (
 	// clockStep steps the wall clock of relays; their monotonic clocks run on.
 	clockStep = "clock_step"
+	// syscallErrors has a share of a relay's system calls on sockets fail, and diskErrors a share of those that write to its folder.
+	syscallErrors, diskErrors = "syscall_errors", "disk_errors"
 	// mostStep is the longest step of a clock, in seconds.
 	mostStep = 86400
 )
@@ -254,7 +260,7 @@
 		}
 	}
 	for _, name := range []string{"for_s", "partner", "endpoint", "relay", "relays", "factor", "share", "rise_s", "drain_s",
-		"over_s", "reused", "back_s", "how", "warm", "classes", "attempts", "broken", "callers", "by_s"} {
+		"over_s", "reused", "back_s", "how", "warm", "classes", "attempts", "broken", "callers", "by_s", "call", "errno"} {
 		if c.Has(at+"."+name) && !takes[name] {
 			c.Bad(at+"."+name, "has no meaning for %q", e.What)
 		}
@@ -282,6 +288,12 @@
 		s.checkSettings(c, at, e)
 	}
 	c.least(at+".callers", float64(e.Callers), 0)
+	if c.Has(at + ".call") {
+		c.oneOf(at+".call", e.Call, slices.Sorted(maps.Keys(Calls))...)
+	}
+	if c.Has(at+".errno") && Errno(e.Errno) == 0 {
+		c.Bad(at+".errno", "%q is the name of no error of a system call", e.Errno)
+	}
 	if takes["by_s"] && (e.By == 0 || math.Abs(e.By) > mostStep) {
 		c.Bad(at+".by_s", "%v is no step of at most %d s either way", e.By, mostStep)
 	}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -220,6 +220,8 @@
 	Callers  int      `toml:"callers"`  // of a door that say nothing
 	Warm     bool     `toml:"warm"`     // an outage after which the partner is not cold
 	By       float64  `toml:"by_s"`     // that a relay's wall clock is stepped, back where below 0
+	Call     string   `toml:"call"`     // of the system calls that fail: accept, connect, socket, read, write or wait
+	Errno    string   `toml:"errno"`    // with which they do, by its name, or SHORT: a part of a read or write
 }
 
 // Range is a number, or a span from which one is drawn.
@@ -488,6 +490,9 @@
 // StepsClocks tells whether relays' wall clocks are stepped.
 func (s *Script) StepsClocks() bool { return s.has(clockStep) }
 
+// FailsCalls tells whether relays' system calls are made to fail.
+func (s *Script) FailsCalls() bool { return s.has(syscallErrors) || s.has(diskErrors) }
+
 func (s *Script) has(what string) bool {
 	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.What == what })
 }
