--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -19,6 +19,7 @@
 	"mallowlead/internal/clients"
 	"mallowlead/internal/socket"
 	"mallowlead/internal/standby"
+	"mallowlead/internal/syserr"
 )
 
 const (
@@ -42,8 +43,8 @@
 	maxHead = 16 << 10
 	// seeOffEvery is between looks for connections to close while clients are sent away.
 	seeOffEvery = 100 * time.Millisecond
-	// acceptAgain is the pause after a failed accept.
-	acceptAgain = 5 * time.Millisecond
+	// acceptAgain is the pause after a failed accept, and mostAcceptPause after several in a row.
+	acceptAgain, mostAcceptPause = 5 * time.Millisecond, 50 * time.Millisecond
 )
 
 // stage is where a client's connection stands, in the order in which connections are closed to make room.
@@ -79,21 +80,24 @@
 	s.mu.Lock()
 	s.listener, _ = l.(*net.TCPListener)
 	s.mu.Unlock()
+	pause := syserr.Backoff{Least: acceptAgain, Most: mostAcceptPause}
 	for {
 		s.unblock()
 		raw, err := l.Accept()
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded) && s.untilThawed():
 		case err == nil:
+			pause.Succeeded()
 			s.accept(raw.(*net.TCPConn))
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ECONNABORTED):
+		case syserr.Of(syserr.Accept, err) == syserr.Local:
+			// Guards against a process that ends for what passes. It may be want of descriptors, so that one is made free.
 			slog.Warn("connection not accepted", "err", err)
 			s.mu.Lock()
 			s.evict(leaving)
 			s.mu.Unlock()
-			time.Sleep(acceptAgain)
+			time.Sleep(pause.Failed())
 		default:
 			return err
 		}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"mallowlead/internal/settings"
+	"mallowlead/internal/socket"
 	"mallowlead/internal/wait"
 	"mallowlead/policy"
 )
@@ -109,7 +110,7 @@
 // failed the end of each watch, with how many it had brought.
 func NewWatcher(discovery string, told func(m Members, from string), failed func(lines int)) *Watcher {
 	return &Watcher{from: discovery, told: told, failed: failed, silence: watchSilence, relays: 1,
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: new(socket.Dialer).DialContext}}, asked: make(chan struct{}, 1),
 		moved: make(chan string), ended: make(chan struct{})}
 }
 
--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -21,6 +21,7 @@
 
 	"mallowlead/internal/hosts"
 	"mallowlead/internal/socket"
+	"mallowlead/internal/syserr"
 	"mallowlead/policy"
 )
 
@@ -56,7 +57,7 @@
 // second run, and does not tell whether the last byte had been written, which is what parts "never ran" from
 // "may have run".
 type Pool struct {
-	dialer net.Dialer
+	dialer socket.Dialer
 	keep   time.Duration
 	room   int // connections at most, idle or with a call out; no fewer than calls out at once
 	// Written, where set, hears of each request whose last byte was written. Set before the first call.
@@ -141,7 +142,7 @@
 
 // New has room for so many connections, and keeps idle ones for less than hostIdle.
 func New(connect, hostIdle time.Duration, room int) *Pool {
-	p := &Pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[hosts.Target]*shelf{},
+	p := &Pool{dialer: socket.Dialer{Dialer: net.Dialer{KeepAlive: -1}, Timeout: connect}, room: room, idle: map[hosts.Target]*shelf{},
 		keep: time.Duration(idleShare * float64(hostIdle)), out: map[*conn]bool{}}
 	p.dials, p.freeze = context.WithCancel(context.Background())
 	return p
@@ -165,7 +166,7 @@
 	switch {
 	case err != nil && (p.isFrozen() || r.Late()):
 		return hosts.Result{Outcome: policy.Ignored, Fresh: fresh}
-	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.EADDRNOTAVAIL):
+	case syserr.LastsLonger(err) == syserr.Local:
 		slog.Error("call not made", "err", err) // for want of something here: no fault of the host
 		return hosts.Result{Outcome: policy.Ignored}
 	case err != nil:
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -16,6 +16,7 @@
 	"mallowlead/internal/clock"
 	"mallowlead/internal/discovery"
 	"mallowlead/internal/notices"
+	"mallowlead/internal/syserr"
 	"mallowlead/internal/undelivered"
 	"mallowlead/policy"
 )
@@ -130,6 +131,7 @@
 	live     int // bytes that the entries and the list need, with room for later records
 	reserved int // for messages that may be taken on before the next Commit
 	broken   bool
+	doubtful bool   // the failed commit may have left records in the file
 	noted    uint64 // records noted so far
 	durable  uint64 // and how many of them a later process finds
 	pending  []byte
@@ -184,10 +186,18 @@
 // Own makes a journal ready to be written: this process owns the folder now.
 func (j *Journal) Own() error {
 	// A process that ended while it compacted leaves a file that was never used.
-	if err := os.Remove(j.temporary()); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return fmt.Errorf("journal: %w", err)
+	err := os.Remove(j.temporary())
+	if errors.Is(err, fs.ErrNotExist) {
+		err = nil
+	}
+	err = errors.Join(err, j.compact())
+	if err != nil && syserr.Of(syserr.File, err) == syserr.Local {
+		// Guards against a start that fails for what passes: what the folder has was read, and is owed.
+		slog.Error("journal: the folder can't be written", "err", err)
+		j.broken = true
+		return nil
 	}
-	if err := j.compact(); err != nil {
+	if err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
 	return nil
@@ -376,7 +386,7 @@
 	case j.broken || full || j.size+n > 2*(j.live+j.pastLen)+slackSize:
 		err = j.compact()
 	default:
-		if _, err = j.file.Write(j.pending); err == nil {
+		if err = j.append(j.pending); err == nil {
 			j.size += n
 		}
 	}
@@ -384,10 +394,26 @@
 	if j.broken = err != nil; err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
-	j.durable = j.noted
+	j.durable, j.doubtful = j.noted, false
 	return nil
 }
 
+// append writes records at the end of the file. What of them a failure leaves there is cut off again: a later process would take up
+// messages of which clients were told that they were not accepted.
+func (j *Journal) append(records []byte) error {
+	_, err := j.file.Write(records)
+	if err != nil && j.file.Truncate(int64(j.size)) != nil {
+		j.doubtful = true
+	}
+	return err
+}
+
+// Broken tells whether the last commit failed: only what is in the file as it stood before is known to a later process.
+func (j *Journal) Broken() bool { return j.broken }
+
+// Doubtful tells whether the commits that failed since the last good one may have left records in the file all the same.
+func (j *Journal) Doubtful() bool { return j.doubtful }
+
 // pastRoom is how many bytes of a new file may go to messages that are over: what is live comes first, the old file stands
 // beside the new one, and half of what is left is for the records until the next compaction.
 func (j *Journal) pastRoom() int {
@@ -450,7 +476,9 @@
 		return err
 	}
 	if _, err = f.Write(b); err == nil {
-		err = os.Rename(j.temporary(), j.path)
+		if err = os.Rename(j.temporary(), j.path); err != nil {
+			j.doubtful = true // rename(2) does not say what stands there after an EIO
+		}
 	}
 	if err != nil {
 		_ = f.Close()
--- /dev/null
+++ b/internal/relay/commit.go
@@ -0,0 +1,147 @@
+package relay
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"mallowlead/internal/clients"
+	"mallowlead/internal/clock"
+	"mallowlead/internal/journal"
+	"mallowlead/internal/management"
+	"mallowlead/policy"
+)
+
+// This file commits a batch: records first, then the effects that a later process must know of. What needs no record is done
+// whatever becomes of the folder.
+
+// effect is something to be done once the records of its batch are written.
+type effect struct {
+	do func()
+	// by is when it is done all the same; 0: never without its record. The end of a message whose time is up may be told then: a
+	// later process that does not find its record can only end it once more.
+	by clock.Instant
+}
+
+// after has something done once the records of this batch are written.
+func (l *loop) after(do func()) { l.effects = append(l.effects, effect{do: do}) }
+
+// afterOrBy has something done once the records of this batch are written, or at a time.
+func (l *loop) afterOrBy(by clock.Instant, do func()) { l.effects = append(l.effects, effect{do, by}) }
+
+// promptly has something done at the end of this batch, whatever becomes of its records.
+func (l *loop) promptly(do func()) { l.prompt = append(l.prompt, do) }
+
+// commit writes the batch's records, and only then answers clients and makes calls: what was answered with 202 and what was sent must
+// be known to a later process.
+func (l *loop) commit() {
+	written := l.write()
+	fresh, sends, prompt := l.fresh, l.sends, l.prompt
+	l.fresh, l.sends, l.prompt = nil, nil, nil
+	for _, m := range fresh {
+		l.answer(m, written)
+	}
+	for _, s := range sends {
+		if !written {
+			l.unsent(s)
+			continue
+		}
+		l.call(s)
+	}
+	for _, m := range fresh {
+		switch { // not accepted after all
+		case m.verdicts != nil:
+			l.end(m)
+		case m.Resend && !m.over && !written:
+			l.giveBack(m, "")
+		}
+	}
+	for _, do := range prompt {
+		do()
+	}
+	l.carryOut(written)
+	l.book.Show(management.Gauges{HostsListed: len(l.hosts), HostsDown: l.d.Down()})
+}
+
+// answer answers the requests that brought a message, where they are not answered yet.
+func (l *loop) answer(m *message, written bool) {
+	replies := m.verdicts
+	switch {
+	case replies == nil && (!m.Resend || m.over || written): // refused, or nobody waits for an answer
+	case !written:
+		// Where records may be in the file all the same a later process may deliver it: that is no promise of no effect.
+		v := clients.Verdict{Status: http.StatusServiceUnavailable, After: l.cfg.policy.MaxStayAway}
+		if l.journal.Doubtful() {
+			v = clients.Verdict{Status: http.StatusBadGateway}
+		}
+		reply(replies, v)
+		l.count(m, management.Busy)
+		l.events = append(l.events, policy.Withdrawn{ID: m.ID})
+		l.wakeAt = 0 // the module has an event to act on
+	default:
+		m.verdicts = nil
+		reply(replies, clients.Verdict{Status: http.StatusAccepted})
+	}
+}
+
+// carryOut carries out the effects that are due.
+func (l *loop) carryOut(written bool) {
+	effects := l.effects
+	l.effects = nil
+	var later []effect
+	now := l.timeline.Now()
+	for _, e := range effects {
+		if written || e.by > 0 && now >= e.by {
+			e.do()
+		} else {
+			later = append(later, e)
+		}
+	}
+	l.effects = append(later, l.effects...)
+}
+
+// write writes the records that were noted, and follows the folder's state: while it is degraded nothing is sent, and it is tried
+// again after a pause.
+func (l *loop) write() (written bool) {
+	now, before := l.now(), l.folder.State()
+	if !l.folder.May(now) {
+		return false
+	}
+	err := l.journal.Commit()
+	if err != nil {
+		l.folder.Failed(now)
+	} else {
+		l.folder.Written(now)
+	}
+	if after := l.folder.State(); after != before {
+		slog.Warn("the folder's state has changed", "from", before.String(), "to", after.String(), "err", err)
+		l.holdBack(after == journal.Degraded)
+	}
+	return err == nil
+}
+
+// holdBack has the module send nothing while the folder is degraded: each attempt that can't be recorded would count as one made.
+func (l *loop) holdBack(degraded bool) {
+	switch {
+	case degraded:
+		l.events = append(l.events, policy.Stopping{})
+	case !l.stopping:
+		l.events = append(l.events, policy.Serving{})
+	}
+	l.wakeAt = 0 // the module has an event to act on
+}
+
+// retryAt is when the folder is to be tried again, or an effect can't wait for it any more; ok is false while
+// neither is awaited.
+func (l *loop) retryAt() (at time.Duration, ok bool) {
+	if l.folder.State() != journal.Degraded {
+		return 0, false
+	}
+	at = l.folder.Retry()
+	for _, e := range l.effects {
+		if e.by > 0 {
+			at = min(at, time.Duration(e.by))
+		}
+	}
+	return at, true
+}
--- a/internal/relay/guard.go
+++ b/internal/relay/guard.go
@@ -45,17 +45,21 @@
 		l.events = append(l.events, policy.Withdrawn{ID: id})
 		l.wakeAt = 0 // the module has an event to act on
 		if m.cancel != nil {
-			l.effects = append(l.effects, m.cancel)
+			l.promptly(m.cancel)
 		}
 	}
 }
 
-// nextWake is when the loop goes on by itself: for the module, or for a message whose outcome is due.
+// nextWake is when the loop goes on by itself: for the module, for a message whose outcome is due, or to try the folder again.
 func (l *loop) nextWake() time.Duration {
+	at := l.wakeAt
 	if due := l.due.Next(); due > 0 {
-		return min(l.wakeAt, time.Duration(due)+dueMargin)
+		at = min(at, time.Duration(due)+dueMargin)
 	}
-	return l.wakeAt
+	if retry, ok := l.retryAt(); ok {
+		at = min(at, retry)
+	}
+	return at
 }
 
 // dueMargin after a message's outcome is due the loop looks whether it was decided, so that one batch serves several.
--- a/internal/relay/guard_test.go
+++ b/internal/relay/guard_test.go
@@ -89,9 +89,10 @@
 	if err := l.journal.Commit(); err != nil {
 		t.Fatal(err)
 	}
-	for _, do := range l.effects {
+	for _, do := range l.prompt {
 		do()
 	}
+	l.carryOut(true)
 	if !m.over || m.Owed == nil || ctx.Err() == nil || l.violated.ByKind()[invariant.EndOverdue.String()] != 1 {
 		t.Errorf("over %v, owed %v, call %v, counted: %v", m.over, m.Owed, ctx.Err(), l.violated.ByKind())
 	}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -16,6 +16,8 @@
 	"mallowlead/internal/hosts"
 	"mallowlead/internal/hosts/http1"
 	"mallowlead/internal/journal"
+	"mallowlead/internal/syserr"
+	"mallowlead/internal/wait"
 	"mallowlead/policy"
 )
 
@@ -98,7 +100,7 @@
 		delete(l.parked, id)
 		l.resumeCall(l.messages[id].call, conn)
 	}
-	l.events = append(l.events, policy.Serving{})
+	l.serveOn()
 	l.wakeAt = 0
 	return true
 }
@@ -178,7 +180,7 @@
 
 // Start begins from the journal: nobody else holds the folder.
 func (n *node) Start() error {
-	kept, err := journal.Open(n.dir, n.cfg.journalRoom(), n.cfg.keeping() != nil)
+	kept, err := n.openJournal()
 	if err != nil {
 		return err
 	}
@@ -189,6 +191,25 @@
 	return nil
 }
 
+// openJournal opens the journal. Where the folder can't be read for the moment it is tried again: without it nothing that is owed is
+// known.
+func (n *node) openJournal() (*journal.Journal, error) {
+	pause := syserr.Backoff{Least: leastOpenPause, Most: mostOpenPause}
+	for {
+		kept, err := journal.Open(n.dir, n.cfg.journalRoom(), n.cfg.keeping() != nil)
+		if err == nil || syserr.Of(syserr.File, err) != syserr.Local {
+			return kept, err
+		}
+		slog.Error("the journal can't be opened", "err", err)
+		if !wait.For(n.told, pause.Failed()) {
+			return nil, err
+		}
+	}
+}
+
+// leastOpenPause and mostOpenPause bound the pause before a journal that could not be read is opened again.
+const leastOpenPause, mostOpenPause = 20 * time.Millisecond, 500 * time.Millisecond
+
 // Prepare reads what another process offers.
 func (n *node) Prepare(state json.RawMessage) error {
 	n.from = &inheritance{conns: map[string]*net.TCPConn{}}
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -541,7 +541,7 @@
 		l.decide(m, outOfTime)
 		l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: outOfTime}, string(undelivered.OutOfTime), now)
 		m.outcome = l.journal.Noted()
-		l.effects = append(l.effects, func() { l.tellEnd(m) })
+		l.afterOrBy(m.Expires, func() { l.tellEnd(m) })
 	default: // its client has withdrawn it
 		l.end(m)
 	}
@@ -575,6 +575,9 @@
 // store make room: keeping them is not to stop the relay's main job.
 func (l *loop) reserve(e *journal.Entry) bool {
 	for !l.journal.Reserve(e) {
+		if l.journal.Broken() {
+			return false // for want of no room
+		}
 		for len(l.unkept) > 0 && l.unkept[0].kept {
 			l.unkept = l.unkept[1:]
 		}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -120,7 +119,10 @@
 	events   []policy.Event
 	fresh    []*message // arrivals of this batch
 	sends    []send     // of this batch
-	effects  []func()   // of this batch, once its records are written
+	effects  []effect   // once their records are written
+	prompt   []func()   // of this batch, whatever becomes of its records
+	folder   journal.Folder
+	stopping bool // the process is about to end: the module sends nothing
 }
 
 // now is the module's clock: the relay's timeline, so that the module's times, the journal's and those of messages are of one
@@ -156,6 +158,10 @@
 	l.told(list)
 	l.journal.List(list, l.cfg.Discovery) // what the watch tells from here on may be changes of it only
 	l.watch.Seq = list.Seq
+	if l.journal.Broken() { // from its start on
+		l.folder.Failed(l.now())
+		l.holdBack(true)
+	}
 	if from != nil {
 		l.events = append(l.events, policy.Inherited{Memory: from.Memory})
 		for _, e := range from.Past {
@@ -309,9 +315,10 @@
 			l.journal.Told(e.name)
 		}
 	case stopSending:
+		l.stopping = true
 		l.events = append(l.events, policy.Stopping{})
 	case serveOn:
-		l.events = append(l.events, policy.Serving{})
+		l.serveOn()
 	case question:
 		e.idle <- len(l.messages) == 0
 	case refusedUnread:
@@ -326,6 +333,14 @@
 	}
 }
 
+// serveOn goes on sending after a stop, unless the folder keeps that back.
+func (l *loop) serveOn() {
+	l.stopping = false
+	if l.folder.State() != journal.Degraded {
+		l.events = append(l.events, policy.Serving{})
+	}
+}
+
 // answered takes in the end of a call.
 func (l *loop) answered(e answered) {
 	m := l.messages[e.id] // stays as long as a call is out
@@ -360,7 +375,7 @@
 	case e.Over && m.Order != nil && l.keeper != nil && !m.over:
 		l.decide(m, delivered)
 		l.journal.Deliver(m.Entry)
-		l.effects = append(l.effects, func() { l.tellDelivered(m) })
+		l.after(func() { l.tellDelivered(m) })
 	case e.Over && !m.Resend, m.over && m.Owed == nil:
 		l.end(m)
 	}
@@ -480,7 +495,7 @@
 		l.traceTurn(m.Entry, m.retry, v.After)
 		l.refusedAt(m, status)
 		m.verdicts = nil
-		l.effects = append(l.effects, func() {
+		l.promptly(func() {
 			reply(replies, v)
 			l.settled(m)
 		})
@@ -492,7 +507,7 @@
 	n := notices.Notice{ID: m.ID, Status: status, AgainMS: v.After.Milliseconds()}
 	l.journal.Owe(m.Entry, n, string(l.reason(m, status)), l.timeline.Now())
 	m.outcome = l.journal.Noted()
-	l.effects = append(l.effects, func() { l.tellEnd(m) })
+	l.afterOrBy(m.Expires, func() { l.tellEnd(m) })
 }
 
 // settled tells the module that the end which it gave a message of a class in order is known where it is owed: only then
@@ -518,7 +533,7 @@
 		l.send(now, a)
 	case policy.Cancel:
 		if m := l.messages[a.ID]; m != nil && m.cancel != nil && a.Attempt == len(m.Attempts)-1 {
-			l.effects = append(l.effects, m.cancel)
+			l.promptly(m.cancel)
 		}
 	case policy.Unsend:
 		if m := l.messages[a.ID]; m != nil && m.unsend != nil && a.Attempt == len(m.Attempts)-1 {
@@ -526,7 +541,7 @@
 		}
 	case policy.CloseIdle:
 		if h, ok := l.hosts[a.Endpoint]; ok {
-			l.effects = append(l.effects, func() { l.pool.CloseIdle(hosts.Target{Host: h.Host, Addr: h.Dial}) })
+			l.promptly(func() { l.pool.CloseIdle(hosts.Target{Host: h.Host, Addr: h.Dial}) })
 		}
 	case policy.Wake:
 		l.arm(now + a.After)
@@ -538,46 +553,3 @@
 		}
 	}
 }
-
-// commit writes the batch's records, and only then answers clients and makes calls: what was answered with
-// 202 and what was sent must be known to a later process.
-func (l *loop) commit() {
-	err := l.journal.Commit()
-	fresh, sends, effects := l.fresh, l.sends, l.effects
-	l.fresh, l.sends, l.effects = nil, nil, nil
-	if err != nil {
-		slog.Error("nothing taken on or sent", "err", err)
-	}
-	for _, m := range fresh {
-		switch replies := m.verdicts; {
-		case replies == nil && (!m.Resend || m.over || err == nil): // refused, or nobody waits for an answer
-		case err != nil:
-			reply(replies, clients.Verdict{Status: http.StatusServiceUnavailable, After: l.cfg.policy.MaxStayAway})
-			l.count(m, management.Busy)
-			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
-			l.wakeAt = 0 // the module has an event to act on
-		default:
-			m.verdicts = nil
-			reply(replies, clients.Verdict{Status: http.StatusAccepted})
-		}
-	}
-	for _, s := range sends {
-		if err != nil {
-			l.unsent(s)
-			continue
-		}
-		l.call(s)
-	}
-	for _, m := range fresh {
-		switch { // not taken on after all
-		case m.verdicts != nil:
-			l.end(m)
-		case m.Resend && !m.over && err != nil:
-			l.giveBack(m, "")
-		}
-	}
-	for _, do := range effects {
-		do()
-	}
-	l.book.Show(management.Gauges{HostsListed: len(l.hosts), HostsDown: l.d.Down()})
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,8 +54,9 @@
 	book       *management.Book
 	violated   *invariant.Counts
 	door       *door
-	fleet      *tasks.Fleet // its part of the fleet's tasks; nil: it has none
-	endTasks   func()       // gives back what of them it holds; nil: it has none
+	fleet      *tasks.Fleet    // its part of the fleet's tasks; nil: it has none
+	endTasks   func()          // gives back what of them it holds; nil: it has none
+	told       context.Context // until the platform has told the process to end
 	live       context.Context
 	stop       context.CancelFunc
 	work       sync.WaitGroup
@@ -94,6 +95,7 @@
 
 // run runs a relay to its end, or until it was handed over.
 func (n *node) run(ctx context.Context, reread <-chan Reading) error {
+	n.told = ctx
 	n.live, n.stop = context.WithCancel(context.Background())
 	defer n.stop()
 	owner, err := handover.Acquire(ctx, n.dir, n)
--- a/internal/relay/resend.go
+++ b/internal/relay/resend.go
@@ -170,7 +170,7 @@
 	}
 	l.journal.Owe(m.Entry, notices.Notice{ID: m.ID, Status: status}, string(reason), l.timeline.Now())
 	m.outcome = l.journal.Noted()
-	l.effects = append(l.effects, func() { l.tellEnd(m) })
+	l.after(func() { l.tellEnd(m) })
 	l.settled(m) // nobody but the store is told
 }
 
@@ -207,7 +207,7 @@
 			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
 			l.wakeAt = 0 // the module has an event to act on
 			if m.cancel != nil {
-				l.effects = append(l.effects, m.cancel)
+				l.promptly(m.cancel)
 			}
 		}
 	}
