--- a/internal/rehearsal/audit/audit_test.go
+++ b/internal/rehearsal/audit/audit_test.go
@@ -125,6 +125,17 @@
 			n.call(2*sec, "a", "h", OK, ms)
 			n.notice(3*sec, "a", Undeliverable)
 		}},
+		"closed on without an answer": {Unanswered, func(n *notes) {
+			n.add(Event{At: sec, Kind: HandedIn, ID: "a", Class: status, For: 10 * sec})
+			n.add(Event{At: sec + 5*ms, Kind: Unheard, ID: "a", OK: true})
+		}},
+		"its end is late after it lay unread": {NoEnd, func(n *notes) {
+			n.add(Event{At: 500 * ms, Kind: Halted})
+			n.add(Event{At: sec, Kind: HandedIn, ID: "a", Class: status, For: 10 * sec})
+			n.add(Event{At: 1300 * ms, Kind: Resumed})
+			n.add(Event{At: 1310 * ms, Kind: Answered, ID: "a", Status: 202})
+			n.notice(11700*ms, "a", Deferred)
+		}},
 		"a notice after delivery, its folder failed and nothing ended": {TwoEnds, func(n *notes) {
 			n.add(Event{At: sec, Kind: FolderFails})
 			n.take(sec, "a", status)
@@ -277,6 +288,22 @@
 // None of these breaks a rule, though only just.
 func TestTheEdgesOfTheRulesAreKept(t *testing.T) {
 	for name, run := range map[string]func(n *notes){
+		"closed on as the process ends, or on a connection that looks broken": func(n *notes) {
+			n.add(Event{At: sec, Kind: HandedIn, ID: "a", Class: status, For: 10 * sec})
+			n.add(Event{At: sec + 5*ms, Kind: Unheard, ID: "a", OK: true})
+			n.crash(sec + 50*ms)
+			n.add(Event{At: 5 * sec, Kind: SocketsBreak})
+			n.add(Event{At: 6 * sec, Kind: HandedIn, ID: "b", Class: status, For: 10 * sec})
+			n.add(Event{At: 6*sec + 5*ms, Kind: Unheard, ID: "b", OK: true})
+			n.add(Event{At: 7 * sec, Kind: SocketsHold})
+		},
+		"a request that lay unread while its relay did not run": func(n *notes) {
+			n.add(Event{At: 500 * ms, Kind: Halted})
+			n.add(Event{At: sec, Kind: HandedIn, ID: "a", Class: status, For: 10 * sec})
+			n.add(Event{At: 1300 * ms, Kind: Resumed})
+			n.add(Event{At: 1310 * ms, Kind: Answered, ID: "a", Status: 202})
+			n.notice(11550*ms, "a", Deferred)
+		},
 		"a delivery that its relay could not record before it was killed": func(n *notes) {
 			n.add(Event{At: sec, Kind: FolderFails})
 			n.take(sec, "a", status)
--- a/internal/rehearsal/audit/log.go
+++ b/internal/rehearsal/audit/log.go
@@ -19,39 +19,41 @@
 
 // The kinds of event, with the fields that each has beside At.
 const (
-	HandedIn    Kind = "handed-in"    // ID Msg Relay Dest Class Item Subject For: a client has sent a message with so long to go
-	Answered    Kind = "answered"     // ID Relay Status For: the client heard the relay's answer, and when to come again
-	Unheard     Kind = "unheard"      // ID Relay State: the client waits no more, or the connection ended without an answer
-	Called      Kind = "called"       // ID Relay Dest Host Call First: a call's last byte has come; First: its first
-	Probed      Kind = "probed"       // Relay Dest Host Call
-	Ended       Kind = "ended"        // Call Outcome For Ran: a call's answer is about to be written, or it ended without
-	Effect      Kind = "effect"       // ID Msg Dest: a call had its effect
-	Shown       Kind = "shown"        // Host Dest State: the register shows a change
-	Told        Kind = "told"         // Relay Host Dest State: the register has written it to a relay
-	Resent      Kind = "resent"       // ID Msg Relay Dest Class Subject: the first call for a message under an id of a relay's making
-	Before      Kind = "before"       // ID Msg Relay Dest Class Subject: it was given up before the run, and never ran
-	Asked       Kind = "asked"        // Relay OK: a watch began, or failed
-	Unwatched   Kind = "unwatched"    // Relay: a watch ended
-	Silent      Kind = "silent"       // Relay: its watch stays open and says nothing from now on
-	Noticed     Kind = "noticed"      // ID Relay State: the platform has received an end
-	Started     Kind = "started"      // Relay Process: its n-th process, from 1; it may come to stand beside the one before
-	Ready       Kind = "ready"        // Relay Process: it takes clients, also in the place of the one before
-	Stopping    Kind = "stopping"     // Relay: a planned end was asked for
-	Killed      Kind = "killed"       // Relay: SIGKILL, or it ended by itself
-	Lost        Kind = "lost"         // Relay: its machine is gone, with its folder
-	Crashed     Kind = "crashed"      // Relay Status: it ended without being asked to
-	Halted      Kind = "halted"       // Relay: it does not run
-	Resumed     Kind = "resumed"      // Relay
-	FolderFails Kind = "folder-fails" // Relay: writes to its folder fail from now on, some or all
-	FolderWorks Kind = "folder-works" // Relay: none does any more
-	Out         Kind = "out"          // Dest Host State: an outage begins; Host empty: of all endpoints
-	Back        Kind = "back"         // Dest Host OK: it ends; OK: the partner is cold
-	RegDown     Kind = "reg-down"     // the register does not answer
-	RegUp       Kind = "reg-up"       //
-	Connected   Kind = "connected"    // Relay Dest Host: a connection to an endpoint
-	Moved       Kind = "moved"        // Relay: told to go to another register
-	Scraped     Kind = "scraped"      // Relay Process Figures: what a process's door showed
-	LateEvent   Kind = "late-event"   // For: the rig itself was late by so long
+	HandedIn     Kind = "handed-in"     // ID Msg Relay Dest Class Item Subject For: a client has sent a message with so long to go
+	Answered     Kind = "answered"      // ID Relay Status For: the client heard the relay's answer, and when to come again
+	Unheard      Kind = "unheard"       // ID Relay State OK: the client waits no more, or, with OK, the connection ended without an answer
+	Called       Kind = "called"        // ID Relay Dest Host Call First: a call's last byte has come; First: its first
+	Probed       Kind = "probed"        // Relay Dest Host Call
+	Ended        Kind = "ended"         // Call Outcome For Ran: a call's answer is about to be written, or it ended without
+	Effect       Kind = "effect"        // ID Msg Dest: a call had its effect
+	Shown        Kind = "shown"         // Host Dest State: the register shows a change
+	Told         Kind = "told"          // Relay Host Dest State: the register has written it to a relay
+	Resent       Kind = "resent"        // ID Msg Relay Dest Class Subject: the first call for a message under an id of a relay's making
+	Before       Kind = "before"        // ID Msg Relay Dest Class Subject: it was given up before the run, and never ran
+	Asked        Kind = "asked"         // Relay OK: a watch began, or failed
+	Unwatched    Kind = "unwatched"     // Relay: a watch ended
+	Silent       Kind = "silent"        // Relay: its watch stays open and says nothing from now on
+	Noticed      Kind = "noticed"       // ID Relay State: the platform has received an end
+	Started      Kind = "started"       // Relay Process: its n-th process, from 1; it may come to stand beside the one before
+	Ready        Kind = "ready"         // Relay Process: it takes clients, also in the place of the one before
+	Stopping     Kind = "stopping"      // Relay: a planned end was asked for
+	Killed       Kind = "killed"        // Relay: SIGKILL, or it ended by itself
+	Lost         Kind = "lost"          // Relay: its machine is gone, with its folder
+	Crashed      Kind = "crashed"       // Relay Status: it ended without being asked to
+	Halted       Kind = "halted"        // Relay: it does not run
+	Resumed      Kind = "resumed"       // Relay
+	SocketsBreak Kind = "sockets-break" // Relay: some of its connections are made to look broken from now on
+	SocketsHold  Kind = "sockets-hold"  // Relay: none is any more
+	FolderFails  Kind = "folder-fails"  // Relay: writes to its folder fail from now on, some or all
+	FolderWorks  Kind = "folder-works"  // Relay: none does any more
+	Out          Kind = "out"           // Dest Host State: an outage begins; Host empty: of all endpoints
+	Back         Kind = "back"          // Dest Host OK: it ends; OK: the partner is cold
+	RegDown      Kind = "reg-down"      // the register does not answer
+	RegUp        Kind = "reg-up"        //
+	Connected    Kind = "connected"     // Relay Dest Host: a connection to an endpoint
+	Moved        Kind = "moved"         // Relay: told to go to another register
+	Scraped      Kind = "scraped"       // Relay Process Figures: what a process's door showed
+	LateEvent    Kind = "late-event"    // For: the rig itself was late by so long
 )
 
 // Outcomes of calls, in Event.Outcome.
@@ -126,6 +128,7 @@
 	NoEnd        Rule = "message lost"
 	LateEnd      Rule = "late end"
 	TwoEnds      Rule = "two ends"
+	Unanswered   Rule = "closed without an answer" // on a request that was sent whole, on a new connection
 	Twice        Rule = "effect twice"
 	SecondCopy   Rule = "second copy"
 	DrainBroken  Rule = "drain not kept"
--- a/internal/rehearsal/faults/preload/syscalls.c
+++ b/internal/rehearsal/faults/preload/syscalls.c
@@ -76,6 +76,7 @@
 } chosen[] = {
 	{SYS_accept, ACCEPT, 0},         {SYS_accept4, ACCEPT, 0},        {SYS_connect, CONNECT, 0},
 	{SYS_socket, SOCKET, 0},         {SYS_read, SOCKET_READ, 0},      {SYS_write, SOCKET_WRITE, FILE_WRITE},
+	{SYS_recvfrom, SOCKET_READ, 0},
 	{SYS_epoll_pwait, WAIT, 0},      {SYS_pwrite64, 0, FILE_WRITE},   {SYS_fsync, 0, FILE_SYNC},
 	{SYS_fdatasync, 0, FILE_SYNC},   {SYS_openat, 0, FILE_OPEN},      {SYS_rename, 0, FILE_RENAME},
 	{SYS_renameat, 0, FILE_RENAME},  {SYS_renameat2, 0, FILE_RENAME}, {SYS_ftruncate, 0, FILE_WRITE},
--- a/internal/rehearsal/rig/clients.go
+++ b/internal/rehearsal/rig/clients.go
@@ -149,7 +149,7 @@
 	case errors.Is(err, errNotHanded):
 		c.later(m, m.Again, try+1, refusals, "again")
 	case err != nil:
-		c.r.note(audit.Event{Kind: audit.Unheard, ID: k.id, Relay: relay, State: err.Error()})
+		c.r.note(audit.Event{Kind: audit.Unheard, ID: k.id, Relay: relay, State: err.Error(), OK: errors.Is(err, errEmpty)})
 		c.r.book.withdraw(k)
 		if c.mayComeAgain(k, m.Again) {
 			c.later(m, m.Again, try+1, refusals, "again")
