What passes at a look, a read, a write or a listen drops no request and fails no start

Ruled out: the loop (the guard saw nothing, the requests never reached it). Wrong lines: socket.Peek, relay/door.go and handover's listen, the plain reads and writes of both sides.

--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -116,9 +116,10 @@
 
 // newClient is a connection of which some bytes were read before.
 func newClient(raw *net.TCPConn, read []byte) *client {
-	came := &recorder{from: raw}
+	patient := socket.Patient{Conn: raw}
+	came := &recorder{from: patient}
 	if len(read) > 0 {
-		came.from = io.MultiReader(bytes.NewReader(read), raw)
+		came.from = io.MultiReader(bytes.NewReader(read), patient)
 	}
 	limit := &io.LimitedReader{R: came}
 	return &client{TCPConn: raw, came: came, limit: limit, in: bufio.NewReader(limit), since: time.Now()}
@@ -385,7 +386,7 @@
 		return false
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(writeTime))
-	_, err := c.Write(out.Bytes())
+	_, err := socket.Patient{Conn: c.TCPConn}.Write(out.Bytes())
 	return err == nil
 }
 
--- a/internal/handover/giver.go
+++ b/internal/handover/giver.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"mallowlead/internal/clock"
+	"mallowlead/internal/syserr"
 )
 
 const (
@@ -64,8 +65,27 @@
 	askers chan *link // of other processes, once they have said hello
 }
 
+// leastListenPause and mostListenPause bound the pause before it is tried again to listen, listenTries times: a start, or the taking
+// over, is not to fail for what passes.
+const (
+	leastListenPause, mostListenPause = 5 * time.Millisecond, 50 * time.Millisecond
+	listenTries                       = 100
+)
+
 // listen takes askers from now on.
-func (o *Owner) listen() error {
+func (o *Owner) listen() (err error) {
+	pause := syserr.Backoff{Least: leastListenPause, Most: mostListenPause}
+	for range listenTries {
+		err = o.listenOnce()
+		if err == nil || syserr.Of(syserr.Bind, err) != syserr.Local && syserr.Of(syserr.File, err) != syserr.Local {
+			return err
+		}
+		time.Sleep(pause.Failed())
+	}
+	return err
+}
+
+func (o *Owner) listenOnce() error {
 	path, done, err := address(o.dir)
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
--- a/internal/hosts/http1/http1.go
+++ b/internal/hosts/http1/http1.go
@@ -228,7 +228,7 @@
 			return hosts.Result{Outcome: policy.ConnectError}, false
 		}
 		c.writing(&r)
-		if n, _ := c.Write(out); n < len(out) {
+		if n, _ := (socket.Patient{Conn: c.Conn}).Write(out); n < len(out) {
 			return hosts.Result{Outcome: policy.ConnectError}, false // the last byte never left: it can't have run
 		}
 		if p.Written != nil {
@@ -428,7 +428,7 @@
 }
 
 func newConn(raw net.Conn, home *shelf) *conn {
-	limit := &io.LimitedReader{R: raw, N: maxAnswer}
+	limit := &io.LimitedReader{R: socket.Patient{Conn: raw}, N: maxAnswer}
 	return &conn{Conn: raw, home: home, limit: limit, in: bufio.NewReader(limit), grace: leastGrace}
 }
 
--- a/internal/rehearsal/rig/faults_test.go
+++ b/internal/rehearsal/rig/faults_test.go
@@ -118,6 +118,8 @@
 	cases := map[string]string{
 		"wait EINTR":        calls(2, "wait", "EINTR", 0.5),
 		"write short":       calls(2, "write", "SHORT", 0.5),
+		"write ENOBUFS":     calls(2, "write", "ENOBUFS", 0.1),
+		"write EINTR":       calls(2, "write", "EINTR", 0.5),
 		"read EINTR":        calls(2, "read", "EINTR", 0.5),
 		"read ENOMEM":       calls(2, "read", "ENOMEM", 0.1),
 		"read short":        calls(2, "read", "SHORT", 0.5),
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -13,6 +13,7 @@
 	front "mallowlead/internal/clients/http1"
 	"mallowlead/internal/invariant"
 	"mallowlead/internal/management"
+	"mallowlead/internal/socket"
 	"mallowlead/internal/standby"
 )
 
@@ -20,7 +21,7 @@
 // own. Closing it ends this process's hold alone.
 func listen(cfg *Config) (net.Listener, error) {
 	if cfg.ListenFD <= 0 {
-		return net.Listen("tcp", cfg.Listen)
+		return socket.Listen(cfg.Listen)
 	}
 	// The descriptor itself stays open: if a process that took over dies, this one listens again.
 	fd, err := unix.FcntlInt(uintptr(cfg.ListenFD), unix.F_DUPFD_CLOEXEC, 0)
@@ -53,7 +54,7 @@
 	if cfg.Management == "" {
 		return d, nil
 	}
-	listener, err := net.Listen("tcp", cfg.Management)
+	listener, err := socket.Listen(cfg.Management)
 	if err != nil {
 		return nil, fmt.Errorf("the operators' door: %w", err)
 	}
