--- a/cmd/frostlinkctl/soak.go
+++ b/cmd/frostlinkctl/soak.go
@@ -116,8 +116,8 @@
 	if err := os.MkdirAll(keep, 0o755); err != nil {
 		return run, err
 	}
-	logs := os.CopyFS(filepath.Join(keep, fmt.Sprintf("soak-%d", seed)), os.DirFS(kept))
-	return run, errors.Join(os.WriteFile(run.Script, []byte(text), 0o644), logs)
+	logs := filepath.Join(keep, fmt.Sprintf("soak-%d", seed)) // what an earlier soak kept of this seed makes room
+	return run, errors.Join(os.WriteFile(run.Script, []byte(text), 0o644), os.RemoveAll(logs), os.CopyFS(logs, os.DirFS(kept)))
 }
 
 func printSoak(out io.Writer, run *soakRun) {
