Traces tell why: closes, refusals, ends, time left, folder states and clock steps

What the evidence could not answer: what a relay believed of a message's time left, why it refused or closed, whether the clock was stepped.

--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -73,6 +73,18 @@
 	halted  bool // its reading was ended by a freeze, and by no time-out of its own
 }
 
+// Why the server closes connections.
+const (
+	closedForRoom    = "room for others"
+	closedCrowded    = "clients keep more than they use"
+	closedSeenOff    = "clients are sent away"
+	closedSilent     = "no request in time, or its client has left"
+	closedUnheard    = "nobody waits for an answer"
+	closedUnwritten  = "the answer can't be written"
+	closedLastAnswer = "the last answer"
+	closedByEnd      = "closed meanwhile"
+)
+
 // Serve takes connections until the listener is closed. It is no http.Server, since that neither tells what
 // lies behind a request (a length that is too short, a second request) nor lets connections make room for
 // others by what is going on on them.
@@ -131,12 +143,12 @@
 	s.clients[c] = true
 	s.count[at]++
 	go func() {
-		parked := s.talk(c)
+		parked, why := s.talk(c)
 		s.mu.Lock()
 		if parked {
 			s.park(c)
 		} else {
-			s.remove(c)
+			s.remove(c, why)
 		}
 		s.mu.Unlock()
 		s.left.Broadcast()
@@ -171,12 +183,12 @@
 	if worst == nil {
 		return false
 	}
-	s.remove(worst)
+	s.remove(worst, closedForRoom)
 	return true
 }
 
-// remove closes a connection, also under its goroutine's feet; the lock is held.
-func (s *Server) remove(c *client) {
+// remove closes a connection, also under its goroutine's feet, and says why; the lock is held.
+func (s *Server) remove(c *client, why string) {
 	if c.removed {
 		return
 	}
@@ -184,6 +196,9 @@
 	_ = c.Close()
 	delete(s.clients, c)
 	s.count[c.stage]--
+	if s.closed != nil {
+		s.closed(why)
+	}
 }
 
 // enter moves a connection to a stage, and tells whether it is still there.
@@ -218,13 +233,13 @@
 		if oldest == nil || time.Since(oldest.since) < restTime {
 			return true
 		}
-		s.remove(oldest)
+		s.remove(oldest, closedCrowded)
 	}
 	return false
 }
 
-// talk serves the requests of a connection, one after another, to its end, or until it is to be parked.
-func (s *Server) talk(c *client) (parked bool) {
+// talk serves the requests of a connection, one after another, to its end, or until it is to be parked. It says why it is to be closed.
+func (s *Server) talk(c *client) (parked bool, why string) {
 	quiet, wait := silentTime, firstTime
 	if c.stage == idle {
 		quiet, wait = idleTime, readTime
@@ -235,31 +250,31 @@
 		c.limit.N = maxHead
 		c.came.begin()
 		if _, err := c.in.Peek(1); err != nil && (s.parks(c, err) || !c.has()) {
-			return s.parks(c, err)
+			return s.parks(c, err), closedSilent
 		} // a request that came in the instant of the time-out is served: a read past its deadline does not look
 		if !s.enter(c, reading) {
-			return false
+			return false, closedByEnd
 		}
 		s.readUntil(c, wait)
 		v, err := s.request(c)
 		if err != nil && s.parks(c, err) {
-			return true
+			return true, ""
 		}
 		if v.Status == 0 {
-			return false
+			return false, closedUnheard
 		}
 		v.Close = v.Close || s.stance.LastAnswer() || s.crowded()
 		if !c.answer(v) {
-			return false
+			return false, closedUnwritten
 		}
 		if v.Close {
 			if s.enter(c, leaving) {
 				c.linger()
 			}
-			return false
+			return false, closedLastAnswer
 		}
 		if !s.enter(c, idle) {
-			return false
+			return false, closedByEnd
 		}
 		quiet, wait = idleTime, readTime
 	}
@@ -338,7 +353,7 @@
 					continue
 				}
 				if quiet, _ := c.quiet(); quiet {
-					s.remove(c)
+					s.remove(c, closedSeenOff)
 				}
 			}
 		}
--- a/internal/clients/http1/instant_test.go
+++ b/internal/clients/http1/instant_test.go
@@ -141,8 +141,8 @@
 	if last.removed || !rests.removed {
 		t.Errorf("closed: with its last answer %v, at rest %v", last.removed, rests.removed)
 	}
-	s.remove(last)
-	s.remove(rests)
+	s.remove(last, closedByEnd)
+	s.remove(rests, closedByEnd)
 	s.mu.Unlock()
 	s.left.Broadcast()
 	if err := waittest.Receive(t, ended); err != nil {
--- a/internal/clients/http1/server.go
+++ b/internal/clients/http1/server.go
@@ -29,6 +29,8 @@
 	MemoryMB float64 // of the relay
 	Room     int     // connections at most
 	Keep     int     // idle ones at most
+	// Closed, where set, hears why connections are closed. It is called with the server's lock held.
+	Closed func(why string)
 }
 
 // Server is the side that clients see: its connections are in conns.go.
@@ -37,6 +39,7 @@
 	stance  *standby.Stance
 	admit   func(*clients.Arrival)
 	refused func(class string)
+	closed  func(why string)
 	memory  budget // for bodies
 
 	mu      sync.Mutex
@@ -57,7 +60,7 @@
 // New makes a server; admit gets each message that passes the check, and refused hears of those for which there is no
 // room to read them.
 func New(c Config, admit func(*clients.Arrival), refused func(class string)) *Server {
-	s := &Server{stance: c.Stance, admit: admit, refused: refused, memory: budget{left: max(clients.MaxBody, int(bodyShare*c.MemoryMB*(1<<20)))},
+	s := &Server{stance: c.Stance, admit: admit, refused: refused, closed: c.Closed, memory: budget{left: max(clients.MaxBody, int(bodyShare*c.MemoryMB*(1<<20)))},
 		room: c.Room, keep: c.Keep, clients: map[*client]bool{}}
 	s.left.L = &s.mu
 	s.SetCheck(c.Check)
--- a/internal/relay/arrive.go
+++ b/internal/relay/arrive.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"mallowlead/internal/clients"
+	"mallowlead/internal/journal"
 	"mallowlead/internal/management"
 	"mallowlead/internal/trace"
 	"mallowlead/policy"
@@ -45,7 +46,7 @@
 	if !l.dests[a.Entry.Dest] || !l.reserve(a.Entry) {
 		// Guards the module against destinations that no list has named, and the disk against overflow.
 		l.book.Ended(a.Entry.Class, management.Busy, false)
-		l.traceTurn(a.Entry, a.Retry, l.cfg.policy.MaxStayAway)
+		l.traceTurn(a.Entry, a.Retry, l.unacceptable(a.Entry), l.cfg.policy.MaxStayAway)
 		a.Verdict <- clients.Verdict{Status: http.StatusServiceUnavailable, After: l.cfg.policy.MaxStayAway}
 		return
 	}
@@ -63,6 +64,17 @@
 		Left: m.Expires.Sub(l.timeline.Now())})
 }
 
+// unacceptable says why a message is refused before the module hears of it.
+func (l *loop) unacceptable(e *journal.Entry) string {
+	switch {
+	case !l.dests[e.Dest]:
+		return refusedUnlisted
+	case l.journal.Broken():
+		return refusedNoFolder
+	}
+	return refusedNoRoom
+}
+
 // answerAgain answers a message that is handed in under an id that is known.
 func (l *loop) answerAgain(a *clients.Arrival, status int) {
 	l.note(trace.Event{Kind: trace.Again, ID: a.Entry.ID, Class: a.Entry.Class, Dest: a.Entry.Dest, Count: status, Retry: a.Retry})
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -72,7 +72,8 @@
 		return
 	}
 	s.m.begun = time.Now()
-	l.note(trace.Event{Kind: trace.Send, ID: s.m.ID, Class: s.m.Class, Dest: s.m.Dest, Host: s.host.Host, Count: s.attempt + 1})
+	l.note(trace.Event{Kind: trace.Send, ID: s.m.ID, Class: s.m.Class, Dest: s.m.Dest, Host: s.host.Host, Count: s.attempt + 1,
+		LeftMs: milliseconds(s.m.Expires.Sub(l.timeline.Now()))})
 	l.begin(s, l.pool.Call)
 }
 
--- a/internal/relay/commit.go
+++ b/internal/relay/commit.go
@@ -9,6 +9,7 @@
 	"mallowlead/internal/clock"
 	"mallowlead/internal/journal"
 	"mallowlead/internal/management"
+	"mallowlead/internal/trace"
 	"mallowlead/policy"
 )
 
@@ -75,6 +76,7 @@
 			v = clients.Verdict{Status: http.StatusBadGateway}
 		}
 		reply(replies, v)
+		l.traceTurn(m.Entry, m.retry, refusedUnrecorded, v.After)
 		l.count(m, management.Busy)
 		l.events = append(l.events, policy.Withdrawn{ID: m.ID})
 		l.wakeAt = 0 // the module has an event to act on
@@ -115,6 +117,7 @@
 	}
 	if after := l.folder.State(); after != before {
 		slog.Warn("the folder's state has changed", "from", before.String(), "to", after.String(), "err", err)
+		l.note(trace.Event{Kind: trace.Folder, How: after.String()})
 		l.holdBack(after == journal.Degraded)
 	}
 	return err == nil
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -243,7 +243,9 @@
 			return
 		case <-sweep.C:
 			l.pool.Sweep()
-			l.steps.Look()
+			if step, stepped := l.steps.Look(); stepped {
+				l.note(trace.Event{Kind: trace.Step, Ms: milliseconds(step)})
+			}
 			l.checkClocks()
 			l.forgetEnds()
 			continue
@@ -492,7 +494,7 @@
 		l.count(m, management.Failure)
 	}
 	if replies := m.verdicts; replies != nil {
-		l.traceTurn(m.Entry, m.retry, v.After)
+		l.traceTurn(m.Entry, m.retry, refusedByModule, v.After)
 		l.refusedAt(m, status)
 		m.verdicts = nil
 		l.promptly(func() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -191,7 +191,7 @@
 	}
 	n.l = l
 	n.srv = front.New(front.Config{Check: cfg.clientCheck(), Stance: n.stance, MemoryMB: cfg.Limits.MemoryMB, Room: cfg.clientRoom(),
-		Keep: cfg.idleRoom()}, func(a *clients.Arrival) { l.put(a) }, func(class string) { l.put(refusedUnread{class}) })
+		Keep: cfg.idleRoom(), Closed: func(why string) { l.note(trace.Event{Kind: trace.Close, Why: why}) }}, func(a *clients.Arrival) { l.put(a) }, func(class string) { l.put(refusedUnread{class}) })
 	l.recheck = n.srv.SetCheck
 	if n.listener, err = listen(cfg); err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/internal/relay/trace.go
+++ b/internal/relay/trace.go
@@ -39,6 +39,7 @@
 		return
 	}
 	t.Kind, t.ID, t.Class, t.Dest = kind, m.ID, m.Class, m.Dest
+	t.LeftMs = milliseconds(m.Expires.Sub(l.timeline.Now()))
 	t.Key, t.Retry, t.Due = trace.Digest(m.Key), retry, float64(m.Expires)/float64(time.Millisecond)
 	terms := l.journal.Terms(m)
 	if class := l.class(m.Class); terms == nil && class >= 0 {
@@ -53,9 +54,21 @@
 	l.note(t)
 }
 
-// traceTurn notes a message that is refused at its arrival, with how long its client is to stay away.
-func (l *loop) traceTurn(m *journal.Entry, retry string, away time.Duration) {
-	l.traceMessage(trace.Turn, m, retry, trace.Event{Ms: float64(away.Milliseconds())})
+// Why messages are refused at their arrival, beside the reasons of package undelivered.
+const (
+	refusedUnlisted   = "no list names its destination"
+	refusedNoRoom     = "the journal has no room"
+	refusedNoFolder   = "the folder can't be written"
+	refusedByModule   = "admission"
+	refusedUnrecorded = "its record could not be written"
+)
+
+// milliseconds is a span as traces have it, to the microsecond.
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// traceTurn notes a message that is refused at its arrival, why, and how long its client is to stay away.
+func (l *loop) traceTurn(m *journal.Entry, retry, why string, away time.Duration) {
+	l.traceMessage(trace.Turn, m, retry, trace.Event{Ms: float64(away.Milliseconds()), Why: why})
 }
 
 // traceResume notes a message that was taken up from the journal.
@@ -70,12 +83,15 @@
 	l.traceMessage(trace.Resume, e, "", t)
 }
 
-// traceEnd notes the end of a message that was taken on.
+// traceEnd notes the end of a message that was accepted, and why it was not delivered.
 func (l *loop) traceEnd(m *message, how string) {
 	if l.trace == nil {
 		return
 	}
 	t := trace.Event{Kind: trace.End, ID: m.ID, Class: m.Class, Dest: m.Dest, How: how}
+	if how != trace.Delivered && how != trace.Withdrawn {
+		t.Why = string(l.reason(m, how))
+	}
 	if class := l.class(m.Class); class >= 0 {
 		terms := &l.cfg.policy.Classes[class]
 		age := l.timeline.Now().Sub(m.Expires) + terms.Deadline
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -42,6 +42,9 @@
 	Resume Kind = "resume" // one was taken up from the journal; Class, How: its end, where only the notice is owed, Count: calls made
 	Notice Kind = "notice" // the platform has a message's notice
 	Stop   Kind = "stop"   // a planned end was asked for
+	Close  Kind = "close"  // a client's connection was closed; Why
+	Folder Kind = "folder" // the folder's state has changed; How: the new one
+	Step   Kind = "step"   // the wall clock was stepped; Ms: by so much
 )
 
 // How messages and calls end.
@@ -87,6 +90,8 @@
 	Whole   bool    `json:"whole,omitempty"`
 	Late    bool    `json:"late,omitempty"`    // after its class's aim
 	WaitMs  float64 `json:"wait_ms,omitempty"` // with Answer: told to wait so long
+	LeftMs  float64 `json:"left_ms,omitempty"` // with Take, Turn, Resume and Send: what is left of the message\'s time
+	Why     string  `json:"why,omitempty"`     // with Turn, End and Close: the reason
 	// With Take, Turn and Resume: the digest of its key, what its client says of an earlier hand-in, when its time is up (Unix
 	// time in milliseconds), and under which terms it was taken on.
 	Key      string  `json:"key,omitempty"`
