--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"io/fs"
 	"log/slog"
 	"os"
@@ -120,13 +121,19 @@
 	opStore  = "store"  // which store knows all that was delivered, and the count of arrivals
 )
 
+// openFile is the journal's file, as far as it is written in place.
+type openFile interface {
+	io.WriteCloser
+	Truncate(size int64) error
+}
+
 // Journal keeps what a relay has taken on in a file that outlasts its process. Changes are buffered until
 // Commit; a write that returned outlasts SIGKILL, so there is no sync. It is not safe for concurrent use.
 type Journal struct {
 	path     string
 	detailed bool // note how and when attempts and messages end
 	limit    int  // bytes of the old and the new file together while it is compacted
-	file     *os.File
+	file     openFile
 	size     int // of the file
 	live     int // bytes that the entries and the list need, with room for later records
 	reserved int // for messages that may be taken on before the next Commit
