--- a/cmd/frostlinkctl/rehearse.go
+++ b/cmd/frostlinkctl/rehearse.go
@@ -28,7 +28,7 @@
 			"stood in for on loopback addresses, and an auditor of the six rules.",
 		Example: "  frostlinkctl rehearse run rehearsals/quiet.toml",
 	}
-	c.AddCommand(rehearseRun(), rehearseRepeat(), rehearseSoak(), rehearseCheck(), rehearseList())
+	c.AddCommand(rehearseRun(), rehearseRepeat(), rehearseSoak(), rehearseClockSteps(), rehearseCheck(), rehearseList())
 	return c
 }
 
