--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -104,11 +104,13 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case syserr.Of(syserr.Accept, err) == syserr.Local:
-			// Guards against a process that ends for what passes. It may be want of descriptors, so that one is made free.
+			// Guards against a process that ends for what passes.
 			slog.Warn("connection not accepted", "err", err)
-			s.mu.Lock()
-			s.evict(leaving)
-			s.mu.Unlock()
+			if syserr.NoDescriptor(err) {
+				s.mu.Lock()
+				s.evict(leaving)
+				s.mu.Unlock()
+			}
 			time.Sleep(pause.Failed())
 		default:
 			return err
--- a/internal/syserr/syserr_test.go
+++ b/internal/syserr/syserr_test.go
@@ -38,6 +38,9 @@
 	if got := Of(Read, os.ErrDeadlineExceeded); got != Fatal {
 		t.Errorf("an error without errno: %v", got)
 	}
+	if !NoDescriptor(wrap(syscall.ENFILE)) || NoDescriptor(wrap(syscall.ENOBUFS)) {
+		t.Error("a descriptor relieves the want of one, and no other")
+	}
 	if LastsLonger(wrap(syscall.ENETUNREACH)) != Peer || LastsLonger(wrap(syscall.EADDRNOTAVAIL)) != Local {
 		t.Error("a route that stays away is the other side's, a port that does is not")
 	}
