--- /dev/null
+++ b/internal/rehearsal/audit/notes_test.go
@@ -0,0 +1,139 @@
+package audit
+
+import (
+	"fmt"
+	"time"
+
+	"mallowlead/internal/settings"
+)
+
+// This file writes the logs that the tests have judged.
+
+const ms = time.Millisecond
+
+// The classes of the tests.
+const (
+	status  = iota // safe
+	payment        // keyed, remembered for 5 s
+	order          // unsafe
+	lined          // safe, in order
+)
+
+func figures() Figures {
+	class := func(name, effect string) settings.Category {
+		return settings.Category{Name: name, Idempotency: effect, AimS: 2, DeadlineS: 10, LateShare: 0.5, Points: 1, MemorySpanS: 5}
+	}
+	s := settings.Settings{NInstances: 2, Categories: []settings.Category{class("status", "retryable"), class("payment", "dedup"),
+		class("order", "fragile"), class("lined", "retryable")}}
+	s.Categories[lined].FifoByKey = true
+	s.Rules = settings.Rules{AnswerSlackS: 0.3, AskWithinS: 10, ColdShare: 0.2, DrainGraceS: 1, OverloadFactor: 2.5,
+		OverloadForS: 1.5, RampTimeS: 10, OrderPauseS: 0.5}
+	s.Limits.ConnTimeoutS = 1
+	return Figures{Settings: s, TellWithin: 6 * time.Second, Destinations: []Destination{
+		{Name: "bank", Capacity: 20, ColdShare: 0.2, Warm: 10 * time.Second}, {Name: "dealer", Capacity: 20, ColdShare: 0.2}}}
+}
+
+// notes writes a log.
+type notes struct {
+	log   []Event
+	calls int
+}
+
+func (n *notes) add(e Event) { n.log = append(n.log, e) }
+
+// take has relay 0 take a message for destination 0 on.
+func (n *notes) take(at time.Duration, id string, class int) {
+	n.add(Event{At: at, Kind: HandedIn, ID: id, Class: class, For: 10 * time.Second, Item: "k"})
+	n.add(Event{At: at + 5*ms, Kind: Answered, ID: id, Status: 202})
+}
+
+// call makes a call that ends some time later, and gives its number.
+func (n *notes) call(at time.Duration, id, host, outcome string, took time.Duration, change ...func(called, ended *Event)) {
+	n.calls++
+	a := Event{At: at, First: at - ms, Kind: Called, ID: id, Host: host, Call: n.calls}
+	b := Event{At: at + took, Kind: Ended, ID: id, Call: n.calls, Outcome: outcome}
+	for _, c := range change {
+		c(&a, &b)
+	}
+	n.add(a)
+	if outcome != "" {
+		n.add(b)
+	}
+}
+
+func (n *notes) notice(at time.Duration, id, state string) {
+	n.add(Event{At: at, Kind: Noticed, ID: id, State: state})
+}
+
+func dest(d int) func(called, ended *Event) { return func(a, _ *Event) { a.Dest = d } }
+func wait(d time.Duration) func(called, ended *Event) {
+	return func(_, b *Event) { b.For = d }
+}
+
+func (n *notes) take2(at time.Duration, id string, dest int) {
+	n.add(Event{At: at, Kind: HandedIn, ID: id, Dest: dest, For: 10 * sec})
+	n.add(Event{At: at + 5*ms, Kind: Answered, ID: id, Status: 202})
+}
+
+func (n *notes) restart(at time.Duration) {
+	n.add(Event{At: at, Kind: Stopping})
+	n.add(Event{At: at + 3700*ms, Kind: Killed})
+	n.add(Event{At: at + 4600*ms, Kind: Ready})
+}
+
+// silence has relay 0's watch fall silent after 1 s; from 3 s on the register shows that h drains.
+func (n *notes) silence() {
+	n.add(Event{At: 100 * ms, Kind: Asked, OK: true})
+	n.add(Event{At: sec, Kind: Silent})
+	n.add(Event{At: 3 * sec, Kind: Shown, Host: "h", State: Draining})
+}
+
+func (n *notes) crash(at time.Duration) {
+	n.add(Event{At: at, Kind: Killed})
+	n.add(Event{At: at + sec, Kind: Ready})
+}
+
+func (n *notes) effect(times int, id string) {
+	for i := range times {
+		n.add(Event{At: 9*sec + time.Duration(i), Kind: Effect, ID: id})
+	}
+}
+
+func (n *notes) told(at time.Duration, host, state string) {
+	n.add(Event{At: at, Kind: Told, Host: host, State: state})
+}
+
+func (n *notes) up() {
+	for relay := range 2 {
+		n.add(Event{Kind: Ready, Relay: relay})
+		n.add(Event{Kind: Asked, Relay: relay, OK: true})
+	}
+}
+
+func (n *notes) regDown(at time.Duration) { n.add(Event{At: at, Kind: RegDown}) }
+
+func (n *notes) shown(at time.Duration, host, state string) {
+	n.add(Event{At: at, Kind: Shown, Host: host, State: state})
+}
+
+func (n *notes) out(at time.Duration, how string, until time.Duration) {
+	n.add(Event{At: at, Kind: Out, State: how})
+	n.add(Event{At: until, Kind: Back, OK: true})
+}
+
+// burst has a relay send so many messages of their own, each refused by the partner and then ended.
+func (n *notes) burst(at time.Duration, count int, outcome string, relay int) {
+	for i := range count {
+		id := fmt.Sprintf("%v-%d-%d", at, relay, i)
+		n.add(Event{At: at - 50*ms, Kind: HandedIn, ID: id, Relay: relay, For: 10 * sec})
+		n.add(Event{At: at - 40*ms, Kind: Answered, ID: id, Relay: relay, Status: 202})
+		n.call(at+time.Duration(i)*ms, id, "h", outcome, ms, func(a, _ *Event) { a.Relay = relay })
+		n.notice(at+200*ms, id, Deferred)
+	}
+}
+
+func (n *notes) probes(at time.Duration, count int) {
+	for i := range count {
+		n.call(at+time.Duration(i)*ms, "", "h", OK, ms, func(a, _ *Event) { a.Kind = Probed })
+	}
+}
