--- a/cmd/frostlinkctl/clocksteps.go
+++ b/cmd/frostlinkctl/clocksteps.go
@@ -12,7 +12,6 @@
 
 	"mallowlead/internal/rehearsal/rig"
 	"mallowlead/internal/rehearsal/script"
-	"mallowlead/internal/tool"
 )
 
 // clockSteps are the steps that scripts are played with, in seconds; 0: none, to compare with.
@@ -61,18 +60,7 @@
 				}
 				_ = w.Flush()
 			}
-			if o.json != "" {
-				if err := tool.WriteJSON(c.OutOrStdout(), o.json, runs); err != nil {
-					return err
-				}
-			}
-			switch {
-			case bad > 0:
-				return tool.ErrFound
-			case void > 0:
-				return errors.New("the machine was too busy for some runs")
-			}
-			return nil
+			return verdict(c, o.json, runs, bad, void)
 		},
 	}
 	f := c.Flags()
--- a/cmd/frostlinkctl/soak.go
+++ b/cmd/frostlinkctl/soak.go
@@ -62,18 +62,7 @@
 				printSoak(out, &run)
 			}
 			fmt.Fprintf(out, "%d of %d seeds kept all rules and invariants, %d did not, %d were void\n", seeds-bad-void, seeds, bad, void)
-			if o.json != "" {
-				if err := tool.WriteJSON(c.OutOrStdout(), o.json, runs); err != nil {
-					return err
-				}
-			}
-			switch {
-			case bad > 0:
-				return tool.ErrFound
-			case void > 0:
-				return errors.New("the machine was too busy for some seeds")
-			}
-			return nil
+			return verdict(c, o.json, runs, bad, void)
 		},
 	}
 	f := c.Flags()
@@ -87,6 +76,22 @@
 	return c
 }
 
+// verdict writes the results of several runs where they are wanted, and says how they ended as a whole.
+func verdict(c *cobra.Command, path string, runs any, bad, void int) error {
+	if path != "" {
+		if err := tool.WriteJSON(c.OutOrStdout(), path, runs); err != nil {
+			return err
+		}
+	}
+	switch {
+	case bad > 0:
+		return tool.ErrFound
+	case void > 0:
+		return fmt.Errorf("the machine was too busy for %d runs", void)
+	}
+	return nil
+}
+
 // soakTries is how often a seed is played where the machine was too busy for a run to say anything.
 const soakTries = 3
 
