TestFolderErrors: a start on a read-only folder is red, it waits for a socket

Seen: a relay killed while its folder is read-only is not ready until the folder is writable again, and would end after 5 s: the socket by which it would hand over can't be made.

--- a/internal/rehearsal/faults/preload/syscalls.c
+++ b/internal/rehearsal/faults/preload/syscalls.c
@@ -80,6 +80,7 @@
 	{SYS_epoll_pwait, WAIT, 0},      {SYS_pwrite64, 0, FILE_WRITE},   {SYS_fsync, 0, FILE_SYNC},
 	{SYS_fdatasync, 0, FILE_SYNC},   {SYS_openat, 0, FILE_OPEN},      {SYS_rename, 0, FILE_RENAME},
 	{SYS_renameat, 0, FILE_RENAME},  {SYS_renameat2, 0, FILE_RENAME}, {SYS_ftruncate, 0, FILE_WRITE},
+	{SYS_unlinkat, 0, FILE_RENAME},  {SYS_unlink, 0, FILE_RENAME},    {SYS_bind, 0, FILE_OPEN},
 };
 
 /* of says which kind of descriptor one is. */
@@ -126,8 +127,12 @@
 			return argument[0] == 2 ? SOCKET : 0; /* AF_INET */
 		case SYS_openat: /* for writing, below the folder */
 			return (argument[2] & O_ACCMODE) != O_RDONLY && inside((const char *)argument[1]) ? FILE_OPEN : 0;
+		case SYS_bind: /* a Unix socket's file; its family comes first */
+			return ((const short *)argument[1])[0] == 1 && inside((const char *)argument[1] + 2) ? FILE_OPEN : 0;
+		case SYS_unlink:
 		case SYS_rename:
 			return inside((const char *)argument[0]) ? FILE_RENAME : 0;
+		case SYS_unlinkat:
 		case SYS_renameat:
 		case SYS_renameat2:
 			return inside((const char *)argument[1]) ? FILE_RENAME : 0;
--- a/internal/rehearsal/rig/faults_test.go
+++ b/internal/rehearsal/rig/faults_test.go
@@ -16,6 +16,9 @@
 length_s = 8
 relays = 2
 
+[relay]
+ready_within_s = 3
+
 [load]
 rate = 30
 
@@ -149,6 +152,7 @@
 		"torn writes":                   disk(2, 4, "SHORT", 0.5) + disk(2, 4, "EIO", 0.3),
 		"read-only":                     disk(2, 3, "EROFS", 1),
 		"full, killed meanwhile":        disk(2, 3, "ENOSPC", 1) + kill(3),
+		"read-only, killed meanwhile":   disk(2.5, 4.2, "EROFS", 1) + kill(2.6),
 		"torn, killed meanwhile":        disk(2, 4, "SHORT", 0.5) + disk(2, 4, "EIO", 0.3) + kill(3),
 		"full and the clock steps back": disk(2, 3, "ENOSPC", 0.7) + kill(3) + step(3.3, -3600),
 	}, worthKeptByFolder)
