A start on a read-only folder serves: its lock is taken for reading, and the hand-over's socket comes later

Seen: TestFolderErrors/read-only,_killed_meanwhile red: not ready within 3 s. Wrong lines: handover/wire.go, takeLock: the lock's file was opened for writing only; giver.go, listen: a socket that can't be made held up the start and ended it after 5 s. A lock that is there is opened for reading where it can't be for writing (flock(2) does not ask for more); Serve makes the socket when the folder lets it. What keeps the folder from being taken is logged once.

--- a/internal/handover/giver.go
+++ b/internal/handover/giver.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -58,31 +59,57 @@
 
 // Owner is a process's hold on a folder, and where others ask it to hand over.
 type Owner struct {
-	dir    string
-	lock   *lock
-	l      *net.UnixListener
-	giver  Giver
-	askers chan *link // of other processes, once they have said hello
+	dir      string
+	lock     *lock
+	mu       sync.Mutex
+	l        *net.UnixListener // nil: it can't be listened yet
+	released bool
+	giver    Giver
+	askers   chan *link // of other processes, once they have said hello
 }
 
-// leastListenPause and mostListenPause bound the pause before it is tried again to listen, listenTries times: a start, or the taking
-// over, is not to fail for what passes.
-const (
-	leastListenPause, mostListenPause = 5 * time.Millisecond, 50 * time.Millisecond
-	listenTries                       = 100
-)
+// leastListenPause and mostListenPause bound the pause before it is tried again to listen.
+const leastListenPause, mostListenPause = 5 * time.Millisecond, 500 * time.Millisecond
+
+// listen takes askers from now on. Where the folder or the machine does not let it for the moment the relay serves all the same, and Serve
+// tries again: until then no other process can take over.
+func (o *Owner) listen() error {
+	o.askers = make(chan *link)
+	err := o.listenOnce()
+	if err != nil && passes(err) {
+		slog.Warn("no other process can take over yet", "err", err)
+		return nil
+	}
+	return err
+}
+
+// passes tells whether listening failed for what passes.
+func passes(err error) bool {
+	return syserr.Of(syserr.Bind, err) == syserr.Local || syserr.Of(syserr.File, err) == syserr.Local
+}
 
-// listen takes askers from now on.
-func (o *Owner) listen() (err error) {
+// listenAgain tries to listen until it can, or until the process is told to end.
+func (o *Owner) listenAgain(told <-chan struct{}) (listening bool) {
 	pause := syserr.Backoff{Least: leastListenPause, Most: mostListenPause}
-	for range listenTries {
-		err = o.listenOnce()
-		if err == nil || syserr.Of(syserr.Bind, err) != syserr.Local && syserr.Of(syserr.File, err) != syserr.Local {
-			return err
+	for o.listener() == nil {
+		select {
+		case <-told:
+			return false
+		case <-time.After(pause.Failed()):
+		}
+		if err := o.listenOnce(); err != nil && !passes(err) {
+			slog.Error("no other process can take over", "err", err)
+			return false
 		}
-		time.Sleep(pause.Failed())
 	}
-	return err
+	return true
+}
+
+// listener is where askers come, or nil.
+func (o *Owner) listener() *net.UnixListener {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.l
 }
 
 func (o *Owner) listenOnce() error {
@@ -95,24 +122,38 @@
 	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return fmt.Errorf("handover: %w", err)
 	}
-	o.l, err = net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
+	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	o.l.SetUnlinkOnClose(false) // by then it may be the next owner's
+	l.SetUnlinkOnClose(false) // by then it may be the next owner's
 	if err := os.Chmod(path, 0o600); err != nil {
+		_ = l.Close()
 		return fmt.Errorf("handover: %w", err)
 	}
-	o.askers = make(chan *link)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.released {
+		return l.Close()
+	}
+	o.l = l
 	return nil
 }
 
 // Release gives the folder up at the end of the process.
 func (o *Owner) Release() {
+	o.stopListening()
+	o.lock.close()
+}
+
+// stopListening takes no askers any more.
+func (o *Owner) stopListening() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.released = true
 	if o.l != nil {
 		_ = o.l.Close()
 	}
-	o.lock.close()
 }
 
 // Outcome says how serving as the owner came to its end.
@@ -128,8 +169,11 @@
 // Serve answers processes that ask, until told ends or the relay is handed over. It is to be called once.
 func (o *Owner) Serve(told <-chan struct{}, relay Relay) Outcome {
 	go func() {
-		for {
-			c, err := o.l.AcceptUnix()
+		if !o.listenAgain(told) {
+			return
+		}
+		for listener := o.listener(); ; {
+			c, err := listener.AcceptUnix()
 			if err != nil {
 				return
 			}
@@ -150,11 +194,11 @@
 		select {
 		case <-told:
 			o.giver.Handle(Told)
-			_ = o.l.Close()
+			o.stopListening()
 			return Ended
 		case l := <-o.askers:
 			if out, over := o.handOver(told, l, relay); over {
-				_ = o.l.Close()
+				o.stopListening()
 				return out
 			}
 		}
--- a/internal/handover/taker.go
+++ b/internal/handover/taker.go
@@ -41,7 +41,8 @@
 	state   json.RawMessage
 	items   []Item
 	batch   []Item
-	waiting bool // said that it waits
+	waiting bool   // said that it waits
+	said    string // the error that the folder could not be taken for last
 	err     error
 }
 
@@ -128,7 +129,10 @@
 		return Free
 	}
 	if !errors.Is(err, errLocked) {
-		slog.Error("the folder can't be taken", "err", err)
+		if t.said != err.Error() {
+			t.said = err.Error()
+			slog.Error("the folder can't be taken yet", "err", err)
+		}
 	} else if !t.waiting {
 		t.waiting = true
 		slog.Info("another process holds the folder: it is asked to hand over")
--- a/internal/handover/wire.go
+++ b/internal/handover/wire.go
@@ -173,7 +173,11 @@
 
 // takeLock takes a folder, if nobody holds it.
 func takeLock(dir string) (*lock, error) {
-	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	path := filepath.Join(dir, lockName)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil { // a lock that is there is taken in a folder that takes no writes as well
+		f, err = os.OpenFile(path, os.O_RDONLY, 0)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
