--- a/internal/syserr/syserr.go
+++ b/internal/syserr/syserr.go
@@ -81,7 +81,9 @@
 }
 
 // NoDescriptor tells whether an error is the want of a descriptor, which one that is closed relieves.
-func NoDescriptor(err error) bool { return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) }
+func NoDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
 
 // LastsLonger is the class of a connect's error that did not pass: what may be a missing route counts as the other side's then.
 func LastsLonger(err error) Class {
