--- a/internal/invariant/deadlines.go
+++ b/internal/invariant/deadlines.go
@@ -1,10 +1,6 @@
 package invariant
 
-import (
-	"container/heap"
-
-	"mallowlead/internal/clock"
-)
+import "mallowlead/internal/clock"
 
 // deadline is when the terminal outcome of a message is due.
 type deadline struct {
@@ -12,22 +8,43 @@
 	at clock.Instant
 }
 
-// deadlineQueue is a heap, the earliest deadline first.
+// deadlineQueue is a binary heap, the earliest deadline first. It is no container/heap: that would put each deadline into an interface,
+// an allocation for each message.
 type deadlineQueue []deadline
 
-func (q deadlineQueue) Len() int           { return len(q) }
-func (q deadlineQueue) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q deadlineQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-
-// Push and Pop are heap.Interface's: push and pop are to be used.
-func (q *deadlineQueue) Push(x any) { *q = append(*q, x.(deadline)) }
-
-// Pop takes the last element.
-func (q *deadlineQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
+// push adds a deadline.
+func (q *deadlineQueue) push(d deadline) {
+	heap := append(*q, d)
+	for i := len(heap) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if heap[parent].at <= heap[i].at {
+			break
+		}
+		heap[parent], heap[i] = heap[i], heap[parent]
+		i = parent
+	}
+	*q = heap
 }
 
-func (q *deadlineQueue) push(d deadline) { heap.Push(q, d) }
-func (q *deadlineQueue) pop() deadline   { return heap.Pop(q).(deadline) }
+// pop takes the earliest deadline; there has to be one.
+func (q *deadlineQueue) pop() deadline {
+	heap := *q
+	first, last := heap[0], len(heap)-1
+	heap[0], heap[last] = heap[last], deadline{}
+	heap = heap[:last]
+	for i := 0; ; {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(heap); child++ {
+			if heap[child].at < heap[least].at {
+				least = child
+			}
+		}
+		if least == i {
+			break
+		}
+		heap[i], heap[least] = heap[least], heap[i]
+		i = least
+	}
+	*q = heap
+	return first
+}
--- a/internal/invariant/invariant_test.go
+++ b/internal/invariant/invariant_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"mallowlead/internal/clock"
 	"mallowlead/internal/journal"
 	"mallowlead/policy"
@@ -85,6 +88,27 @@
 	}
 }
 
+// The queue gives deadlines by time, whatever order they come in.
+func TestDeadlineQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q deadlineQueue
+		var want []clock.Instant
+		for _, at := range rapid.SliceOfN(rapid.Int64Range(0, 50), 0, 60).Draw(t, "deadlines") {
+			q.push(deadline{at: clock.Instant(at)})
+			want = append(want, clock.Instant(at))
+		}
+		slices.Sort(want)
+		for i, at := range want {
+			if got := q.pop().at; got != at {
+				t.Fatalf("%d. is at %d, want %d", i, got, at)
+			}
+		}
+		if len(q) != 0 {
+			t.Fatalf("%d left", len(q))
+		}
+	})
+}
+
 func TestCounts(t *testing.T) {
 	var c Counts
 	c.Violated(EndTwice, "m", "outcome", "deferred")
--- a/internal/relay/guard.go
+++ b/internal/relay/guard.go
@@ -14,7 +14,10 @@
 
 // facts are what the checks have to know of a message.
 func (l *loop) facts(m *message) invariant.Message {
-	return invariant.Message{Entry: m.Entry, Terms: l.journal.Terms(m.Entry), Ended: m.over, Out: m.sending}
+	if m.terms == nil {
+		m.terms = l.journal.Terms(m.Entry)
+	}
+	return invariant.Message{Entry: m.Entry, Terms: m.terms, Ended: m.over, Out: m.sending}
 }
 
 // decide decides a message's terminal outcome; it has one only. Callers leave messages alone that are over.
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -69,6 +69,7 @@
 	retry    string                 // what its client says of an earlier hand-in
 	over     bool                   // ended, but a call is still out
 	sending  bool                   // an attempt was decided on whose end the loop has not heard
+	terms    *policy.Class          // of its class as it was accepted, once they were asked for
 	outcome  uint64                 // the number of the record of its terminal outcome
 	resumed  bool                   // taken on by an earlier process
 	noticed  bool                   // the platform has its notice, and it waits for the store
