A failed accept closes no connection whose request may be on its way

Wrong line: conns.go, Serve: evict took also what had come just now. For want of a descriptor only what has rested for 500 ms is closed.

--- a/internal/clients/http1/conns.go
+++ b/internal/clients/http1/conns.go
@@ -32,6 +32,9 @@
 	idleTime = 8 * time.Second
 	// restTime must have passed without a request before a connection is among the first to make room.
 	restTime = 2 * time.Second
+	// requestTime after it was taken, or answered, a connection's next request is no longer on its way as a rule: only then it is closed
+	// for want of a descriptor.
+	requestTime = 500 * time.Millisecond
 	// stalledTime makes a request that has begun and does not go on one that may make room, last of all.
 	stalledTime = 500 * time.Millisecond
 	// writeTime bounds the writing of an answer: clients read at full speed.
@@ -108,7 +111,7 @@
 			slog.Warn("connection not accepted", "err", err)
 			if syserr.NoDescriptor(err) {
 				s.mu.Lock()
-				s.evict(leaving)
+				s.evictRested(leaving, requestTime)
 				s.mu.Unlock()
 			}
 			time.Sleep(pause.Failed())
@@ -160,7 +163,10 @@
 // evict closes the connection that is missed least: one that has said its last, then one that rested long
 // enough, one that never said anything, one that rests, one that stalls; never one with a request open, nor one before a
 // stage. Its place is free at once. The lock is held.
-func (s *Server) evict(from stage) bool {
+func (s *Server) evict(from stage) bool { return s.evictRested(from, 0) }
+
+// evictRested is evict among those whose stage has lasted for so long, and those that are leaving.
+func (s *Server) evictRested(from stage, least time.Duration) bool {
 	var worst *client
 	now := time.Now()
 	rank := func(c *client) int {
@@ -170,7 +176,7 @@
 		return 2 * int(c.stage)
 	}
 	for c := range s.clients {
-		if c.stage < from || c.stage == open || c.stage == reading && now.Sub(c.since) < stalledTime {
+		if c.stage < from || c.stage == open || c.stage != leaving && now.Sub(c.since) < least || c.stage == reading && now.Sub(c.since) < stalledTime {
 			continue
 		}
 		if worst == nil || rank(c) < rank(worst) || rank(c) == rank(worst) && c.since.Before(worst.since) {
