policy: a failing test of a key's cooldown that a hand-over forgets

A message of an ordered class whose outcome is decided and not acknowledged is handed over without its cooldown: the next message of its key leaves 2.5 s early.

--- a/policy/snapshot_test.go
+++ b/policy/snapshot_test.go
@@ -74,3 +74,26 @@
 		t.Errorf("key cooldowns %v, want that of k", cooldowns)
 	}
 }
+
+// What happens: a message of an ordered class ends with an attempt that may still be executing, and its outcome waits for its
+// acknowledgement as the process hands over. The next process acknowledged it and released the order key at once, although
+// the key had to cool down. Why: a snapshot held the cooldowns of acknowledged messages alone, and a message whose outcome is
+// decided is handed over without its attempts. Evidence: the actions after the acknowledgement had "n>a" 2.5 s before the
+// cooldown's end.
+func TestSnapshot_CarriesKeyCooldownOfUnacknowledged(t *testing.T) {
+	s := testSettings()
+	s.OrderKeyCooldown, s.AwaitAcknowledgement = 4*time.Second, true
+	old := newDispatcher(t, s, Endpoint{ID: "a"})
+	old.Handle(0, []Event{arrival("m", 2)})
+	wantActions(t, "may have executed", old.Handle(time.Second, []Event{ended("m", ConnectionReset)}), "fail m")
+	decided := arrival("m", 2).(Arrived)
+	decided.Recovered, decided.OutcomeDecided = true, true
+	next := newDispatcher(t, s, Endpoint{ID: "a"})
+	wantActions(t, "unacknowledged", next.Handle(2*time.Second, []Event{
+		SnapshotRestored{old.Snapshot()},
+		decided,
+		arrival("n", 2),
+	}), "")
+	wantActions(t, "in cooldown", next.Handle(2500*ms, []Event{Acknowledged{ID: "m"}}), "")
+	wantActions(t, "after cooldown", next.Handle(5*time.Second, []Event{TimerFired{}}), "n>a")
+}
