policy: a process that restored a key's cooldown can hand over itself, and keeps all of them

Cause: the message that stands for a predecessor's cooldown had no terms. It gets those of an ordered class, made in one place.

TestSnapshot_AfterRestoredKeyCooldown and TestSnapshot_CarriesKeyCooldownOfUnacknowledged, unchanged, failed before and pass; with real processes TestOrderedClass_CooldownOutlastsTwoHandovers ('process already finished' before). A chain of drawn hand-overs panics on the code of before.

--- a/internal/relay/ordered_class_test.go
+++ b/internal/relay/ordered_class_test.go
@@ -5,11 +5,13 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"frostlink/internal/journal"
 	"frostlink/internal/notification"
+	"frostlink/internal/wait/waittest"
 )
 
 // Requests of an ordered class with the same key are sent one at a time, in the order in which they came; others are sent
@@ -128,3 +130,51 @@
 		t.Errorf("sent %v", sent)
 	}
 }
+
+// Processes replace each other twice while an order key cools down after an attempt that may still be executing. Both times the
+// process that hands over has to hand over whole: the second one ended with a nil pointer dereference in policy.Snapshot, and
+// clients lost the connections that it was to pass on. The next request of the key leaves after the cooldown, once.
+func TestOrderedClass_CooldownOutlastsTwoHandovers(t *testing.T) {
+	const cooldown = 3 * time.Second
+	p := newPlatform(t)
+	p.changeSettings = func(s string) string {
+		return strings.NewReplacer(`{"name":"order",`, `{"name":"order","fifo_by_key":true,`,
+			`"ramp_time_s":10`, `"ramp_time_s":10,"order_pause_s":3`).Replace(s)
+	}
+	p.addAdminEndpoint()
+	p.shareListener()
+	p.addEndpoint("h1", 7)
+	var blockedAt, sentAt atomic.Int64
+	p.serveAttempt = func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Request-Id") == "first" {
+			blockedAt.Store(time.Now().UnixNano())
+			panic(http.ErrAbortHandler)
+		}
+		sentAt.Store(time.Now().UnixNano())
+	}
+	old := p.start()
+	for _, id := range []string{"first", "second"} {
+		if resp := p.submit("order", id, "20", orderKey("a")); resp.StatusCode != http.StatusAccepted {
+			t.Fatalf("%s: %s", id, resp.Status)
+		}
+	}
+	p.waitFor("the outcome of the first is received", func() bool { return len(p.receivedNotices()) == 1 })
+	for range 2 {
+		next := p.startSuccessor()
+		if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := waittest.Receive(t, old.exited); err != nil {
+			t.Fatalf("the old process ended with %v: %s", err, old.Stderr)
+		}
+		old = next
+	}
+	if sentAt.Load() != 0 {
+		t.Error("the second request left before the hand-overs were over")
+	}
+	p.waitFor("the second is sent", func() bool { return sentAt.Load() != 0 })
+	// The cooldown begins when the relay hears of the reset, after the endpoint caused it.
+	if waited := time.Duration(sentAt.Load() - blockedAt.Load()); waited < cooldown {
+		t.Errorf("the second request left %v after the attempt of the first, want %v", waited, cooldown)
+	}
+}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -84,11 +84,8 @@
 
 // Snapshot returns what this dispatcher has learned.
 func (d *Dispatcher) Snapshot() *Snapshot {
-	s := &Snapshot{Kinds: map[int]LatencySnapshot{}, UnansweredShare: d.unansweredShare}
-	for _, m := range d.coolingDown {
-		if m.ordered() {
-			s.KeyCooldowns = append(s.KeyCooldowns, KeyCooldownSnapshot{Key: m.OrderKey, Until: m.cooldownUntil})
-		}
+	s := &Snapshot{
+		Kinds: map[int]LatencySnapshot{}, UnansweredShare: d.unansweredShare, KeyCooldowns: d.keyCooldowns(),
 	}
 	// In order: the same state gives the same snapshot.
 	for _, number := range slices.Sorted(maps.Keys(d.destinations)) {
@@ -170,11 +167,7 @@
 func (d *Dispatcher) restoreSnapshot(s *Snapshot) {
 	d.unansweredShare = s.UnansweredShare
 	for _, cooldown := range s.KeyCooldowns {
-		m := &message{
-			Arrived: Arrived{OrderKey: cooldown.Key}, state: messageCompleted, cooldownUntil: cooldown.Until,
-		}
-		d.orderKeys[cooldown.Key] = append(d.orderKeys[cooldown.Key], m)
-		d.coolingDown = append(d.coolingDown, m)
+		d.restoreKeyCooldown(cooldown)
 	}
 	for kind, latency := range s.Kinds {
 		d.latencyOfKind(kind).restore(latency)
