--- /dev/null
+++ b/policy/trial_retry_test.go
@@ -0,0 +1,70 @@
+package policy
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// What happens: a destination of two endpoints refuses connections, and relays are killed meanwhile. What a restarted relay finds
+// accepted is never sent although the destination is back for seconds: it is given up at its deadline (scenario soak, seed 15).
+// Why: both endpoints are unhealthy, and a message that was tried before was no trial request where a destination has more than
+// one endpoint, even where all of them are out. Only a new message could find the destination back. Evidence: a log line for each
+// batch of relay 19 of that run: tokens=1.000 at both endpoints, trials=0, inflight=0, no backoff, and "0d4335f78dd10000
+// attempts=1" queued for the 1.7 s that it had left; the fleet used 29 calls in a window that allows 303.
+func TestTrialRetry_RestartFindsDestinationOut(t *testing.T) {
+	s := testSettings()
+	s.Weights = WeightsNominal
+	d := newDispatcher(t, s, Endpoint{ID: "a", Weight: 100}, Endpoint{ID: "b", Weight: 100})
+	notExecuted := func(ep string) PriorAttempt {
+		return PriorAttempt{Endpoint: ep, SentAt: 7 * time.Second, NotExecuted: true}
+	}
+	actions := d.Handle(10*time.Second, []Event{
+		HealthRecovered{Endpoint: "a", Unhealthy: true, At: 7 * time.Second},
+		HealthRecovered{Endpoint: "b", Unhealthy: true, At: 7 * time.Second},
+		recovered("m", 2, notExecuted("a"), notExecuted("b")),
+	})
+	if !trialWithin(d, actions, 10*time.Second, 14*time.Second) {
+		t.Error("no trial request in four of the ten seconds that the message has left")
+	}
+}
+
+// The same without a restart: connections are refused at both endpoints, and no other message comes.
+func TestTrialRetry_OnlyMessageFindsDestinationBack(t *testing.T) {
+	s := testSettings()
+	s.Weights = WeightsNominal
+	d := newDispatcher(t, s, Endpoint{ID: "a", Weight: 100}, Endpoint{ID: "b", Weight: 100})
+	now, refused := time.Duration(0), 0
+	actions := d.Handle(now, []Event{arrival("m", 0)})
+	for d.UnhealthyEndpoints() < 2 {
+		i := slices.IndexFunc(actions, func(a Action) bool { _, ok := a.(Send); return ok })
+		if i < 0 {
+			t.Fatalf("after %d refused connections no attempt follows, %d endpoints unhealthy", refused, d.UnhealthyEndpoints())
+		}
+		now += 10 * ms
+		actions = d.Handle(now, []Event{AttemptEnded{
+			ID: "m", Endpoint: actions[i].(Send).Endpoint, Attempt: refused, Outcome: ConnectError,
+		}})
+		refused++
+	}
+	if !trialWithin(d, actions, now, 4*time.Second) {
+		t.Error("no trial request in four of the ten seconds that the message has left")
+	}
+}
+
+// trialWithin fires timers up to a time, and reports whether an attempt begins.
+func trialWithin(d *Dispatcher, actions []Action, now, until time.Duration) bool {
+	for now <= until {
+		for _, a := range actions {
+			if _, ok := a.(Send); ok {
+				return true
+			}
+		}
+		if d.timerAt <= now {
+			return false // nothing more is due
+		}
+		now = d.timerAt
+		actions = d.Handle(now, []Event{TimerFired{}})
+	}
+	return false
+}
