policy: a retry is a trial request where all endpoints of its destination are out

Cause: a message that was tried before was no trial request at a destination of two or more endpoints, also where all of them were unhealthy; only a new message could find the destination back. Evidence: a token at both endpoints, no backoff, nothing in flight, the message queued to its end.

Now a retry waits for an endpoint that is not unhealthy only where there is one, and spreads its attempts over its time. TestTrialRetry_RestartFindsDestinationOut and _OnlyMessageFindsDestinationBack, unchanged, failed before.

--- a/policy/doc.go
+++ b/policy/doc.go
@@ -63,6 +63,7 @@
 //   - dispatch.go: which queue and message get a free slot
 //   - order.go: messages with one order key, one at a time
 //   - endpoint_selection.go: the endpoint of a call
+//   - trial_request.go: which messages try unhealthy endpoints, and when
 //   - timeout.go: how long an answer is waited for
 //   - attempt_outcome.go: what is learned from the outcome of an attempt
 //   - retry.go: whether a message may be sent again
@@ -76,7 +77,7 @@
 //   - load_report.go: rate limits that destinations report
 //   - rejection.go: backoff after rejections
 //   - outlier.go: when an endpoint counts as unhealthy
-//   - slow_start.go: trial requests and slow start after an outage
+//   - slow_start.go: how many trial requests there are, and slow start after an outage
 //   - idle_connections.go: which idle connections are closed or reused
 //   - endpoint_list.go: changes of the endpoint list
 //   - endpoint_watch.go: watches of the endpoint list
--- a/policy/endpoint_selection.go
+++ b/policy/endpoint_selection.go
@@ -1,9 +1,5 @@
 package policy
 
-// maxTrialCalls may be in flight to an unhealthy or unresponsive endpoint: one that may be stuck,
-// one that tries.
-const maxTrialCalls = 2
-
 // selectEndpoint returns the endpoint of a queue that a message goes to, or nil if none takes it
 // now.
 func (d *Dispatcher) selectEndpoint(q *queue, m *message) *endpoint {
@@ -12,8 +8,8 @@
 		if !d.acceptsCall(ep) || !d.retryAllowed(m, ep) {
 			continue
 		}
-		if ep.health.isUnhealthy() && len(m.attempts) > 0 && len(q.endpoints) > 1 {
-			continue // a retry is no trial request where there are other endpoints
+		if ep.health.isUnhealthy() && !d.mayTry(q, m) {
+			continue
 		}
 		if best == nil || d.preferred(m, ep, best) {
 			best = ep
@@ -79,18 +75,6 @@
 	return !d.unresponsive(ep) || len(ep.inFlight) < maxTrialCalls
 }
 
-// trialCalls returns how many calls in flight to an unhealthy endpoint were sent since it became
-// unhealthy.
-func (ep *endpoint) trialCalls() int {
-	trials := 0
-	for _, c := range ep.inFlight {
-		if c.sent >= ep.unhealthySince {
-			trials++
-		}
-	}
-	return trials
-}
-
 // unresponsive reports whether an endpoint has a call in flight for far longer than usual and no
 // success since it was sent.
 func (d *Dispatcher) unresponsive(ep *endpoint) bool {
--- a/policy/timer.go
+++ b/policy/timer.go
@@ -77,4 +77,5 @@
 			due.add(max(at, d.now+refillTime(missing, d.recoveryRate(ep, d.timeSinceRecovery(ep)))))
 		}
 	}
+	d.addNextTrials(due, q)
 }
--- a/policy/trial_retry_test.go
+++ b/policy/trial_retry_test.go
@@ -68,3 +68,59 @@
 	}
 	return false
 }
+
+// A message that alone knows of an outage of all endpoints spreads its attempts over its time: an outage that is shorter than that
+// does not use them up.
+func TestTrialRetry_SpreadsAttempts(t *testing.T) {
+	s := testSettings()
+	s.Weights = WeightsNominal
+	d := newDispatcher(t, s, Endpoint{ID: "a", Weight: 100}, Endpoint{ID: "b", Weight: 100})
+	var sent []time.Duration
+	now := time.Duration(0)
+	actions := d.Handle(now, []Event{arrival("m", 0)})
+	for now < 10*time.Second && d.messages["m"] != nil {
+		var events []Event
+		for _, a := range actions {
+			if send, ok := a.(Send); ok {
+				events = append(events, AttemptEnded{ID: "m", Endpoint: send.Endpoint, Attempt: len(sent), Outcome: ConnectError})
+				sent = append(sent, now)
+			}
+		}
+		if len(events) > 0 {
+			now += 5 * ms // connections are refused at once
+		} else {
+			now = max(d.timerAt, now+5*ms)
+		}
+		actions = d.Handle(now, append(events, TimerFired{}))
+	}
+	if len(sent) != s.MaxAttempts {
+		t.Errorf("%d attempts, want all %d", len(sent), s.MaxAttempts)
+	}
+	if last := sent[len(sent)-1]; last < 5*time.Second {
+		t.Errorf("attempts at %v: the last one in the first half of the message's time", sent)
+	}
+}
+
+// A retry waits for the endpoint that is not unhealthy, also while that has no room for a connection, and tries the unhealthy one
+// where the other only drains.
+func TestTrialRetry_WaitsForHealthyEndpoint(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		draining bool
+	}{{"other without room", false}, {"other drains", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDispatcher(t, testSettings(), Endpoint{ID: "a"}, Endpoint{ID: "b"})
+			d.Handle(0, []Event{HealthRecovered{Endpoint: "a", Unhealthy: true}})
+			if tt.draining {
+				d.Handle(0, []Event{EndpointsChanged{Endpoints: []Endpoint{{ID: "b", Draining: true}}}})
+			} else {
+				d.endpoints["b"].connLimit = 0.5
+			}
+			retry := recovered("m", 0, PriorAttempt{Endpoint: "a", SentAt: time.Second, NotExecuted: true})
+			actions := d.Handle(10*time.Second, []Event{retry})
+			if got := trialWithin(d, actions, 10*time.Second, 19*time.Second); got != tt.draining {
+				t.Errorf("a trial request: %v, want %v", got, tt.draining)
+			}
+		})
+	}
+}
