frontend: the write deadline of a response goes with it

Symptom: 100 Continue on a connection that had carried a response over a second before was answered with a close. Cause: the deadline of that response stayed on the connection, and the interim response had none of its own. All writes to a client now go through one method that sets, uses and clears it.

--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -117,8 +117,7 @@
 // writeContinue writes the interim response that a client may await before it sends a body (RFC
 // 9110, section 10.1.1). It reports whether it was written.
 func (c *conn) writeContinue() bool {
-	_, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
-	return err == nil
+	return c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 }
 
 // writeResponse writes a response without a body, and reports whether it was written.
@@ -134,9 +133,18 @@
 	if err := r.Write(&out); err != nil {
 		return false
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := socket.RetryConn{Conn: c.TCPConn}.Write(out.Bytes())
-	return err == nil
+	return c.write(out.Bytes())
+}
+
+// write writes a message to the client within writeTimeout, and reports whether all of it was
+// written. Its deadline goes with it: one that is left would have passed when the next write comes
+// on the connection.
+func (c *conn) write(message []byte) bool {
+	if c.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
+		return false
+	}
+	_, err := socket.RetryConn{Conn: c.TCPConn}.Write(message)
+	return err == nil && c.SetWriteDeadline(time.Time{}) == nil
 }
 
 // linger lets a last response arrive before the connection is closed.
