frontend: a head that is cut within a line is passed on at a hand-over, and 408 at a timeout

Symptom: 400 and a close for a client whose request line was half read as a process handed over. Cause: the parser takes the part of a line that came before an error for a whole one and calls it malformed; the error is lost. The recorder keeps it, and it is the reason where there is one. TestServer_DetachesHalfALine and _TimesOutHalfALine, unchanged, failed before.

--- a/internal/frontend/http1/request.go
+++ b/internal/frontend/http1/request.go
@@ -25,6 +25,9 @@
 func (s *Server) handleRequest(c *conn) (frontend.Response, error) {
 	r, err := http.ReadRequest(c.in)
 	if err != nil {
+		if c.received.err != nil {
+			err = c.received.err // what the parser made of the part that had come does not count
+		}
 		return frontend.Response{}, fmt.Errorf("head: %w", err)
 	}
 	submission, response := s.parse(r)
