policy: low traffic goes by a relay's own arrivals where no weight is listed

Cause: without a listed weight a relay's traffic never counted as low, and of thirty relays most never saw the four failures in a row that make an endpoint unhealthy. TestUnhealthyEarly_FewCallsWithoutListedWeight failed before.

--- a/policy/outlier_test.go
+++ b/policy/outlier_test.go
@@ -185,12 +185,16 @@
 					t.Fatal(err)
 				}
 				d.Handle(0, []Event{EndpointsChanged{Full: true, Endpoints: []Endpoint{{ID: "a"}}}})
-				now := 20 * time.Second // the counter of arrivals has an age by then
-				for i := range 3 {
-					id := string(rune('m' + i))
+				now := time.Duration(0)
+				for i := range 100 {
+					id := fmt.Sprint("m", i)
 					d.Handle(now, []Event{arrival(id, 2)})
 					now += tt.interval
-					d.Handle(now, []Event{ended(id, Failed)})
+					if i < 97 {
+						d.Handle(now, []Event{delivered(id, "a")})
+					} else {
+						d.Handle(now, []Event{ended(id, Failed)})
+					}
 				}
 				if d.endpoints["a"].health.isUnhealthy() {
 					unhealthy++
--- a/policy/rate_control.go
+++ b/policy/rate_control.go
@@ -55,9 +55,17 @@
 }
 
 // lowTraffic reports whether a second trial request is more than this relay's part of what a cold
-// destination takes.
+// destination takes. Where no rate is listed, that part goes by the relay's own traffic: a
+// destination bears about what all relays have for it.
 func (d *Dispatcher) lowTraffic(q *queue) bool {
-	return q.listedRate > 0 && d.evenShare(q)*countingSpan.Seconds() < minCallsPerSpan
+	rate := d.evenShare(q)
+	if q.listedRate == 0 {
+		if d.keepsIdleConns() {
+			return false // few relays: what one sees is a good part of all
+		}
+		rate = q.arrivals.rate(d.now)
+	}
+	return rate*countingSpan.Seconds() < minCallsPerSpan
 }
 
 // raiseSendRate raises a queue's send rate after a success, where messages wait for it.
