--- a/cmd/frostlinkctl/scenario_soak.go
+++ b/cmd/frostlinkctl/scenario_soak.go
@@ -7,9 +7,11 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/spf13/cobra"
 
+	"frostlink/internal/cli"
 	"frostlink/internal/faultinjection/harness"
 	"frostlink/internal/faultinjection/scenario"
 )
@@ -20,6 +22,7 @@
 	seeds      int
 	relayCount int
 	length     float64 // in seconds
+	restarts   bool    // play the soak of restarts
 	jsonFile   string
 	relays     string // path of the relay's program
 	keepFolder string
@@ -41,16 +44,21 @@
 		Long: "Play random faults that overlap upon many relays: processes killed, ended and stopped, wall clocks stepped, system calls and\n" +
 			"folders that fail, partners, register and network in trouble. Each run is judged by the auditor of the six rules and by the\n" +
 			"relays' own invariants. The same seed draws the same faults; the script and the logs of a run that fails are kept in --keep.\n" +
+			"With --restarts processes are ended and replaced in all the ways of the platform: series of signals around SIGTERM, while they\n" +
+			"start, in a hand-over, right behind a 202, again at once, in a crowd, stuck until they are killed. What happened is counted and\n" +
+			"printed; something that happened in no run of all seeds fails the soak.\n" +
 			"Exit codes: 0 every run kept all rules, 1 one did not, 2 could not run or the machine was too busy.",
-		Example: "  frostlinkctl scenario soak --seed 1 --seeds 20 --count 36 --keep found",
-		Args:    cobra.NoArgs,
-		RunE:    f.run,
+		Example: "  frostlinkctl scenario soak --seed 1 --seeds 20 --count 36 --keep found\n" +
+			"  frostlinkctl scenario soak --restarts --seed 1 --seeds 50 --keep found",
+		Args: cobra.NoArgs,
+		RunE: f.run,
 	}
 	flags := c.Flags()
 	flags.Int64Var(&f.firstSeed, "seed", 1, "the first seed")
 	flags.IntVar(&f.seeds, "seeds", 10, "how many seeds, one after another")
 	flags.IntVar(&f.relayCount, "count", 36, "how many relays")
 	flags.Float64Var(&f.length, "length", 9, "seconds for which clients send")
+	flags.BoolVar(&f.restarts, "restarts", false, "end and replace processes in all the ways of the platform")
 	addPlayOutputFlags(c, &f.jsonFile, &f.relays, "the results")
 	flags.StringVar(&f.keepFolder, "keep", "", "keep scripts and logs of runs that fail in this `folder`")
 	return c
@@ -78,13 +86,36 @@
 	if err := writeJSON(c.OutOrStdout(), f.jsonFile, runs); err != nil {
 		return err
 	}
-	return counts.verdict()
+	if err := counts.verdict(); err != nil || !f.restarts {
+		return err
+	}
+	return checkOccurrences(out, runs)
+}
+
+// checkOccurrences prints what never happened in any run. The error is that something did not.
+func checkOccurrences(out io.Writer, runs []soakRun) error {
+	var occurred []map[harness.Occurrence]int
+	for i := range runs {
+		occurred = append(occurred, runs[i].Occurred)
+	}
+	missing := harness.Missing(occurred...)
+	if len(missing) == 0 {
+		return nil
+	}
+	for _, o := range missing {
+		fmt.Fprintf(out, "in no run: %s\n", o)
+	}
+	return cli.ErrFindings
 }
 
 // play draws the scenario of a seed and plays it.
 func (f *scenarioSoakFlags) play(ctx context.Context, seed int64, command []string) (run soakRun, err error) {
 	run.Seed = seed
-	text := scenario.SoakScenario(seed, f.relayCount, f.length)
+	draw := scenario.SoakScenario
+	if f.restarts {
+		draw = scenario.RestartSoakScenario
+	}
+	text := draw(seed, f.relayCount, f.length)
 	s, err := scenario.Parse(soakName(seed)+scenarioSuffix, []byte(text))
 	if err != nil {
 		return run, err
@@ -129,6 +160,7 @@
 	}
 	fmt.Fprintf(out, "seed %4d  %-6s  worth %.3f  %4d messages  %3d breaches  %3d faults  %.2f%% late  %d tries\n", r.Seed, verdict,
 		r.DeliveredWeight.Total, r.Counts.Requested, len(r.Violations), len(r.Failures), 100*r.LateShare, r.Plays)
+	r.printOccurrences(out)
 	for _, violation := range r.Violations {
 		fmt.Fprintf(out, "      %v\n", violation)
 	}
@@ -136,3 +168,16 @@
 		fmt.Fprintf(out, "      %s\n", failure)
 	}
 }
+
+// printOccurrences prints what happened, and how often, in one line.
+func (r *soakRun) printOccurrences(out io.Writer) {
+	var happened []string
+	for _, o := range harness.Occurrences() {
+		if times := r.Occurred[o]; times > 0 {
+			happened = append(happened, fmt.Sprintf("%s %d", o, times))
+		}
+	}
+	if len(happened) > 0 {
+		fmt.Fprintf(out, "      %s\n", strings.Join(happened, ", "))
+	}
+}
--- a/internal/faultinjection/checker/checker.go
+++ b/internal/faultinjection/checker/checker.go
@@ -39,6 +39,7 @@
 	eachRequest(
 		(*history).checkOutcome,
 		(*history).checkAnswered,
+		(*history).checkReadIsAnswered,
 		(*history).checkIdempotency,
 	),
 	(*history).checkRedeliveries,
--- a/internal/faultinjection/checker/event.go
+++ b/internal/faultinjection/checker/event.go
@@ -14,6 +14,7 @@
 	Submitted        Kind = "handed-in"     // ID Message Relay Destination Class OrderKey Subject Duration: a client has sent a request that has Duration left
 	Answered         Kind = "answered"      // ID Relay Status Duration: the client got the relay's response, with a Retry-After of Duration
 	AnswerMissed     Kind = "unheard"       // ID Relay State OK: the client no longer waits, or, with OK, the connection ended without a response
+	ClosedOnRequest  Kind = "closed-on"     // ID Relay Duration: the relay closed a connection in order, without a response, so long after a request was written on it
 	AttemptSent      Kind = "called"        // ID Relay Destination Endpoint Attempt FirstByte: the last byte of an attempt has come, its first at FirstByte
 	Probed           Kind = "probed"        // Relay Destination Endpoint Attempt: the same of a health check
 	AttemptEnded     Kind = "ended"         // Attempt Outcome Duration Executed: the response to an attempt is about to be written, or it ended without
@@ -29,7 +30,7 @@
 	Started          Kind = "started"       // Relay Process: its n-th process, from 1; the one before may still run
 	Ready            Kind = "ready"         // Relay Process: it accepts requests, also in place of the one before
 	Stopping         Kind = "stopping"      // Relay: a graceful shutdown was requested
-	Killed           Kind = "killed"        // Relay: SIGKILL, or it exited by itself
+	Killed           Kind = "killed"        // Relay OK: SIGKILL, or, with OK, it exited by itself
 	MachineLost      Kind = "lost"          // Relay: its machine is gone, with its folder
 	Crashed          Kind = "crashed"       // Relay Status: it exited without being asked to
 	Halted           Kind = "halted"        // Relay: its process is stopped
@@ -38,6 +39,8 @@
 	SocketsHold      Kind = "sockets-hold"  // Relay: none is any more
 	FolderFails      Kind = "folder-fails"  // Relay: writes to its folder fail from now on, some or all
 	FolderWorks      Kind = "folder-works"  // Relay: none fails any more
+	CrowdCame        Kind = "crowd"         // Relay: callers take its descriptors from now on
+	CrowdLeft        Kind = "crowd-left"    // Relay: they have gone
 	OutageBegan      Kind = "out"           // Destination Endpoint State: an outage begins; Endpoint empty: of all endpoints
 	OutageEnded      Kind = "back"          // Destination Endpoint OK: it ends; OK: the destination starts cold
 	DiscoveryDown    Kind = "reg-down"      // discovery does not answer
--- a/internal/faultinjection/checker/request.go
+++ b/internal/faultinjection/checker/request.go
@@ -49,6 +49,7 @@
 	redelivery                  bool            // under an id of the relay's making
 	fromStore                   bool            // it was a dead letter before the run
 	closedAt                    []time.Duration // when its connection was closed without a response
+	closedOn                    []Event         // ClosedOnRequest
 	machineLostAt               time.Duration   // unset: not
 }
 
@@ -85,6 +86,8 @@
 		r.executions++
 	case Notified:
 		r.notices = append(r.notices, e)
+	case ClosedOnRequest:
+		r.closedOn = append(r.closedOn, e)
 	case AnswerMissed:
 		if e.OK {
 			r.closedAt = append(r.closedAt, e.At)
--- a/internal/faultinjection/checker/rule_outcome_test.go
+++ b/internal/faultinjection/checker/rule_outcome_test.go
@@ -30,6 +30,19 @@
 			l.add(Event{At: 1310 * ms, Kind: Answered, ID: "a", Status: 202})
 			l.notify(11700*ms, "a", Deferred)
 		}},
+		"a late notice of a request that came while the relay had no process": {OutcomeMissing, func(l *logBuilder) {
+			l.add(Event{At: 500 * ms, Kind: Killed})
+			l.add(Event{At: sec, Kind: Submitted, ID: "a", Class: status, Duration: 10 * sec})
+			l.add(Event{At: 1300 * ms, Kind: Ready})
+			l.add(Event{At: 1310 * ms, Kind: Answered, ID: "a", Status: 202})
+			l.notify(11700*ms, "a", Deferred)
+		}},
+		"a late notice of a request that came right after the relay was ready again": {OutcomeLate, func(l *logBuilder) {
+			l.add(Event{At: 500 * ms, Kind: Killed})
+			l.add(Event{At: 1300 * ms, Kind: Ready})
+			l.submit(1310*ms, "a", status)
+			l.notify(11700*ms, "a", Deferred)
+		}},
 		"a notice after delivery, the folder failed and no process ended": {OutcomeTwice, func(l *logBuilder) {
 			l.add(Event{At: sec, Kind: FolderFails})
 			l.submit(sec, "a", status)
@@ -89,6 +102,13 @@
 			l.add(Event{At: 1310 * ms, Kind: Answered, ID: "a", Status: 202})
 			l.notify(11550*ms, "a", Deferred)
 		},
+		"a request that came while the relay had no process, to a socket that processes inherit": func(l *logBuilder) {
+			l.add(Event{At: 500 * ms, Kind: Killed})
+			l.add(Event{At: sec, Kind: Submitted, ID: "a", Class: status, Duration: 10 * sec})
+			l.add(Event{At: 1300 * ms, Kind: Ready})
+			l.add(Event{At: 1310 * ms, Kind: Answered, ID: "a", Status: 202})
+			l.notify(11550*ms, "a", Deferred)
+		},
 		"a delivery that its relay could not record before it was killed": func(l *logBuilder) {
 			l.add(Event{At: sec, Kind: FolderFails})
 			l.submit(sec, "a", status)
--- a/internal/faultinjection/checker/rule_restart.go
+++ b/internal/faultinjection/checker/rule_restart.go
@@ -9,28 +9,56 @@
 	fewUntried = 3
 )
 
+// untriedCount counts requests that restarts found accepted and without an attempt.
+type untriedCount struct {
+	found, failed int
+	lastFailed    *request
+}
+
+func (c *untriedCount) add(r *request) {
+	c.found++
+	if r.failedUntried() {
+		c.failed, c.lastFailed = c.failed+1, r
+	}
+}
+
+// violated reports whether more than half of a number that proves something failed without an attempt.
+func (c *untriedCount) violated() bool {
+	return c.found > fewUntried && float64(c.failed) > half*float64(c.found)
+}
+
 // checkRestartedUntried checks that requests which a restart finds accepted and without an attempt still get one: at most half
-// of them may fail without.
+// of them may fail without, and at most half of those alone that may not simply be repeated and have half of their time left.
 func (h *history) checkRestartedUntried(log []Event) {
 	outages := readOutages(log)
-	found, failed := 0, 0
-	var last *request
+	var all, unrepeatable untriedCount
 	for relay, ends := range h.processEnds {
 		for _, end := range ends {
-			for _, r := range h.untriedBy(relay, end, readyAfter(log, relay, end), outages) {
-				found++
-				if r.failedUntried() {
-					failed, last = failed+1, r
+			ready := readyAfter(log, relay, end)
+			for _, r := range h.untriedBy(relay, end, ready, outages) {
+				all.add(r)
+				if !h.mayBeRepeated(r) && r.deadline-ready >= (r.deadline-r.submittedAt)/2 {
+					unrepeatable.add(r)
 				}
 			}
 		}
 	}
-	if found > fewUntried && float64(failed) > half*float64(found) {
-		h.reportRequest(FailedUntried, last.notices[0].At, last,
-			"%d of %d messages that restarts found untried were given up with no call, this one the last", failed, found)
+	switch {
+	case all.violated():
+		h.reportRequest(FailedUntried, all.lastFailed.notices[0].At, all.lastFailed,
+			"%d of %d messages that restarts found untried were given up with no call, this one the last", all.failed, all.found)
+	case unrepeatable.violated():
+		h.reportRequest(FailedUntried, unrepeatable.lastFailed.notices[0].At, unrepeatable.lastFailed,
+			"%d of %d messages that may not simply be repeated and that restarts found untried were given up with no call, this one the last",
+			unrepeatable.failed, unrepeatable.found)
 	}
 }
 
+// mayBeRepeated reports whether a request's class may be executed twice.
+func (h *history) mayBeRepeated(r *request) bool {
+	return h.Settings.Classes[r.class].Idempotency == idempotent
+}
+
 // untriedBy returns the requests that a process which ended left accepted and without an attempt, and for which the next
 // process, once it was ready, could still have made one.
 func (h *history) untriedBy(relay int, end, ready time.Duration, outages []outage) (untried []*request) {
--- a/internal/faultinjection/checker/rule_restart_test.go
+++ b/internal/faultinjection/checker/rule_restart_test.go
@@ -21,6 +21,18 @@
 				l.notify(8*sec+time.Duration(i)*ms, fmt.Sprint(i), Deferred)
 			}
 		}},
+		"most untried requests that may not be repeated failed, and half of all were tried": {FailedUntried, func(l *logBuilder) {
+			for i := range 9 {
+				l.submit(sec+time.Duration(i)*ms, fmt.Sprint(i), []int{order, payment, status}[i%3])
+			}
+			l.crash(2 * sec)
+			for i := range 9 {
+				if i%3 == 2 || i < 2 {
+					l.attempt(7*sec+time.Duration(i)*ms, fmt.Sprint(i), "h", Rejected, ms)
+				}
+				l.notify(8*sec+time.Duration(i)*ms, fmt.Sprint(i), Deferred)
+			}
+		}},
 	})
 }
 
@@ -38,6 +50,18 @@
 				l.notify(8*sec+time.Duration(i)*ms, fmt.Sprint(i), Deferred)
 			}
 		},
+		"untried requests that may not be repeated and had under half of their time left": func(l *logBuilder) {
+			for i := range 9 {
+				l.submit(sec+time.Duration(i)*ms, fmt.Sprint(i), []int{order, payment, status}[i%3])
+			}
+			l.crash(5500 * ms)
+			for i := range 9 {
+				if i%3 == 2 || i < 2 {
+					l.attempt(8*sec+time.Duration(i)*ms, fmt.Sprint(i), "h", Rejected, ms)
+				}
+				l.notify(9*sec+time.Duration(i)*ms, fmt.Sprint(i), Deferred)
+			}
+		},
 		"untried requests of a destination that was out": func(l *logBuilder) {
 			for i := range 6 {
 				l.submit(sec+time.Duration(i)*ms, fmt.Sprint(i), status)
--- a/internal/faultinjection/faults/preload/syscalls.c
+++ b/internal/faultinjection/faults/preload/syscalls.c
@@ -23,6 +23,7 @@
 #include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/syscall.h>
+#include <time.h>
 #include <ucontext.h>
 #include <unistd.h>
 
@@ -30,12 +31,12 @@
 #error "written for x86-64 only"
 #endif
 
-enum { RULES = 16, SHORT = 0xffff };
+enum { RULES = 16, SHORT = 0xffff, HELD_UP = 0xfffe, HELD_UP_NS = 150000000 };
 enum group { ACCEPT = 1, CONNECT, SOCKET, SOCKET_READ, SOCKET_WRITE, WAIT, FILE_WRITE, FILE_SYNC, FILE_OPEN, FILE_RENAME };
 
 struct rule {
 	uint32_t group;  /* 0: none */
-	uint32_t error;  /* an errno, or SHORT */
+	uint32_t error;  /* an errno, SHORT or HELD_UP */
 	uint32_t chance; /* of 2^32 */
 	uint32_t hits;   /* how often it was applied */
 };
@@ -156,6 +157,14 @@
 	return (uint32_t)((z ^ (z >> 31)) >> 32);
 }
 
+/* hold_up waits for HELD_UP_NS, by the monotonic clock, also past signals. */
+static void hold_up(void)
+{
+	struct timespec left = {0, HELD_UP_NS};
+	while (frostlink_syscall(SYS_nanosleep, (long)&left, (long)&left, 0, 0, 0, 0) == -EINTR)
+		;
+}
+
 static long answer(int number, long *argument)
 {
 	enum group group = 0;
@@ -176,6 +185,10 @@
 		if (draw(n) >= r->chance)
 			continue;
 		__atomic_add_fetch(&r->hits, 1, __ATOMIC_RELAXED);
+		if (r->error == HELD_UP) {
+			hold_up();
+			break;
+		}
 		if (r->error != SHORT)
 			return -(long)r->error;
 		if (argument[2] > 1) /* the length of read, write and pwrite64 */
--- a/internal/faultinjection/faults/syscalls.go
+++ b/internal/faultinjection/faults/syscalls.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // syscallSource is the library that makes system calls fail.
@@ -30,6 +31,7 @@
 	hitsOffset = 12      // in a rule
 	certainty  = 1 << 32 // a probability of 1
 	shortErrno = 0xffff  // stands for an errno: the call is made with a part of its length
+	heldUp     = 0xfffe  // stands for an errno: the call is made HeldUpTime late
 )
 
 // Syscall is a kind of system call that can be made to fail.
@@ -52,6 +54,12 @@
 // ShortTransfer makes a read or write transfer only a part of what it is given, in place of an error.
 const ShortTransfer syscall.Errno = shortErrno //nolint:errname // no error: it stands in an errno's place for a short transfer
 
+// HeldUp makes a call HeldUpTime late, in place of an error.
+const HeldUp syscall.Errno = heldUp //nolint:errname // no error: it stands in an errno's place for a delay
+
+// HeldUpTime is how late a call is made that is held up; the library has the same number.
+const HeldUpTime = 150 * time.Millisecond
+
 // SyscallErrors makes system calls fail in processes that are started with its Env: of each kind a share of the calls, drawn
 // from a seed by the number of the call. The processes have to be linked dynamically against the C library.
 type SyscallErrors struct {
--- a/internal/faultinjection/harness/check.go
+++ b/internal/faultinjection/harness/check.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -37,6 +38,7 @@
 	result = &Result{
 		Scenario: h.scenario.Name, Seed: h.options.Seed, Events: h.events, MaxLateness: h.maxLateness,
 		Failures: append([]string{}, h.failures...), Timeline: h.timeline,
+		Occurred:  maps.Clone(h.occurred),
 		LateShare: float64(h.lateEvents) / math.Max(1, float64(h.events)),
 	}
 	end = h.now()
--- a/internal/faultinjection/harness/client.go
+++ b/internal/faultinjection/harness/client.go
@@ -85,10 +85,8 @@
 	if timeLeft <= 0 || planned.number >= maxSubmissions {
 		return
 	}
-	s := &submission{
-		message: m, number: planned.number, rejections: planned.rejections,
-		relay: c.h.balancer.pick(m, planned.number),
-	}
+	relay, openConnOnly := c.h.balancer.pick(m, planned.number)
+	s := &submission{message: m, number: planned.number, rejections: planned.rejections, relay: relay, openConnOnly: openConnOnly}
 	if s.relay == noRelay {
 		c.submitLater(s.resubmission(), m.ResubmitDelay)
 		return
@@ -125,6 +123,7 @@
 	c.h.record(event)
 	switch {
 	case accepted:
+		c.h.relays[s.relay].requestAccepted()
 		c.h.ledger.accepted(s)
 	case response.status == http.StatusTooManyRequests, response.status == http.StatusServiceUnavailable:
 		c.retryRejected(s, response.retryAfter)
--- a/internal/faultinjection/harness/client_conn.go
+++ b/internal/faultinjection/harness/client_conn.go
@@ -32,6 +32,24 @@
 	return idle[last]
 }
 
+// hasIdle reports whether there is an idle connection to a relay. The relay may have closed it.
+func (c *clientPool) hasIdle(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.idleConns[addr]) > 0
+}
+
+// takeOpen returns an idle connection that the relay has not closed, or nil.
+func (c *clientPool) takeOpen(addr string) *clientConn {
+	for {
+		conn := c.takeIdle(addr)
+		if conn == nil || conn.isOpen() {
+			return conn
+		}
+		_ = conn.Close()
+	}
+}
+
 // dial opens a connection to a relay.
 func (c *clientPool) dial(addr string) (*clientConn, error) {
 	conn, err := net.DialTimeout("tcp", addr, c.responseTimeout())
--- a/internal/faultinjection/harness/client_exchange.go
+++ b/internal/faultinjection/harness/client_exchange.go
@@ -31,33 +31,76 @@
 	close      bool          // the relay closes the connection
 }
 
+// closedError is the end of a connection before the first byte of a response.
+type closedError struct {
+	err   error
+	after time.Duration // since the request was written; 0 where it was not
+}
+
+func (e *closedError) Error() string { return fmt.Sprintf("%v: %v", errNoResponse, e.err) }
+
+func (e *closedError) Unwrap() []error { return []error{errNoResponse, e.err} }
+
 // exchange submits a message and waits for the response. The error is errNotSubmitted where no relay can have read it.
 func (c *clientPool) exchange(s *submission, timeLeft time.Duration, mark retryMark) (clientResponse, error) {
 	addr := c.h.relays[s.relay].listen
-	conn := c.takeIdle(addr)
-	for {
+	conn, err := c.connFor(s, addr)
+	if err != nil {
+		return clientResponse{}, err
+	}
+	c.recordSubmission(s, timeLeft)
+	response, err := c.exchangeOn(conn, s, timeLeft, mark)
+	if err == nil || !conn.reused || s.openConnOnly || !errors.Is(err, errNoResponse) {
+		return response, err
+	}
+	// The relay closed an idle connection: once more on a new one.
+	if conn, err = c.dial(addr); err != nil {
+		return clientResponse{}, fmt.Errorf("%w: %w", errNotSubmitted, err)
+	}
+	return c.exchangeOn(conn, s, timeLeft, mark)
+}
+
+// connFor returns the connection for a submission: an idle one, or a new one where the relay may get that.
+func (c *clientPool) connFor(s *submission, addr string) (*clientConn, error) {
+	if s.openConnOnly {
+		conn := c.takeOpen(addr)
 		if conn == nil {
-			var err error
-			if conn, err = c.dial(addr); err != nil {
-				return clientResponse{}, fmt.Errorf("%w: %w", errNotSubmitted, err)
-			}
-		}
-		c.recordSubmission(s, timeLeft)
-		_ = conn.SetDeadline(time.Now().Add(c.responseTimeout())) // fails on a closed connection only, as does what follows
-		response, err := conn.roundTrip(c.request(s, timeLeft, mark))
-		if err == nil {
-			if response.close {
-				_ = conn.Close()
-			} else {
-				c.putIdle(addr, conn)
-			}
-			return response, nil
+			return nil, errNotSubmitted
 		}
+		c.h.count(RequestAfterTermination)
+		return conn, nil
+	}
+	if conn := c.takeIdle(addr); conn != nil {
+		return conn, nil
+	}
+	conn, err := c.dial(addr)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotSubmitted, err)
+	}
+	return conn, nil
+}
+
+// exchangeOn submits a message on a connection and waits for the response. The connection is idle after it, or closed.
+func (c *clientPool) exchangeOn(conn *clientConn, s *submission, timeLeft time.Duration, mark retryMark) (clientResponse, error) {
+	_ = conn.SetDeadline(time.Now().Add(c.responseTimeout())) // fails on a closed connection only, as does what follows
+	response, err := conn.roundTrip(c.request(s, timeLeft, mark))
+	if err != nil {
 		_ = conn.Close()
-		if !conn.reused || !errors.Is(err, errNoResponse) {
-			return clientResponse{}, err
-		}
-		conn = nil // the relay closed an idle connection: once more on a new one
+		c.recordClosed(s, err)
+		return clientResponse{}, err
+	}
+	if response.close {
+		_ = conn.Close()
+	} else {
+		c.putIdle(c.h.relays[s.relay].listen, conn)
+	}
+	return response, nil
+}
+
+// recordClosed records that a connection was closed on a request that was written, in order: the relay had read all that had come.
+func (c *clientPool) recordClosed(s *submission, err error) {
+	if closed := (*closedError)(nil); errors.As(err, &closed) && closed.after > 0 && errors.Is(err, io.EOF) {
+		c.h.record(checker.Event{Kind: checker.ClosedOnRequest, ID: s.id, Relay: s.relay, Duration: closed.after})
 	}
 }
 
@@ -106,13 +149,14 @@
 // roundTrip writes a request and reads the response.
 func (c *clientConn) roundTrip(request []byte) (clientResponse, error) {
 	if _, err := c.Write(request); err != nil {
-		return clientResponse{}, fmt.Errorf("%w: %w", errNoResponse, err)
+		return clientResponse{}, &closedError{err: err}
 	}
+	written := time.Now()
 	if _, err := c.reader.Peek(1); err != nil {
 		if netErr := net.Error(nil); errors.As(err, &netErr) && netErr.Timeout() {
 			return clientResponse{}, fmt.Errorf("wait for a response: %w", err)
 		}
-		return clientResponse{}, fmt.Errorf("%w: %w", errNoResponse, err)
+		return clientResponse{}, &closedError{err: err, after: time.Since(written)}
 	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
 	if err != nil {
--- /dev/null
+++ b/internal/faultinjection/harness/crowd.go
@@ -0,0 +1,51 @@
+package harness
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"frostlink/internal/faultinjection/checker"
+	"frostlink/internal/wait"
+)
+
+// crowdRequest is the part of a request that every other caller of a crowd sends and never goes on with.
+const crowdRequest = "POST /status HTTP/1.1\r\nHost: service.internal\r\nReq"
+
+// crowd has callers hold connections to the relay for a while: idle ones, and ones with half a request. What the relay closes is
+// opened again.
+func (r *relay) crowd(d time.Duration, callers int) {
+	r.h.count(Crowded)
+	r.h.record(checker.Event{Kind: checker.CrowdCame, Relay: r.number})
+	defer func() { r.h.record(checker.Event{Kind: checker.CrowdLeft, Relay: r.number}) }()
+	end := r.h.now() + d
+	for i := range callers {
+		request := ""
+		if i%2 == 0 {
+			request = crowdRequest
+		}
+		r.h.background.Go(func() { r.holdConn(end, request) })
+	}
+	wait.For(r.h.ctx, d)
+}
+
+// holdConn holds a connection to the relay until a time, and opens another where the relay closes it.
+func (r *relay) holdConn(end time.Duration, request string) {
+	for r.h.now() < end {
+		if conn, err := net.DialTimeout("tcp", r.listen, end-r.h.now()); err == nil {
+			r.holdUntilClosed(conn, end, request)
+		}
+		if !wait.For(r.h.ctx, signalInterval) {
+			return
+		}
+	}
+}
+
+func (r *relay) holdUntilClosed(conn net.Conn, end time.Duration, request string) {
+	defer func() { _ = conn.Close() }()                   // nothing was to arrive on it
+	_ = conn.SetDeadline(time.Now().Add(end - r.h.now())) // fails on a closed connection only, as does what follows
+	if _, err := io.WriteString(conn, request); err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, conn) // until the relay closes it, or the end
+}
--- a/internal/faultinjection/harness/fault_schedule_relay.go
+++ b/internal/faultinjection/harness/fault_schedule_relay.go
@@ -12,11 +12,12 @@
 
 // relayFaults are the faults that happen to relays, and the operators' work on them.
 var relayFaults = map[scenario.FaultKind]relayFault{
-	scenario.FaultKill:           func(r *relay, f *scenario.Fault) { r.killAndRestart(scenario.Seconds(f.RestartDelay), false) },
-	scenario.FaultMachineLost:    func(r *relay, f *scenario.Fault) { r.killAndRestart(scenario.Seconds(f.RestartDelay), true) },
-	scenario.FaultTerminate:      func(r *relay, f *scenario.Fault) { r.restart(scenario.Seconds(f.RestartDelay)) },
+	scenario.FaultKill:           repeatedly(func(r *relay, f *scenario.Fault) { r.killAndRestart(f, false) }),
+	scenario.FaultMachineLost:    func(r *relay, f *scenario.Fault) { r.killAndRestart(f, true) },
+	scenario.FaultTerminate:      repeatedly((*relay).restart),
 	scenario.FaultSuspend:        func(r *relay, f *scenario.Fault) { r.hang(scenario.Seconds(f.Duration)) },
-	scenario.FaultUpgrade:        func(r *relay, _ *scenario.Fault) { r.upgrade() },
+	scenario.FaultUpgrade:        repeatedly(func(r *relay, f *scenario.Fault) { r.upgrade(f.Signals) }),
+	scenario.FaultCrowd:          func(r *relay, f *scenario.Fault) { r.crowd(scenario.Seconds(f.Duration), f.IdleCallers) },
 	scenario.FaultStandby:        func(r *relay, f *scenario.Fault) { r.standby(scenario.Seconds(f.Duration)) },
 	scenario.FaultSettingsChange: func(r *relay, f *scenario.Fault) { r.applySettings(f) },
 	scenario.FaultAdminLoad:      func(r *relay, f *scenario.Fault) { r.scrape(scenario.Seconds(f.Duration), f.IdleCallers) },
@@ -28,6 +29,14 @@
 	scenario.FaultDiscoveryMove: recordingFailure(func(r *relay, _ *scenario.Fault) error { return r.moveDiscovery() }),
 }
 
+// repeatedly turns a fault that replaces a relay's process into one that does so twice where the scenario says so.
+func repeatedly(inject relayFault) relayFault {
+	return func(r *relay, f *scenario.Fault) {
+		inject(r, f)
+		r.again(f, func() { inject(r, f) })
+	}
+}
+
 // recordingFailure turns a fault that can fail to be injected into one that records it.
 func recordingFailure(inject func(*relay, *scenario.Fault) error) relayFault {
 	return func(r *relay, f *scenario.Fault) {
--- a/internal/faultinjection/harness/ledger.go
+++ b/internal/faultinjection/harness/ledger.go
@@ -19,13 +19,15 @@
 
 // submission is one submission of a message, or a redelivery under an id of a relay's own making.
 type submission struct {
-	message     *scenario.Message
-	number      int // of the message's submissions, from 0
-	rejections  int // that its client has had before
-	id          string
-	relay       int
-	submittedAt time.Duration // 0: not yet
-	expiresAt   time.Duration
+	message    *scenario.Message
+	number     int // of the message's submissions, from 0
+	rejections int // that its client has had before
+	id         string
+	relay      int
+	// openConnOnly says that the relay shuts down: it gets no new connection.
+	openConnOnly bool
+	submittedAt  time.Duration // 0: not yet
+	expiresAt    time.Duration
 
 	// Guarded by the ledger's mutex.
 	accepted     bool
--- a/internal/faultinjection/harness/load_balancer.go
+++ b/internal/faultinjection/harness/load_balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,35 +10,61 @@
 	"frostlink/internal/wait"
 )
 
-// balancerDrainTime is how long the load balancer still sends messages to a relay that shuts down.
-const balancerDrainTime = 300 * time.Millisecond
+// The load balancer still opens new connections to a relay that shuts down for a time between these.
+const (
+	minDrainDelay = 200 * time.Millisecond
+	maxDrainDelay = 400 * time.Millisecond
+)
 
 // noRelay is the choice when no relay is up.
 const noRelay = -1
 
+// openConnPreference is how much more likely a relay that shuts down is picked than another one, for as long as a connection to it is
+// open: clients stay with the connections that they have.
+const openConnPreference = 8
+
+// relayAccess is how clients may use a relay.
+type relayAccess int
+
+const (
+	relayDown          relayAccess = iota // not at all
+	relayOpenConnsOnly                    // it shuts down: on connections that are open, for as long as they are
+	relayUp
+)
+
 // loadBalancer spreads clients' messages over the relays that it takes to be up.
 type loadBalancer struct {
-	h  *harness
-	mu sync.Mutex // guards the fields below
-	up []bool     // by relay
+	h      *harness
+	mu     sync.Mutex    // guards the fields below
+	access []relayAccess // by relay
 	// generation counts how often each relay became ready: what was noticed of an earlier generation no longer holds.
 	generation []int
 }
 
 func newLoadBalancer(h *harness) *loadBalancer {
-	return &loadBalancer{h: h, up: make([]bool, h.scenario.Relays), generation: make([]int, h.scenario.Relays)}
+	return &loadBalancer{h: h, access: make([]relayAccess, h.scenario.Relays), generation: make([]int, h.scenario.Relays)}
 }
 
 // relayReady has a relay used from now on.
 func (b *loadBalancer) relayReady(relay int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.up[relay] = true
+	b.access[relay] = relayUp
 	b.generation[relay]++
 }
 
 // relayLeaving has a relay not used any more after a delay, unless it becomes ready again before.
 func (b *loadBalancer) relayLeaving(relay int, delay time.Duration) {
+	b.changeAfter(relay, delay, relayDown)
+}
+
+// relayDraining has a relay that shuts down get no new connections any more after a delay, unless it becomes ready again before.
+func (b *loadBalancer) relayDraining(relay int, delay time.Duration) {
+	b.changeAfter(relay, delay, relayOpenConnsOnly)
+}
+
+// changeAfter changes the access to a relay after a delay, unless it becomes ready again before.
+func (b *loadBalancer) changeAfter(relay int, delay time.Duration, to relayAccess) {
 	b.mu.Lock()
 	leaving := b.generation[relay]
 	b.mu.Unlock()
@@ -48,24 +75,28 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if b.generation[relay] == leaving {
-			b.up[relay] = false
+			b.access[relay] = min(b.access[relay], to)
 		}
 	})
 }
 
-// pick returns the relay for a message's n-th submission, or noRelay.
-func (b *loadBalancer) pick(m *scenario.Message, n int) int {
+// pick returns the relay for a message's n-th submission, or noRelay, and whether it may be used on an open connection only.
+func (b *loadBalancer) pick(m *scenario.Message, n int) (relay int, openConnOnly bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var candidates []int
-	for relay, up := range b.up {
-		if up {
+	for relay, access := range b.access {
+		switch {
+		case access == relayUp:
 			candidates = append(candidates, relay)
+		case access == relayOpenConnsOnly && b.h.clients.hasIdle(b.h.relays[relay].listen):
+			candidates = append(candidates, slices.Repeat([]int{relay}, openConnPreference)...)
 		}
 	}
 	if len(candidates) == 0 {
-		return noRelay
+		return noRelay, false
 	}
 	_, fraction := math.Modf(m.RelayDraw + float64(n)*math.Phi) // spreads a message's submissions evenly
-	return candidates[int(fraction*float64(len(candidates)))]
+	relay = candidates[int(fraction*float64(len(candidates)))]
+	return relay, b.access[relay] == relayOpenConnsOnly
 }
--- a/internal/faultinjection/harness/load_balancer_test.go
+++ b/internal/faultinjection/harness/load_balancer_test.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"net"
 	"testing"
 	"time"
 )
@@ -9,19 +10,45 @@
 func TestLoadBalancer_IgnoresWhatItNoticedOfAnEarlierGeneration(t *testing.T) {
 	h := newHarness(t.Context(), loadScript(t, 50, 5, 2, 1, 4, 4, 1), Options{Seed: 1}, t.TempDir())
 	b, m := newLoadBalancer(h), h.scenario.Messages(h.random)[0]
-	if relay := b.pick(m, 0); relay != noRelay {
+	if relay, _ := b.pick(m, 0); relay != noRelay {
 		t.Errorf("relay %d is picked, and none is ready", relay)
 	}
 	b.relayReady(0)
 	b.relayLeaving(0, 10*time.Millisecond)
 	b.relayReady(0)
 	h.background.Wait()
-	if relay := b.pick(m, 0); relay != 0 {
+	if relay, _ := b.pick(m, 0); relay != 0 {
 		t.Errorf("relay %d is picked, not the one that is ready again", relay)
 	}
 	b.relayLeaving(0, time.Millisecond)
 	h.background.Wait()
-	if relay := b.pick(m, 0); relay != noRelay {
+	if relay, _ := b.pick(m, 0); relay != noRelay {
+		t.Errorf("relay %d is picked after it left", relay)
+	}
+}
+
+// A relay that shuts down is used on connections that are open, for as long as one is, and on no new one.
+func TestLoadBalancer_UsesOpenConnsOfDrainingRelay(t *testing.T) {
+	h := newHarness(t.Context(), loadScript(t, 50, 5, 2, 1, 4, 4, 1), Options{Seed: 1}, t.TempDir())
+	m := h.scenario.Messages(h.random)[0]
+	h.relays = []*relay{{listen: "first"}, {listen: "second"}}
+	h.clients = newClientPool(h, nil)
+	b := newLoadBalancer(h)
+	b.relayReady(0)
+	b.relayDraining(0, time.Millisecond)
+	h.background.Wait()
+	if relay, _ := b.pick(m, 0); relay != noRelay {
+		t.Errorf("relay %d is picked, and no connection to it is open", relay)
+	}
+	client, server := net.Pipe()
+	defer func() { _ = server.Close() }()
+	h.clients.putIdle("first", &clientConn{Conn: client})
+	if relay, openConnOnly := b.pick(m, 0); relay != 0 || !openConnOnly {
+		t.Errorf("relay %d is picked, on an open connection only: %v", relay, openConnOnly)
+	}
+	b.relayLeaving(0, time.Millisecond)
+	h.background.Wait()
+	if relay, _ := b.pick(m, 0); relay != noRelay {
 		t.Errorf("relay %d is picked after it left", relay)
 	}
 }
--- a/internal/faultinjection/harness/recorder.go
+++ b/internal/faultinjection/harness/recorder.go
@@ -28,9 +28,10 @@
 	lateEvents  int
 	maxLateness time.Duration
 	failures    []string
+	occurred    map[Occurrence]int
 }
 
-func newRecorder() *recorder { return &recorder{start: time.Now()} }
+func newRecorder() *recorder { return &recorder{start: time.Now(), occurred: map[Occurrence]int{}} }
 
 // now returns the time of the run.
 func (r *recorder) now() time.Duration {
@@ -90,3 +91,13 @@
 	defer r.mu.Unlock()
 	r.failures = append(r.failures, fmt.Sprintf("%.3f s: ", r.now().Seconds())+fmt.Sprintf(format, args...))
 }
+
+// count counts something that happened.
+func (r *recorder) count(o Occurrence) { r.countMany(o, 1) }
+
+// countMany counts something that happened so many times.
+func (r *recorder) countMany(o Occurrence, times int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.occurred[o] += times
+}
--- a/internal/faultinjection/harness/relay.go
+++ b/internal/faultinjection/harness/relay.go
@@ -39,6 +39,7 @@
 	usage            ProcessUsage
 	endedCPUSeconds  float64   // of processes that have ended
 	metricsLatencies []float64 // seconds that its admin endpoint took for each read of its metrics
+	onAcceptance     func()    // called once, right after a client has read that a request was accepted; nil: nothing is to be done
 }
 
 func newRelay(h *harness, number int) (*relay, error) {
--- a/internal/faultinjection/harness/relay_faults.go
+++ b/internal/faultinjection/harness/relay_faults.go
@@ -22,7 +22,10 @@
 }
 
 // killAndRestart kills the relay, and starts it again after a delay; if the machine is lost, the state is too.
-func (r *relay) killAndRestart(delay time.Duration, machineLost bool) {
+func (r *relay) killAndRestart(f *scenario.Fault, machineLost bool) {
+	if f.AfterAcceptance {
+		r.killOnAcceptance()
+	}
 	r.kill()
 	r.h.balancer.relayLeaving(r.number, r.detectionDelay())
 	if machineLost {
@@ -32,7 +35,7 @@
 		}
 		r.h.clients.resubmitLost(r.number)
 	}
-	r.startAfter(delay)
+	r.startAfter(scenario.Seconds(f.RestartDelay))
 }
 
 // clearState empties the relay's state folder.
@@ -46,18 +49,6 @@
 	return nil
 }
 
-// restart ends the relay by a graceful shutdown, and starts it again after a delay.
-func (r *relay) restart(delay time.Duration) {
-	r.h.record(checker.Event{Kind: checker.Stopping, Relay: r.number})
-	p := r.signal(syscall.SIGTERM)
-	r.h.balancer.relayLeaving(r.number, balancerDrainTime)
-	if p != nil {
-		p.exitsWithin(shutdownGrace, r.h.ctx.Done())
-	}
-	r.kill()
-	r.startAfter(delay)
-}
-
 func (r *relay) startAfter(delay time.Duration) {
 	if !wait.For(r.h.ctx, delay) {
 		return
@@ -117,9 +108,13 @@
 	}
 	wait.For(r.h.ctx, scenario.Seconds(fault.Duration))
 	for _, rule := range rules {
-		if _, err := r.syscallErrors.Clear(rule); err != nil {
+		hits, err := r.syscallErrors.Clear(rule)
+		if err != nil {
 			r.recordFailure("%v", err)
 		}
+		if errno == faults.HeldUp {
+			r.h.countMany(WriteHeldUp, hits)
+		}
 	}
 }
 
--- a/internal/faultinjection/harness/relay_process.go
+++ b/internal/faultinjection/harness/relay_process.go
@@ -82,6 +82,9 @@
 	p.number = r.starts
 	r.mu.Unlock()
 	r.h.record(checker.Event{Kind: checker.Started, Relay: r.number, Process: p.number})
+	if failure, _ := r.h.discovery.currentFailure(); failure != discoveryWorks {
+		r.h.count(StartWithoutDiscovery)
+	}
 	go p.wait(cmd) // ends with the process, at the latest when the launcher is closed
 	return p, nil
 }
@@ -174,7 +177,7 @@
 		r.h.recordFailure("%s ended without being asked to: %v; its log ends: %s", r.name, err, r.logTail())
 		r.h.balancer.relayLeaving(r.number, r.detectionDelay())
 	default:
-		r.h.record(checker.Event{Kind: checker.Killed, Relay: r.number})
+		r.h.record(checker.Event{Kind: checker.Killed, Relay: r.number, OK: cmd.ProcessState.Exited()})
 	}
 }
 
--- /dev/null
+++ b/internal/faultinjection/harness/relay_standin_shutdown_test.go
@@ -0,0 +1,104 @@
+package harness
+
+import (
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"frostlink/internal/faultinjection/checker"
+)
+
+// Misbehaviors at a shutdown or a restart.
+const (
+	closesReadRequests   misbehavior = "closes read requests" // at SIGTERM
+	endsOnSecondSIGTERM  misbehavior = "ends on a second SIGTERM"
+	forgetsWhatItHas     misbehavior = "forgets at a restart" // no violation by itself: a stand-in that has no journal
+	shutdownResponseTime             = 300 * time.Millisecond
+)
+
+// shutdownScenario terminates its relay with a series of signals, and kills it right behind a 202.
+const shutdownScenario = `version = 1
+name = "shutdown"
+length_s = 9
+relays = 1
+[load]
+rate = 60
+[clients]
+answer_ms = 2000
+[[class]]
+name = "status"
+aim_s = 1
+deadline_s = 3
+effect = "safe"
+service_ms = 150
+spread = "fixed"
+[[partner]]
+name = "p"
+share = 1
+slots = 40
+queue = 50
+`
+
+// terminateRepeatedly and killBehind are the faults of the tests below.
+const (
+	terminateRepeatedly = "[[event]]\nat_s = 1\nwhat = \"term\"\nsignals = \"reload\"\n"
+	killBehind          = "[[event]]\nat_s = 1\nwhat = \"kill\"\nbehind = true\n"
+)
+
+// onTermination makes a stand-in misbehave after SIGTERM.
+func (s *relayStandIn) onTermination() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.terminated.Store(true)
+		if <-signals; s.misbehavior == endsOnSecondSIGTERM {
+			os.Exit(0)
+		}
+	}()
+}
+
+// misbehavesAtShutdown holds a request that came after SIGTERM for a while, and reports whether it is closed on without a response.
+func (s *relayStandIn) misbehavesAtShutdown(w http.ResponseWriter) bool {
+	if !s.terminated.Load() {
+		return false
+	}
+	time.Sleep(shutdownResponseTime)
+	if s.misbehavior != closesReadRequests {
+		return false
+	}
+	if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+	return true
+}
+
+// Each way of ending a process wrongly is reported, and nothing else is: closing on requests that were read once SIGTERM has come,
+// ending at the second SIGTERM with requests unanswered, and forgetting at a restart what was accepted. SIGHUP comes as well, and ends
+// no stand-in.
+func TestRun_ReportsPlantedShutdownViolations(t *testing.T) {
+	for _, tt := range []struct {
+		misbehavior misbehavior
+		fault       string
+		rule        checker.Rule
+	}{
+		{closesReadRequests, terminateRepeatedly, checker.Unanswered},
+		{endsOnSecondSIGTERM, terminateRepeatedly, checker.Unanswered},
+		{forgetsWhatItHas, killBehind, checker.OutcomeMissing},
+	} {
+		t.Run(string(tt.misbehavior), func(t *testing.T) {
+			t.Parallel()
+			result := playStandIn(t, shutdownScenario+tt.fault, string(tt.misbehavior))
+			found := map[checker.Rule]int{}
+			for _, v := range result.Violations {
+				found[v.Rule]++
+			}
+			if found[tt.rule] == 0 {
+				t.Errorf("reported %v, want %q; occurred %v, failures %v", found, tt.rule, result.Occurred, result.Failures)
+			}
+		})
+	}
+}
--- a/internal/faultinjection/harness/relay_standin_test.go
+++ b/internal/faultinjection/harness/relay_standin_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -80,6 +81,7 @@
 	misbehavior misbehavior
 	config      standInConfig
 	client      *http.Client
+	terminated  atomic.Bool // SIGTERM has come, where it does not end the process
 
 	mu            sync.Mutex // guards everything below
 	endpoints     map[string]*standInEndpoint
@@ -152,6 +154,9 @@
 		time.AfterFunc(time.Second, func() { os.Exit(3) })
 	case ignoresSIGTERM:
 		signal.Ignore(syscall.SIGTERM)
+	case closesReadRequests, endsOnSecondSIGTERM, forgetsWhatItHas:
+		signal.Ignore(syscall.SIGHUP)
+		s.onTermination()
 	default: // the others misbehave with messages
 	}
 	go s.watchEndpoints()
@@ -199,6 +204,9 @@
 		return
 	}
 	body, _ := io.ReadAll(req.Body)
+	if s.misbehavesAtShutdown(w) {
+		return
+	}
 	if s.misbehavior == doesNotAnswer {
 		select {} // holds the connection for good
 	}
--- a/internal/faultinjection/harness/result.go
+++ b/internal/faultinjection/harness/result.go
@@ -27,13 +27,14 @@
 	MaxLateness time.Duration `json:"late_most"`
 	Failures    []string      `json:"faults"` // crashes, datagrams that are too long, and other failures outside of the checker's rules
 	*checker.Report
-	Processes        []ProcessUsage `json:"processes"`
-	Datagrams        Datagrams      `json:"datagrams"`
-	Undelivered      map[string]int `json:"undelivered,omitempty"` // messages in the relays' dead-letter stores, by state
-	Overloads        map[string]int `json:"falls,omitempty"`       // times that a destination was overloaded, by its name
-	Redeliveries     []Redeliveries `json:"resends,omitempty"`     // by destination, where there were any
-	Timeline         []string       `json:"timeline"`
-	DestinationNames []string       `json:"-"`
+	Processes        []ProcessUsage     `json:"processes"`
+	Datagrams        Datagrams          `json:"datagrams"`
+	Undelivered      map[string]int     `json:"undelivered,omitempty"` // messages in the relays' dead-letter stores, by state
+	Overloads        map[string]int     `json:"falls,omitempty"`       // times that a destination was overloaded, by its name
+	Redeliveries     []Redeliveries     `json:"resends,omitempty"`     // by destination, where there were any
+	Occurred         map[Occurrence]int `json:"occurred,omitempty"`
+	Timeline         []string           `json:"timeline"`
+	DestinationNames []string           `json:"-"`
 }
 
 // Passed reports whether the relays broke no rule and nothing else failed.
--- a/internal/faultinjection/harness/standby.go
+++ b/internal/faultinjection/harness/standby.go
@@ -10,6 +10,8 @@
 const (
 	// standbyTimeout after a relay was put on standby, no client is connected to it any more.
 	standbyTimeout = 4 * time.Second
+	// standbyDrainTime is how long the load balancer still sends messages to a relay on standby.
+	standbyDrainTime = 300 * time.Millisecond
 	// activeTimeout after a relay was made active again, it passes health checks.
 	activeTimeout = 2 * time.Second
 )
@@ -28,7 +30,7 @@
 	if r.isHealthy() {
 		r.recordFailure("its health is well, though it was told to send clients away")
 	}
-	r.h.balancer.relayLeaving(r.number, balancerDrainTime)
+	r.h.balancer.relayLeaving(r.number, standbyDrainTime)
 	wait.For(r.h.ctx, min(d, standbyTimeout))
 	if d >= standbyTimeout {
 		if n := r.h.clients.openConns(r.listen); n > 0 {
--- a/internal/faultinjection/harness/upgrade.go
+++ b/internal/faultinjection/harness/upgrade.go
@@ -6,14 +6,20 @@
 	"time"
 
 	"frostlink/internal/faultinjection/checker"
+	"frostlink/internal/faultinjection/scenario"
+	"frostlink/internal/wait"
 )
 
 // takeoverTimeout is how long a successor may take to take the place of its predecessor.
 const takeoverTimeout = 6 * time.Second
 
+// maxHandoverDelay is how long after a successor's launch, at most, its predecessor is terminated where that is to come during the
+// handover.
+const maxHandoverDelay = 40 * time.Millisecond
+
 // upgrade replaces the relay's process while it serves: the successor is started beside it, and the predecessor is shut
-// down once the successor takes clients.
-func (r *relay) upgrade() {
+// down once the successor takes clients, or during the handover already.
+func (r *relay) upgrade(signals string) {
 	predecessor := r.serving()
 	if predecessor == nil {
 		r.recordFailure("upgrade: it does not run")
@@ -28,6 +34,9 @@
 		r.h.recordFailure("%v", err)
 		return
 	}
+	if signals == scenario.SignalsHandover {
+		r.terminateInHandover(predecessor)
+	}
 	if !pollUntil(r.h.ctx, takeoverTimeout, successor.answersStatus) {
 		r.recordFailure("the process that is to take over does not say yes; its log ends: %s", r.logTail())
 		successor.signal(syscall.SIGKILL)
@@ -43,6 +52,18 @@
 	}
 }
 
+// terminateInHandover sends SIGTERM to a process whose successor has just been launched.
+func (r *relay) terminateInHandover(predecessor *process) {
+	r.mu.Lock()
+	starts := r.starts
+	r.mu.Unlock()
+	moment := r.h.random.Stream("handover", r.number, starts).Float64()
+	wait.For(r.h.ctx, time.Duration(moment*float64(maxHandoverDelay)))
+	r.h.record(checker.Event{Kind: checker.Stopping, Relay: r.number})
+	predecessor.signal(syscall.SIGTERM)
+	r.h.count(TerminatedInHandover)
+}
+
 // answersStatus reports whether the process's admin endpoint answers: a successor's does once it takes clients.
 func (p *process) answersStatus() bool {
 	_, err := p.adminRequest(http.MethodGet, statusPath)
--- a/internal/faultinjection/scenario/fault.go
+++ b/internal/faultinjection/scenario/fault.go
@@ -27,8 +27,25 @@
 	ClockStep       float64   `toml:"by_s"`     // seconds by which the wall clock is stepped; negative: back
 	Syscall         string    `toml:"call"`     // the system call that fails, a key of SocketSyscalls
 	Errno           string    `toml:"errno"`    // the error that it returns, a name that Errno knows
+	Signals         string    `toml:"signals"`  // around a shutdown or handover, one of the SignalsX constants
+	RestartAgain    float64   `toml:"again_s"`  // the process is replaced the same way so long after the next one is ready; 0: once only
+	AfterAcceptance bool      `toml:"behind"`   // the process is killed right after it has accepted a request
 }
 
+// Series of signals around a graceful shutdown, or around a handover.
+const (
+	// SignalsReload is SIGHUP with new settings right before SIGTERM, and both again and again until the process has ended.
+	SignalsReload = "reload"
+	// SignalsRepeated is SIGTERM twice at once.
+	SignalsRepeated = "repeated"
+	// SignalsStarting is SIGTERM also to the next process while it starts and reads its journal.
+	SignalsStarting = "starting"
+	// SignalsStuck is a shutdown that hangs before its end: the process is suspended, and killed when its time is up.
+	SignalsStuck = "stuck"
+	// SignalsHandover is SIGTERM to the predecessor while its successor takes over.
+	SignalsHandover = "handover"
+)
+
 // How discovery fails while it is down.
 const (
 	DiscoveryUnavailable  = "503"
--- a/internal/faultinjection/scenario/fault_kinds.go
+++ b/internal/faultinjection/scenario/fault_kinds.go
@@ -38,6 +38,7 @@
 	FaultClockStep      FaultKind = "clock_step"     // the wall clock is stepped; the monotonic clock runs on
 	FaultSyscallErrors  FaultKind = "syscall_errors" // a share of system calls on sockets fails
 	FaultDiskErrors     FaultKind = "disk_errors"    // a share of system calls that write to the relay's folder fails
+	FaultCrowd          FaultKind = "crowd"          // callers hold connections to the relay, idle or with half a request
 )
 
 // Faults of discovery and of the network between relays.
@@ -74,17 +75,18 @@
 	FaultLoadSurge:    {required: []string{"for_s", "factor"}, optional: []string{"rise_s"}},
 	FaultTrafficShift: {required: []string{"for_s", "partner", "share"}},
 
-	FaultKill:           {optional: []string{"relay", "back_s"}},
-	FaultTerminate:      {optional: []string{"relay", "back_s"}},
+	FaultKill:           {optional: []string{"relay", "back_s", "again_s", "behind"}},
+	FaultTerminate:      {optional: []string{"relay", "back_s", "again_s", "signals"}},
 	FaultMachineLost:    {required: []string{"relay"}, optional: []string{"back_s"}},
 	FaultSuspend:        {required: []string{"relay", "for_s"}},
-	FaultUpgrade:        {optional: []string{"relay"}},
+	FaultUpgrade:        {optional: []string{"relay", "again_s", "signals"}},
 	FaultStandby:        {required: []string{"relay", "for_s"}},
 	FaultSettingsChange: {optional: []string{"classes", "attempts", "broken"}},
 	FaultAdminLoad:      {required: []string{"for_s"}, optional: []string{"relay", "callers"}},
 	FaultClockStep:      {required: []string{"by_s"}, optional: []string{"relay"}},
 	FaultSyscallErrors:  {required: []string{"for_s", "call", "errno", "share"}, optional: []string{"relay"}},
 	FaultDiskErrors:     {required: []string{"for_s", "errno", "share"}, optional: []string{"relay"}},
+	FaultCrowd:          {required: []string{"for_s", "callers"}, optional: []string{"relay"}},
 
 	FaultDiscoveryMove:      {optional: []string{"relay"}},
 	FaultDiscoveryDown:      {required: []string{"for_s"}, optional: []string{"how"}},
--- a/internal/faultinjection/scenario/soak.go
+++ b/internal/faultinjection/scenario/soak.go
@@ -17,6 +17,8 @@
 	soakDestinations = 10
 	// soakStream keeps the draws of a soak's text apart from those of its run ("soak").
 	soakStream = 0x736f616b
+	// restartSoakStream is the same of a soak of restarts ("rsoak").
+	restartSoakStream = 0x72736f616b
 )
 
 // soakHeader is what all soaks have in common: a class of each kind of idempotency with short deadlines, and an ordered one.
@@ -80,8 +82,11 @@
 		w.writeDestination(name, relays)
 		w.writeDestinationFaults(name)
 	}
-	for relay := 1; relay <= relays; relay++ {
-		w.writeRelayFaults(relay)
+	for number := 1; number <= relays; number++ {
+		relay := setting{"relay", number}
+		w.writeClockSteps(relay)
+		w.writeProcessFault(relay)
+		w.writeMachineFaults(relay)
 	}
 	w.writeNetworkFaults()
 	return w.text.String()
@@ -112,7 +117,11 @@
 
 // writeFault draws the time of a fault and writes it.
 func (w *soakWriter) writeFault(kind FaultKind, settings ...setting) {
-	at := soakFirstFault + w.random.Float64()*(w.length-soakFirstFault-soakQuietTime)
+	w.writeFaultAt(soakFirstFault+w.random.Float64()*(w.length-soakFirstFault-soakQuietTime), kind, settings...)
+}
+
+// writeFaultAt writes a fault that begins at a time, in seconds.
+func (w *soakWriter) writeFaultAt(at float64, kind FaultKind, settings ...setting) {
 	w.printf("\n[[event]]\nat_s = %.3f\nwhat = %q\n", at, kind)
 	for _, s := range settings {
 		format := "%s = %v\n"
--- a/internal/faultinjection/scenario/soak_faults.go
+++ b/internal/faultinjection/scenario/soak_faults.go
@@ -22,13 +22,15 @@
 	}
 }
 
-// writeRelayFaults draws what a relay meets. Its process is killed, terminated or suspended once at most, so that the outcome of
-// its requests can be known; all else overlaps.
-func (w *soakWriter) writeRelayFaults(number int) {
-	relay := setting{"relay", number}
+// writeClockSteps draws steps of a relay's wall clock.
+func (w *soakWriter) writeClockSteps(relay setting) {
 	for w.chance(0.4) {
 		w.writeFault(FaultClockStep, relay, setting{"by_s", choose(w, 0.5, -0.5, 5, -5, 60, -60, 3600, -3600)})
 	}
+}
+
+// writeProcessFault draws what happens to a relay's process: it is killed, terminated or suspended once at most.
+func (w *soakWriter) writeProcessFault(relay setting) {
 	switch {
 	case w.chance(0.35):
 		w.writeFault(FaultKill, relay, setting{"back_s", w.uniform(0.3, 1)})
@@ -37,6 +39,10 @@
 	case w.chance(0.15):
 		w.writeFault(FaultSuspend, relay, setting{"for_s", w.uniform(0.2, 1.5)})
 	}
+}
+
+// writeMachineFaults draws failing writes to a relay's folder, and failing system calls on its sockets.
+func (w *soakWriter) writeMachineFaults(relay setting) {
 	if w.chance(0.3) {
 		w.writeFault(FaultDiskErrors, relay, setting{"for_s", w.uniform(0.5, 3)},
 			setting{"errno", choose(w, "ENOSPC", "EIO", "EROFS", "EDQUOT")}, setting{"share", choose(w, 0.2, 0.5, 1.0)})
--- a/internal/faultinjection/scenario/soak_test.go
+++ b/internal/faultinjection/scenario/soak_test.go
@@ -9,3 +9,37 @@
 		}
 	}
 }
+
+// A soak of restarts can be played, and each run of a seed and the next has each way of ending a process.
+func TestRestartSoakScenario_IsValidAndComplete(t *testing.T) {
+	ways := map[string]int{}
+	for seed := range int64(20) {
+		text := RestartSoakScenario(seed, 24, 9)
+		s, err := Parse("soak", []byte(text))
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if text != RestartSoakScenario(seed, 24, 9) {
+			t.Fatalf("seed %d draws two scenarios", seed)
+		}
+		seen := map[string]bool{}
+		for i := range s.Faults {
+			f := &s.Faults[i]
+			seen[f.Kind+" "+f.Signals] = true
+			seen["again"] = seen["again"] || f.RestartAgain > 0
+			seen["behind"] = seen["behind"] || f.AfterAcceptance
+			seen[f.Errno] = true
+		}
+		for way := range seen {
+			ways[way]++
+		}
+	}
+	for way, want := range map[string]int{
+		"term " + SignalsReload: 20, "term " + SignalsStuck: 20, "term " + SignalsStarting: 20, "term " + SignalsRepeated: 10,
+		"upgrade " + SignalsHandover: 10, "upgrade ": 10, "crowd ": 10, "again": 20, "behind": 20, heldUpName: 20,
+	} {
+		if ways[way] < want {
+			t.Errorf("%q is in %d of 20 runs, want %d", way, ways[way], want)
+		}
+	}
+}
--- a/internal/faultinjection/scenario/syscalls.go
+++ b/internal/faultinjection/scenario/syscalls.go
@@ -24,14 +24,21 @@
 // shortTransferName is the name, in place of an errno, of a read or write that transfers only a part.
 const shortTransferName = "SHORT"
 
+// heldUpName is the name, in place of an errno, of a call that is made late, as by a process that got no processor time between
+// reading its clock and making the call.
+const heldUpName = "HELD_UP"
+
 // maxErrno is the highest errno of Linux (errno(3)).
 const maxErrno = 133
 
-// Errno returns the error with a name as in errno(3), faults.ShortTransfer for SHORT, or 0 for an unknown name.
+// Errno returns the error with a name as in errno(3), faults.ShortTransfer for SHORT, faults.HeldUp for HELD_UP, or 0 for an unknown
+// name.
 func Errno(name string) syscall.Errno {
 	switch name {
 	case shortTransferName:
 		return faults.ShortTransfer
+	case heldUpName:
+		return faults.HeldUp
 	case "EOPNOTSUPP": // unix.ErrnoName returns the other name of its number, ENOTSUP
 		return syscall.EOPNOTSUPP
 	}
--- a/internal/faultinjection/scenario/validate_fault.go
+++ b/internal/faultinjection/scenario/validate_fault.go
@@ -55,8 +55,11 @@
 	{"partner", faultValidator.checkDestination},
 	{"endpoint", faultValidator.checkEndpoint},
 	{"relay", faultValidator.checkRelay},
+	{"signals", faultValidator.checkSignals},
+	{"again_s", func(f faultValidator, key string) { f.aboveZeroIfGiven(key, f.fault.RestartAgain) }},
 	{"relays", nil}, // by checkRelay
 	{"warm", nil},   // true or false
+	{"behind", nil}, // true or false
 }
 
 func (s *Scenario) validateFaults(v validator) {
@@ -124,6 +127,15 @@
 	}
 }
 
+// checkSignals checks the series of signals: a handover has one of its own.
+func (f faultValidator) checkSignals(key string) {
+	if f.fault.Kind == FaultUpgrade {
+		f.oneOfIfGiven(key, f.fault.Signals, SignalsHandover)
+		return
+	}
+	f.oneOfIfGiven(key, f.fault.Signals, SignalsReload, SignalsRepeated, SignalsStarting, SignalsStuck)
+}
+
 func (f faultValidator) checkDestination(key string) {
 	if f.Has(key) && f.scenario.DestinationIndex(f.fault.Destination) < 0 {
 		f.AddError(key, "%q is no partner of this script", f.fault.Destination)
