--- a/internal/relay/redelivery.go
+++ b/internal/relay/redelivery.go
@@ -40,6 +40,10 @@
 	if d.loop.requests[r.ID] == r {
 		delete(d.loop.requests, r.ID)
 	}
+	if d.loop.journal.Entry(r.ID) == r.Entry {
+		// Its acceptance was noted and not written: the next commit would write it, and a later process redeliver it beside the store.
+		d.loop.journal.Complete(r.Entry, d.loop.timeline.Now())
+	}
 	d.writer.queue.addResult(deadletter.Result{Incarnation: deadletter.Incarnation{ID: r.ID}, Overtaken: newer})
 	d.loop.acknowledged(r)
 }
