policy: a retry that was answered with an error is no trial request

Only a message that never reached its destination tries it now, which is what a restart finds untried.

--- a/policy/trial_request.go
+++ b/policy/trial_request.go
@@ -20,10 +20,20 @@
 
 // mayTry reports whether a queued message may be a trial request at an unhealthy endpoint now. One
 // that was not sent yet always may. A retry waits for an endpoint that is not unhealthy, where
-// there is one; where the destination is out as a whole it is a trial request now and then, since
-// no other message may come that finds the destination back.
+// there is one. Where the destination is out as a whole it is a trial request now and then, if it
+// never reached the destination: no other message may come that finds the destination back.
 func (d *Dispatcher) mayTry(q *queue, m *message) bool {
-	return len(m.attempts) == 0 || len(q.endpoints) == 1 || !d.hasHealthyEndpoint(q, m) && d.now >= m.nextTrialAt(d.settings.MaxAttempts)
+	if len(m.attempts) == 0 || len(q.endpoints) == 1 {
+		return true
+	}
+	return d.mayRetryAsTrial(q, m) && d.now >= m.nextTrialAt(d.settings.MaxAttempts)
+}
+
+// mayRetryAsTrial reports whether a message that was sent before may be a trial request at some
+// time. One that an endpoint has answered with an error waits: its attempts would be spent on a
+// destination that fails what it gets.
+func (d *Dispatcher) mayRetryAsTrial(q *queue, m *message) bool {
+	return m.firstExecuted() == nil && !d.hasHealthyEndpoint(q, m)
 }
 
 // hasHealthyEndpoint reports whether a queue has an endpoint to which a message may go without
@@ -55,7 +65,7 @@
 		if len(m.attempts) == 0 {
 			continue
 		}
-		if at := m.nextTrialAt(d.settings.MaxAttempts); at > d.now && !d.hasHealthyEndpoint(q, m) {
+		if at := m.nextTrialAt(d.settings.MaxAttempts); at > d.now && d.mayRetryAsTrial(q, m) {
 			due.add(at)
 		}
 	}
--- a/policy/trial_retry_test.go
+++ b/policy/trial_retry_test.go
@@ -124,3 +124,19 @@
 		})
 	}
 }
+
+// A message that an endpoint has answered with an error does not spend its attempts on a destination that fails what it gets: it
+// waits until another message finds the destination back.
+func TestTrialRetry_AnsweredWithErrorWaits(t *testing.T) {
+	s := testSettings()
+	s.Weights = WeightsNominal
+	d := newDispatcher(t, s, Endpoint{ID: "a", Weight: 100}, Endpoint{ID: "b", Weight: 100})
+	actions := d.Handle(10*time.Second, []Event{
+		HealthRecovered{Endpoint: "a", Unhealthy: true, At: 7 * time.Second},
+		HealthRecovered{Endpoint: "b", Unhealthy: true, At: 7 * time.Second},
+		recovered("m", 0, PriorAttempt{Endpoint: "a", SentAt: 7 * time.Second}),
+	})
+	if trialWithin(d, actions, 10*time.Second, 18*time.Second) {
+		t.Error("a trial request")
+	}
+}
