policy: of retries, only what a restart found is a trial request

TestTrialRetry_OnlyMessageFindsDestinationBack is known red: the same wait without a restart stays as it was.

--- a/policy/trial_request.go
+++ b/policy/trial_request.go
@@ -19,9 +19,8 @@
 }
 
 // mayTry reports whether a queued message may be a trial request at an unhealthy endpoint now. One
-// that was not sent yet always may. A retry waits for an endpoint that is not unhealthy, where
-// there is one. Where the destination is out as a whole it is a trial request now and then, if it
-// never reached the destination: no other message may come that finds the destination back.
+// that was not sent yet always may, and a retry waits for an endpoint that is not unhealthy. The
+// exception is what a restart found at a destination that is out as a whole.
 func (d *Dispatcher) mayTry(q *queue, m *message) bool {
 	if len(m.attempts) == 0 || len(q.endpoints) == 1 {
 		return true
@@ -30,10 +29,11 @@
 }
 
 // mayRetryAsTrial reports whether a message that was sent before may be a trial request at some
-// time. One that an endpoint has answered with an error waits: its attempts would be spent on a
-// destination that fails what it gets.
+// time: where it was never executed and a restart found it, since the process that knew more is
+// gone, and no other message may come that finds the destination back. Other retries wait for one:
+// letting them try as well serves less, since they spend their attempts in an outage.
 func (d *Dispatcher) mayRetryAsTrial(q *queue, m *message) bool {
-	return m.firstExecuted() == nil && !d.hasHealthyEndpoint(q, m)
+	return m.Recovered && m.firstExecuted() == nil && !d.hasHealthyEndpoint(q, m)
 }
 
 // hasHealthyEndpoint reports whether a queue has an endpoint to which a message may go without
