coord/disk: a damaged mark of a member's peers is an error, not an empty one

Symptom: the write after the damage replaced all marks, so that those of the other peers were forgotten. TestSave_RejectsDamagedPeerIncarnations, unchanged, failed before.

--- a/internal/coord/disk/write.go
+++ b/internal/coord/disk/write.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math"
@@ -53,11 +52,10 @@
 		return nil
 	}
 	peers := map[uint64]replica.Incarnation{}
-	// A value that is missing or damaged is replaced.
-	if raw, err := unseal(meta.Get(peerIncarnationsKey)); err == nil {
-		if err := json.Unmarshal(raw, &peers); err != nil {
-			return fmt.Errorf("%s: %w", peerIncarnationsKey, err)
-		}
+	// Guards against a damaged value that is taken for a missing one: the marks of all other peers
+	// would be forgotten.
+	if _, err := getJSON(meta, peerIncarnationsKey, &peers); err != nil {
+		return err
 	}
 	maps.Copy(peers, b.PeerIncarnations)
 	return putJSON(meta, peerIncarnationsKey, peers)
