--- a/internal/faultinjection/harness/relay_process.go
+++ b/internal/faultinjection/harness/relay_process.go
@@ -32,6 +32,7 @@
 	pid       int
 	adminAddr string        // of its admin endpoint
 	exited    chan struct{} // closed when it has ended
+	endState  string        // how it ended; set before exited is closed
 
 	// Guarded by the relay's mutex.
 	expected  bool // its end was asked for
@@ -144,7 +145,7 @@
 	})
 	switch {
 	case exited:
-		return fmt.Errorf("%s ended before it was ready; its log ends: %s", r.name, r.logTail())
+		return fmt.Errorf("%s ended before it was ready: %s; its log ends: %s", r.name, p.endState, r.logTail())
 	case !ready:
 		return fmt.Errorf("%s is not ready within %v s; its log ends: %s", r.name, r.h.scenario.Relay.ReadyWithin, r.logTail())
 	}
@@ -157,6 +158,7 @@
 func (p *process) wait(cmd *exec.Cmd) {
 	defer close(p.exited)
 	err, r := cmd.Wait(), p.relay
+	p.endState = cmd.ProcessState.String()
 	r.mu.Lock()
 	expected, replaced, successor := p.expected, p.replaced, p.successor
 	if r.process == p {
