handover: a frame that finds no room within a second ends the hand-over

Symptom: a successor that stops reading held its predecessor up without end, and all clients with it, where the state is larger than the socket's buffer. Cause: writes to the link had no deadline. TestLink_SendEndsWhereThePeerReadsNothing, unchanged, failed before (no end in 4 s).

--- a/internal/handover/frame.go
+++ b/internal/handover/frame.go
@@ -27,6 +27,9 @@
 	helloTimeout = time.Second
 	// offerTimeout is how long the predecessor may take to quiesce and to send its state.
 	offerTimeout = 3 * time.Second
+	// sendTimeout is how long the peer may take to make room for a frame. Without it a predecessor that
+	// has come to a stop would wait with all its clients for a successor that is suspended.
+	sendTimeout = time.Second
 	// ackTimeout is how long a batch may take to come or to be acknowledged before the rest counts as
 	// lost.
 	ackTimeout = 2 * time.Second
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -39,6 +39,9 @@
 	if len(fds) > 0 {
 		rights = unix.UnixRights(fds...)
 	}
+	if err := l.conn.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
 	packet := append([]byte{byte(kind)}, body...)
 	if _, _, err := l.conn.WriteMsgUnix(packet, rights, nil); err != nil {
 		return fmt.Errorf("handover: send frame %v: %w", kind, err)
