--- a/internal/faultinjection/harness/recorder_test.go
+++ b/internal/faultinjection/harness/recorder_test.go
@@ -32,3 +32,22 @@
 		t.Errorf("%d events, %d late, the latest by %v", r.events, r.lateEvents, r.maxLateness)
 	}
 }
+
+// What happened in no run is named, whichever run it is missing from.
+func TestMissing_NamesWhatNeverHappened(t *testing.T) {
+	first, second := map[Occurrence]int{}, map[Occurrence]int{}
+	for i, o := range Occurrences() {
+		if i%2 == 0 {
+			first[o] = 1
+		} else {
+			second[o] = 2
+		}
+	}
+	if missing := Missing(first, second); len(missing) != 0 {
+		t.Errorf("missing %v", missing)
+	}
+	second[Crowded], first[Crowded] = 0, 0
+	if missing := Missing(first, second); len(missing) != 1 || missing[0] != Crowded {
+		t.Errorf("missing %v, want %v", missing, Crowded)
+	}
+}
