--- a/internal/faultinjection/checker/absences.go
+++ b/internal/faultinjection/checker/absences.go
@@ -90,15 +90,12 @@
 	return 0, false
 }
 
-// unreadFor is how long a request was unread since its relay was halted when it came, or had no process: a socket that processes
-// inherit takes connections meanwhile. Nothing in the request says when it was sent, so that its time counts from when it could
-// be read.
+// unreadFor is how long a request was unread as its relay was halted when it came: nothing in it says when it was sent, so
+// that its time counts from when it could be read.
 func (h *history) unreadFor(r *request) time.Duration {
-	for _, unread := range []relayIntervals{h.halts, h.unserved} {
-		for _, i := range unread.byRelay[r.relay] {
-			if i.contains(r.submittedAt) && i.to != never {
-				return i.to - r.submittedAt
-			}
+	for _, i := range h.halts.byRelay[r.relay] {
+		if i.contains(r.submittedAt) && i.to != never {
+			return i.to - r.submittedAt
 		}
 	}
 	return 0
--- a/internal/faultinjection/checker/history.go
+++ b/internal/faultinjection/checker/history.go
@@ -19,7 +19,6 @@
 	folderFailures   relayIntervals          // when each relay's folder failed
 	socketFailures   relayIntervals          // when connections of each relay were made to look broken
 	halts            relayIntervals          // when the process of each relay was stopped
-	unserved         relayIntervals          // when each relay had no process, up to when the next was ready
 	crowds           relayIntervals          // when callers took the descriptors of each relay
 	kills            map[int][]time.Duration // process ends that the process itself had no part in, by relay
 	violations       []Violation
@@ -32,7 +31,7 @@
 		Parameters: parameters, end: end, requestsByID: map[string]*request{}, attemptsByNumber: map[int]*attempt{}, absences: newAbsences(),
 		processEnds: map[int][]time.Duration{}, machineLosses: map[int][]time.Duration{},
 		folderFailures: newRelayIntervals(), socketFailures: newRelayIntervals(), halts: newRelayIntervals(),
-		unserved: newRelayIntervals(), crowds: newRelayIntervals(), kills: map[int][]time.Duration{},
+		crowds: newRelayIntervals(), kills: map[int][]time.Duration{},
 	}
 	for _, e := range log {
 		h.readRequestEvent(e)
@@ -125,9 +124,6 @@
 		h.halts.begin(e.Relay, e.At)
 	case Killed, Crashed:
 		h.absences.begin(e.Relay, e.At)
-		if h.unserved.depth[e.Relay] == 0 {
-			h.unserved.begin(e.Relay, e.At)
-		}
 		h.processEnds[e.Relay] = append(h.processEnds[e.Relay], e.At)
 		if !e.OK {
 			h.kills[e.Relay] = append(h.kills[e.Relay], e.At)
@@ -142,9 +138,6 @@
 		h.machineLosses[e.Relay] = append(h.machineLosses[e.Relay], e.At)
 	case Ready:
 		h.absences.end(e.Relay, e.At+restartSlack)
-		if h.unserved.depth[e.Relay] > 0 {
-			h.unserved.end(e.Relay, e.At)
-		}
 	case Resumed:
 		h.halts.end(e.Relay, e.At)
 		h.absences.end(e.Relay, e.At+restartSlack)
--- a/internal/faultinjection/checker/rule_outcome_test.go
+++ b/internal/faultinjection/checker/rule_outcome_test.go
@@ -30,6 +30,13 @@
 			l.add(Event{At: 1310 * ms, Kind: Answered, ID: "a", Status: 202})
 			l.notify(11700*ms, "a", Deferred)
 		}},
+		"a late notice of a request that waited in a socket that processes inherit": {OutcomeLate, func(l *logBuilder) {
+			l.add(Event{At: 500 * ms, Kind: Killed})
+			l.add(Event{At: sec, Kind: Submitted, ID: "a", Class: status, Duration: 10 * sec})
+			l.add(Event{At: 1300 * ms, Kind: Ready})
+			l.add(Event{At: 1310 * ms, Kind: Answered, ID: "a", Status: 202})
+			l.notify(11450*ms, "a", Deferred)
+		}},
 		"a late notice of a request that came while the relay had no process": {OutcomeMissing, func(l *logBuilder) {
 			l.add(Event{At: 500 * ms, Kind: Killed})
 			l.add(Event{At: sec, Kind: Submitted, ID: "a", Class: status, Duration: 10 * sec})
@@ -102,13 +109,6 @@
 			l.add(Event{At: 1310 * ms, Kind: Answered, ID: "a", Status: 202})
 			l.notify(11550*ms, "a", Deferred)
 		},
-		"a request that came while the relay had no process, to a socket that processes inherit": func(l *logBuilder) {
-			l.add(Event{At: 500 * ms, Kind: Killed})
-			l.add(Event{At: sec, Kind: Submitted, ID: "a", Class: status, Duration: 10 * sec})
-			l.add(Event{At: 1300 * ms, Kind: Ready})
-			l.add(Event{At: 1310 * ms, Kind: Answered, ID: "a", Status: 202})
-			l.notify(11550*ms, "a", Deferred)
-		},
 		"a delivery that its relay could not record before it was killed": func(l *logBuilder) {
 			l.add(Event{At: sec, Kind: FolderFails})
 			l.submit(sec, "a", status)
