Failing tests: answers that nobody asked for, and the emulator's fault extra_response

The tests write the copy of an answer at the bad moment: after the next request was written.

Scenarios get the fault extra_response: destinations follow a share of their responses with a copy, half of one, a 503, 408 or 1xx, or noise, after a delay, through a network of its own delay in each direction, and on demand also while a request is in hand; the platform copies acknowledgements, discovery copies the events of a watch. A run counts what it wrote and what crossed a request.

--- /dev/null
+++ b/internal/coord/api/caller_test.go
@@ -0,0 +1,73 @@
+package api
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"frostlink/internal/wait/waittest"
+)
+
+// settleTime lets the caller cache the connection of a call before the next one.
+const settleTime = 20 * time.Millisecond
+
+// leaderText returns a member's response that names a leader.
+func leaderText(id int) string {
+	body := fmt.Sprintf(`{"leader":%d}`, id)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// A copy of the response to one call is not taken for the response to the next: a lease would count as granted that is not.
+func TestCaller_CopiedResponseDoesNotAnswerTheNextCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	calls := make(chan int, 2)
+	calls <- 1
+	calls <- 2
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveWithCopies(c, calls)
+		}
+	}()
+	caller := NewCaller("c")
+	caller.HTTPClient.Timeout = waittest.Long
+	for call := uint64(1); call <= 2; call++ {
+		response, err := caller.Post(t.Context(), listener.Addr().String(), PathRead, Request{})
+		if err != nil || response.Leader != call {
+			t.Errorf("call %d: response %+v, err %v, want that of call %d", call, response, err, call)
+		}
+		time.Sleep(settleTime)
+	}
+}
+
+// serveWithCopies responds to each request with the number of its call. Before each response but a connection's first, it writes
+// a copy of the response before it.
+func serveWithCopies(c net.Conn, calls <-chan int) {
+	defer c.Close()
+	last := ""
+	for in := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		text := leaderText(<-calls)
+		if _, err := io.WriteString(c, last+text); err != nil {
+			return
+		}
+		last = text
+	}
+}
--- a/internal/faultinjection/harness/attempt.go
+++ b/internal/faultinjection/harness/attempt.go
@@ -79,6 +79,11 @@
 		return false
 	}
 	d := c.endpoint.destination
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.closed {
+		return false
+	}
 	switch {
 	case req.probe && !d.harness.scenario.Limits.Probing:
 		return c.respond(response{status: http.StatusNotFound})
@@ -86,11 +91,6 @@
 		d.harness.recordFailure("relay %d sent %s %s to an endpoint", c.relay+1, req.Method, req.URL.Path)
 		return c.respond(response{status: http.StatusNotFound})
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if c.closed {
-		return false
-	}
 	a, previous := c.beginAttempt(req)
 	if !req.probe {
 		if status := c.checkForwardable(a, req); status != 0 {
--- a/internal/faultinjection/harness/check.go
+++ b/internal/faultinjection/harness/check.go
@@ -46,6 +46,7 @@
 	h.mu.Unlock()
 	result.Void = result.LateShare > voidLateShare
 	result.Datagrams = h.network.counts()
+	result.ExtraResponses = h.extra.counts()
 	for _, relay := range h.relays {
 		result.Failures = append(result.Failures, relay.violations()...)
 		result.Processes = append(result.Processes, relay.measuredUsage())
--- a/internal/faultinjection/harness/discovery_server.go
+++ b/internal/faultinjection/harness/discovery_server.go
@@ -68,7 +68,7 @@
 	d.mu.Unlock()
 	d.harness.relays[relay].setDiscovery(ln.Addr().String())
 	d.harness.background.Go(func() {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(copyingListener{ln, d.harness.extra}); !errors.Is(err, http.ErrServerClosed) {
 			d.harness.recordFailure("register of relay %d: %v", relay+1, err)
 		}
 	})
--- a/internal/faultinjection/harness/endpoint_conn.go
+++ b/internal/faultinjection/harness/endpoint_conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -23,6 +24,8 @@
 	closed      bool
 	attempt     *attempt      // in flight; nil: none
 	attemptDone chan struct{} // capacity 1; receives a value when the attempt in flight ends
+	arriving    bool          // a request is on its way through the network
+	inTransit   []string      // responses on their way to the relay, the earliest first
 }
 
 func newEndpointConn(e *endpointServer, raw *net.TCPConn, relay int) *endpointConn {
@@ -51,6 +54,7 @@
 		if c.busy() {
 			<-c.attemptDone // one attempt at a time
 		}
+		c.awaitArrival()
 		if !c.readAttempt(in, firstByte) {
 			return
 		}
@@ -85,6 +89,8 @@
 		return
 	}
 	c.closed = true
+	for len(c.inTransit) > 0 && c.deliverNext() == nil { //nolint:revive // the body is the condition: what was written before the close arrives
+	}
 	_ = c.Close()
 	c.signalDone()
 	delete(c.endpoint.conns, c)
@@ -113,7 +119,19 @@
 	if c.overLimit {
 		closing = "Connection: close\r\n"
 	}
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%sContent-Length: 0\r\n\r\n", r.status, http.StatusText(r.status), r.headers, closing)
+	if c.send(text) != nil || c.overLimit {
+		return false
+	}
+	c.followResponse(text)
+	return true
+}
+
+// write writes to the relay at once.
+func (c *endpointConn) write(text string) error {
 	_ = c.SetWriteDeadline(time.Now().Add(responseWriteTimeout)) // fails only on a closed connection, as the write does
-	_, err := fmt.Fprintf(c.TCPConn, "HTTP/1.1 %d %s\r\n%s%sContent-Length: 0\r\n\r\n", r.status, http.StatusText(r.status), r.headers, closing)
-	return err == nil && !c.overLimit
+	if _, err := io.WriteString(c.TCPConn, text); err != nil {
+		return fmt.Errorf("write to relay %d: %w", c.relay+1, err)
+	}
+	return nil
 }
--- a/internal/faultinjection/harness/endpoint_list.go
+++ b/internal/faultinjection/harness/endpoint_list.go
@@ -10,11 +10,15 @@
 	"time"
 
 	"frostlink/internal/faultinjection/checker"
+	"frostlink/internal/faultinjection/scenario"
 )
 
 // watchKeepAlive is the time between the empty lines that keep a watch alive while nothing changes.
 const watchKeepAlive = 2 * time.Second
 
+// maxPendingCopies bounds the copies of events that wait to be written on a watch.
+const maxPendingCopies = 16
+
 // endpointJSON is one entry of the endpoint list, in the protocol's form.
 type endpointJSON struct {
 	Host   string  `json:"host"`
@@ -119,7 +123,9 @@
 	after, _ := strconv.Atoi(req.URL.Query().Get("index")) // absent: 0, which requests the complete list
 	h.record(checker.Event{Kind: checker.WatchRequested, Relay: relay, OK: true})
 	defer h.record(checker.Event{Kind: checker.WatchEnded, Relay: relay})
-	watch := &endpointWatch{server: d, relay: relay, version: after, out: w, flusher: http.NewResponseController(w)}
+	watch := &endpointWatch{
+		server: d, relay: relay, version: after, out: w, flusher: http.NewResponseController(w), copies: make(chan []byte, maxPendingCopies),
+	}
 	// An error means that the relay has closed the connection. The relay starts another watch.
 	_ = watch.run(req)
 }
@@ -132,6 +138,7 @@
 	started bool
 	out     http.ResponseWriter
 	flusher *http.ResponseController
+	copies  chan []byte // events to be written once more
 }
 
 // run writes watch events until the relay or the harness ends the watch.
@@ -149,6 +156,11 @@
 			return nil
 		case <-w.server.closing:
 			return nil
+		case event := <-w.copies:
+			if err := w.write(event); err != nil {
+				return err
+			}
+			w.server.harness.extra.count(false, false)
 		case <-keepAlive.C:
 			if err := w.write([]byte("\n")); err != nil {
 				return err
@@ -179,13 +191,29 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode a watch event: %w", err)
 	}
-	if err := w.write(append(event, '\n')); err != nil {
+	event = append(event, '\n')
+	if err := w.write(event); err != nil {
 		return nil, err
 	}
+	w.followEvent(event)
 	d.recordNotified(w.relay, notified)
 	return changed, nil
 }
 
+// followEvent schedules a copy of a watch event, if the event is followed by one.
+func (w *endpointWatch) followEvent(event []byte) {
+	fault, delay := w.server.harness.extra.draw(scenario.SourceDiscovery, "")
+	if fault == nil {
+		return
+	}
+	time.AfterFunc(delay, func() {
+		select {
+		case w.copies <- event:
+		default:
+		}
+	})
+}
+
 // write writes and flushes a part of the watch.
 func (w *endpointWatch) write(part []byte) error {
 	_, err := w.out.Write(part)
--- /dev/null
+++ b/internal/faultinjection/harness/extra_response.go
@@ -0,0 +1,237 @@
+package harness
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"frostlink/internal/faultinjection/scenario"
+)
+
+// ExtraResponses counts what was written to relays although nobody asked for it.
+type ExtraResponses struct {
+	Written int `json:"written"`
+	// Crossed are those that were written while a request to the same connection was on its way, and Busy those that were written
+	// while the endpoint had a request in hand.
+	Crossed int `json:"crossed"`
+	Busy    int `json:"busy"`
+}
+
+// extraResponses decides which responses are followed by another one that nobody asked for, while such a fault is active.
+type extraResponses struct {
+	streams scenario.RandomStreams
+
+	mu     sync.Mutex                 // guards everything below
+	active map[string]*scenario.Fault // by source
+	random *rand.Rand
+	total  ExtraResponses
+}
+
+func newExtraResponses(streams scenario.RandomStreams) *extraResponses {
+	return &extraResponses{streams: streams, active: map[string]*scenario.Fault{}, random: streams.Stream("extra")}
+}
+
+// extraSource returns who writes the responses of a fault.
+func extraSource(f *scenario.Fault) string {
+	if f.ExtraSource == "" {
+		return scenario.SourceDestinations
+	}
+	return f.ExtraSource
+}
+
+func (x *extraResponses) begin(f *scenario.Fault) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.active[extraSource(f)] = f
+}
+
+func (x *extraResponses) end(f *scenario.Fault) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.active[extraSource(f)] == f {
+		delete(x.active, extraSource(f))
+	}
+}
+
+// draw decides whether a response is followed by another one. If so, it returns the fault and the time until then.
+func (x *extraResponses) draw(source, destination string) (f *scenario.Fault, delay time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	f = x.active[source]
+	if f == nil || f.Destination != "" && f.Destination != destination || x.random.Float64() >= f.Share {
+		return nil, 0
+	}
+	return f, scenario.Milliseconds(f.Delay.Draw(x.random))
+}
+
+// transit returns the time that the network takes to and from an endpoint, in each direction. While a fault is active, it does not
+// change.
+func (x *extraResponses) transit(endpoint, destination string) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	f := x.active[scenario.SourceDestinations]
+	if f == nil || f.Destination != "" && f.Destination != destination {
+		return 0
+	}
+	return scenario.Milliseconds(f.Transit.Draw(x.streams.Stream("transit-" + endpoint)))
+}
+
+// count counts a response that nobody asked for.
+func (x *extraResponses) count(crossed, busy bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.total.Written++
+	if crossed {
+		x.total.Crossed++
+	}
+	if busy {
+		x.total.Busy++
+	}
+}
+
+// counts returns the counts so far, or nil if they are all 0.
+func (x *extraResponses) counts() *ExtraResponses {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.total == (ExtraResponses{}) {
+		return nil
+	}
+	total := x.total
+	return &total
+}
+
+// extraText returns what follows a response that consists of text.
+func extraText(form, text string) string {
+	switch form {
+	case scenario.ExtraHalf:
+		return text[:len(text)/2]
+	case scenario.ExtraRefusal:
+		return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	case scenario.ExtraTimeout:
+		return "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	case scenario.ExtraInterim:
+		return "HTTP/1.1 103 Early Hints\r\n\r\n"
+	case scenario.ExtraNoise:
+		return "\x16\x03\x01 no response\r\n"
+	}
+	return text
+}
+
+// followResponse schedules what follows the response that was last written on a connection, if anything does. The lock of the
+// destination is held.
+func (c *endpointConn) followResponse(text string) {
+	d := c.endpoint.destination
+	fault, delay := d.harness.extra.draw(scenario.SourceDestinations, d.name())
+	if fault == nil {
+		return
+	}
+	time.AfterFunc(delay, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		busy := c.attempt != nil
+		if c.closed || busy && !fault.WhileBusy {
+			return
+		}
+		if c.send(extraText(fault.ExtraForm, text)) == nil {
+			d.harness.extra.count(c.arriving, busy)
+		}
+	})
+}
+
+// send writes to the relay after the time that the network takes. The lock of the destination is held.
+func (c *endpointConn) send(text string) error {
+	transit := c.transit()
+	if transit == 0 && len(c.inTransit) == 0 {
+		return c.write(text)
+	}
+	c.inTransit = append(c.inTransit, text)
+	time.AfterFunc(transit, func() {
+		c.endpoint.destination.mu.Lock()
+		defer c.endpoint.destination.mu.Unlock()
+		if !c.closed {
+			_ = c.deliverNext() // the relay has closed the connection, which its reader notices
+		}
+	})
+	return nil
+}
+
+// deliverNext writes what has been in transit to the relay for the longest time.
+func (c *endpointConn) deliverNext() error {
+	if len(c.inTransit) == 0 {
+		return nil
+	}
+	text := c.inTransit[0]
+	c.inTransit = c.inTransit[1:]
+	return c.write(text)
+}
+
+// transit returns the time that the network takes to and from the endpoint.
+func (c *endpointConn) transit() time.Duration {
+	d := c.endpoint.destination
+	return d.harness.extra.transit(c.endpoint.id, d.name())
+}
+
+// awaitArrival waits until a request whose first byte the relay has written has arrived at the endpoint.
+func (c *endpointConn) awaitArrival() {
+	transit := c.transit()
+	if transit == 0 {
+		return
+	}
+	c.setArriving(true)
+	time.Sleep(transit)
+	c.setArriving(false)
+}
+
+func (c *endpointConn) setArriving(arriving bool) {
+	c.endpoint.destination.mu.Lock()
+	defer c.endpoint.destination.mu.Unlock()
+	c.arriving = arriving
+}
+
+// scheduleExtraResponses schedules a fault in which a share of responses is followed by one that nobody asked for.
+func scheduleExtraResponses(h *harness, f *scheduledFault) []scheduledAction {
+	description := fmt.Sprintf("%s after responses of %s", f.ExtraForm, cmp.Or(f.Destination, extraSource(f.Fault)))
+	return f.beginAndEnd(description, func() { h.extra.begin(f.Fault) }, func() { h.extra.end(f.Fault) })
+}
+
+// copyingListener is a listener whose connections write a share of the acknowledgements of notifications twice.
+type copyingListener struct {
+	net.Listener
+	extra *extraResponses
+}
+
+func (l copyingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err //nolint:wrapcheck // net.Listener's contract
+	}
+	return copyingConn{conn, l.extra}, nil
+}
+
+type copyingConn struct {
+	net.Conn
+	extra *extraResponses
+}
+
+// acknowledgementPrefix begins the response to a notification.
+const acknowledgementPrefix = "HTTP/1.1 204 "
+
+func (c copyingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil || !strings.HasPrefix(string(b), acknowledgementPrefix) {
+		return n, err //nolint:wrapcheck // net.Conn's contract
+	}
+	if fault, delay := c.extra.draw(scenario.SourcePlatform, ""); fault != nil {
+		text := string(b)
+		time.AfterFunc(delay, func() {
+			if _, err := c.Conn.Write([]byte(text)); err == nil {
+				c.extra.count(false, false)
+			}
+		})
+	}
+	return n, nil
+}
--- a/internal/faultinjection/harness/fault_schedule.go
+++ b/internal/faultinjection/harness/fault_schedule.go
@@ -27,6 +27,7 @@
 	scenario.FaultPause:              scheduleDegradation,
 	scenario.FaultDrain:              scheduleDrain,
 	scenario.FaultReplacement:        scheduleReplacements,
+	scenario.FaultExtraResponse:      scheduleExtraResponses,
 	scenario.FaultLoadSurge:          scheduleLoadChange,
 	scenario.FaultTrafficShift:       scheduleLoadChange,
 	scenario.FaultDiscoveryDown:      scheduleDiscoveryFailure,
--- a/internal/faultinjection/harness/harness.go
+++ b/internal/faultinjection/harness/harness.go
@@ -29,13 +29,16 @@
 	balancer       *loadBalancer
 	clients        *clientPool
 	network        *network
+	extra          *extraResponses
 	timeline       []string
 	background     sync.WaitGroup // goroutines that must end before the run does
 }
 
 func newHarness(ctx context.Context, s *scenario.Scenario, o Options, workDir string) *harness {
-	return &harness{
+	h := &harness{
 		scenario: s, random: scenario.NewRandomStreams(o.Seed), options: o, workDir: workDir, ctx: ctx,
 		recorder: newRecorder(), launcher: faults.NewLauncher(),
 	}
+	h.extra = newExtraResponses(h.random)
+	return h
 }
--- a/internal/faultinjection/harness/result.go
+++ b/internal/faultinjection/harness/result.go
@@ -34,6 +34,7 @@
 	Redeliveries     []Redeliveries     `json:"resends,omitempty"`     // by destination, where there were any
 	Occurred         map[Occurrence]int `json:"occurred,omitempty"`
 	Timeline         []string           `json:"timeline"`
+	ExtraResponses   *ExtraResponses    `json:"extra_responses,omitempty"` // nil: nothing was written to relays that nobody asked for
 	DestinationNames []string           `json:"-"`
 }
 
--- a/internal/faultinjection/harness/result_print.go
+++ b/internal/faultinjection/harness/result_print.go
@@ -33,6 +33,9 @@
 	if d := &r.Datagrams; d.Sent > 0 {
 		fmt.Fprintf(out, "notes  %d datagrams of %d bytes in all, %d lost, %d halved\n", d.Sent, d.Bytes, d.Lost, d.Halved)
 	}
+	if x := r.ExtraResponses; x != nil {
+		fmt.Fprintf(out, "extra  %d responses that nobody asked for, %d crossed a request, %d while a request was in hand\n", x.Written, x.Crossed, x.Busy)
+	}
 	fmt.Fprintf(out, "rig    %d events, %.2f%% later than 5 ms, the latest by %.1f ms\n", r.Events, 100*r.LateShare, milliseconds(r.MaxLateness))
 	r.printVerdict(out)
 }
--- a/internal/faultinjection/scenario/fault.go
+++ b/internal/faultinjection/scenario/fault.go
@@ -31,6 +31,11 @@
 	Signals         string    `toml:"signals"`  // series of signals around a shutdown or hand-over, one of the SignalsX constants
 	RestartAgain    float64   `toml:"again_s"`  // time after the new process is ready until that process is replaced in the same way; 0: no second replacement
 	AfterAcceptance bool      `toml:"behind"`   // the process is killed right after it accepts a request
+	ExtraForm       string    `toml:"form"`     // what is written although nobody asked for it, one of the ExtraX constants
+	ExtraSource     string    `toml:"source"`   // who writes it, one of the SourceX constants; "": SourceDestinations
+	Delay           Range     `toml:"delay_ms"` // time from a response to what is written after it
+	WhileBusy       bool      `toml:"busy"`     // it is written even if the endpoint has a request in hand by then
+	Transit         Range     `toml:"way_ms"`   // time that the network takes in each direction, drawn once for each endpoint
 }
 
 // Series of signals around a graceful shutdown or a hand-over.
@@ -48,6 +53,23 @@
 	SignalsHandover = "handover"
 )
 
+// What is written after a response although nobody asked for it.
+const (
+	ExtraCopy    = "copy"    // the response once more
+	ExtraHalf    = "half"    // the first half of the response
+	ExtraRefusal = "503"     // a rejection
+	ExtraTimeout = "408"     // the response of a server that has waited too long for a request
+	ExtraInterim = "interim" // an informational response
+	ExtraNoise   = "noise"   // bytes that are no response
+)
+
+// Who writes responses that nobody asked for.
+const (
+	SourceDestinations = "partners"
+	SourcePlatform     = "platform" // copies of the acknowledgements of notifications
+	SourceDiscovery    = "register" // copies of the lists of a watch
+)
+
 // How discovery fails while it is down.
 const (
 	DiscoveryUnavailable  = "503"
--- a/internal/faultinjection/scenario/fault_kinds.go
+++ b/internal/faultinjection/scenario/fault_kinds.go
@@ -7,16 +7,17 @@
 
 // Faults of destinations.
 const (
-	FaultConnectionsRefused FaultKind = "refuse"  // endpoints refuse connections and reset open ones
-	FaultOverloaded         FaultKind = "shut"    // endpoints reject everything
-	FaultUnresponsive       FaultKind = "silent"  // endpoints accept connections and never respond
-	FaultUnreachable        FaultKind = "gone"    // endpoints behave like a machine that has disappeared from the network
-	FaultFailing            FaultKind = "failing" // endpoints respond to a share of attempts with an error
-	FaultSlowdown           FaultKind = "slow"    // service times are multiplied
-	FaultResets             FaultKind = "reset"   // a share of connections is reset after the request body
-	FaultPause              FaultKind = "pause"   // endpoints stop executing attempts
-	FaultDrain              FaultKind = "drain"   // an endpoint drains and is removed
-	FaultReplacement        FaultKind = "replace" // a share of endpoints is replaced
+	FaultConnectionsRefused FaultKind = "refuse"         // endpoints refuse connections and reset open ones
+	FaultOverloaded         FaultKind = "shut"           // endpoints reject everything
+	FaultUnresponsive       FaultKind = "silent"         // endpoints accept connections and never respond
+	FaultUnreachable        FaultKind = "gone"           // endpoints behave like a machine that has disappeared from the network
+	FaultFailing            FaultKind = "failing"        // endpoints respond to a share of attempts with an error
+	FaultSlowdown           FaultKind = "slow"           // service times are multiplied
+	FaultResets             FaultKind = "reset"          // a share of connections is reset after the request body
+	FaultPause              FaultKind = "pause"          // endpoints stop executing attempts
+	FaultDrain              FaultKind = "drain"          // an endpoint drains and is removed
+	FaultReplacement        FaultKind = "replace"        // a share of endpoints is replaced
+	FaultExtraResponse      FaultKind = "extra_response" // a share of responses is followed by one that nobody asked for
 )
 
 // Changes of the load.
@@ -71,6 +72,7 @@
 	FaultPause:              {required: []string{"for_s", "partner"}, optional: []string{"endpoint"}},
 	FaultDrain:              {required: []string{"partner", "endpoint"}, optional: []string{"drain_s"}},
 	FaultReplacement:        {required: []string{"share"}, optional: []string{"partner", "over_s", "drain_s", "reused"}},
+	FaultExtraResponse:      {required: []string{"for_s", "share", "form", "delay_ms"}, optional: []string{"partner", "source", "busy", "way_ms"}},
 
 	FaultLoadSurge:    {required: []string{"for_s", "factor"}, optional: []string{"rise_s"}},
 	FaultTrafficShift: {required: []string{"for_s", "partner", "share"}},
--- a/internal/faultinjection/scenario/validate_fault.go
+++ b/internal/faultinjection/scenario/validate_fault.go
@@ -57,9 +57,16 @@
 	{"relay", faultValidator.checkRelay},
 	{"signals", faultValidator.checkSignals},
 	{"again_s", func(f faultValidator, key string) { f.aboveZeroIfGiven(key, f.fault.RestartAgain) }},
-	{"relays", nil}, // checked by checkRelay
-	{"warm", nil},   // true or false
-	{"behind", nil}, // true or false
+	{"form", func(f faultValidator, key string) {
+		f.oneOfIfGiven(key, f.fault.ExtraForm, ExtraCopy, ExtraHalf, ExtraRefusal, ExtraTimeout, ExtraInterim, ExtraNoise)
+	}},
+	{"source", faultValidator.checkExtraSource},
+	{"delay_ms", nil}, // checked by Range
+	{"way_ms", nil},   // checked by Range
+	{"busy", nil},     // true or false
+	{"relays", nil},   // checked by checkRelay
+	{"warm", nil},     // true or false
+	{"behind", nil},   // true or false
 }
 
 func (s *Scenario) validateFaults(v validator) {
@@ -127,6 +134,23 @@
 	}
 }
 
+// checkExtraSource checks who writes responses that nobody asked for. The platform and discovery write copies only, and have neither
+// partners nor requests in hand.
+func (f faultValidator) checkExtraSource(key string) {
+	f.oneOfIfGiven(key, f.fault.ExtraSource, SourceDestinations, SourcePlatform, SourceDiscovery)
+	if f.fault.ExtraSource == "" || f.fault.ExtraSource == SourceDestinations {
+		return
+	}
+	if f.fault.ExtraForm != ExtraCopy {
+		f.AddError(f.prefix+"form", "%q is not possible for the source %q, which writes copies only", f.fault.ExtraForm, f.fault.ExtraSource)
+	}
+	for _, name := range []string{"partner", "busy", "way_ms"} {
+		if f.Has(f.prefix + name) {
+			f.AddError(f.prefix+name, "not allowed for the source %q", f.fault.ExtraSource)
+		}
+	}
+}
+
 // checkSignals checks the series of signals. A hand-over has its own series; a shutdown has the others.
 func (f faultValidator) checkSignals(key string) {
 	if f.fault.Kind == FaultUpgrade {
--- /dev/null
+++ b/internal/upstream/http1/extra_response_test.go
@@ -0,0 +1,134 @@
+package http1
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"frostlink/internal/upstream"
+	"frostlink/internal/wait/waittest"
+	"frostlink/policy"
+)
+
+// responseText returns a response without a body.
+func responseText(status int) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+}
+
+// copyingEndpoint responds to its first request with first and writes a copy of that response after copyDelay. To each later
+// request it responds with second after serviceTime.
+type copyingEndpoint struct {
+	first, second int
+	copyDelay     time.Duration
+	serviceTime   time.Duration
+	requests      atomic.Int32
+}
+
+func (e *copyingEndpoint) serve(c net.Conn) {
+	for in := bufio.NewReader(c); ; {
+		if err := readRequest(in); err != nil {
+			return
+		}
+		if e.requests.Add(1) == 1 {
+			_, _ = io.WriteString(c, responseText(e.first))
+			time.AfterFunc(e.copyDelay, func() { _, _ = io.WriteString(c, responseText(e.first)) })
+			continue
+		}
+		time.Sleep(e.serviceTime)
+		_, _ = io.WriteString(c, responseText(e.second))
+	}
+}
+
+// A copy of an earlier response that arrives while the next request is in flight is not taken for the response to that request:
+// a copied 200 would lose a rejected request, and a copied 503 would send a request again that is being executed.
+func TestCall_CopyOfEarlierResponseIsNotTakenForTheNext(t *testing.T) {
+	outcomes := map[int]policy.Outcome{http.StatusOK: policy.Succeeded, http.StatusServiceUnavailable: policy.Rejected}
+	for _, test := range []struct {
+		name          string
+		first, second int
+		copyDelay     time.Duration
+	}{
+		{"200 for a rejected request", http.StatusOK, http.StatusServiceUnavailable, 20 * time.Millisecond},
+		{"503 for an executed request", http.StatusServiceUnavailable, http.StatusOK, 20 * time.Millisecond},
+		{"200, 60 ms late", http.StatusOK, http.StatusServiceUnavailable, 60 * time.Millisecond},
+		{"200, 250 ms late", http.StatusOK, http.StatusServiceUnavailable, 250 * time.Millisecond},
+		{"503, 250 ms late", http.StatusServiceUnavailable, http.StatusOK, 250 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			endpoint := &copyingEndpoint{first: test.first, second: test.second, copyDelay: test.copyDelay, serviceTime: 2*test.copyDelay + 100*time.Millisecond}
+			addr := serveEndpoint(t, endpoint.serve)
+			p := newTestPool()
+			for i, want := range []policy.Outcome{outcomes[test.first], outcomes[test.second]} {
+				if got := p.Call(t.Context(), newTestRequest(addr)); got.Outcome != want {
+					t.Errorf("request %d: outcome %v, want %v", i+1, got.Outcome, want)
+				}
+			}
+		})
+	}
+}
+
+// After a copy, no later request gets the response to the request before it.
+func TestCall_CopyDoesNotShiftLaterResponses(t *testing.T) {
+	statuses := []int{http.StatusOK, http.StatusServiceUnavailable, http.StatusOK, http.StatusServiceUnavailable, http.StatusOK}
+	var requests atomic.Int32
+	addr := serveEndpoint(t, func(c net.Conn) {
+		for in := bufio.NewReader(c); ; {
+			if err := readRequest(in); err != nil {
+				return
+			}
+			n := int(requests.Add(1))
+			if n > len(statuses) {
+				return
+			}
+			if n == 1 {
+				time.AfterFunc(30*time.Millisecond, func() { _, _ = io.WriteString(c, responseText(statuses[0])) })
+			} else {
+				time.Sleep(80 * time.Millisecond)
+			}
+			_, _ = io.WriteString(c, responseText(statuses[n-1]))
+		}
+	})
+	p := newTestPool()
+	for i, status := range statuses {
+		want := policy.Succeeded
+		if status != http.StatusOK {
+			want = policy.Rejected
+		}
+		if got := p.Call(t.Context(), newTestRequest(addr)); got.Outcome != want {
+			t.Errorf("request %d: outcome %v, want %v", i+1, got.Outcome, want)
+		}
+	}
+}
+
+// A copy that arrives on an idle connection closes the connection, and the next request uses another one.
+func TestCall_CopyOnIdleConnectionClosesIt(t *testing.T) {
+	endpoint := &copyingEndpoint{first: http.StatusOK, second: http.StatusServiceUnavailable, copyDelay: time.Millisecond}
+	addr := serveEndpoint(t, endpoint.serve)
+	p := newTestPool()
+	request := newTestRequest(addr)
+	if got := p.Call(t.Context(), request); got.Outcome != policy.Succeeded {
+		t.Fatalf("first request: outcome %v", got.Outcome)
+	}
+	waittest.Until(t, func() bool { return p.hasUnreadIdle(request.Target) })
+	if got := p.Call(t.Context(), request); got.Outcome != policy.Rejected || !got.NewConn {
+		t.Errorf("second request: %+v, want a rejection on a new connection", got)
+	}
+}
+
+// hasUnreadIdle reports whether an idle connection to a target has unread bytes, or none is left.
+func (p *Pool) hasUnreadIdle(target upstream.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idleSetOf(target).conns {
+		if !c.hasUnread() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/wait/waittest/waittest.go
+++ b/internal/wait/waittest/waittest.go
@@ -20,3 +20,13 @@
 		panic("not reached")
 	}
 }
+
+// Until waits until a condition holds, and fails the test if it does not hold within Long.
+func Until(t *testing.T, holds func() bool) {
+	t.Helper()
+	for start := time.Now(); !holds(); time.Sleep(time.Millisecond) {
+		if time.Since(start) > Long {
+			t.Fatalf("condition does not hold within %v", Long)
+		}
+	}
+}
