Endpoints: a response counts for a request only if it can be told from a copy

Cause: internal/upstream/http1 used a connection again in the moment in which a response ended, and took whatever came next for the response to the request that was out then.

The slot is freed and a wait is heeded at once (ResponseUnconfirmed); a delivery is journalled meanwhile, so that a restart in that time does not give the message a second end; - an endpoint that writes what nobody asked for more than 300 ms after a response gets connections of one request each for 10 s, doubled each time; - more than nine relays, which keep no idle connections, now use each connection once: the call that took the connection of another at once is what broke the rule. Seen now: a line at warn for an endpoint's first, [trace] events 'extra' and the reason 'response in doubt' of an attempt.

Tests that reuse a connection at once let it rest first (restIdleConns); what they demand is unchanged.

--- a/internal/faultinjection/harness/extra_response.go
+++ b/internal/faultinjection/harness/extra_response.go
@@ -169,6 +169,15 @@
 	return c.write(text)
 }
 
+// deliverAll writes all that is in transit to the relay: what was written before a close arrives.
+func (c *endpointConn) deliverAll() {
+	for len(c.inTransit) > 0 {
+		if c.deliverNext() != nil {
+			return // the relay has closed the connection
+		}
+	}
+}
+
 // transit returns the time that the network takes to and from the endpoint.
 func (c *endpointConn) transit() time.Duration {
 	d := c.endpoint.destination
--- a/internal/journal/changes.go
+++ b/internal/journal/changes.go
@@ -54,7 +54,8 @@
 	j.addRecord(r)
 }
 
-// MarkDelivered records that a request was delivered and that the dead-letter store has to be notified.
+// MarkDelivered records that a request was delivered, although its entry stays: the dead-letter store has to be notified, or the
+// response may turn out to belong to another request. In the latter case, EndAttempt replaces the record.
 func (j *Journal) MarkDelivered(e *Entry) { j.addRecord(record{Kind: kindDelivered, ID: e.ID}) }
 
 // Complete records that a request is completed: the relay has nothing left to do for it from then on.
--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -34,8 +34,9 @@
 	// subject.
 	Subject string            `json:"subject,omitempty"`
 	Order   *deadletter.Order `json:"order,omitempty"`
-	// Delivered is set if the request was delivered and the dead-letter store has not been notified yet.
-	// The store needs the notification so that it redelivers no older message of the subject.
+	// Delivered is set if the request was delivered and the dead-letter store has not been notified yet, or if the response that
+	// confirms the delivery may belong to an earlier request on its connection. The store needs the notification so that it
+	// redelivers no older message of the subject.
 	Delivered bool `json:"-"`
 	// PendingNotice contains the terminal outcome; it is nil before the outcome is decided. The entry is
 	// open until the platform has acknowledged the notice or, for a redelivery, the dead-letter store has
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -121,6 +121,7 @@
 	}
 	a := &e.Attempts[len(e.Attempts)-1]
 	a.Ended, a.NotExecuted, a.Outcome, a.EndedAt = true, r.NotExecuted, r.Reason, r.At
+	e.Delivered = false // replaces an unconfirmed delivery
 }
 
 func (j *Journal) applyCompleted(e *Entry, at clock.Instant) {
--- a/internal/relay/assemble.go
+++ b/internal/relay/assemble.go
@@ -55,6 +55,7 @@
 		pool: http1.New(settings.Seconds(n.cfg.Settings.Limits.ConnectTimeoutS), n.cfg.policy.IdleConnTimeout, n.cfg.maxEndpointConns()),
 	}
 	l.pool.OnWritten = func() { l.metrics.AttemptsSent.Add(1) }
+	l.pool.OnExtraResponse = func(e http1.ExtraResponse) { go l.send(extraResponseNoticed(e)) } // the loop may wait for the pool's lock
 	return l
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -100,18 +100,27 @@
 	call := upstream.Request{
 		Target: upstream.Target{Endpoint: p.endpoint.ID, Addr: p.endpoint.Address}, ID: r.ID, IdempotencyKey: r.IdempotencyKey, Body: r.Body,
 		Timeout: max(p.timeout-time.Since(startedAt), time.Millisecond), WriteBy: p.writeBy, CancelBeforeSend: r.cancelBeforeSend,
-		Deadline: l.timeline.TimeOf(r.Deadline), OnDeadline: func() { l.send(deadlineReached{r.ID}) },
+		Retryable: l.retryable(r), Deadline: l.timeline.TimeOf(r.Deadline), OnDeadline: func() { l.send(deadlineReached{r.ID}) },
+	}
+	call.OnUnconfirmed = func(result upstream.Result) {
+		l.send(responseUnconfirmed{id: r.ID, index: p.index, endpoint: p.endpoint.ID, latency: time.Since(startedAt), Result: result})
 	}
 	l.attemptsInFlight++
 	go func() {
 		defer cancel()
 		result := exchange(ctx, call)
 		l.send(attemptEnded{
-			id: r.ID, index: p.index, endpoint: p.endpoint.ID, latency: time.Since(startedAt), started: true, Result: result,
+			id: r.ID, index: p.index, endpoint: p.endpoint.ID, latency: time.Since(startedAt) - result.Unconfirmed, started: true, Result: result,
 		})
 	}()
 }
 
+// retryable reports whether a request may be sent again after it has executed.
+func (l *loop) retryable(r *request) bool {
+	terms := l.journal.Terms(r.Entry)
+	return terms != nil && terms.Idempotency != policy.NotIdempotent
+}
+
 // handleAttemptEnded handles the end of an attempt, or the detachment of its connection.
 func (l *loop) handleAttemptEnded(e attemptEnded) {
 	r := l.requests[e.id] // not nil: a request stays in the map while an attempt is in flight
@@ -127,11 +136,7 @@
 	if l.journal.Entry(r.ID) == r.Entry {
 		l.journal.EndAttempt(r.Entry, e.NotExecuted(), outcomeNames[e.Outcome], l.timeline.Now())
 	}
-	l.events = append(l.events, policy.AttemptEnded{
-		ID: e.id, Endpoint: e.endpoint, Attempt: e.index, Outcome: e.Outcome,
-		RetryAfter: e.RetryAfter, Latency: e.latency, Final: e.Final, AttemptsExhausted: e.AttemptsExhausted, OutcomeUnknown: e.OutcomeUnknown,
-		LoadReport: e.LoadReport,
-	})
+	l.events = append(l.events, e.policyEvent())
 	claimed := e.Final && !r.completed() && l.handleFinalResponse(r, e.Outcome == policy.Succeeded)
 	endsRequest := e.Final && !r.Redelivery
 	nothingPending := r.completed() && r.PendingNotice == nil // an evicted request that stayed in memory until this attempt ended
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -1,13 +1,16 @@
 package relay
 
 import (
+	"log/slog"
 	"time"
 
 	"frostlink/internal/admin"
 	"frostlink/internal/discovery"
 	"frostlink/internal/frontend"
+	"frostlink/internal/logkey"
 	"frostlink/internal/trace"
 	"frostlink/internal/upstream"
+	"frostlink/internal/upstream/http1"
 	"frostlink/policy"
 )
 
@@ -40,6 +43,37 @@
 
 func (e attemptEnded) apply(l *loop) { l.handleAttemptEnded(e) }
 
+// policyEvent returns the event for the dispatcher.
+func (e attemptEnded) policyEvent() policy.AttemptEnded {
+	return policy.AttemptEnded{
+		ID: e.id, Endpoint: e.endpoint, Attempt: e.index, Outcome: e.Outcome,
+		RetryAfter: e.RetryAfter, Latency: e.latency, Final: e.Final, AttemptsExhausted: e.AttemptsExhausted, OutcomeUnknown: e.OutcomeUnknown,
+		LoadReport: e.LoadReport,
+	}
+}
+
+// responseUnconfirmed carries a response that may belong to an earlier request on its connection. The end of its attempt follows.
+type responseUnconfirmed attemptEnded
+
+func (e responseUnconfirmed) apply(l *loop) {
+	r := l.requests[e.id] // not nil: a request stays in the map while an attempt is in flight
+	if e.Outcome == policy.Succeeded && !r.completed() && l.journal.Entry(r.ID) == r.Entry {
+		// If this process dies before the end of the attempt, the request most likely was delivered.
+		l.journal.MarkDelivered(r.Entry)
+	}
+	l.events = append(l.events, policy.ResponseUnconfirmed(attemptEnded(e).policyEvent()))
+}
+
+// extraResponseNoticed says that an endpoint wrote a response that nobody asked for.
+type extraResponseNoticed http1.ExtraResponse
+
+func (e extraResponseNoticed) apply(l *loop) {
+	l.traceEvent(trace.Event{Kind: trace.ExtraResponse, Endpoint: e.Endpoint, Count: e.Total, Reason: string(e.Sign)})
+	if e.Total == 1 {
+		slog.Warn("endpoint wrote a response that nobody asked for", logkey.Endpoint, e.Endpoint, logkey.Address, e.Addr, logkey.Reason, e.Sign)
+	}
+}
+
 // deadlineReached says that a request's deadline has passed while an attempt still waits for the response.
 type deadlineReached struct{ id string }
 
--- a/internal/relay/tracing.go
+++ b/internal/relay/tracing.go
@@ -15,6 +15,9 @@
 	}
 }
 
+// reasonDoubtfulResponse is the trace's reason of an attempt whose response may belong to an earlier request on its connection.
+const reasonDoubtfulResponse = "response in doubt"
+
 // traceAttemptEnded records the end of an attempt.
 func (l *loop) traceAttemptEnded(r *request, e attemptEnded) {
 	if l.trace == nil {
@@ -25,6 +28,9 @@
 		Outcome: outcomeNames[e.Outcome], Count: e.index + 1,
 		DurationMs: milliseconds(e.latency), NewConn: e.NewConn, RetryAfterMs: milliseconds(e.RetryAfter),
 	}
+	if e.Doubtful {
+		t.Reason = reasonDoubtfulResponse
+	}
 	if e.LoadReport != nil {
 		t.RemainingFraction, t.RateLimit = e.LoadReport.Remaining, e.LoadReport.RateLimit
 	}
--- a/internal/trace/doc.go
+++ b/internal/trace/doc.go
@@ -17,7 +17,8 @@
 //	turn    Rejected            a request was rejected on arrival; id, class, ms: Retry-After, why, its terms
 //	end     Completed           an accepted request has its outcome; id, class, how, ms: its age, late, why
 //	send    AttemptStarted      an attempt was sent; id, class, host, n: its number from 1, left_ms
-//	answer  AttemptEnded        an attempt ended; id, class, host, how, n, ms: its duration, left, limit, fresh, wait_ms
+//	answer  AttemptEnded        an attempt ended; id, class, host, how, n, ms: its duration, left, limit, fresh, wait_ms, why: its
+//	                            response may belong to an earlier request
 //	again   Resubmitted         a request was submitted again under a known id; id, class, n: status of the response, retry
 //	resume  Recovered           a request was recovered from the journal; id, class, how: its outcome, if only the
 //	                            notification is pending, n: attempts sent, its terms
@@ -26,6 +27,7 @@
 //	close   ConnClosed          a client's connection was closed; why
 //	folder  FolderStateChanged  the state of the relay's folder changed; how: the new state
 //	step    ClockStepped        the wall clock was stepped; ms: by how much
+//	extra   ExtraResponse       an endpoint wrote a response that nobody asked for; host, n: how many it wrote, why: how it was noticed
 //
 // The terms of a request are key (a digest), retry, due, left_ms, effect and memory_ms; see Event.
 //
--- a/internal/trace/event.go
+++ b/internal/trace/event.go
@@ -29,6 +29,7 @@
 	ConnClosed         Kind = "close"
 	FolderStateChanged Kind = "folder"
 	ClockStepped       Kind = "step"
+	ExtraResponse      Kind = "extra"
 )
 
 // The values of Event.Outcome for the terminal outcome of a request. For an attempt, Event.Outcome is Delivered or the relay's
@@ -68,7 +69,7 @@
 	Late              bool    `json:"late,omitempty"`    // the outcome came after the latency objective of the request's class
 	RetryAfterMs      float64 `json:"wait_ms,omitempty"` // with AttemptEnded: the Retry-After of the response
 	TimeLeftMs        float64 `json:"left_ms,omitempty"` // with AttemptStarted, and as a term: the time until the request's deadline
-	Reason            string  `json:"why,omitempty"`     // with Rejected, Completed and ConnClosed
+	Reason            string  `json:"why,omitempty"`     // with Rejected, Completed, ConnClosed and ExtraResponse, and with AttemptEnded if the response may belong to an earlier request
 
 	// The terms of a request, with Accepted, Rejected and Recovered.
 
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -68,6 +68,14 @@
 	limit     *io.LimitedReader // reads from the connection, at most maxResponseSize per attempt
 	in        *bufio.Reader     // reads from limit
 	idleSince time.Time         // guarded by the pool's lock
+	// unconfirmed reports that the last response may belong to an earlier request, and closeOnRelease that the connection is to be
+	// closed once that is decided. The pool's lock guards both.
+	unconfirmed, closeOnRelease bool
+	// restedQuietly reports that the idle connection was seen without unread bytes after it had rested; guarded by the pool's lock.
+	restedQuietly bool
+	// respondedAt is the end of the last response; zero if the connection has carried none. At most one goroutine uses it.
+	respondedAt time.Time
+	writtenAt   time.Time // when the last byte of the request in flight was written; zero: not by this process
 	// rejectionGrace is the time after writing a request within which a rejection may still arrive.
 	rejectionGrace time.Duration
 
@@ -105,7 +113,7 @@
 func (c *conn) start(state connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.awaitUntil = state, time.Time{}
+	c.state, c.awaitUntil, c.writtenAt = state, time.Time{}, time.Time{}
 }
 
 // extendAwait sets awaitUntil before the request is written. The response is awaited for the
--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -108,7 +108,7 @@
 		}
 		c.setState(connAwaitingResponse)
 	}
-	return p.awaitResponse(requestCtx, attemptCtx, c)
+	return p.awaitResponse(requestCtx, attemptCtx, c, &r)
 }
 
 // writeRequest writes a request and reports whether all of it was written. If not, the endpoint
@@ -136,6 +136,7 @@
 	if n, _ := (socket.RetryConn{Conn: c.Conn}).Write(out); n < len(out) {
 		return notReusable(policy.ConnectError), false
 	}
+	c.writtenAt = time.Now()
 	if p.OnWritten != nil {
 		p.OnWritten()
 	}
@@ -143,9 +144,10 @@
 }
 
 // awaitResponse waits for the response to a request that was written, and reads the response.
-func (p *Pool) awaitResponse(requestCtx, attemptCtx context.Context, c *conn) exchangeResult {
+func (p *Pool) awaitResponse(requestCtx, attemptCtx context.Context, c *conn, r *upstream.Request) exchangeResult {
 	c.limit.N = maxResponseSize
 	_, err := c.in.Peek(1)
+	begunAt := time.Now()
 	if raw, ok := c.Conn.(*net.TCPConn); ok && p.isDetached(attemptCtx, err) {
 		c.setState(connDetached)
 		return exchangeResult{Result: upstream.Result{Detached: raw}}
@@ -165,9 +167,9 @@
 		// out, and a notice of that outcome still has to be sent.
 		return notReusable(policy.TimedOut)
 	case err == nil:
-		return c.finish(resp)
+		return p.attribute(requestCtx, c, r, begunAt, c.finish(resp))
 	case succeeded:
-		return exchangeResult{Result: upstream.Result{Outcome: policy.Succeeded, Final: true}}
+		return p.attribute(requestCtx, c, r, begunAt, exchangeResult{Result: upstream.Result{Outcome: policy.Succeeded, Final: true}})
 	}
 	return noResponse(attemptCtx)
 }
--- a/internal/upstream/http1/exchange_test.go
+++ b/internal/upstream/http1/exchange_test.go
@@ -123,6 +123,7 @@
 	inTime := newTestRequest(addr)
 	inTime.WriteBy = time.Now().Add(time.Minute)
 	for _, r := range []upstream.Request{inTime, newTestRequest(addr)} {
+		p.restIdleConns()
 		if got := p.Call(t.Context(), r); got.Outcome != policy.Succeeded {
 			t.Errorf("in time: %+v", got)
 		}
--- a/internal/upstream/http1/extra_response_test.go
+++ b/internal/upstream/http1/extra_response_test.go
@@ -132,3 +132,98 @@
 	}
 	return true
 }
+
+// earlyEndpoint responds 200 to the first request on a connection. When the second arrives, it writes early at once, as a copy that
+// has crossed the request would arrive, and true after a while.
+func earlyEndpoint(early, own int) func(net.Conn) {
+	return func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for n := 1; readRequest(in) == nil; n++ {
+			if n == 1 {
+				_, _ = io.WriteString(c, responseText(http.StatusOK))
+				continue
+			}
+			_, _ = io.WriteString(c, responseText(early))
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(c, responseText(own))
+		}
+	}
+}
+
+// A response that comes sooner than the network allows does not count if another one follows that means something else: the request
+// may have executed, or not. The response counts for the destination at once, since an endpoint's wait begins when it is written.
+func TestCall_EarlyResponseIsConfirmed(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		early, own int
+		retryable  bool
+		outcome    policy.Outcome
+		unknown    bool
+		reported   int // calls of OnUnconfirmed
+	}{
+		{"delivery, then a rejection", http.StatusOK, http.StatusServiceUnavailable, true, policy.ConnectionReset, true, 1},
+		{"rejection, then a delivery", http.StatusServiceUnavailable, http.StatusOK, false, policy.Rejected, true, 1},
+		{"rejection of a retryable request", http.StatusServiceUnavailable, http.StatusOK, true, policy.Rejected, true, 0},
+		{"two deliveries", http.StatusOK, http.StatusOK, true, policy.Succeeded, false, 1},
+		{"two rejections", http.StatusServiceUnavailable, http.StatusServiceUnavailable, false, policy.Rejected, false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			addr := serveEndpoint(t, earlyEndpoint(test.early, test.own))
+			p := newTestPool()
+			p.Call(t.Context(), newTestRequest(addr))
+			p.restIdleConns()
+			request := newTestRequest(addr)
+			request.Retryable = test.retryable
+			reported := 0
+			request.OnUnconfirmed = func(upstream.Result) { reported++ }
+			got := p.Call(t.Context(), request)
+			if got.NewConn || got.Outcome != test.outcome || got.OutcomeUnknown != test.unknown || reported != test.reported {
+				t.Errorf("%+v, reported %d times; want outcome %v, unknown %v, reported %d times", got, reported, test.outcome, test.unknown, test.reported)
+			}
+			if p.size != 0 {
+				t.Errorf("%d connections cached, want none", p.size)
+			}
+		})
+	}
+}
+
+// An early response that nothing follows counts, and its connection is used again.
+func TestCall_EarlyResponseCountsIfNothingFollows(t *testing.T) {
+	addr := serveEndpoint(t, respondWith(okResponse))
+	p := newTestPool()
+	p.Call(t.Context(), newTestRequest(addr))
+	p.restIdleConns()
+	got := p.Call(t.Context(), newTestRequest(addr))
+	if got.Outcome != policy.Succeeded || got.NewConn || got.Unconfirmed == 0 || p.size != 1 {
+		t.Errorf("%+v, %d connections cached; want a delivery that stayed unconfirmed, on the first connection", got, p.size)
+	}
+}
+
+// An extra response on a connection that had rested quietly makes the endpoint distrusted: its connections carry one request each.
+func TestPool_LateExtraResponseEndsReuse(t *testing.T) {
+	conns := make(chan net.Conn, 4)
+	addr := serveEndpoint(t, func(c net.Conn) {
+		conns <- c
+		respondWith(okResponse)(c)
+	})
+	p := newTestPool()
+	var signs []ExtraResponse
+	p.OnExtraResponse = func(e ExtraResponse) { signs = append(signs, e) }
+	request := newTestRequest(addr)
+	p.Call(t.Context(), request)
+	p.restIdleConns()
+	p.Sweep() // sees that the connection is quiet
+	if _, err := io.WriteString(waittest.Receive(t, conns), okResponse); err != nil {
+		t.Fatal(err)
+	}
+	waittest.Until(t, func() bool { return p.hasUnreadIdle(request.Target) })
+	for i := range 3 {
+		if got := p.Call(t.Context(), request); got.Outcome != policy.Succeeded || !got.NewConn {
+			t.Errorf("request %d after the extra response: %+v, want a new connection", i+1, got)
+		}
+	}
+	if len(signs) != 1 || signs[0] != (ExtraResponse{Target: request.Target, Sign: ExtraOnIdleConn, Total: 1}) || p.size != 0 {
+		t.Errorf("extra responses %+v, %d connections cached; want one on an idle connection, and none", signs, p.size)
+	}
+}
--- a/internal/upstream/http1/handover.go
+++ b/internal/upstream/http1/handover.go
@@ -165,7 +165,7 @@
 	}
 	set := p.idleSetOf(c.Target)
 	adopted := newConn(c.Conn, set)
-	adopted.idleSince = c.Since
+	adopted.idleSince, adopted.respondedAt = c.Since, c.Since
 	set.conns = append(set.conns, adopted)
 	p.size++
 }
--- /dev/null
+++ b/internal/upstream/http1/ownership.go
@@ -0,0 +1,201 @@
+package http1
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"time"
+
+	"frostlink/internal/upstream"
+	"frostlink/policy"
+)
+
+// ExtraSign is how the pool noticed a response that nobody asked for.
+type ExtraSign string
+
+// The signs of a response that nobody asked for.
+const (
+	ExtraOnIdleConn    ExtraSign = "on an idle connection"
+	ExtraAfterResponse ExtraSign = "after a response"
+	ExtraUnconfirmed   ExtraSign = "after an early response"
+)
+
+// ExtraResponse is a response that an endpoint wrote although nobody asked for it.
+type ExtraResponse struct {
+	upstream.Target
+	Sign  ExtraSign
+	Total int // how many the endpoint has written, including this one
+}
+
+// extraResponse records a response that nobody asked for. late is set if it is known to have come long after the response before it.
+// p.mu is held.
+func (p *Pool) extraResponse(t upstream.Target, set *idleSet, sign ExtraSign, late bool) {
+	total := set.responder.ExtraResponse(time.Now(), late)
+	if p.OnExtraResponse != nil {
+		p.OnExtraResponse(ExtraResponse{Target: t, Sign: sign, Total: total})
+	}
+}
+
+// attribute decides whether a response belongs to the request in flight, and returns the result of the exchange accordingly. Only
+// the first response on a connection belongs to its request for certain: an endpoint may follow a response with another one that
+// nobody asked for, and nothing in a response names its request.
+func (p *Pool) attribute(requestCtx context.Context, c *conn, r *upstream.Request, begunAt time.Time, res exchangeResult) exchangeResult {
+	reused, latency := !c.respondedAt.IsZero() && !c.writtenAt.IsZero(), begunAt.Sub(c.writtenAt)
+	x := policy.Exchange{Outcome: res.Outcome, Latency: latency, Retryable: r.Retryable}
+	if reused {
+		var own bool
+		if res, own = p.confirm(requestCtx, c, r, res, p.owner(c, x)); !own {
+			return doubtful(res)
+		}
+	}
+	if c.beginsResponse() {
+		p.recordExtraResponse(r.Target, c, ExtraAfterResponse)
+	}
+	if !c.writtenAt.IsZero() {
+		p.accepted(c, res.Outcome, latency, reused)
+	}
+	c.respondedAt = time.Now()
+	return res
+}
+
+// confirm waits, if necessary, until it is as certain as it can be whether a response belongs to the request in flight. It returns
+// the result of the exchange, and whether the response counts as the request's own.
+func (p *Pool) confirm(requestCtx context.Context, c *conn, r *upstream.Request, res exchangeResult, owner policy.Ownership) (confirmed exchangeResult, own bool) {
+	if owner == policy.OwnResponse || owner == policy.DoubtfulResponse {
+		return res, owner == policy.OwnResponse
+	}
+	if r.OnUnconfirmed != nil {
+		r.OnUnconfirmed(res.Result)
+	}
+	begunAt := time.Now()
+	defer func() { confirmed.Unconfirmed = time.Since(begunAt) }()
+	switch p.awaitNextResponse(requestCtx, c) {
+	case nothingFollowed:
+		res.reusable = res.reusable && c.clearDeadlines()
+		return res, true
+	case connectionClosed:
+		res.reusable = false
+		return res, true
+	case responseFollowed:
+		// One of the two responses is the request's own. If they mean the same, it does not matter which.
+		res.reusable = false
+		p.recordExtraResponse(r.Target, c, ExtraUnconfirmed)
+		return res, c.nextOutcome(requestCtx) == res.Outcome
+	case connectionReset:
+		return res, false
+	case undecided:
+		res.reusable = false
+	}
+	return res, owner == policy.LikelyOwnResponse
+}
+
+// nextOutcome reads the response that follows an unconfirmed one, and returns the outcome that it stands for.
+func (c *conn) nextOutcome(requestCtx context.Context) policy.Outcome {
+	resp, succeeded, err := c.readResponse(requestCtx)
+	switch {
+	case err == nil:
+		return classify(resp).Outcome
+	case succeeded:
+		return policy.Succeeded
+	}
+	return policy.ConnectionReset
+}
+
+// beginsResponse reports whether the bytes that were read after a response begin another one. Other bytes may belong to the response,
+// if its Content-Length is wrong.
+func (c *conn) beginsResponse() bool {
+	const version = "HTTP/1."
+	if c.in.Buffered() < len(version) {
+		return false
+	}
+	begin, _ := c.in.Peek(len(version)) // does not fail: the bytes are buffered
+	return string(begin) == version
+}
+
+// doubtful returns the result of an exchange whose response may belong to an earlier request. The request may have executed. Its
+// connection is closed, which ends the request at the endpoint, before it is sent again. A wait that the response asks for still
+// counts.
+func doubtful(res exchangeResult) exchangeResult {
+	res.reusable, res.Final, res.AttemptsExhausted, res.OutcomeUnknown, res.Doubtful = false, false, false, true, true
+	if res.Outcome == policy.Succeeded {
+		res.Outcome = policy.ConnectionReset
+	}
+	return res
+}
+
+// successor is what follows an unconfirmed response.
+type successor int
+
+const (
+	// nothingFollowed: no other response came for as long as one is awaited.
+	nothingFollowed successor = iota
+	// connectionClosed: the endpoint has closed the connection, as it does with idle ones, so that it has no request in hand.
+	connectionClosed
+	// responseFollowed: another response has begun.
+	responseFollowed
+	// connectionReset: the connection broke, perhaps while the endpoint had the request in hand.
+	connectionReset
+	// undecided: the request's deadline is near, or the pool is quiesced.
+	undecided
+)
+
+// deadlineMargin is the time before a request's deadline at which it is decided whether a response is its own, since at the deadline
+// the request fails.
+const deadlineMargin = 100 * time.Millisecond
+
+// awaitNextResponse waits for another response after an unconfirmed one, until shortly before the request's deadline at most.
+func (p *Pool) awaitNextResponse(requestCtx context.Context, c *conn) successor {
+	until := time.Now().Add(p.beginConfirmation(c))
+	deadline, bounded := requestCtx.Deadline()
+	latest := deadline.Add(-deadlineMargin)
+	expires := bounded && latest.Before(until)
+	if expires {
+		until = latest
+	}
+	_ = c.SetReadDeadline(until)
+	c.limit.N = maxResponseSize
+	_, err := c.in.Peek(1)
+	switch {
+	case err == nil:
+		return responseFollowed
+	case p.isQuiesced() || expires:
+		return undecided
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nothingFollowed
+	case errors.Is(err, io.EOF):
+		return connectionClosed
+	}
+	return connectionReset
+}
+
+// beginConfirmation marks the response of a connection as unconfirmed, and returns how long another one is awaited.
+func (p *Pool) beginConfirmation(c *conn) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.unconfirmed = true
+	return c.set.responder.ConfirmationTime()
+}
+
+// owner decides whether the response of an exchange on a connection belongs to its request.
+func (p *Pool) owner(c *conn, x policy.Exchange) policy.Ownership {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x.Distrusted = c.set.responder.Distrusted(time.Now())
+	return c.set.responder.Owner(x)
+}
+
+// accepted records a response that belongs to its request.
+func (p *Pool) accepted(c *conn, outcome policy.Outcome, latency time.Duration, reused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.unconfirmed = false
+	c.set.responder.Accepted(outcome, latency, reused)
+}
+
+// recordExtraResponse records a response that nobody asked for on a connection.
+func (p *Pool) recordExtraResponse(t upstream.Target, c *conn, sign ExtraSign) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.extraResponse(t, c.set, sign, sign == ExtraUnconfirmed)
+}
--- a/internal/upstream/http1/pool.go
+++ b/internal/upstream/http1/pool.go
@@ -10,6 +10,7 @@
 
 	"frostlink/internal/socket"
 	"frostlink/internal/upstream"
+	"frostlink/policy"
 )
 
 // idleFraction is the fraction of the endpoints' idle timeout for which the pool caches an idle
@@ -28,6 +29,9 @@
 	// OnWritten, if set, is called for each request whose last byte was written. It must be set
 	// before the first attempt.
 	OnWritten func()
+	// OnExtraResponse, if set, is called for each response that an endpoint wrote although nobody asked for it. It must be set
+	// before the first attempt, and must not block.
+	OnExtraResponse func(ExtraResponse)
 
 	mu       sync.Mutex // guards the fields below
 	idle     map[upstream.Target]*idleSet
@@ -41,7 +45,10 @@
 // idleSet holds the idle connections to one target, the most recently used one last. A target that
 // is evicted and listed again gets a new set, so that connections that were active at the eviction
 // are not cached in the new set.
-type idleSet struct{ conns []*conn }
+type idleSet struct {
+	conns     []*conn
+	responder policy.Responder // what is known of the endpoint's responses
+}
 
 // New returns a pool of at most capacity connections. connectTimeout bounds the dial of a
 // connection. Idle connections are cached for less than endpointIdleTimeout, after which endpoints
@@ -57,38 +64,6 @@
 	}
 }
 
-// acquire returns an idle connection that is still usable, or dials a new one. dialed reports that
-// it dialed, also if the dial failed.
-func (p *Pool) acquire(ctx context.Context, t upstream.Target) (c *conn, dialed bool, err error) {
-	c, set := p.takeIdleOrReserve(t)
-	if c != nil {
-		return c, false, nil
-	}
-	c, err = p.dial(ctx, t, set)
-	return c, true, err
-}
-
-// takeIdleOrReserve returns the most recently used connection to a target that is still usable. If
-// there is none, it reserves capacity for a new connection, which belongs to the returned set; at full
-// capacity it closes the connection that has been idle the longest.
-func (p *Pool) takeIdleOrReserve(t upstream.Target) (*conn, *idleSet) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	set := p.idleSetOf(t)
-	for len(set.conns) > 0 {
-		c := set.take(len(set.conns) - 1)
-		if c.isQuiet() && time.Since(c.idleSince) < p.maxIdleTime {
-			return c, set
-		}
-		p.close(c)
-	}
-	if p.size >= p.capacity {
-		p.closeOldest()
-	}
-	p.size++
-	return nil, set
-}
-
 // dial establishes a connection for which capacity is reserved.
 func (p *Pool) dial(ctx context.Context, t upstream.Target, set *idleSet) (*conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -131,21 +106,28 @@
 func (p *Pool) release(t upstream.Target, c *conn, reusable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !reusable || p.idle[t] != c.set {
+	if !reusable || c.closeOnRelease || p.idle[t] != c.set || c.set.responder.Distrusted(time.Now()) {
 		p.close(c)
 		return
 	}
 	c.setState(connIdle)
-	c.idleSince = time.Now()
+	c.idleSince, c.restedQuietly = time.Now(), false
 	c.set.conns = append(c.set.conns, c)
 }
 
-// CloseIdle closes the idle connections to a target.
+// CloseIdle closes the idle connections to a target. Those whose last response is not confirmed yet are closed once it is.
 func (p *Pool) CloseIdle(t upstream.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if set := p.idle[t]; set != nil {
-		p.closeIf(set, func(*conn) bool { return true })
+	set := p.idle[t]
+	if set == nil {
+		return
+	}
+	p.closeIf(set, func(*conn) bool { return true })
+	for c := range p.active {
+		if c.set == set && c.unconfirmed {
+			c.closeOnRelease = true
+		}
 	}
 }
 
@@ -163,8 +145,25 @@
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, set := range p.idle {
-		p.closeIf(set, func(c *conn) bool { return time.Since(c.idleSince) >= p.maxIdleTime || !c.isQuiet() })
+	for target, set := range p.idle {
+		p.closeUnusable(target, set)
+	}
+}
+
+// closeUnusable closes the idle connections of a set that have reached their maximum idle time, that the endpoint has closed, or on
+// which it has written something that nobody asked for. p.mu is held.
+func (p *Pool) closeUnusable(t upstream.Target, set *idleSet) {
+	p.closeIf(set, func(c *conn) bool {
+		if c.hasUnread() {
+			p.extraResponse(t, set, ExtraOnIdleConn, c.restedQuietly)
+			return true
+		}
+		rest, _ := set.responder.RestTime(time.Now(), time.Since(c.respondedAt))
+		c.restedQuietly = rest == 0
+		return time.Since(c.idleSince) >= p.maxIdleTime || !c.isQuiet()
+	})
+	if set.responder.Distrusted(time.Now()) {
+		p.closeIf(set, func(*conn) bool { return true })
 	}
 }
 
--- a/internal/upstream/http1/pool_test.go
+++ b/internal/upstream/http1/pool_test.go
@@ -80,6 +80,7 @@
 	step := func(m string, want policy.Outcome, wantConns, wantRequests int32) {
 		t.Helper()
 		mode.Store(m)
+		p.restIdleConns()
 		before := conns.Load()
 		got := p.Call(t.Context(), newTestRequest(addr))
 		if got.Outcome != want {
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -19,6 +19,10 @@
 	AttemptsExhausted bool
 	// OutcomeUnknown reports that the request may have executed, whatever Outcome says.
 	OutcomeUnknown bool
+	// Doubtful reports that the response may belong to an earlier request on the connection.
+	Doubtful bool
+	// Unconfirmed is how long the response was kept until it counted as the response to this request.
+	Unconfirmed time.Duration
 	// LoadReport is the load report that came with the response; nil if there was none.
 	LoadReport *policy.LoadReport
 	// NewConn reports that the attempt dialed a connection, successfully or not.
--- a/policy/attempt_outcome.go
+++ b/policy/attempt_outcome.go
@@ -7,16 +7,43 @@
 
 // attemptEnded applies the outcome of an attempt. It ignores an attempt that is not in flight.
 func (d *Dispatcher) attemptEnded(e AttemptEnded) {
-	m := d.messages[e.ID]
-	if m == nil || e.Attempt < 0 || e.Attempt >= len(m.attempts) || m.attempts[e.Attempt].state != attemptInFlight {
+	m, a := d.openAttempt(e.ID, e.Attempt)
+	if a == nil {
 		return
 	}
-	a := &m.attempts[e.Attempt]
 	a.state = attemptEnded
 	if e.notExecuted() {
 		a.state = attemptNotExecuted
 	}
 	m.openAttempts--
+	if !a.answered {
+		d.applyResponse(m, a, &e)
+	}
+	if e.Outcome == TimedOut || e.Outcome == ConnectionReset || e.Outcome == Canceled {
+		m.cooldownUntil = d.now + d.settings.OrderKeyCooldown // the attempt may still be executing
+	}
+	d.afterAttempt(m, &e)
+}
+
+// responseUnconfirmed applies a response to the call of an attempt in flight, but not to its message.
+func (d *Dispatcher) responseUnconfirmed(e AttemptEnded) {
+	if m, a := d.openAttempt(e.ID, e.Attempt); a != nil && !a.answered {
+		a.answered = true
+		d.applyResponse(m, a, &e)
+	}
+}
+
+// openAttempt returns an attempt in flight and its message, or nil if there is no such attempt.
+func (d *Dispatcher) openAttempt(id string, number int) (*message, *attempt) {
+	m := d.messages[id]
+	if m == nil || number < 0 || number >= len(m.attempts) || m.attempts[number].state != attemptInFlight {
+		return nil, nil
+	}
+	return m, &m.attempts[number]
+}
+
+// applyResponse updates the state of the destination and the endpoint with the outcome of an attempt.
+func (d *Dispatcher) applyResponse(m *message, a *attempt, e *AttemptEnded) {
 	c := a.call
 	q := c.endpoint.queue
 	if e.LoadReport != nil {
@@ -27,12 +54,8 @@
 		d.cancelBeforeSend(q.inFlight, c)
 	}
 	if c.pendingOutcomes--; c.pendingOutcomes == 0 {
-		d.callEnded(c, m, &e)
+		d.callEnded(c, m, e)
 	}
-	if e.Outcome == TimedOut || e.Outcome == ConnectionReset || e.Outcome == Canceled {
-		m.cooldownUntil = d.now + d.settings.OrderKeyCooldown // the attempt may still be executing
-	}
-	d.afterAttempt(m, &e)
 }
 
 // notExecuted reports whether an outcome proves that the attempt did not execute.
@@ -126,9 +149,6 @@
 		d.startSlowStart(ep)
 	}
 	q.rejections, q.connFailures, q.unhealthy = 0, 0, false
-	if allowanceLeft && ep.health == healthy && !d.keepsIdleConns() {
-		q.reusableConn = ep
-	}
 	if allowanceLeft {
 		d.raiseSendRate(q)
 	}
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -69,9 +69,6 @@
 	if len(q.queued) == 0 || d.now < q.retryAfterUntil || d.now < q.backoffUntil || len(q.inFlight) >= limit {
 		return nil, nil
 	}
-	if ep, m := d.nextOnReusableConn(q); m != nil {
-		return ep, m
-	}
 	if d.now < q.connHoldUntil || q.sendRate > 0 && d.sendTokens(q) < 1 {
 		return nil, nil
 	}
@@ -85,28 +82,10 @@
 	return nil, nil
 }
 
-// nextOnReusableConn returns the message that a queue would send on its reusable connection, and
-// the endpoint of that connection. It returns nil if there is no such connection or message.
-func (d *Dispatcher) nextOnReusableConn(q *queue) (*endpoint, *message) {
-	ep := q.reusableConn
-	if ep == nil || !d.acceptsCall(ep) || q.sendRate != 0 && d.sendTokens(q) < 1-d.borrowableTokens(q) {
-		return nil, nil
-	}
-	for _, m := range q.queued {
-		if d.attemptAllowed(m) && d.retryAllowed(m, ep) {
-			return ep, m
-		}
-	}
-	return nil, nil
-}
-
 // send starts a call with a message. If the kind of destination allows batches, further messages of
 // the queue join the call.
 func (d *Dispatcher) send(q *queue, ep *endpoint, first *message) {
 	c := &call{endpoint: ep, sent: d.now}
-	if q.reusableConn == ep {
-		q.reusableConn = nil // this call uses the connection
-	}
 	d.trackCall(c)
 	ep.lastUsed = d.now
 	d.consumeSendToken(q)
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -97,6 +97,8 @@
 		d.accept(e)
 	case AttemptEnded:
 		d.attemptEnded(e)
+	case ResponseUnconfirmed:
+		d.responseUnconfirmed(AttemptEnded(e))
 	case DeadlineExceeded:
 		d.deadlineExceeded(e.ID)
 	case Acknowledged:
--- a/policy/events.go
+++ b/policy/events.go
@@ -75,6 +75,11 @@
 	LoadReport        *LoadReport // or nil
 }
 
+// ResponseUnconfirmed reports a response that may belong to an earlier request on its connection. The destination has answered a call,
+// whichever it was, so the call's slot is free and its rejections and waits count. What the response means for its message stays open
+// until the AttemptEnded of the attempt, which follows.
+type ResponseUnconfirmed AttemptEnded
+
 // DeadlineExceeded says that a message's deadline passed while an attempt is in flight. The message
 // gets its terminal outcome now; the outcome of the attempt still follows.
 type DeadlineExceeded struct{ ID string }
@@ -128,16 +133,17 @@
 // passed.
 type TimerFired struct{}
 
-func (Arrived) event()          {}
-func (AttemptEnded) event()     {}
-func (DeadlineExceeded) event() {}
-func (Acknowledged) event()     {}
-func (MessageCanceled) event()  {}
-func (EndpointsChanged) event() {}
-func (WatchFailed) event()      {}
-func (HealthRecovered) event()  {}
-func (SnapshotRestored) event() {}
-func (SettingsChanged) event()  {}
-func (Quiesced) event()         {}
-func (Resumed) event()          {}
-func (TimerFired) event()       {}
+func (Arrived) event()             {}
+func (AttemptEnded) event()        {}
+func (ResponseUnconfirmed) event() {}
+func (DeadlineExceeded) event()    {}
+func (Acknowledged) event()        {}
+func (MessageCanceled) event()     {}
+func (EndpointsChanged) event()    {}
+func (WatchFailed) event()         {}
+func (HealthRecovered) event()     {}
+func (SnapshotRestored) event()    {}
+func (SettingsChanged) event()     {}
+func (Quiesced) event()            {}
+func (Resumed) event()             {}
+func (TimerFired) event()          {}
--- a/policy/idle_connections.go
+++ b/policy/idle_connections.go
@@ -1,7 +1,5 @@
 package policy
 
-import "math"
-
 const (
 	// minConnReuses is the number of calls per endpoint that must be expected within
 	// IdleConnTimeout for a connection to stay open after a call. With half of this number,
@@ -14,15 +12,6 @@
 	// about the connection limit of a small destination. In a larger fleet, an idle connection of
 	// one relay causes the rejection of a call of another.
 	mediumFleet = 9
-	// maxBorrowedTokens is the largest number of send tokens that calls on reusable connections may
-	// borrow in a fleet that keeps no idle connections. A new connection counts against the
-	// destination's connection limit for some round trips before its call begins; a call on an open
-	// connection avoids that. The send rate repays the borrowed tokens.
-	maxBorrowedTokens = 3
-	// borrowedTokensShare limits the borrowed tokens of one relay to this share of the calls that
-	// the destination accepts per rateLimitWindow, so that a few relays cannot use up the rate
-	// limit.
-	borrowedTokensShare = 1.0 / 16
 	// connLimitIncrease is the amount by which each success raises an estimated connection limit.
 	connLimitIncrease = 0.05
 )
@@ -43,26 +32,14 @@
 }
 
 // closeIdleConns closes the idle connections to the endpoints at which calls ended in this batch,
-// unless the endpoint got a new call or closesIdleConn keeps the connections open. No connection
-// counts as reusable after the batch.
+// unless closesIdleConn keeps the connections open. In a fleet that keeps idle connections, they also
+// stay open if the endpoint got a new call: it may use one of them.
 func (d *Dispatcher) closeIdleConns() {
 	for _, ep := range d.idleCandidates {
-		ep.queue.reusableConn = nil
-		usedAgain := ep.lastUsed == d.now
+		usedAgain := ep.lastUsed == d.now && d.keepsIdleConns()
 		if !usedAgain && (len(ep.inFlight) == 0 || !d.keepsIdleConns()) && d.closesIdleConn(ep) {
 			d.emit(CloseIdleConns{Endpoint: ep.ID})
 		}
 	}
 	d.idleCandidates = nil
 }
-
-// borrowableTokens returns how many send tokens a queue may borrow for calls on a reusable
-// connection. It returns 0 if the destination reports a lowered rate limit, or has rejected a call
-// by its rate limit within unavailableAfter: all relays together then stay within the rate limit
-// only if none of them exceeds its send rate.
-func (d *Dispatcher) borrowableTokens(q *queue) float64 {
-	if q.totalRate() < q.listedRate || q.lastLimitRejection > 0 && d.now-q.lastLimitRejection < unavailableAfter {
-		return 0
-	}
-	return math.Min(maxBorrowedTokens, borrowedTokensShare*q.totalRate()*rateLimitWindow.Seconds())
-}
--- a/policy/message.go
+++ b/policy/message.go
@@ -54,6 +54,9 @@
 	call  *call
 	sent  time.Duration
 	state attemptState
+	// answered reports that a response has arrived and counts for the call, while it is not certain yet that it belongs to the
+	// message.
+	answered bool
 }
 
 // accept registers a new message. A message with an unknown class or an ID in use is ignored.
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -45,10 +45,6 @@
 	shadowRejections decayingCounter
 	shadowBacklog    float64 // seconds
 	shadowAt         time.Duration
-
-	// reusableConn is an endpoint at which a call succeeded in the current batch, so that the
-	// connection of that call may carry the next call; nil if there is none.
-	reusableConn *endpoint
 }
 
 // pausedUntil returns the time from which Retry-After and backoff allow a call on a new connection.
