Notices: each post has a connection of its own

A 204 names no batch, so the post's connection has to: it is not used again. Dials that fail for want of a descriptor or port are retried, as for endpoints.

--- a/internal/notification/notifier.go
+++ b/internal/notification/notifier.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"frostlink/internal/logkey"
+	"frostlink/internal/socket"
 	"frostlink/internal/wait"
 )
 
@@ -17,10 +18,8 @@
 	postTimeout = 120 * time.Millisecond
 	retryDelay  = 20 * time.Millisecond
 	// maxConcurrentPosts is the maximum number of posts in flight. Posts run concurrently so that a stalled
-	// post does not delay the others. Connections are kept open: a new connection for each post would mean a hundred
-	// connections a second when many requests fail, and opening a connection may stall for a second.
+	// post or connection does not delay the others.
 	maxConcurrentPosts = 4
-	idleConnTimeout    = 5 * time.Second
 	// maxBatchSize is the maximum number of notices in one post.
 	maxBatchSize = 500
 )
@@ -39,9 +38,9 @@
 // New returns a notifier that posts to the platform at an address while Run runs. It calls onAcknowledged
 // with the ids of requests whose notices were acknowledged, or dropped because the platform rejected them.
 func New(address string, onAcknowledged func(ids []string)) *Notifier {
-	transport := &http.Transport{
-		MaxConnsPerHost: maxConcurrentPosts, MaxIdleConnsPerHost: maxConcurrentPosts, IdleConnTimeout: idleConnTimeout,
-	}
+	// Each post has a connection of its own: nothing in a response names its request, so that on a connection that is used again a
+	// second response to an earlier post would acknowledge notices that the platform has not received.
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: new(socket.Dialer).DialContext}
 	return &Notifier{
 		client:         &http.Client{Timeout: postTimeout, Transport: transport},
 		onAcknowledged: onAcknowledged, queue: newQueue(),
