--- a/internal/coord/api/caller.go
+++ b/internal/coord/api/caller.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 )
 
 // Caller calls the members of a cluster.
@@ -17,9 +16,10 @@
 	HTTPClient *http.Client
 }
 
-// NewCaller returns a caller with a connection pool of its own.
+// NewCaller returns a caller. Each of its calls has a connection of its own: nothing in a response names its request, so that on a
+// connection that is used again a second response to an earlier call could grant a lease that another relay holds.
 func NewCaller(cluster string) *Caller {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{DisableKeepAlives: true}
 	return &Caller{Cluster: cluster, HTTPClient: &http.Client{Transport: transport}}
 }
 
