Heartbeat and dead-letter client: connections that carry one request each

The last two users of net/http's keep-alive. A copied 200 hid from the holder of the heartbeat lease that the monitor had rejected its token (until the next heartbeat); the tool for dead letters could print the answer to an earlier command. No fault was seen in either.

--- a/internal/deadletter/client.go
+++ b/internal/deadletter/client.go
@@ -35,6 +35,7 @@
 	}
 	_ = conn.Close()
 	return &Client{client: http.Client{Timeout: requestTimeout, Transport: &http.Transport{
+		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "unix", socket)
 		},
--- a/internal/fleettask/heartbeat.go
+++ b/internal/fleettask/heartbeat.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,9 +30,6 @@
 	// actRetryDelay is the pause after an act was not allowed. It is short because the lease is
 	// about to be renewed.
 	actRetryDelay = 20 * time.Millisecond
-	// maxDiscarded bounds the part of the monitor's answer that is read. The answer has to be read
-	// to its end for the connection to be reused.
-	maxDiscarded = 4096
 )
 
 // heartbeat informs a monitor that the fleet is alive: one relay at a time sends POST requests with
@@ -45,7 +41,8 @@
 }
 
 func heartbeatTask(section *Heartbeat, relay string) lease.Task {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	// A second response to an earlier heartbeat must not hide that the monitor has rejected the token of this one.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	h := &heartbeat{section: section, relay: relay, client: client}
 	return lease.Task{
 		Lease: HeartbeatLease, Reason: "tells " + section.URL + " that the fleet lives", Guard: lease.Fenced("the monitor"),
@@ -87,7 +84,6 @@
 		return fmt.Errorf("heartbeat: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscarded)) // reads the body so that the connection is reused
 	if resp.StatusCode == http.StatusConflict {
 		return ErrFenced
 	}
