--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -213,3 +213,27 @@
 		})
 	}
 }
+
+// A second copy of a list changes nothing, and a copy of an older list ends the watch: the next one requests the whole list. No list
+// is reported that is older than the one in force.
+func TestWatcher_CopiedListsDoNotReplaceNewerOnes(t *testing.T) {
+	indexes := make(chan string, 10)
+	_, lists, ends := startWatcher(t, waittest.Long, func(rw http.ResponseWriter, r *http.Request) {
+		indexes <- r.URL.Query().Get("index")
+		for _, seq := range []int{41, 41, 42, 41, 43} {
+			_, _ = fmt.Fprintf(rw, "{\"seq\":%d,\"whole\":false,\"hosts\":[]}\n", seq)
+			rw.(http.Flusher).Flush()
+		}
+		<-r.Context().Done()
+	})
+	waittest.Receive(t, indexes)
+	for _, want := range []int64{41, 41, 42} {
+		if list := waittest.Receive(t, lists); list.Seq != want {
+			t.Errorf("reported list %d, want %d", list.Seq, want)
+		}
+	}
+	waittest.Receive(t, ends)
+	if len(lists) > 0 {
+		t.Errorf("reported %+v after a copy of an older list", <-lists)
+	}
+}
--- a/internal/faultinjection/harness/check.go
+++ b/internal/faultinjection/harness/check.go
@@ -46,7 +46,9 @@
 	h.mu.Unlock()
 	result.Void = result.LateShare > voidLateShare
 	result.Datagrams = h.network.counts()
-	result.ExtraResponses = h.extra.counts()
+	if result.ExtraResponses = h.extra.counts(); result.ExtraResponses != nil {
+		result.Occurred[ExtraResponseWritten] = result.ExtraResponses.Written
+	}
 	for _, relay := range h.relays {
 		result.Failures = append(result.Failures, relay.violations()...)
 		result.Processes = append(result.Processes, relay.measuredUsage())
--- a/internal/faultinjection/harness/occurrence.go
+++ b/internal/faultinjection/harness/occurrence.go
@@ -19,6 +19,7 @@
 	ShutdownWhileHanging    Occurrence = "shutdowns past a destination that hangs"
 	StartWithoutDiscovery   Occurrence = "starts without discovery"
 	WriteHeldUp             Occurrence = "writes held up"
+	ExtraResponseWritten    Occurrence = "responses that nobody asked for"
 )
 
 // Occurrences returns all occurrences, in the order in which they are printed.
@@ -26,6 +27,7 @@
 	return []Occurrence{
 		Terminated, KilledAtGraceEnd, RequestAfterTermination, ReloadAroundTermination, RepeatedTermination, TerminatedStarting,
 		TerminatedInHandover, KilledAfterAcceptance, RestartedAgain, Crowded, ShutdownWhileHanging, StartWithoutDiscovery, WriteHeldUp,
+		ExtraResponseWritten,
 	}
 }
 
--- a/internal/faultinjection/scenario/soak.go
+++ b/internal/faultinjection/scenario/soak.go
@@ -20,6 +20,8 @@
 	soakStream = 0x736f616b
 	// restartSoakStream has the same purpose for a soak of restarts ("rsoak").
 	restartSoakStream = 0x72736f616b
+	// extraSoakStream separates the draws of responses that nobody asked for from all others ("esoak").
+	extraSoakStream = 0x65736f616b
 )
 
 // soakHeader is the common part of all soaks: a class of each kind of idempotency, and an ordered class, all with short deadlines.
@@ -74,7 +76,7 @@
 
 // SoakScenario returns the text of a scenario with random, overlapping faults, drawn from a seed: processes that are killed,
 // terminated or suspended, stepped clocks, failing system calls and folders, destinations that are down, slow or paused or that
-// reset connections, discovery that is down, and lost datagrams.
+// reset connections, responses that nobody asked for, discovery that is down, and lost datagrams.
 func SoakScenario(seed int64, relays int, length float64) string {
 	w := &soakWriter{random: rand.New(rand.NewPCG(uint64(seed), soakStream)), length: length}
 	w.printf(soakHeader, seed, seed, seed, length, relays, soakRatePerRelay*float64(relays))
@@ -90,6 +92,7 @@
 		w.writeMachineFaults(relay)
 	}
 	w.writeNetworkFaults()
+	w.writeExtraResponses(seed)
 	return w.text.String()
 }
 
@@ -116,6 +119,9 @@
 	value any
 }
 
+// milliseconds is a range of times in milliseconds as the value of a key.
+type milliseconds struct{ low, high int }
+
 // writeFault writes a fault at a random time.
 func (w *soakWriter) writeFault(kind FaultKind, settings ...setting) {
 	w.writeFaultAt(soakFirstFault+w.random.Float64()*(w.length-soakFirstFault-soakQuietTime), kind, settings...)
@@ -125,11 +131,14 @@
 func (w *soakWriter) writeFaultAt(at float64, kind FaultKind, settings ...setting) {
 	w.printf("\n[[event]]\nat_s = %.3f\nwhat = %q\n", at, kind)
 	for _, s := range settings {
-		format := "%s = %v\n"
-		if _, ok := s.value.(string); ok {
-			format = "%s = %q\n"
+		switch value := s.value.(type) {
+		case string:
+			w.printf("%s = %q\n", s.key, value)
+		case milliseconds:
+			w.printf("%s = [%d, %d]\n", s.key, value.low, value.high)
+		default:
+			w.printf("%s = %v\n", s.key, value)
 		}
-		w.printf(format, s.key, s.value)
 	}
 }
 
--- a/internal/faultinjection/scenario/soak_faults.go
+++ b/internal/faultinjection/scenario/soak_faults.go
@@ -1,5 +1,7 @@
 package scenario
 
+import "math/rand/v2"
+
 // writeDestinationFaults draws the faults of a destination.
 func (w *soakWriter) writeDestinationFaults(name string) {
 	destination := setting{"partner", name}
@@ -86,3 +88,23 @@
 		w.writeFault(FaultDatagramLoss, setting{"for_s", w.uniform(1, 4)}, setting{"share", 0.5})
 	}
 }
+
+// writeExtraResponses draws responses that nobody asked for, by destinations and by the platform, and copies of discovery's lists. Their
+// draws have a stream of their own, so that the other faults of a seed stay the same.
+func (w *soakWriter) writeExtraResponses(seed int64) {
+	extra := &soakWriter{random: rand.New(rand.NewPCG(uint64(seed), extraSoakStream)), length: w.length}
+	lasting := setting{"for_s", w.length - soakFirstFault}
+	form := choose(extra, ExtraCopy, ExtraCopy, ExtraCopy, ExtraHalf, ExtraRefusal, ExtraTimeout, ExtraInterim, ExtraNoise)
+	late := choose(extra, milliseconds{2, 40}, milliseconds{10, 60}, milliseconds{0, 250})
+	extra.writeFaultAt(soakFirstFault, FaultExtraResponse, lasting, setting{"share", 0.1}, setting{"form", form},
+		setting{"delay_ms", late}, setting{"busy", true}, setting{"way_ms", milliseconds{0, 20}})
+	if extra.chance(0.5) {
+		extra.writeFaultAt(soakFirstFault, FaultExtraResponse, lasting, setting{"share", 0.3}, setting{"form", ExtraCopy},
+			setting{"delay_ms", milliseconds{0, 60}}, setting{"source", SourcePlatform})
+	}
+	if extra.chance(0.3) {
+		extra.writeFaultAt(soakFirstFault, FaultExtraResponse, lasting, setting{"share", 0.3}, setting{"form", ExtraCopy},
+			setting{"delay_ms", milliseconds{0, 3000}}, setting{"source", SourceDiscovery})
+	}
+	w.text.WriteString(extra.text.String())
+}
