--- a/internal/upstream/http1/acquire.go
+++ b/internal/upstream/http1/acquire.go
@@ -7,9 +7,13 @@
 	"frostlink/internal/upstream"
 )
 
-// dialHedgeDelay is the time after which a second connection is dialed if the first is not established yet. Some connections are
-// established only after a second, and another one meanwhile at once.
-const dialHedgeDelay = 100 * time.Millisecond
+// A second connection is dialed if the first is not established after hedgeFactor times the shortest dial to the target, within
+// minHedgeDelay and maxHedgeDelay. Some connections are established only after a second, and another one meanwhile at once.
+const (
+	hedgeFactor   = 3
+	minHedgeDelay = 30 * time.Millisecond
+	maxHedgeDelay = 250 * time.Millisecond
+)
 
 // acquire returns a connection that may carry a request: an idle one, a new one, or one that has rested long enough meanwhile,
 // whichever is available first. dialed reports that the connection is new, or that none could be established.
@@ -94,6 +98,22 @@
 	return true
 }
 
+// hedgeDelay returns the time after which a second connection is dialed.
+func (p *Pool) hedgeDelay(set *idleSet) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(hedgeFactor*set.shortestDial, minHedgeDelay), maxHedgeDelay)
+}
+
+// recordDial records the duration of a dial that succeeded.
+func (p *Pool) recordDial(set *idleSet, duration time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if set.shortestDial == 0 || duration < set.shortestDial {
+		set.shortestDial = duration
+	}
+}
+
 // dialResult is the result of a dial.
 type dialResult struct {
 	conn *conn
@@ -134,7 +154,7 @@
 
 // await returns the first connection that is available: a new one, or one that has rested long enough.
 func (d *dials) await(ctx context.Context) (c *conn, dialed bool, err error) {
-	hedge := time.NewTimer(dialHedgeDelay)
+	hedge := time.NewTimer(d.pool.hedgeDelay(d.set))
 	defer hedge.Stop()
 	for {
 		rested, resting := d.pool.nextRested(d.target)
--- a/internal/upstream/http1/pool.go
+++ b/internal/upstream/http1/pool.go
@@ -48,6 +48,8 @@
 type idleSet struct {
 	conns     []*conn
 	responder policy.Responder // what is known of the endpoint's responses
+	// shortestDial is the duration of the shortest dial that succeeded; 0: none has.
+	shortestDial time.Duration
 }
 
 // New returns a pool of at most capacity connections. connectTimeout bounds the dial of a
@@ -79,7 +81,9 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("connect to %s: %w", t.Addr, err)
 	}
-	grace := min(max(rejectionGraceFactor*time.Since(start), minRejectionGrace), maxRejectionGrace)
+	duration := time.Since(start)
+	p.recordDial(set, duration)
+	grace := min(max(rejectionGraceFactor*duration, minRejectionGrace), maxRejectionGrace)
 	c.establish(raw, grace)
 	return c, nil
 }
