--- a/internal/faultinjection/harness/doc.go
+++ b/internal/faultinjection/harness/doc.go
@@ -47,6 +47,7 @@
 //	crowd.go                 callers that hold many connections to a relay
 //	destination_server.go    a destination: its model, and the endpoints that serve it
 //	endpoint_server.go       an endpoint: its listeners and connections in each of its modes
+//	extra_response.go        responses that nobody asked for, and the time that the network takes
 //	endpoint_conn.go         a relay's connection to an endpoint
 //	attempt.go               an attempt on such a connection
 //	unreachable.go           addresses at which connection attempts time out
--- a/internal/faultinjection/harness/endpoint_conn.go
+++ b/internal/faultinjection/harness/endpoint_conn.go
@@ -54,7 +54,9 @@
 		if c.busy() {
 			<-c.attemptDone // one attempt at a time
 		}
-		c.awaitArrival()
+		if !c.awaitArrival() {
+			return
+		}
 		if !c.readAttempt(in, firstByte) {
 			return
 		}
--- a/internal/faultinjection/harness/extra_response.go
+++ b/internal/faultinjection/harness/extra_response.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"frostlink/internal/faultinjection/scenario"
 )
 
@@ -184,15 +186,28 @@
 	return d.harness.extra.transit(c.endpoint.id, d.name())
 }
 
-// awaitArrival waits until a request whose first byte the relay has written has arrived at the endpoint.
-func (c *endpointConn) awaitArrival() {
+// awaitArrival waits until a request whose first byte the relay has written has arrived at the endpoint. It reports whether the
+// connection is still open then: a relay that closes it meanwhile gives the request up, and may already send it elsewhere.
+func (c *endpointConn) awaitArrival() (open bool) {
 	transit := c.transit()
 	if transit == 0 {
-		return
+		return true
 	}
 	c.setArriving(true)
 	time.Sleep(transit)
 	c.setArriving(false)
+	return !c.closedByPeer()
+}
+
+// closedByPeer reports whether the relay has closed the connection, also if bytes before the end are unread.
+func (c *endpointConn) closedByPeer() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info *unix.TCPInfo
+	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return controlErr != nil || err != nil || info.State != unix.BPF_TCP_ESTABLISHED
 }
 
 func (c *endpointConn) setArriving(arriving bool) {
