Endpoints: a rejection that comes soon is learned from, and not always in doubt

Now a quarter of the soonest first response on a connection (a handshake and the exchange take up to four round trips) is the least possible until a response on a used connection is known, and an early rejection stays unconfirmed like any other early response, is learned from if nothing follows, and counts as 'may have run' at once only at an endpoint that has just become distrusted.

--- a/internal/upstream/http1/rest_test.go
+++ b/internal/upstream/http1/rest_test.go
@@ -20,3 +20,12 @@
 		}
 	}
 }
+
+// learnLatency makes the pool know that the endpoints of its idle connections take this long for a response.
+func (p *Pool) learnLatency(latency time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, set := range p.idle {
+		set.responder.Accepted(policy.Rejected, latency, true)
+	}
+}
--- a/policy/response_ownership.go
+++ b/policy/response_ownership.go
@@ -9,6 +9,8 @@
 	// maxEarlyLatency bounds the latency of a response that the endpoint may have written before it had the request: the time that
 	// the network takes to the endpoint and back.
 	maxEarlyLatency = 50 * time.Millisecond
+	// firstResponseRoundTrips is the most round trips that the first response on a connection takes, with a handshake.
+	firstResponseRoundTrips = 4
 	// latencyJitter is the difference of latencies that says nothing: processes on one machine respond within it.
 	latencyJitter = time.Millisecond
 	// confirmationLatencies is how long another response is awaited after one that may belong to an earlier request, in mean latencies
@@ -53,10 +55,10 @@
 // Responder is what is known about an endpoint as the writer of responses. From it the relay decides when a connection may be used
 // again, and whether a response belongs to the request in flight. The zero value knows nothing.
 type Responder struct {
-	// minLatency is the lowest latency of responses on connections that were used before; 0: none is known. The first response on a
-	// connection takes longer, by the time of a handshake.
-	minLatency          time.Duration
-	meanDeliveryLatency time.Duration // of deliveries on all connections; 0: none is known
+	// minLatency is the lowest latency of responses on connections that were used before, and minFirstLatency that of the first
+	// responses on connections; 0: none is known.
+	minLatency, minFirstLatency time.Duration
+	meanDeliveryLatency         time.Duration // of deliveries on all connections; 0: none is known
 
 	extraResponses, lateResponses int
 	distrustedUntil               time.Time
@@ -68,8 +70,12 @@
 	if outcome == Succeeded {
 		r.recordDelivery(latency)
 	}
-	if reused && (r.minLatency == 0 || latency < r.minLatency) {
-		r.minLatency = latency
+	lowest := &r.minFirstLatency
+	if reused {
+		lowest = &r.minLatency
+	}
+	if *lowest == 0 || latency < *lowest {
+		*lowest = latency
 	}
 }
 
@@ -115,7 +121,7 @@
 		return OwnResponse
 	case x.Outcome == Succeeded:
 		return LikelyOwnResponse // an endpoint with a short way to it delivers that soon at times
-	case x.Retryable:
+	case x.Retryable && x.Distrusted:
 		return DoubtfulResponse
 	}
 	return UnconfirmedResponse
@@ -124,11 +130,11 @@
 // isEarly reports whether a response came so soon that the endpoint may have written it before it had the request: sooner than any
 // that is known to belong to its request.
 func (r *Responder) isEarly(latency time.Duration) bool {
-	possible := maxEarlyLatency
-	if r.minLatency > 0 {
-		possible = min(r.minLatency-latencyJitter, possible)
+	possible := r.minLatency
+	if possible == 0 {
+		possible = r.minFirstLatency / firstResponseRoundTrips
 	}
-	return latency < possible
+	return latency < min(possible-latencyJitter, maxEarlyLatency)
 }
 
 // ConfirmationTime returns how long another response is awaited after an unconfirmed one.
