Restart: an unconfirmed delivery of a request without a subject ends no process

What callers would have seen: a relay with a dead-letter store that is killed within the second in which a delivery is unconfirmed does not start any more (nil pointer in deadLetterLink.publish, at each start).

Redeliveries are not recorded so: their outcome is the store's.

--- a/internal/relay/deadletter_helpers_test.go
+++ b/internal/relay/deadletter_helpers_test.go
@@ -160,3 +160,15 @@
 	}
 	return cfg
 }
+
+// hasUnconfirmedDelivery reports whether the journal of a running relay has a request whose delivery is recorded and whose attempt has
+// not ended.
+func (p *platform) hasUnconfirmedDelivery(id string) bool {
+	p.t.Helper()
+	j, err := journal.Inspect(p.dir)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	e := j.Entry(id)
+	return e != nil && e.Delivered && len(e.Attempts) > 0 && !e.Attempts[len(e.Attempts)-1].Ended
+}
--- a/internal/relay/deadletter_link.go
+++ b/internal/relay/deadletter_link.go
@@ -144,6 +144,8 @@
 	switch {
 	case d.writer == nil:
 		return false
+	case r.PendingNotice == nil && r.Order == nil: // a delivery that the store need not know of
+		return false
 	case r.PendingNotice == nil: // delivered
 		d.awaitingStore = append(d.awaitingStore, r)
 		d.writer.queue.addDelivered(deadletter.Delivery{ID: r.ID, Topic: r.topic(), Order: *r.Order})
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -57,7 +57,7 @@
 
 func (e responseUnconfirmed) apply(l *loop) {
 	r := l.requests[e.id] // not nil: a request stays in the map while an attempt is in flight
-	if e.Outcome == policy.Succeeded && !r.completed() && l.journal.Entry(r.ID) == r.Entry {
+	if e.Outcome == policy.Succeeded && !r.completed() && !r.Redelivery && l.journal.Entry(r.ID) == r.Entry {
 		// If this process dies before the end of the attempt, the request most likely was delivered.
 		l.journal.MarkDelivered(r.Entry)
 	}
