--- a/internal/upstream/http1/ownership.go
+++ b/internal/upstream/http1/ownership.go
@@ -82,8 +82,6 @@
 		res.reusable = false
 		p.recordExtraResponse(r.Target, c, ExtraUnconfirmed)
 		return res, c.nextOutcome(requestCtx) == res.Outcome
-	case connectionReset:
-		return res, false
 	case undecided:
 		res.reusable = false
 	}
@@ -134,9 +132,7 @@
 	connectionClosed
 	// responseFollowed: another response has begun.
 	responseFollowed
-	// connectionReset: the connection broke, perhaps while the endpoint had the request in hand.
-	connectionReset
-	// undecided: the request's deadline is near, or the pool is quiesced.
+	// undecided: the connection broke, the request's deadline is near, or the pool is quiesced.
 	undecided
 )
 
@@ -166,7 +162,7 @@
 	case errors.Is(err, io.EOF):
 		return connectionClosed
 	}
-	return connectionReset
+	return undecided
 }
 
 // beginConfirmation marks the response of a connection as unconfirmed, and returns how long another one is awaited.
