Metrics: an unconfirmed delivery counts as delivered

The delivery is now counted as soon as it is recorded as unconfirmed, and taken back if a second response refutes it.

--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -57,6 +57,14 @@
 	}
 }
 
+// Reopened undoes Completed for a request whose outcome was refuted.
+func (m *Metrics) Reopened(class string, outcome Outcome, accepted bool) {
+	m.current.Completed[outcome][m.class(class)]--
+	if accepted {
+		m.current.InFlight++
+	}
+}
+
 // Withdrawn undoes Accepted for a request that ended without an outcome, such as a request that its client has withdrawn.
 func (m *Metrics) Withdrawn() { m.current.InFlight-- }
 
--- a/internal/admin/metrics_test.go
+++ b/internal/admin/metrics_test.go
@@ -30,3 +30,16 @@
 		t.Errorf("%d requests in flight after the relay was taken back and accepted one request, want 1", m.Snapshot().InFlight)
 	}
 }
+
+// A refuted outcome is taken back: the request is in flight again, unless it was never counted as in flight.
+func TestMetrics_ReopenedUndoesCompleted(t *testing.T) {
+	m := NewMetrics([]string{"C"})
+	m.Accepted()
+	m.Completed("C", Success, true)
+	m.Reopened("C", Success, true)
+	m.Completed("C", Success, false)
+	m.Reopened("C", Success, false)
+	if m.Publish(Gauges{}); m.Snapshot().InFlight != 1 || m.Snapshot().Completed[Success][0] != 0 {
+		t.Errorf("snapshot with one request that was reopened: %+v", m.Snapshot())
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -136,6 +136,9 @@
 	if l.journal.Entry(r.ID) == r.Entry {
 		l.journal.EndAttempt(r.Entry, e.NotExecuted(), outcomeNames[e.Outcome], l.timeline.Now())
 	}
+	if !e.Final || e.Outcome != policy.Succeeded {
+		l.uncountUnconfirmedDelivery(r)
+	}
 	l.events = append(l.events, e.policyEvent())
 	claimed := e.Final && !r.completed() && l.handleFinalResponse(r, e.Outcome == policy.Succeeded)
 	endsRequest := e.Final && !r.Redelivery
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -60,6 +60,7 @@
 	if e.Outcome == policy.Succeeded && !r.completed() && !r.Redelivery && l.journal.Entry(r.ID) == r.Entry {
 		// If this process dies before the end of the attempt, the request most likely was delivered.
 		l.journal.MarkDelivered(r.Entry)
+		l.countUnconfirmedDelivery(r)
 	}
 	l.events = append(l.events, policy.ResponseUnconfirmed(attemptEnded(e).policyEvent()))
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -30,8 +30,9 @@
 	cancelBeforeSend *atomic.Bool       // cancels the attempt unless a byte of it has been sent
 
 	// Whether the metrics have counted the request.
-	countedInFlight  bool
-	countedCompleted bool
+	countedInFlight    bool
+	countedCompleted   bool
+	countedUnconfirmed bool // completed, because of an unconfirmed delivery
 }
 
 // topic returns the topic under which the dead-letter store orders the request: class, destination and subject.
--- a/internal/relay/terminal_outcome.go
+++ b/internal/relay/terminal_outcome.go
@@ -160,6 +160,22 @@
 	}
 }
 
+// countUnconfirmedDelivery counts a delivery that is still to be confirmed. Its confirmation takes longer than metrics may lag behind.
+func (l *loop) countUnconfirmedDelivery(r *request) {
+	if !r.countedCompleted {
+		l.countCompleted(r, admin.Success)
+		r.countedUnconfirmed = r.countedCompleted
+	}
+}
+
+// uncountUnconfirmedDelivery undoes countUnconfirmedDelivery, since the delivery was refuted.
+func (l *loop) uncountUnconfirmedDelivery(r *request) {
+	if r.countedUnconfirmed {
+		r.countedUnconfirmed, r.countedCompleted = false, false
+		l.metrics.Reopened(r.Class, admin.Success, r.countedInFlight)
+	}
+}
+
 // failureReason returns why a request was not delivered.
 func (l *loop) failureReason(r *request, status string) deadletter.Reason {
 	now := l.timeline.Now()
--- a/internal/relay/unconfirmed_test.go
+++ b/internal/relay/unconfirmed_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -39,3 +41,74 @@
 		}
 	}
 }
+
+// The metrics count a request whose delivery is unconfirmed as delivered: its endpoint has responded, and the confirmation takes longer
+// than metrics may lag behind.
+func TestMetrics_CountUnconfirmedDelivery(t *testing.T) {
+	p := newPlatform(t)
+	p.addAdminEndpoint()
+	p.addEndpoint("h1", 7)
+	p.respond = func(r *http.Request) int {
+		if r.Header.Get("Request-Id") == "slow" {
+			time.Sleep(slowResponse)
+		}
+		return http.StatusOK
+	}
+	p.start()
+	p.mustAccept("status", "slow", "5")
+	p.waitFor("the first request is delivered", func() bool { return p.metrics().Success["status"] == 1 })
+	time.Sleep(unconfirmedReuse)
+	p.mustAccept("status", "second", "5")
+	p.waitFor("the delivery is recorded", func() bool { return p.hasUnconfirmedDelivery("second") })
+	counted := p.metrics()
+	if p.hasUnconfirmedDelivery("second") && (counted.Success["status"] != 2 || counted.Inflight != 0) {
+		t.Errorf("metrics with an unconfirmed delivery: %+v, want two successes and no request in flight", counted)
+	}
+	p.waitFor("the delivery is confirmed", func() bool { return !p.hasUnconfirmedDelivery("second") })
+	if counted = p.metrics(); counted.Success["status"] != 2 || counted.Inflight != 0 {
+		t.Errorf("metrics after the confirmation: %+v, want two successes and no request in flight", counted)
+	}
+}
+
+// A delivery that a second response refutes is no longer counted as a success.
+func TestMetrics_TakeRefutedDeliveryBack(t *testing.T) {
+	p := newPlatform(t)
+	p.addAdminEndpoint()
+	p.addEndpoint("h1", 7)
+	var refuted atomic.Bool
+	p.serveAttempt = func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Header.Get("Request-Id") == "slow":
+			time.Sleep(slowResponse)
+		case refuted.Swap(true):
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			writeCopyBeforeRejection(t, w)
+		}
+	}
+	p.start()
+	p.mustAccept("status", "slow", "5")
+	p.waitFor("the first request is delivered", func() bool { return p.metrics().Success["status"] == 1 })
+	time.Sleep(unconfirmedReuse)
+	p.mustAccept("status", "early", "3")
+	p.waitFor("the delivery is counted", func() bool { return p.metrics().Success["status"] == 2 })
+	p.waitFor("the second response refutes the delivery", func() bool { f := p.metrics(); return f.Success["status"] == 1 && f.Inflight == 1 })
+	p.waitFor("the request fails", func() bool { f := p.metrics(); return f.Busy["status"]+f.Failure["status"] == 1 })
+	if f := p.metrics(); f.Success["status"] != 1 || f.Inflight != 0 {
+		t.Errorf("metrics after the end: %+v, want one success and no request in flight", f)
+	}
+}
+
+// writeCopyBeforeRejection writes a copy of an earlier delivery's response and, a moment later, the request's own response.
+func writeCopyBeforeRejection(t *testing.T, w http.ResponseWriter) {
+	t.Helper()
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	time.Sleep(slowResponse)
+	_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+}
