Hand-over: an early response is read by the process that wrote its request

A request in flight was handed over at once. Its successor doesn't know when the request was written, nor that its connection carried others before, and took a copy that had crossed the request for its response: the incident's fault in the moment of a replacement. A response that was being confirmed in that moment could also hold the hand-over up for 2 s.

The process that wrote the request now keeps it while a response would be early (50 ms at most, nothing on ways of less than 5 ms), and awaits no second response once it hands over. TestPool_QuiesceKeepsEarlyResponses fails without either change.

--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -147,6 +147,9 @@
 func (p *Pool) awaitResponse(requestCtx, attemptCtx context.Context, c *conn, r *upstream.Request) exchangeResult {
 	c.limit.N = maxResponseSize
 	_, err := c.in.Peek(1)
+	if p.isDetached(attemptCtx, err) {
+		err = p.awaitEarlyResponse(c)
+	}
 	begunAt := time.Now()
 	if raw, ok := c.Conn.(*net.TCPConn); ok && p.isDetached(attemptCtx, err) {
 		c.setState(connDetached)
--- a/internal/upstream/http1/handover_test.go
+++ b/internal/upstream/http1/handover_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -127,3 +128,37 @@
 	}
 	return false
 }
+
+// A request on a connection that was used before is not handed over while a response would be early: its successor does not know when
+// it was written, and would take a copy that has crossed the request for its response. The confirmation does not delay the hand-over.
+func TestPool_QuiesceKeepsEarlyResponses(t *testing.T) {
+	respond := make(chan bool)
+	addr := serveEndpoint(t, func(c net.Conn) {
+		<-respond
+		_, _ = io.WriteString(c, responseText(http.StatusServiceUnavailable))
+		_, _ = io.Copy(io.Discard, c) // until the relay closes
+	})
+	p := newTestPool()
+	r := newTestRequest(addr)
+	set := p.beginDetachedAttempt(r.Target)
+	p.learnLatency(time.Second)
+	c := newConn(dialEndpoint(t, addr), set)
+	if !p.activate(c, connWriting) {
+		t.Fatal("the connection can't be activated")
+	}
+	c.start(connAwaitingResponse)
+	c.respondedAt = time.Now()
+	c.writtenAt = time.Now().Add(waittest.Long)
+	p.beginQuiesce()
+	got := make(chan exchangeResult, 1)
+	go func() { got <- p.awaitResponse(t.Context(), t.Context(), c, &r) }()
+	close(respond)
+	res := waittest.Receive(t, got)
+	if res.Detached != nil || res.Outcome != policy.Rejected || !res.Doubtful || res.reusable {
+		t.Errorf("result %+v, want a rejection in doubt", res)
+	}
+	_ = c.Close()
+	if res.Unconfirmed > 500*time.Millisecond {
+		t.Errorf("another response was awaited for %v", res.Unconfirmed)
+	}
+}
--- a/internal/upstream/http1/ownership.go
+++ b/internal/upstream/http1/ownership.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"frostlink/internal/socket"
 	"frostlink/internal/upstream"
 	"frostlink/policy"
 )
@@ -142,14 +143,11 @@
 
 // awaitNextResponse waits for another response after an unconfirmed one, until shortly before the request's deadline at most.
 func (p *Pool) awaitNextResponse(requestCtx context.Context, c *conn) successor {
-	until := time.Now().Add(p.beginConfirmation(c))
-	deadline, bounded := requestCtx.Deadline()
-	latest := deadline.Add(-deadlineMargin)
-	expires := bounded && latest.Before(until)
-	if expires {
-		until = latest
+	latest := time.Time{}
+	if deadline, bounded := requestCtx.Deadline(); bounded {
+		latest = deadline.Add(-deadlineMargin)
 	}
-	_ = c.SetReadDeadline(until)
+	expires := p.beginConfirmation(c, latest)
 	c.limit.N = maxResponseSize
 	_, err := c.in.Peek(1)
 	switch {
@@ -165,12 +163,38 @@
 	return undecided
 }
 
-// beginConfirmation marks the response of a connection as unconfirmed, and returns how long another one is awaited.
-func (p *Pool) beginConfirmation(c *conn) time.Duration {
+// beginConfirmation marks the response of a connection as unconfirmed, and sets the time until which another one is awaited: the latest
+// time, if it is set, or before it. expires reports that it is the latest time. A quiesced pool awaits none.
+func (p *Pool) beginConfirmation(c *conn, latest time.Time) (expires bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.unconfirmed = true
-	return c.set.responder.ConfirmationTime()
+	until := time.Now().Add(c.set.responder.ConfirmationTime())
+	expires = !latest.IsZero() && latest.Before(until)
+	switch {
+	case p.quiesced:
+		until = socket.PastDeadline
+	case expires:
+		until = latest
+	}
+	_ = c.SetReadDeadline(until)
+	return expires
+}
+
+// awaitEarlyResponse waits for a response for as long as one is early, and returns the error of the read; nil if a response begins.
+// Only this process knows when it wrote the request, so an early response must not be left to the one that continues the attempt.
+func (p *Pool) awaitEarlyResponse(c *conn) error {
+	if !c.respondedAt.IsZero() && !c.writtenAt.IsZero() {
+		_ = c.SetReadDeadline(c.writtenAt.Add(p.earlyTime(c.set)))
+	}
+	_, err := c.in.Peek(1)
+	return err //nolint:wrapcheck // the caller treats it as the error of its own read
+}
+
+func (p *Pool) earlyTime(set *idleSet) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return set.responder.EarlyTime()
 }
 
 // owner decides whether the response of an exchange on a connection belongs to its request.
--- a/policy/response_ownership.go
+++ b/policy/response_ownership.go
@@ -120,7 +120,7 @@
 // Owner decides whether a response belongs to the request of an exchange.
 func (r *Responder) Owner(x Exchange) Ownership {
 	switch {
-	case !x.Distrusted && !r.isEarly(x.Latency):
+	case !x.Distrusted && x.Latency >= r.EarlyTime():
 		return OwnResponse
 	case x.Outcome == Succeeded:
 		return LikelyOwnResponse // an endpoint with a short way to it delivers that soon at times
@@ -130,14 +130,17 @@
 	return UnconfirmedResponse
 }
 
-// isEarly reports whether a response came so soon that the endpoint may have written it before it had the request: sooner than any
-// that is known to belong to its request.
-func (r *Responder) isEarly(latency time.Duration) bool {
+// EarlyTime returns the time after the last byte of a request within which a response comes so soon that the endpoint may have written
+// it before it had the request: sooner than any that is known to belong to its request.
+func (r *Responder) EarlyTime() time.Duration {
 	possible := r.minLatency
 	if possible == 0 {
 		possible = r.minFirstLatency / firstResponseRoundTrips
 	}
-	return possible >= minEarlyLatency && latency < min(possible-latencyJitter, maxEarlyLatency)
+	if possible < minEarlyLatency {
+		return 0
+	}
+	return min(possible-latencyJitter, maxEarlyLatency)
 }
 
 // ConfirmationTime returns how long another response is awaited after an unconfirmed one.
