Admin endpoint: responses that nobody asked for are counted by endpoint

Staff could see an endpoint's first such response in the log, and the others only in a trace. GET /status/extra-responses shows the counts since the process started, by endpoint and by how each was noticed; the form of the metrics is unchanged.

--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -15,6 +15,7 @@
 	mux.HandleFunc("GET /status", s.getStatus)
 	mux.HandleFunc("GET /status/metrics", s.getMetrics)
 	mux.HandleFunc("GET /status/invariants", s.getViolations)
+	mux.HandleFunc("GET /status/extra-responses", s.getExtraResponses)
 	mux.HandleFunc("POST /standby", s.postStandby)
 	mux.HandleFunc("POST /active", s.postActive)
 	return mux
@@ -41,6 +42,11 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"violations": s.relay.Violations()})
 }
 
+func (s *Server) getExtraResponses(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"extra_responses": s.relay.ExtraResponses()})
+}
+
 func (s *Server) postStandby(w http.ResponseWriter, _ *http.Request) {
 	s.relay.Standby()
 	writeAnswer(w, true, "standing by")
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -37,6 +37,8 @@
 	Metrics() ([]byte, error)
 	// Violations returns the number of violations of invariants, by kind.
 	Violations() map[string]int64
+	// ExtraResponses returns the number of responses that nobody asked for, by endpoint and by how they were noticed.
+	ExtraResponses() map[string]map[string]int
 }
 
 // Server is the HTTP endpoint.
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -20,6 +20,7 @@
 	mode       *servingmode.Mode
 	metrics    *admin.Metrics
 	violations *invariant.Counts
+	extra      admin.ExtraResponses
 	frontend   atomic.Pointer[front.Server]
 	serving    atomic.Bool // clients are served and no graceful shutdown has begun
 }
@@ -92,3 +93,6 @@
 
 // Violations returns the number of invariant violations, by kind.
 func (a *adminEndpoint) Violations() map[string]int64 { return a.violations.ByKind() }
+
+// ExtraResponses returns the number of responses that nobody asked for, by endpoint and by how they were noticed.
+func (a *adminEndpoint) ExtraResponses() map[string]map[string]int { return a.extra.ByEndpoint() }
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -69,6 +69,7 @@
 type extraResponseNoticed http1.ExtraResponse
 
 func (e extraResponseNoticed) apply(l *loop) {
+	l.extra.Record(e.Endpoint, string(e.Sign))
 	l.traceEvent(trace.Event{Kind: trace.ExtraResponse, Endpoint: e.Endpoint, Count: e.Total, Reason: string(e.Sign)})
 	if e.Total == 1 {
 		slog.Warn("endpoint wrote a response that nobody asked for", logkey.Endpoint, e.Endpoint, logkey.Address, e.Addr, logkey.Reason, e.Sign)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -47,6 +47,7 @@
 
 	requests   map[string]*request // by id
 	violations *invariant.Counts
+	extra      *admin.ExtraResponses
 	deadlines  invariant.Deadlines // of accepted requests
 
 	endpoints    map[string]discovery.Endpoint // by id
--- a/internal/relay/unconfirmed_test.go
+++ b/internal/relay/unconfirmed_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -93,6 +94,7 @@
 	p.mustAccept("status", "early", "3")
 	p.waitFor("the delivery is counted", func() bool { return p.metrics().Success["status"] == 2 })
 	p.waitFor("the second response refutes the delivery", func() bool { f := p.metrics(); return f.Success["status"] == 1 && f.Inflight == 1 })
+	p.waitFor("the second response is counted for its endpoint", func() bool { return p.extraResponses()["h1"]["after an early response"] == 1 })
 	p.waitFor("the request fails", func() bool { f := p.metrics(); return f.Busy["status"]+f.Failure["status"] == 1 })
 	if f := p.metrics(); f.Success["status"] != 1 || f.Inflight != 0 {
 		t.Errorf("metrics after the end: %+v, want one success and no request in flight", f)
@@ -112,3 +114,20 @@
 	time.Sleep(slowResponse)
 	_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 }
+
+// extraResponses reads how many responses that nobody asked for a relay has counted, by endpoint and by how they were noticed.
+func (p *platform) extraResponses() map[string]map[string]int {
+	p.t.Helper()
+	resp, err := http.Get("http://" + p.adminAddr + "/status/extra-responses")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var body struct {
+		Counts map[string]map[string]int `json:"extra_responses"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		p.t.Fatal(err)
+	}
+	return body.Counts
+}
