Fault runs and virtual fleets: endpoints and members write responses twice

The incident's fault was played against relays as processes only. The virtual fleet's connections rest, and its responses are attributed, by policy.Responder, as in the relay.

Planted violations: a client of the proxy that uses connections again gets responses to other requests (TestProxy_CopiesResponses), and relays that take every response lose messages (TestPlay_CatchesRelaysThatTakeCopies).

--- a/internal/faultinjection/faults/doc.go
+++ b/internal/faultinjection/faults/doc.go
@@ -12,6 +12,7 @@
 //	process.go           one process: start, kill, suspend, full disk
 //	loopback.go          loopback addresses reserved for one run
 //	proxy.go             proxies that delay, partition and reset connections
+//	response_copies.go   responses that proxies write twice
 //	preload.go           libraries that are preloaded into a process
 //	syscalls.go          system calls that fail
 //	wallclock.go         wall clocks that are stepped
--- a/internal/faultinjection/faults/kind.go
+++ b/internal/faultinjection/faults/kind.go
@@ -27,6 +27,7 @@
 	LinksSlow               Kind = "slow links"
 	LinksReset              Kind = "links reset"
 	DiskFull                Kind = "disk full"
+	ResponsesCopied         Kind = "responses copied"
 )
 
 // role selects a fault's target by its role in the service when the fault begins.
@@ -41,7 +42,7 @@
 // kindSpec describes a kind of fault.
 type kindSpec struct {
 	name   Kind
-	weight int // relative probability of being drawn
+	weight int // relative probability of being drawn; 0: once in each drawn schedule, from its begin to its end
 	role   role
 	inject injector
 }
@@ -70,4 +71,5 @@
 	{LinksSlow, 1, anyRole, (*harness).slowLinks},
 	{LinksReset, 1, anyRole, (*harness).resetLinks},
 	{DiskFull, 1, anyRole, (*harness).fillDisk},
+	{ResponsesCopied, 0, anyRole, (*harness).copyResponses},
 }
--- a/internal/faultinjection/faults/proxy.go
+++ b/internal/faultinjection/faults/proxy.go
@@ -25,7 +25,8 @@
 	directions // number of directions
 )
 
-// Proxy forwards TCP connections to one address. Its methods partition and delay the traffic, and reset the connections.
+// Proxy forwards TCP connections to one address. Its methods partition and delay the traffic, reset the connections, and write responses
+// twice.
 type Proxy struct {
 	listener net.Listener
 	target   string
@@ -35,7 +36,8 @@
 	mu     sync.Mutex // guards the fields below
 	links  [directions]link
 	conns  map[net.Conn]struct{}
-	held   int // number of chunks and new connections that wait until their direction is not partitioned
+	copies *responseCopies // nil: no response is written twice
+	held   int             // number of chunks and new connections that wait until their direction is not partitioned
 	closed bool
 }
 
@@ -200,17 +202,12 @@
 }
 
 // forward copies one direction of a connection.
-func (p *Proxy) forward(d Direction, from io.Reader, to io.Writer) {
+func (p *Proxy) forward(d Direction, from, to net.Conn) {
 	chunk := make([]byte, chunkSize)
 	for {
 		n, err := from.Read(chunk)
-		if n > 0 {
-			if !p.hold(d) {
-				return
-			}
-			if _, err := to.Write(chunk[:n]); err != nil {
-				return
-			}
+		if n > 0 && !p.forwardChunk(d, to, chunk[:n]) {
+			return
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) {
@@ -220,3 +217,17 @@
 		}
 	}
 }
+
+// forwardChunk writes a chunk once its direction is not partitioned. It reports false if the chunk could not be written.
+func (p *Proxy) forwardChunk(d Direction, to net.Conn, chunk []byte) bool {
+	if !p.hold(d) {
+		return false
+	}
+	if _, err := to.Write(chunk); err != nil {
+		return false
+	}
+	if d == FromTarget {
+		p.copyResponse(to, chunk)
+	}
+	return true
+}
--- a/internal/faultinjection/faults/proxy_test.go
+++ b/internal/faultinjection/faults/proxy_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
@@ -109,3 +112,46 @@
 		t.Errorf("read after Close: got %v, want a connection error", err)
 	}
 }
+
+// A client that takes whatever comes next on a connection for the response to its request gets the response to an earlier one, while
+// the proxy copies responses. One that uses each connection once does not.
+func TestProxy_CopiesResponses(t *testing.T) {
+	for name, oneRequest := range map[string]bool{"connections used again": false, "a connection for each request": true} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(time.Millisecond)
+				_, _ = io.WriteString(w, r.URL.Path)
+			}))
+			defer server.Close()
+			p, err := NewProxy(openLoopback(t), server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Close()
+			client := http.Client{Transport: &http.Transport{DisableKeepAlives: oneRequest}, Timeout: arrivalTimeout}
+			defer client.CloseIdleConnections()
+			stop := p.CopyResponses(1)
+			foreign := 0
+			for i := range 300 {
+				if path := fmt.Sprint("/", i); get(t, &client, "http://"+p.Addr()+path) != path {
+					foreign++
+				}
+			}
+			if written := stop(); oneRequest != (foreign == 0) || !oneRequest && written == 0 {
+				t.Errorf("%d of 300 requests got the response to another one; %d copies written", foreign, written)
+			}
+		})
+	}
+}
+
+// get returns the body of a response, or nothing if there is none.
+func get(t *testing.T, client *http.Client, url string) string {
+	t.Helper()
+	resp, err := client.Get(url)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return string(body)
+}
--- a/internal/faultinjection/faults/recorder.go
+++ b/internal/faultinjection/faults/recorder.go
@@ -15,6 +15,7 @@
 	violations   []Violation
 	holderDeaths []time.Duration
 	injected     map[Kind]int
+	copies       int  // responses that proxies wrote twice
 	closed       bool // the run is over, and exits of processes are no longer violations
 }
 
@@ -24,6 +25,12 @@
 	r.injected[k]++
 }
 
+func (r *recorder) countCopies(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.copies += n
+}
+
 func (r *recorder) recordPause(p Pause) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -59,6 +66,7 @@
 	violations   []Violation
 	holderDeaths []time.Duration
 	injected     map[Kind]int
+	copies       int           // responses that proxies wrote twice
 	maxLateness  time.Duration // of the harness's own timers
 	end          time.Duration // of the run, on the harness's clock
 }
@@ -69,6 +77,6 @@
 	defer r.mu.Unlock()
 	return observations{
 		pauses: slices.Clone(r.pauses), violations: slices.Clone(r.violations), holderDeaths: slices.Clone(r.holderDeaths),
-		injected: maps.Clone(r.injected),
+		injected: maps.Clone(r.injected), copies: r.copies,
 	}
 }
--- a/internal/faultinjection/faults/run_test.go
+++ b/internal/faultinjection/faults/run_test.go
@@ -38,6 +38,9 @@
 			for _, v := range r.Violations {
 				t.Errorf("%s: %s", v.Check, v.Detail)
 			}
+			if !r.Void && r.CopiedResponses < 20 {
+				t.Errorf("only %d responses were written twice", r.CopiedResponses)
+			}
 			if !r.Void && (r.Grants < 2 || r.Accepted < 20) {
 				t.Errorf("only %d executions accepted under %d grants, too few for a meaningful run", r.Accepted, r.Grants)
 			}
--- a/internal/faultinjection/faults/schedule.go
+++ b/internal/faultinjection/faults/schedule.go
@@ -24,7 +24,7 @@
 	durationRange  = 3 * time.Second
 )
 
-// DrawSchedule draws a schedule from a seed. All faults begin before the given length of time.
+// DrawSchedule draws a schedule from a seed. All faults begin before the given length of time. Responses are copied all the time.
 func DrawSchedule(seed uint64, length time.Duration, members, relays int) []Fault {
 	random := rand.New(rand.NewPCG(seed, scheduleStream))
 	var weightedKinds []Kind // each kind once per unit of its weight
@@ -33,7 +33,7 @@
 			weightedKinds = append(weightedKinds, k.name)
 		}
 	}
-	var schedule []Fault
+	schedule := []Fault{{At: copiesBeginAt, Duration: length, Kind: ResponsesCopied}}
 	for at := firstFaultAt; ; {
 		at += time.Duration(random.Int64N(int64(maxInterval)))
 		if at >= length {
--- a/internal/faultinjection/faults/verdict.go
+++ b/internal/faultinjection/faults/verdict.go
@@ -23,6 +23,7 @@
 	Accepted           int          `json:"accepted"`
 	Grants             int          `json:"grants"` // number of different tokens of all executions
 	InjectedFaults     map[Kind]int `json:"caused"`
+	CopiedResponses    int          `json:"copied,omitempty"` // responses that the proxies wrote twice
 	TakeoverSeconds    []float64    `json:"takeover_s"`       // from the death of each lease holder to the next accepted execution
 	MaxLatenessSeconds float64      `json:"rig_late_s"`       // of the harness's own timers
 	Void               bool         `json:"void"`             // inconclusive, because the machine was too busy
@@ -45,6 +46,7 @@
 		}
 	}
 	r.Executions, r.Grants, r.InjectedFaults = len(seen.executions), len(tokens), seen.injected
+	r.CopiedResponses = seen.copies
 	r.TakeoverSeconds = seen.takeoverSeconds()
 	r.MaxLatenessSeconds, r.Void = seen.maxLateness.Seconds(), seen.maxLateness > maxLateness
 	r.Violations = append(seen.violations, CheckExecutions(seen.executions, seen.pauses)...)
--- a/internal/faultinjection/simulation/attempt.go
+++ b/internal/faultinjection/simulation/attempt.go
@@ -36,18 +36,23 @@
 	index        int // among the attempts of its request, from 0
 	endpoint     *endpoint
 	model        *destination.Attempt
+	conn         *connection // nil until the attempt has one
 	sentAt       time.Duration
+	writtenAt    time.Duration
 	state        attemptState
 	reset        resetState
 	responseLost bool
-	number       int // its number in the event log, from its arrival at the endpoint until its end is recorded; 0 otherwise
+	unconfirmed  *policy.AttemptEnded // a response that may belong to an earlier request; nil: none
+	likelyOwn    bool                 // of unconfirmed: it counts unless another response follows
+	respondedAt  time.Duration        // when the response arrived; 0: not yet
+	number       int                  // its number in the event log, from its arrival at the endpoint until its end is recorded; 0 otherwise
 }
 
 // maxAttemptsPerSubmission is more than the attempts of any submission. The service time of an attempt is drawn by its number among all
 // attempts of its message, in which each submission has a range of maxAttemptsPerSubmission numbers.
 const maxAttemptsPerSubmission = 100
 
-// send begins an attempt, on an idle connection if there is one.
+// send begins an attempt, on an idle connection if there is one that has rested.
 func (r *relay) send(action policy.Send) {
 	f, request, to := r.fleet, r.requests[action.ID], r.fleet.endpoints[action.Endpoint]
 	if request == nil || to == nil {
@@ -63,13 +68,14 @@
 	if timeout == 0 {
 		timeout = request.deadline - f.now
 	}
-	f.after(timeout, func() { a.end(policy.AttemptEnded{Outcome: policy.TimedOut}, false) })
+	f.after(timeout, func() { a.interrupt(policy.AttemptEnded{Outcome: policy.TimedOut}) })
 	r.closeIdle(to.id, f.now-scenario.Seconds(f.Scenario.Limits.IdleConnTimeout))
-	if idle := r.idleConns[to.id]; len(idle) > 0 {
-		r.idleConns[to.id], a.state = idle[:len(idle)-1], attemptConnected
+	if c := r.takeIdle(to); c != nil {
+		a.conn, c.attempt, a.state = c, a, attemptConnected
 		a.write()
 		return
 	}
+	a.conn = &connection{relay: r, incarnation: r.incarnation, endpoint: to, attempt: a}
 	f.result.Connections++
 	a.model.NewConnection = true
 	f.after(f.oneWay(), a.connect)
@@ -109,7 +115,8 @@
 // closeIdle closes the connections to an endpoint that became idle before a time.
 func (r *relay) closeIdle(id string, before time.Duration) {
 	e := r.fleet.endpoints[id]
-	for len(r.idleConns[id]) > 0 && r.idleConns[id][0] < before {
+	for len(r.idleConns[id]) > 0 && r.idleConns[id][0].idleSince < before {
+		r.idleConns[id][0].closed = true
 		r.idleConns[id] = r.idleConns[id][1:]
 		e.destination.Disconnect(e.index)
 	}
@@ -151,7 +158,7 @@
 // write sends the attempt on its connection.
 func (a *attempt) write() {
 	if a.state == attemptConnected {
-		a.state = attemptSent
+		a.state, a.writtenAt = attemptSent, a.relay.fleet.now
 	}
 	a.relay.fleet.after(a.relay.fleet.oneWay(), a.arrive)
 }
@@ -195,7 +202,17 @@
 	}
 	delete(d.attempts, a.model)
 	a.recordEnd(checker.Event{Outcome: checker.Interrupted})
-	f.after(f.oneWay(), func() { a.end(policy.AttemptEnded{Outcome: policy.ConnectionReset}, false) })
+	f.after(f.oneWay(), func() { a.interrupt(policy.AttemptEnded{Outcome: policy.ConnectionReset}) })
+}
+
+// identified returns an outcome of the attempt with the attempt's identity and latency.
+func (a *attempt) identified(e policy.AttemptEnded) policy.AttemptEnded {
+	endedAt := a.relay.fleet.now
+	if a.respondedAt > 0 {
+		endedAt = a.respondedAt
+	}
+	e.ID, e.Endpoint, e.Attempt, e.Latency = a.request.id, a.endpoint.id, a.index, endedAt-a.sentAt
+	return e
 }
 
 // end ends the attempt and reports its outcome to the decision module. With keepConn, an open connection becomes idle; without it,
@@ -207,15 +224,17 @@
 	}
 	if keepConn && a.hasConn() {
 		a.state = attemptEnded
-		r.idleConns[a.endpoint.id] = append(r.idleConns[a.endpoint.id], f.now)
+		a.conn.attempt, a.conn.idleSince = nil, f.now
+		r.idleConns[a.endpoint.id] = append(r.idleConns[a.endpoint.id], a.conn)
 	} else {
 		a.abandon()
 	}
 	request := a.request
 	request.inFlight = nil
-	e.ID, e.Endpoint, e.Attempt, e.Latency = request.id, a.endpoint.id, a.index, f.now-a.sentAt
+	e = a.identified(e)
 	request.ended[a.index] = true
-	request.attempts[a.index].NotExecuted = e.Outcome == policy.Rejected || e.Outcome == policy.ConnectError || e.Outcome == policy.NotSent
+	request.attempts[a.index].NotExecuted = !e.OutcomeUnknown &&
+		(e.Outcome == policy.Rejected || e.Outcome == policy.ConnectError || e.Outcome == policy.NotSent)
 	if r.requests[request.id] == request && e.Outcome == policy.Succeeded {
 		r.delivered(request)
 	}
@@ -228,7 +247,7 @@
 func (a *attempt) abandon() {
 	f, d := a.relay.fleet, a.endpoint.destination
 	hadConn := a.hasConn()
-	a.state = attemptEnded
+	a.state, a.conn.closed = attemptEnded, true
 	a.recordEnd(checker.Event{Outcome: checker.Abandoned})
 	if _, waits := d.attempts[a.model]; waits {
 		delete(d.attempts, a.model)
--- /dev/null
+++ b/internal/faultinjection/simulation/connection.go
@@ -0,0 +1,184 @@
+package simulation
+
+import (
+	"slices"
+	"time"
+
+	"frostlink/internal/faultinjection/scenario"
+	"frostlink/policy"
+)
+
+const (
+	// deadlineMargin is the time before a request's deadline at which a relay no longer awaits the confirmation of a response.
+	deadlineMargin = 100 * time.Millisecond
+	// maxCopyDelay is the longest time after which an endpoint writes a response once more. A relay lets a connection rest for longer.
+	maxCopyDelay = 250 * time.Millisecond
+)
+
+// connection is a connection from a process of a relay to an endpoint.
+type connection struct {
+	relay       *relay
+	incarnation int // of the relay's process
+	endpoint    *endpoint
+	attempt     *attempt // in flight on the connection; nil: none
+	used        bool     // the connection has carried a response
+	closed      bool
+	respondedAt time.Duration // when the last response arrived
+	idleSince   time.Duration
+	arrivesAt   time.Duration // when the last response that the endpoint has written arrives
+}
+
+// epoch is the wall-clock time at which a day begins.
+var epoch = time.Unix(0, 0)
+
+// responder returns what a relay knows about an endpoint as the writer of responses.
+func (r *relay) responder(id string) *policy.Responder {
+	responder := r.responders[id]
+	if responder == nil {
+		responder = &policy.Responder{}
+		r.responders[id] = responder
+	}
+	return responder
+}
+
+// takeIdle removes and returns the newest idle connection to an endpoint that may carry another request, or nil if there is none.
+func (r *relay) takeIdle(to *endpoint) *connection {
+	idle := r.idleConns[to.id]
+	for i, c := range slices.Backward(idle) {
+		if r.mayReuse(c) {
+			r.idleConns[to.id] = slices.Delete(idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+func (r *relay) mayReuse(c *connection) bool {
+	if !c.used || r.fleet.Bug.TakesEveryResponse {
+		return true
+	}
+	now := r.fleet.now
+	rest, reusable := r.responder(c.endpoint.id).RestTime(epoch.Add(now), now-c.respondedAt)
+	return reusable && rest == 0
+}
+
+// arrival returns when a response that the endpoint writes now arrives. Responses on a connection arrive in order.
+func (c *connection) arrival() time.Duration {
+	f := c.relay.fleet
+	c.arrivesAt = max(c.arrivesAt, f.now+f.oneWay())
+	return c.arrivesAt
+}
+
+// receive handles the arrival of a response at the relay.
+func (c *connection) receive(e policy.AttemptEnded) {
+	switch {
+	case c.closed || !c.relay.runs(c.incarnation):
+	case c.attempt == nil:
+		c.relay.closeUnasked(c)
+	default:
+		c.attempt.receive(e)
+	}
+}
+
+// closeUnasked closes an idle connection on which a response has arrived that nobody asked for.
+func (r *relay) closeUnasked(c *connection) {
+	now := r.fleet.now
+	rest, _ := r.responder(c.endpoint.id).RestTime(epoch.Add(now), now-c.respondedAt)
+	r.responder(c.endpoint.id).ExtraResponse(epoch.Add(now), rest == 0)
+	id := c.endpoint.id
+	r.idleConns[id] = slices.DeleteFunc(r.idleConns[id], func(other *connection) bool { return other == c })
+	c.closed = true
+	c.endpoint.destination.Disconnect(c.endpoint.index)
+}
+
+// receive handles a response on the attempt's connection, which may belong to an earlier request.
+func (a *attempt) receive(e policy.AttemptEnded) {
+	now, c, responder := a.relay.fleet.now, a.conn, a.relay.responder(a.endpoint.id)
+	latency := now - a.writtenAt
+	switch {
+	case e.Outcome == policy.ConnectionReset:
+		a.interrupt(e)
+		return
+	case a.unconfirmed != nil:
+		responder.ExtraResponse(epoch.Add(now), true)
+		a.decide(e.Outcome == a.unconfirmed.Outcome, false)
+		return
+	}
+	owner := policy.OwnResponse
+	if c.used && !a.relay.fleet.Bug.TakesEveryResponse {
+		owner = responder.Owner(policy.Exchange{
+			Outcome: e.Outcome, Latency: latency, Retryable: a.isRetryable(), Distrusted: responder.Distrusted(epoch.Add(now)),
+		})
+	}
+	if owner == policy.OwnResponse || owner == policy.DoubtfulResponse {
+		a.unconfirmed, a.respondedAt = &e, now
+		a.decide(owner == policy.OwnResponse, true)
+		return
+	}
+	a.awaitConfirmation(e, owner == policy.LikelyOwnResponse)
+}
+
+// awaitConfirmation keeps a response until another one follows, or until none has followed for the confirmation time.
+func (a *attempt) awaitConfirmation(e policy.AttemptEnded, likelyOwn bool) {
+	f := a.relay.fleet
+	a.unconfirmed, a.likelyOwn, a.respondedAt = &e, likelyOwn, f.now
+	a.relay.enqueue(policy.ResponseUnconfirmed(a.identified(e)))
+	confirmation, timeLeft := a.relay.responder(a.endpoint.id).ConfirmationTime(), a.request.deadline-deadlineMargin-f.now
+	f.after(max(0, min(confirmation, timeLeft)), func() {
+		if a.state != attemptEnded {
+			certain := confirmation <= timeLeft
+			a.decide(certain || likelyOwn, certain)
+		}
+	})
+}
+
+// interrupt ends the attempt, unless it has a response that is to be confirmed: a timeout or a cancellation does not end that, and a
+// connection that was reset ends only the wait for the confirmation.
+func (a *attempt) interrupt(e policy.AttemptEnded) {
+	switch {
+	case a.unconfirmed == nil:
+		a.end(e, false)
+	case e.Outcome == policy.ConnectionReset:
+		a.decide(a.likelyOwn, false)
+	}
+}
+
+// decide ends the attempt with its response if that is its own, else as one that may have executed.
+func (a *attempt) decide(own, keepConn bool) {
+	e := *a.unconfirmed
+	if !own {
+		e.Final, e.OutcomeUnknown = false, true
+		if e.Outcome == policy.Succeeded {
+			e.Outcome = policy.ConnectionReset
+		}
+		a.end(e, false)
+		return
+	}
+	a.relay.responder(a.endpoint.id).Accepted(e.Outcome, a.respondedAt-a.writtenAt, a.conn.used)
+	a.conn.used, a.conn.respondedAt = true, a.relay.fleet.now
+	a.end(e, keepConn)
+}
+
+// copyResponse has an endpoint write a share of its responses once more after a while, as long as such a fault lasts.
+func (f *fleet) copyResponse(a *attempt, e policy.AttemptEnded) {
+	if f.copiedShare == 0 {
+		return
+	}
+	random := f.random.Stream("copied response", a.request.message.Number, a.request.submission, a.index)
+	if random.Float64() >= f.copiedShare {
+		return
+	}
+	c := a.conn
+	f.after(time.Duration(random.Int64N(int64(maxCopyDelay))), func() {
+		if c.closed || !c.relay.runs(c.incarnation) || f.isPartitioned(a.relay, a.endpoint) {
+			return
+		}
+		f.result.CopiedResponses++
+		f.at(c.arrival(), func() { c.receive(e) })
+	})
+}
+
+// isRetryable reports whether the attempt's request may be executed more than once.
+func (a *attempt) isRetryable() bool {
+	return a.relay.fleet.Scenario.Classes[a.request.message.Class].Idempotency != scenario.NotIdempotent
+}
--- a/internal/faultinjection/simulation/day.go
+++ b/internal/faultinjection/simulation/day.go
@@ -24,6 +24,7 @@
 	FaultDiscoveryDown  FaultKind = "down"    // Duration: the discovery service is unavailable
 	FaultPartition      FaultKind = "cut"     // Zone Duration: a zone's relays and endpoints are cut off from those of the other zones
 	FaultNetworkHarm    FaultKind = "harm"    // Share Duration: a share of attempts loses its response or its connection
+	FaultCopies         FaultKind = "copies"  // Share Duration: endpoints write a share of their responses twice, the copy up to 250 ms later
 	FaultClientsLeaving FaultKind = "hasty"   // Share Duration: a share of clients disconnects before the response, and submits again
 )
 
@@ -45,6 +46,7 @@
 	MinimumQuota        bool // a quota, the even share of a limit, is never below one attempt per second
 	TrustsGossip        bool // on gossip that a destination has recovered, relays consider all destinations healthy and open all queues
 	UncoordinatedProbes bool // each relay probes an unhealthy destination four times a second
+	TakesEveryResponse  bool // relays use connections again at once, and take each response for that of the request in flight
 	NoJournal           bool // accepted requests are lost when their process is killed
 	// If set, Events changes the events of a batch before a relay's decision module gets them, and Actions the actions that the module
 	// returns.
--- a/internal/faultinjection/simulation/day_drawn.go
+++ b/internal/faultinjection/simulation/day_drawn.go
@@ -43,9 +43,17 @@
 	d := &drawnDay{Day: day, random: random}
 	d.drawClients()
 	drawnFaults[kind](d)
+	day.Faults = append(day.Faults, drawCopies(day.Scenario.Length, seed))
 	return day, nil
 }
 
+// drawCopies returns the fault of each drawn day in which endpoints write responses twice. It has a random stream of its own, so that all
+// else on a day does not depend on it.
+func drawCopies(length float64, seed int64) Fault {
+	random := drawSource{scenario.NewRandomStreams(seed).Stream("copied responses of a day")}
+	return Fault{At: scenario.Seconds(random.between(1, 3)), Kind: FaultCopies, Share: random.between(0.05, 0.2), Duration: scenario.Seconds(length)}
+}
+
 // drawSource draws numbers from ranges, and subsets.
 type drawSource struct{ *rand.Rand }
 
--- a/internal/faultinjection/simulation/destination.go
+++ b/internal/faultinjection/simulation/destination.go
@@ -100,10 +100,13 @@
 		end.LoadReport = &policy.LoadReport{Remaining: c.LoadReport.Left, RateLimit: c.LoadReport.Limit}
 	}
 	writtenAt := f.now
-	f.after(f.oneWay(), func() {
+	f.at(a.conn.arrival(), func() {
 		a.recordEndAt(writtenAt, checker.Event{Outcome: outcome.checker, Duration: c.RetryAfter, Executed: c.Executed})
-		a.end(end, end.Outcome != policy.ConnectionReset)
+		a.conn.receive(end)
 	})
+	if end.Outcome != policy.ConnectionReset {
+		f.copyResponse(a, end)
+	}
 }
 
 func (f *fleet) countResponse(d *destinationNode, outcome policy.Outcome) {
@@ -131,7 +134,7 @@
 		for _, request := range r.order {
 			if a := request.inFlight; a != nil && a.reset == resetUnnoticed {
 				a.reset = resetNoticed
-				f.after(f.oneWay(), func() { a.end(policy.AttemptEnded{Outcome: policy.ConnectionReset}, false) })
+				f.after(f.oneWay(), func() { a.interrupt(policy.AttemptEnded{Outcome: policy.ConnectionReset}) })
 			}
 		}
 	}
--- a/internal/faultinjection/simulation/fault.go
+++ b/internal/faultinjection/simulation/fault.go
@@ -28,6 +28,7 @@
 	FaultDiscoveryDown:  func(f *fleet, fault Fault) { f.discovery.fail(fault.Duration) },
 	FaultPartition:      (*fleet).beginPartition,
 	FaultNetworkHarm:    (*fleet).harmAttempts,
+	FaultCopies:         (*fleet).copyResponses,
 	FaultClientsLeaving: (*fleet).haveClientsLeave,
 }
 
@@ -122,3 +123,8 @@
 	f.leavingShare = fault.Share
 	f.after(fault.Duration, func() { f.leavingShare = 0 })
 }
+
+func (f *fleet) copyResponses(fault Fault) {
+	f.copiedShare = fault.Share
+	f.after(fault.Duration, func() { f.copiedShare = 0 })
+}
--- a/internal/faultinjection/simulation/fleet.go
+++ b/internal/faultinjection/simulation/fleet.go
@@ -35,6 +35,7 @@
 	partition    int                          // number of the zone that is cut off, plus 1; 0: no partition
 	unnoticed    []*endpoint                  // the endpoint of each connection that a relay closed during the partition; the endpoints notice the closes only after the partition
 	harmShare    float64                      // share of attempts that a fault of the network affects
+	copiedShare  float64                      // share of responses that endpoints write twice
 	leavingShare float64                      // share of clients that disconnect before the response
 }
 
--- a/internal/faultinjection/simulation/relay.go
+++ b/internal/faultinjection/simulation/relay.go
@@ -29,10 +29,11 @@
 	dispatcher  *policy.Dispatcher
 
 	// State of the current process.
-	events        []policy.Event             // for the next batch
-	arrivals      []*openRequest             // requests in the next batch that have no response yet
-	batchAt       time.Duration              // when the next batch is due
-	idleConns     map[string][]time.Duration // by endpoint: the time since which each connection is idle, oldest first
+	events        []policy.Event               // for the next batch
+	arrivals      []*openRequest               // requests in the next batch that have no response yet
+	batchAt       time.Duration                // when the next batch is due
+	idleConns     map[string][]*connection     // by endpoint, longest idle first
+	responders    map[string]*policy.Responder // by endpoint
 	watchSchedule *discovery.Schedule
 	pollDelay     time.Duration
 	pollRetries   int // retries since the start, for PlantedBug.NoJitter
@@ -74,7 +75,8 @@
 	f.record(checker.Event{Kind: checker.Started, Relay: r.number, Process: r.incarnation})
 	f.record(checker.Event{Kind: checker.Ready, Relay: r.number, Process: r.incarnation})
 	r.stopping = false
-	r.alive, r.readyAt, r.idleConns, r.batchAt = true, f.now, map[string][]time.Duration{}, never
+	r.alive, r.readyAt, r.idleConns, r.batchAt = true, f.now, map[string][]*connection{}, never
+	r.responders = map[string]*policy.Responder{}
 	r.watchSchedule = discovery.NewSchedule(f.Scenario.Relays, seed)
 	if r.pollDelay, r.pollRetries = r.watchSchedule.Start(), 0; f.Bug.NoJitter {
 		r.pollDelay = 0
@@ -143,9 +145,13 @@
 // interrupt ends the attempt of a request whose process is killed. A request that was not accepted yet is removed, and submitted again.
 func (r *relay) interrupt(request *openRequest) {
 	f := r.fleet
-	if request.inFlight != nil {
-		request.inFlight.abandon()
+	if a := request.inFlight; a != nil {
+		a.abandon()
 		request.inFlight = nil
+		if a.unconfirmed != nil && a.likelyOwn && a.unconfirmed.Outcome == policy.Succeeded {
+			r.delivered(request) // the journal has the delivery
+			return
+		}
 	}
 	if request.accepted {
 		return
--- a/internal/faultinjection/simulation/relay_batch.go
+++ b/internal/faultinjection/simulation/relay_batch.go
@@ -90,7 +90,7 @@
 		r.send(a)
 	case policy.CancelAttempt:
 		if attempt := r.attemptInFlight(a.ID, a.Attempt); attempt != nil {
-			attempt.end(policy.AttemptEnded{Outcome: policy.Canceled}, false)
+			attempt.interrupt(policy.AttemptEnded{Outcome: policy.Canceled})
 		}
 	case policy.CancelBeforeSend:
 		if attempt := r.attemptInFlight(a.ID, a.Attempt); attempt != nil && attempt.state != attemptSent {
--- a/internal/faultinjection/simulation/result.go
+++ b/internal/faultinjection/simulation/result.go
@@ -19,10 +19,11 @@
 	DeliveredWeight    float64              `json:"worth"` // priority weight delivered, as a share of all
 	AttemptedMessages  int                  `json:"first"` // messages with at least one attempt
 	GivenUp            int                  `json:"given_up"`
-	Rejected           int                  `json:"refused"`     // attempts that a limit or a full queue rejected
-	ConnectionRejected int                  `json:"door"`        // attempts whose connection exceeded the endpoint's limit of connections
-	Connections        int                  `json:"connections"` // including those that failed
-	Polls              int                  `json:"asks"`        // of discovery
+	Rejected           int                  `json:"refused"`          // attempts that a limit or a full queue rejected
+	ConnectionRejected int                  `json:"door"`             // attempts whose connection exceeded the endpoint's limit of connections
+	Connections        int                  `json:"connections"`      // including those that failed
+	CopiedResponses    int                  `json:"copied,omitempty"` // responses that endpoints wrote twice
+	Polls              int                  `json:"asks"`             // of discovery
 	FailedPolls        int                  `json:"turned"`
 	PeakPolls          int                  `json:"ask_peak"`  // the maximum in one second
 	Unwatched          int                  `json:"unwatched"` // relays without a watch at the end
