--- a/internal/deadletter/client_test.go
+++ b/internal/deadletter/client_test.go
@@ -1,8 +1,13 @@
 package deadletter
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
@@ -109,3 +114,53 @@
 		t.Error("a file was replaced by a socket")
 	}
 }
+
+// A copy of an earlier response does not answer a later request: each request has a connection of its own. A server that gets a second
+// request on a connection writes the first response once more before it responds.
+func TestClient_CopiedResponseDoesNotAnswerTheNextRequest(t *testing.T) {
+	socket := filepath.Join(t.TempDir(), "s")
+	listener, err := net.Listen("unix", socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return // the test is over
+			}
+			go echoPathsWithCopies(conn)
+		}
+	}()
+	c, err := Connect(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{"/first", "/second"} {
+		resp, err := c.client.Get("http://store" + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if string(body) != path {
+			t.Errorf("%s got the response to %s", path, body)
+		}
+	}
+}
+
+// echoPathsWithCopies responds to each request on a connection with its path, and before that repeats the last response.
+func echoPathsWithCopies(conn net.Conn) {
+	defer conn.Close()
+	last := ""
+	for in := bufio.NewReader(conn); ; {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, last)
+		last = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+		_, _ = io.WriteString(conn, last)
+	}
+}
--- a/internal/fleettask/heartbeat.go
+++ b/internal/fleettask/heartbeat.go
@@ -40,10 +40,14 @@
 	client  *http.Client
 }
 
-func heartbeatTask(section *Heartbeat, relay string) lease.Task {
+func newHeartbeat(section *Heartbeat, relay string) *heartbeat {
 	// A second response to an earlier heartbeat must not hide that the monitor has rejected the token of this one.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	h := &heartbeat{section: section, relay: relay, client: client}
+	return &heartbeat{section: section, relay: relay, client: client}
+}
+
+func heartbeatTask(section *Heartbeat, relay string) lease.Task {
+	h := newHeartbeat(section, relay)
 	return lease.Task{
 		Lease: HeartbeatLease, Reason: "tells " + section.URL + " that the fleet lives", Guard: lease.Fenced("the monitor"),
 		Interval: section.Interval(), Run: h.run,
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -29,7 +29,7 @@
 
 	retryAfterUntil time.Duration // end of the destination's last Retry-After
 	backoffUntil    time.Duration // end of the backoff after a rejection
-	connHoldUntil   time.Duration // end of a backoff that applies to new connections only
+	connHoldUntil   time.Duration // end of the backoff after a rejection of a connection
 	backoffStart    time.Duration // start of the last backoff of either kind
 
 	rejections         int           // consecutive rejections
@@ -47,7 +47,7 @@
 	shadowAt         time.Duration
 }
 
-// pausedUntil returns the time from which Retry-After and backoff allow a call on a new connection.
+// pausedUntil returns the time from which Retry-After and backoff allow a call.
 func (q *queue) pausedUntil() time.Duration {
 	return max(q.retryAfterUntil, q.backoffUntil, q.connHoldUntil)
 }
--- a/policy/rejection.go
+++ b/policy/rejection.go
@@ -19,7 +19,7 @@
 // recordRejection records a rejection by the destination: it lowers the send rate and starts a
 // backoff. After a series of rejections, the destination counts as unavailable and its endpoints as
 // unhealthy. A rejection of the connection occurs before the destination checks its rate limit. It
-// therefore leaves the send rate unchanged, and its backoff applies to new connections only.
+// therefore leaves the send rate unchanged, and does not count as a rejection by a rate limit.
 func (d *Dispatcher) recordRejection(q *queue, ofConnection bool) {
 	if q.rejections++; q.rejections == 1 {
 		q.firstRejection = d.now
@@ -29,7 +29,7 @@
 	}
 	backoffUntil := d.now + time.Duration(d.rejectionBackoff(q)*float64(time.Second))
 	if ofConnection {
-		q.connHoldUntil = max(q.connHoldUntil, backoffUntil) // calls on open connections may continue
+		q.connHoldUntil = max(q.connHoldUntil, backoffUntil)
 	} else {
 		q.lastLimitRejection = d.now
 		q.backoffUntil = max(q.backoffUntil, backoffUntil)
