Endpoints: a request whose early delivery was cut off by a reset is sent again

A delivery that comes early on a used connection may be a copy of an earlier one.

Now such a request may have run, and is sent again where its class, attempts and deadline allow it. TestCall_ResetLeavesEarlyDeliveryInDoubt and TestUnconfirmedDelivery_BeforeReset ("delivered again") fail without it. The virtual fleet does the same.

--- a/internal/faultinjection/simulation/connection.go
+++ b/internal/faultinjection/simulation/connection.go
@@ -132,17 +132,23 @@
 	})
 }
 
-// interrupt ends the attempt, unless it has a response that is to be confirmed: a timeout or a cancellation does not end that, and a
-// connection that was reset ends only the wait for the confirmation.
+// interrupt ends the attempt, unless it has a response that is to be confirmed: a timeout or a cancellation does not end that. If the
+// connection is reset, the request may have executed; a likely delivery counts unless another attempt delivers the request.
 func (a *attempt) interrupt(e policy.AttemptEnded) {
 	switch {
 	case a.unconfirmed == nil:
 		a.end(e, false)
 	case e.Outcome == policy.ConnectionReset:
-		a.decide(a.likelyOwn, false)
+		a.request.likelyDelivered = a.request.likelyDelivered || a.hasLikelyDelivery()
+		a.decide(false, false)
 	}
 }
 
+// hasLikelyDelivery reports whether the attempt most likely delivered its request.
+func (a *attempt) hasLikelyDelivery() bool {
+	return a.unconfirmed != nil && a.likelyOwn && a.unconfirmed.Outcome == policy.Succeeded
+}
+
 // decide ends the attempt with its response if that is its own, else as one that may have executed.
 func (a *attempt) decide(own, keepConn bool) {
 	e := *a.unconfirmed
--- a/internal/faultinjection/simulation/relay.go
+++ b/internal/faultinjection/simulation/relay.go
@@ -148,10 +148,11 @@
 	if a := request.inFlight; a != nil {
 		a.abandon()
 		request.inFlight = nil
-		if a.unconfirmed != nil && a.likelyOwn && a.unconfirmed.Outcome == policy.Succeeded {
-			r.delivered(request) // the journal has the delivery
-			return
-		}
+		request.likelyDelivered = request.likelyDelivered || a.hasLikelyDelivery()
+	}
+	if request.likelyDelivered {
+		r.delivered(request) // the journal has the delivery
+		return
 	}
 	if request.accepted {
 		return
--- a/internal/faultinjection/simulation/relay_request.go
+++ b/internal/faultinjection/simulation/relay_request.go
@@ -24,6 +24,8 @@
 	inFlight   *attempt // nil: no attempt is in flight
 	accepted   bool     // the relay has responded with statusAccepted, or would have if the client had not left
 	clientLeft bool     // its client left before the response
+	// likelyDelivered is set if an attempt most likely delivered the request. That counts unless another attempt delivers it.
+	likelyDelivered bool
 }
 
 // receive handles a submission.
@@ -66,6 +68,10 @@
 		f.record(checker.Event{Kind: checker.Notified, ID: id, Relay: r.number, State: checker.Undeliverable})
 		return
 	}
+	if request.likelyDelivered {
+		r.delivered(request)
+		return
+	}
 	r.recordFailed(request, rejected)
 	r.evict(request)
 	f.result.GivenUp++
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -136,9 +136,7 @@
 	if l.journal.Entry(r.ID) == r.Entry {
 		l.journal.EndAttempt(r.Entry, e.NotExecuted(), outcomeNames[e.Outcome], l.timeline.Now())
 	}
-	if !e.Final || e.Outcome != policy.Succeeded {
-		l.uncountUnconfirmedDelivery(r)
-	}
+	l.noteDelivery(r, e)
 	l.events = append(l.events, e.policyEvent())
 	claimed := e.Final && !r.completed() && l.handleFinalResponse(r, e.Outcome == policy.Succeeded)
 	endsRequest := e.Final && !r.Redelivery
@@ -148,6 +146,18 @@
 	}
 }
 
+// noteDelivery notes at the end of an attempt whether the request was delivered, was likely delivered, or was not.
+func (l *loop) noteDelivery(r *request, e attemptEnded) {
+	r.likelyDelivered = r.likelyDelivered || e.LikelyDelivered
+	switch {
+	case e.Final && e.Outcome == policy.Succeeded:
+	case !r.likelyDelivered:
+		l.uncountUnconfirmedDelivery(r)
+	case !r.completed() && !r.Redelivery && l.journal.Entry(r.ID) == r.Entry:
+		l.journal.MarkDelivered(r.Entry)
+	}
+}
+
 // handleFinalResponse handles a response after which the request needs no further attempt. claimed reports whether a
 // subsystem takes charge of the outcome.
 func (l *loop) handleFinalResponse(r *request, delivered bool) (claimed bool) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -21,6 +21,8 @@
 	outcomeRecord uint64                   // the number of its terminal outcome's record in the journal
 	recovered     bool                     // accepted by an earlier process
 	inDeadLetters bool                     // the dead-letter store has recorded the request or its delivery
+	// likelyDelivered is set if an attempt most likely delivered the request. That counts unless another attempt delivers it.
+	likelyDelivered bool
 
 	// The latest attempt.
 	attempt          plannedAttempt
--- a/internal/relay/terminal_outcome.go
+++ b/internal/relay/terminal_outcome.go
@@ -26,6 +26,10 @@
 	if r == nil || r.completed() {
 		return
 	}
+	if r.likelyDelivered {
+		l.endLikelyDelivered(r)
+		return
+	}
 	if l.claimOutcome(r, status) {
 		return
 	}
@@ -45,6 +49,16 @@
 	l.afterCommitOrBy(r.Deadline, func() { l.publishOutcome(r) })
 }
 
+// endLikelyDelivered ends a request that most likely was delivered, and that can't be sent again, as delivered.
+func (l *loop) endLikelyDelivered(r *request) {
+	l.traceCompleted(r, trace.Delivered)
+	l.countCompleted(r, admin.Success)
+	l.acknowledged(r)
+	if !l.claimOutcome(r, trace.Delivered) {
+		l.evict(r)
+	}
+}
+
 // rejectCandidate ends a candidate by the response to its submissions.
 func (l *loop) rejectCandidate(r *request, response frontend.Response, status string) {
 	responses := r.responses
--- a/internal/relay/unconfirmed_test.go
+++ b/internal/relay/unconfirmed_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -131,3 +132,69 @@
 	}
 	return body.Counts
 }
+
+// A connection that is reset after an early delivery leaves it open whether the request was delivered. The request is sent again if it
+// may be, and counts as delivered if no other attempt delivers it, in the next process too.
+func TestUnconfirmedDelivery_BeforeReset(t *testing.T) {
+	for _, test := range []struct {
+		name, class string
+		nextStatus  int  // of further attempts
+		kill        bool // the process dies after the reset
+		attempts    int  // at least
+	}{
+		{"delivered again", "status", http.StatusOK, false, 2},
+		{"can't be delivered again", "status", http.StatusServiceUnavailable, false, 2},
+		{"may not be sent again", "order", http.StatusOK, false, 1},
+		{"killed", "status", http.StatusServiceUnavailable, true, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPlatform(t)
+			p.addAdminEndpoint()
+			p.addEndpoint("h1", 7)
+			var attempts atomic.Int32
+			p.serveAttempt = func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case r.Header.Get("Request-Id") == "slow":
+					time.Sleep(slowResponse)
+				case attempts.Add(1) == 1:
+					deliverAndReset(t, w)
+				default:
+					w.WriteHeader(test.nextStatus)
+				}
+			}
+			c := p.start()
+			p.mustAccept("status", "slow", "5")
+			p.waitFor("the first request is delivered", func() bool { return p.journalEntryCount() == 0 })
+			time.Sleep(unconfirmedReuse)
+			p.mustAccept(test.class, "early", "3")
+			p.waitFor("the attempts are made", func() bool { return int(attempts.Load()) >= test.attempts })
+			if test.kill {
+				p.kill(c)
+				p.start()
+			}
+			p.waitFor("the journal is empty", func() bool { return p.journalEntryCount() == 0 })
+			if notices := p.receivedNotices(); len(notices) != 0 {
+				t.Errorf("notices %+v, want none", notices)
+			}
+			if f := p.metrics(); !test.kill && (f.Success["status"]+f.Success["order"] != 2 || f.Inflight != 0) {
+				t.Errorf("metrics %+v, want two successes and no request in flight", f)
+			}
+		})
+	}
+}
+
+// deliverAndReset responds to a request with a delivery and then resets the connection.
+func deliverAndReset(t *testing.T, w http.ResponseWriter) {
+	t.Helper()
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	time.Sleep(slowResponse) // so that the relay reads the response before the reset
+	if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Error(err)
+	}
+	_ = conn.Close()
+}
--- a/internal/upstream/http1/extra_response_test.go
+++ b/internal/upstream/http1/extra_response_test.go
@@ -229,3 +229,40 @@
 		t.Errorf("extra responses %+v, %d connections cached; want one on an idle connection, and none", signs, p.size)
 	}
 }
+
+// A delivery that comes early, on a connection that is reset before it is confirmed, may be a copy: the request may have executed, and
+// most likely was delivered. A rejection in its place says nothing.
+func TestCall_ResetLeavesEarlyDeliveryInDoubt(t *testing.T) {
+	for status, likely := range map[int]bool{http.StatusOK: true, http.StatusServiceUnavailable: false} {
+		addr := serveEndpoint(t, func(c net.Conn) {
+			in := bufio.NewReader(c)
+			if readRequest(in) != nil {
+				return
+			}
+			_, _ = io.WriteString(c, responseText(http.StatusOK))
+			if readRequest(in) != nil {
+				return
+			}
+			_, _ = io.WriteString(c, responseText(status))
+			time.Sleep(50 * time.Millisecond) // so that the relay reads the response before the reset
+			resetConn(t, c)
+		})
+		p := newTestPool()
+		p.Call(t.Context(), newTestRequest(addr))
+		p.restIdleConns()
+		p.learnLatency(time.Second)
+		res := p.Call(t.Context(), newTestRequest(addr))
+		if res.NewConn || res.Final || !res.Doubtful || !res.OutcomeUnknown || res.LikelyDelivered != likely {
+			t.Errorf("status %d, then a reset: %+v; want a response in doubt, and a likely delivery: %v", status, res, likely)
+		}
+	}
+}
+
+// resetConn closes a connection with a reset.
+func resetConn(t *testing.T, c net.Conn) {
+	t.Helper()
+	if err := c.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Error(err)
+	}
+	_ = c.Close()
+}
--- a/internal/upstream/http1/ownership.go
+++ b/internal/upstream/http1/ownership.go
@@ -83,6 +83,9 @@
 		res.reusable = false
 		p.recordExtraResponse(r.Target, c, ExtraUnconfirmed)
 		return res, c.nextOutcome(requestCtx) == res.Outcome
+	case connectionFailed:
+		res.LikelyDelivered = owner == policy.LikelyOwnResponse
+		return res, false
 	case undecided:
 		res.reusable = false
 	}
@@ -114,7 +117,7 @@
 
 // doubtful returns the result of an exchange whose response may belong to an earlier request. The request may have executed. Its
 // connection is closed, which ends the request at the endpoint, before it is sent again. A wait that the response asks for still
-// counts.
+// counts, and so does a likely delivery if the request can't be sent again.
 func doubtful(res exchangeResult) exchangeResult {
 	res.reusable, res.Final, res.AttemptsExhausted, res.OutcomeUnknown, res.Doubtful = false, false, false, true, true
 	if res.Outcome == policy.Succeeded {
@@ -133,7 +136,9 @@
 	connectionClosed
 	// responseFollowed: another response has begun.
 	responseFollowed
-	// undecided: the connection broke, the request's deadline is near, or the pool is quiesced.
+	// connectionFailed: the connection broke, so that another response may have been lost.
+	connectionFailed
+	// undecided: the request's deadline is near, or the pool is quiesced.
 	undecided
 )
 
@@ -160,7 +165,7 @@
 	case errors.Is(err, io.EOF):
 		return connectionClosed
 	}
-	return undecided
+	return connectionFailed
 }
 
 // beginConfirmation marks the response of a connection as unconfirmed, and sets the time until which another one is awaited: the latest
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -21,6 +21,9 @@
 	OutcomeUnknown bool
 	// Doubtful reports that the response may belong to an earlier request on the connection.
 	Doubtful bool
+	// LikelyDelivered reports that the request most likely was delivered, but may have to be sent again: its connection failed before
+	// it was certain that the response belongs to it.
+	LikelyDelivered bool
 	// Unconfirmed is how long the response was kept until it counted as the response to this request.
 	Unconfirmed time.Duration
 	// LoadReport is the load report that came with the response; nil if there was none.
