Emulator: rejections that are written before the request is read

The last form of the fault extra_response that was missing: an endpoint answers 503 when the request begins to arrive, reads the rest and does not run it.

--- a/internal/faultinjection/harness/attempt.go
+++ b/internal/faultinjection/harness/attempt.go
@@ -74,6 +74,7 @@
 
 // readAttempt reads one attempt and passes it to the model. It reports whether the connection stays open.
 func (c *endpointConn) readAttempt(in *bufio.Reader, firstByte time.Duration) bool {
+	rejectedEarly := c.rejectEarly()
 	req, err := readRequest(in, firstByte)
 	if err != nil {
 		return false
@@ -92,6 +93,10 @@
 		return c.respond(response{status: http.StatusNotFound})
 	}
 	a, previous := c.beginAttempt(req)
+	if rejectedEarly {
+		a.end(checker.Event{Outcome: checker.Rejected})
+		return !c.overLimit
+	}
 	if !req.probe {
 		if status := c.checkForwardable(a, req); status != 0 {
 			a.end(checker.Event{Outcome: checker.NotSent})
--- a/internal/faultinjection/harness/extra_response.go
+++ b/internal/faultinjection/harness/extra_response.go
@@ -28,7 +28,7 @@
 	streams scenario.RandomStreams
 
 	mu     sync.Mutex                 // guards everything below
-	active map[string]*scenario.Fault // by source
+	active map[string]*scenario.Fault // by extraKind
 	random *rand.Rand
 	total  ExtraResponses
 }
@@ -45,25 +45,34 @@
 	return f.ExtraSource
 }
 
+// extraKind returns who writes the responses of a fault, or that they are early rejections. At most one fault of a kind is active.
+func extraKind(f *scenario.Fault) string {
+	if f.ExtraForm == scenario.ExtraEarly {
+		return scenario.ExtraEarly
+	}
+	return extraSource(f)
+}
+
 func (x *extraResponses) begin(f *scenario.Fault) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.active[extraSource(f)] = f
+	x.active[extraKind(f)] = f
 }
 
 func (x *extraResponses) end(f *scenario.Fault) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.active[extraSource(f)] == f {
-		delete(x.active, extraSource(f))
+	if x.active[extraKind(f)] == f {
+		delete(x.active, extraKind(f))
 	}
 }
 
-// draw decides whether a response is followed by another one. If so, it returns the fault and the time until then.
-func (x *extraResponses) draw(source, destination string) (f *scenario.Fault, delay time.Duration) {
+// draw decides whether a fault of a kind concerns a response: whether another one follows it, or whether it is an early rejection. If
+// so, it returns the fault and its delay.
+func (x *extraResponses) draw(kind, destination string) (f *scenario.Fault, delay time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	f = x.active[source]
+	f = x.active[kind]
 	if f == nil || f.Destination != "" && f.Destination != destination || x.random.Float64() >= f.Share {
 		return nil, 0
 	}
@@ -123,6 +132,22 @@
 	return text
 }
 
+// rejectEarly writes a rejection of a request that has begun to arrive, if such a fault is active, and reports whether it did.
+func (c *endpointConn) rejectEarly() bool {
+	d := c.endpoint.destination
+	fault, _ := d.harness.extra.draw(scenario.ExtraEarly, d.name())
+	if fault == nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.closed || c.send(extraText(scenario.ExtraRefusal, "")) != nil {
+		return false
+	}
+	d.harness.extra.count(false, false)
+	return true
+}
+
 // followResponse schedules what follows the response that was last written on a connection, if anything does. The lock of the
 // destination is held.
 func (c *endpointConn) followResponse(text string) {
@@ -219,6 +244,9 @@
 // scheduleExtraResponses schedules a fault in which a share of responses is followed by one that nobody asked for.
 func scheduleExtraResponses(h *harness, f *scheduledFault) []scheduledAction {
 	description := fmt.Sprintf("%s after responses of %s", f.ExtraForm, cmp.Or(f.Destination, extraSource(f.Fault)))
+	if f.ExtraForm == scenario.ExtraEarly {
+		description = "early rejections by " + cmp.Or(f.Destination, "destinations")
+	}
 	return f.beginAndEnd(description, func() { h.extra.begin(f.Fault) }, func() { h.extra.end(f.Fault) })
 }
 
--- a/internal/faultinjection/harness/extra_response_test.go
+++ b/internal/faultinjection/harness/extra_response_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"frostlink/internal/faultinjection/checker"
@@ -112,3 +113,20 @@
 		})
 	}
 }
+
+// A rejection that an endpoint writes before it has read the request is the request's own: no rule is broken, and the rejected requests
+// are sent again.
+func TestRelays_TolerateEarlyRejections(t *testing.T) {
+	text := strings.Replace(copyingScenario, "form = \"copy\"", "form = \"early\"", 1)
+	s, err := scenario.Parse("early.toml", []byte(strings.Replace(text, "busy = true\n", "", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	result := playConclusive(t, s, Options{Seed: s.Seed, RelayCommand: []string{buildRelay(t)}})
+	for _, v := range result.Violations {
+		t.Errorf("%+v", v)
+	}
+	if x := result.ExtraResponses; x == nil || x.Written < minDelivered {
+		t.Errorf("early rejections: %+v", x)
+	}
+}
--- a/internal/faultinjection/scenario/fault.go
+++ b/internal/faultinjection/scenario/fault.go
@@ -61,6 +61,8 @@
 	ExtraTimeout = "408"     // the response of a server that has waited too long for a request
 	ExtraInterim = "interim" // an informational response
 	ExtraNoise   = "noise"   // bytes that are no response
+	// ExtraEarly is a rejection that is written before the request has been read, which then does not execute. It is the request's own.
+	ExtraEarly = "early"
 )
 
 // Who writes responses that nobody asked for.
--- a/internal/faultinjection/scenario/soak_faults.go
+++ b/internal/faultinjection/scenario/soak_faults.go
@@ -106,5 +106,9 @@
 		extra.writeFaultAt(soakFirstFault, FaultExtraResponse, lasting, setting{"share", 0.3}, setting{"form", ExtraCopy},
 			setting{"delay_ms", milliseconds{0, 3000}}, setting{"source", SourceDiscovery})
 	}
+	if extra.chance(0.3) {
+		extra.writeFaultAt(soakFirstFault, FaultExtraResponse, lasting, setting{"share", 0.05}, setting{"form", ExtraEarly},
+			setting{"delay_ms", milliseconds{0, 0}})
+	}
 	w.text.WriteString(extra.text.String())
 }
--- a/internal/faultinjection/scenario/validate_fault.go
+++ b/internal/faultinjection/scenario/validate_fault.go
@@ -58,7 +58,7 @@
 	{"signals", faultValidator.checkSignals},
 	{"again_s", func(f faultValidator, key string) { f.aboveZeroIfGiven(key, f.fault.RestartAgain) }},
 	{"form", func(f faultValidator, key string) {
-		f.oneOfIfGiven(key, f.fault.ExtraForm, ExtraCopy, ExtraHalf, ExtraRefusal, ExtraTimeout, ExtraInterim, ExtraNoise)
+		f.oneOfIfGiven(key, f.fault.ExtraForm, ExtraCopy, ExtraHalf, ExtraRefusal, ExtraTimeout, ExtraInterim, ExtraNoise, ExtraEarly)
 	}},
 	{"source", faultValidator.checkExtraSource},
 	{"delay_ms", nil}, // checked by Range
