Endpoints: an informational response does not refute an early delivery

Any bytes after an early response were read as the final response that refutes or confirms it.

Informational responses and a 408 refute nothing now, since neither answers a request that the endpoint has in hand; the connection is not used again. Bytes that can't be read leave an early delivery as likely as a reset does.

--- a/internal/upstream/http1/extra_response_test.go
+++ b/internal/upstream/http1/extra_response_test.go
@@ -266,3 +266,54 @@
 	}
 	_ = c.Close()
 }
+
+// What follows an early response and can't be the response to a request that the endpoint has in hand does not refute it. What can't be
+// read may have been such a response: an early delivery is likely then.
+func TestCall_OtherBytesAfterEarlyResponse(t *testing.T) {
+	const interim, timeout = "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	for _, test := range []struct {
+		name    string
+		early   int
+		next    string
+		outcome policy.Outcome
+		unknown bool
+		likely  bool
+	}{
+		{"interim after a delivery", http.StatusOK, interim, policy.Succeeded, false, false},
+		{"interim after a rejection", http.StatusServiceUnavailable, interim, policy.Rejected, false, false},
+		{"408 after a delivery", http.StatusOK, timeout, policy.Succeeded, false, false},
+		{"interim, then a rejection, after a delivery", http.StatusOK, interim + responseText(http.StatusServiceUnavailable), policy.ConnectionReset, true, false},
+		{"half a delivery after a delivery", http.StatusOK, "HTTP/1.1 200 OK\r\nCont", policy.Succeeded, false, false},
+		{"noise after a delivery", http.StatusOK, "\x16\x03\x01 no response\r\n", policy.ConnectionReset, true, true},
+		{"noise after a rejection", http.StatusServiceUnavailable, "\x16\x03\x01 no response\r\n", policy.Rejected, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			addr := serveEndpoint(t, func(c net.Conn) {
+				in := bufio.NewReader(c)
+				if readRequest(in) != nil {
+					return
+				}
+				_, _ = io.WriteString(c, responseText(http.StatusOK))
+				if readRequest(in) != nil {
+					return
+				}
+				_, _ = io.WriteString(c, responseText(test.early))
+				time.Sleep(50 * time.Millisecond)
+				_, _ = io.WriteString(c, test.next)
+				_, _ = in.ReadByte() // until the relay closes
+			})
+			p := newTestPool()
+			p.Call(t.Context(), newTestRequest(addr))
+			p.restIdleConns()
+			p.learnLatency(time.Second)
+			res := p.Call(t.Context(), newTestRequest(addr))
+			if res.NewConn || res.Outcome != test.outcome || res.OutcomeUnknown != test.unknown || res.LikelyDelivered != test.likely {
+				t.Errorf("%+v; want outcome %v, unknown %v, likely delivered %v", res, test.outcome, test.unknown, test.likely)
+			}
+			if p.size != 0 {
+				t.Errorf("%d connections cached, want none", p.size)
+			}
+		})
+	}
+}
--- a/internal/upstream/http1/ownership.go
+++ b/internal/upstream/http1/ownership.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"os"
 	"time"
 
@@ -71,18 +72,21 @@
 	}
 	begunAt := time.Now()
 	defer func() { confirmed.Unconfirmed = time.Since(begunAt) }()
-	switch p.awaitNextResponse(requestCtx, c) {
+	next, outcome := p.awaitNextResponse(requestCtx, c)
+	if next == responseFollowed || next == otherFollowed {
+		p.recordExtraResponse(r.Target, c, ExtraUnconfirmed)
+	}
+	switch next {
 	case nothingFollowed:
 		res.reusable = res.reusable && c.clearDeadlines()
 		return res, true
-	case connectionClosed:
+	case connectionClosed, otherFollowed:
 		res.reusable = false
 		return res, true
 	case responseFollowed:
 		// One of the two responses is the request's own. If they mean the same, it does not matter which.
 		res.reusable = false
-		p.recordExtraResponse(r.Target, c, ExtraUnconfirmed)
-		return res, c.nextOutcome(requestCtx) == res.Outcome
+		return res, outcome == res.Outcome
 	case connectionFailed:
 		res.LikelyDelivered = owner == policy.LikelyOwnResponse
 		return res, false
@@ -92,18 +96,6 @@
 	return res, owner == policy.LikelyOwnResponse
 }
 
-// nextOutcome reads the response that follows an unconfirmed one, and returns the outcome that it stands for.
-func (c *conn) nextOutcome(requestCtx context.Context) policy.Outcome {
-	resp, succeeded, err := c.readResponse(requestCtx)
-	switch {
-	case err == nil:
-		return classify(resp).Outcome
-	case succeeded:
-		return policy.Succeeded
-	}
-	return policy.ConnectionReset
-}
-
 // beginsResponse reports whether the bytes that were read after a response begin another one. Other bytes may belong to the response,
 // if its Content-Length is wrong.
 func (c *conn) beginsResponse() bool {
@@ -134,9 +126,12 @@
 	nothingFollowed successor = iota
 	// connectionClosed: the endpoint has closed the connection, as it does with idle ones, so that it has no request in hand.
 	connectionClosed
-	// responseFollowed: another response has begun.
+	// responseFollowed: another response has followed.
 	responseFollowed
-	// connectionFailed: the connection broke, so that another response may have been lost.
+	// otherFollowed: something has followed that can't be the response to a request that the endpoint has in hand: an informational
+	// response and no other, or a 408, which tells that no request has come (RFC 9110, section 15.5.9).
+	otherFollowed
+	// connectionFailed: the connection broke, or what followed can't be read, so that another response may have been lost.
 	connectionFailed
 	// undecided: the request's deadline is near, or the pool is quiesced.
 	undecided
@@ -146,20 +141,43 @@
 // the request fails.
 const deadlineMargin = 100 * time.Millisecond
 
-// awaitNextResponse waits for another response after an unconfirmed one, until shortly before the request's deadline at most.
-func (p *Pool) awaitNextResponse(requestCtx context.Context, c *conn) successor {
+// awaitNextResponse waits for another response after an unconfirmed one, until shortly before the request's deadline at most. If one
+// follows, it returns the outcome that it stands for.
+func (p *Pool) awaitNextResponse(requestCtx context.Context, c *conn) (next successor, outcome policy.Outcome) {
 	latest := time.Time{}
 	if deadline, bounded := requestCtx.Deadline(); bounded {
 		latest = deadline.Add(-deadlineMargin)
 	}
 	expires := p.beginConfirmation(c, latest)
 	c.limit.N = maxResponseSize
-	_, err := c.in.Peek(1)
+	for interim := range maxInterimResponses + 1 {
+		if _, err := c.in.Peek(1); err != nil {
+			return p.successorOnError(err, expires, interim > 0), 0
+		}
+		succeeded := c.peekStatusOK()
+		resp, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodPost})
+		switch {
+		case err != nil && succeeded:
+			return responseFollowed, policy.Succeeded
+		case err != nil:
+			return connectionFailed, 0
+		case resp.StatusCode == http.StatusRequestTimeout:
+			return otherFollowed, 0
+		case resp.StatusCode >= http.StatusOK:
+			return responseFollowed, classify(resp).Outcome
+		}
+	}
+	return connectionFailed, 0
+}
+
+// successorOnError returns what follows an unconfirmed response if the wait for another one ended with an error. interim reports that
+// an informational response has followed, which is no request's final one.
+func (p *Pool) successorOnError(err error, expires, interim bool) successor {
 	switch {
-	case err == nil:
-		return responseFollowed
 	case p.isQuiesced() || expires:
 		return undecided
+	case interim && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.EOF)):
+		return otherFollowed
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nothingFollowed
 	case errors.Is(err, io.EOF):
