Tests share one server of raw responses; two files split by concern

The accept loop of tests that write responses byte by byte stood six times: sockettest.Serve. The wait for what follows an early response (http1) and the network's times and copied acknowledgements (harness) have files of their own. Nothing but places changed.

--- a/internal/coord/api/caller_test.go
+++ b/internal/coord/api/caller_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"frostlink/internal/socket/sockettest"
 	"frostlink/internal/wait/waittest"
 )
 
@@ -23,27 +24,14 @@
 
 // A copy of the response to one call is not taken for the response to the next: a lease would count as granted that is not.
 func TestCaller_CopiedResponseDoesNotAnswerTheNextCall(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	calls := make(chan int, 2)
 	calls <- 1
 	calls <- 2
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveWithCopies(c, calls)
-		}
-	}()
+	address := sockettest.Serve(t, "tcp", sockettest.Loopback, func(c net.Conn) { serveWithCopies(c, calls) })
 	caller := NewCaller("c")
 	caller.HTTPClient.Timeout = waittest.Long
 	for call := uint64(1); call <= 2; call++ {
-		response, err := caller.Post(t.Context(), listener.Addr().String(), PathRead, Request{})
+		response, err := caller.Post(t.Context(), address, PathRead, Request{})
 		if err != nil || response.Leader != call {
 			t.Errorf("call %d: response %+v, err %v, want that of call %d", call, response, err, call)
 		}
@@ -54,7 +42,6 @@
 // serveWithCopies responds to each request with the number of its call. Before each response but a connection's first, it writes
 // a copy of the response before it.
 func serveWithCopies(c net.Conn, calls <-chan int) {
-	defer c.Close()
 	last := ""
 	for in := bufio.NewReader(c); ; {
 		r, err := http.ReadRequest(in)
--- a/internal/coord/server/peers_test.go
+++ b/internal/coord/server/peers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"frostlink/internal/coord/replica"
+	"frostlink/internal/socket/sockettest"
 	"frostlink/internal/wait/waittest"
 )
 
@@ -29,7 +30,6 @@
 )
 
 func (m *copyingMember) serve(conn net.Conn) {
-	defer conn.Close()
 	for in := bufio.NewReader(conn); ; {
 		r, err := http.ReadRequest(in)
 		if err != nil {
@@ -57,22 +57,9 @@
 // A copy of a response that counts for a later post makes no message arrive twice, and loses none: a response tells a member only
 // whether to pause before its next post.
 func TestPeers_CopiedResponsesLoseNoMessage(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
 	m := &copyingMember{received: map[uint64]int{}}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // the test is over
-			}
-			go m.serve(conn)
-		}
-	}()
-	p := newPeers(map[uint64]string{2: listener.Addr().String()}, nil)
+	address := sockettest.Serve(t, "tcp", sockettest.Loopback, m.serve)
+	p := newPeers(map[uint64]string{2: address}, nil)
 	defer p.close()
 	for i := range copiedPosts {
 		p.send(2, nil, replica.Envelope{From: uint64(i), To: 2, Kind: replica.KindRaft}.Encode())
--- a/internal/deadletter/client_test.go
+++ b/internal/deadletter/client_test.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"frostlink/internal/socket/sockettest"
 )
 
 // serveOnSocket serves a store on a socket. It returns a client, and a function that stops serving and returns its error.
@@ -119,20 +121,7 @@
 // request on a connection writes the first response once more before it responds.
 func TestClient_CopiedResponseDoesNotAnswerTheNextRequest(t *testing.T) {
 	socket := filepath.Join(t.TempDir(), "s")
-	listener, err := net.Listen("unix", socket)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // the test is over
-			}
-			go echoPathsWithCopies(conn)
-		}
-	}()
+	sockettest.Serve(t, "unix", socket, echoPathsWithCopies)
 	c, err := Connect(socket)
 	if err != nil {
 		t.Fatal(err)
@@ -152,7 +141,6 @@
 
 // echoPathsWithCopies responds to each request on a connection with its path, and before that repeats the last response.
 func echoPathsWithCopies(conn net.Conn) {
-	defer conn.Close()
 	last := ""
 	for in := bufio.NewReader(conn); ; {
 		r, err := http.ReadRequest(in)
--- a/internal/faultinjection/harness/doc.go
+++ b/internal/faultinjection/harness/doc.go
@@ -47,7 +47,9 @@
 //	crowd.go                 callers that hold many connections to a relay
 //	destination_server.go    a destination: its model, and the endpoints that serve it
 //	endpoint_server.go       an endpoint: its listeners and connections in each of its modes
-//	extra_response.go        responses that nobody asked for, and the time that the network takes
+//	extra_response.go        responses that nobody asked for
+//	transit.go               the time that the network takes to and from an endpoint
+//	copying_listener.go      acknowledgements of notifications that are written twice
 //	endpoint_conn.go         a relay's connection to an endpoint
 //	attempt.go               an attempt on such a connection
 //	unreachable.go           addresses at which connection attempts time out
--- a/internal/faultinjection/harness/extra_response.go
+++ b/internal/faultinjection/harness/extra_response.go
@@ -4,13 +4,9 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"strings"
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"frostlink/internal/faultinjection/scenario"
 )
 
@@ -79,18 +75,6 @@
 	return f, scenario.Milliseconds(f.Delay.Draw(x.random))
 }
 
-// transit returns the time that the network takes to and from an endpoint, in each direction. While a fault is active, it does not
-// change.
-func (x *extraResponses) transit(endpoint, destination string) time.Duration {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	f := x.active[scenario.SourceDestinations]
-	if f == nil || f.Destination != "" && f.Destination != destination {
-		return 0
-	}
-	return scenario.Milliseconds(f.Transit.Draw(x.streams.Stream("transit-" + endpoint)))
-}
-
 // count counts a response that nobody asked for.
 func (x *extraResponses) count(crossed, busy bool) {
 	x.mu.Lock()
@@ -169,78 +153,6 @@
 	})
 }
 
-// send writes to the relay after the time that the network takes. The lock of the destination is held.
-func (c *endpointConn) send(text string) error {
-	transit := c.transit()
-	if transit == 0 && len(c.inTransit) == 0 {
-		return c.write(text)
-	}
-	c.inTransit = append(c.inTransit, text)
-	time.AfterFunc(transit, func() {
-		c.endpoint.destination.mu.Lock()
-		defer c.endpoint.destination.mu.Unlock()
-		if !c.closed {
-			_ = c.deliverNext() // the relay has closed the connection, which its reader notices
-		}
-	})
-	return nil
-}
-
-// deliverNext writes what has been in transit to the relay for the longest time.
-func (c *endpointConn) deliverNext() error {
-	if len(c.inTransit) == 0 {
-		return nil
-	}
-	text := c.inTransit[0]
-	c.inTransit = c.inTransit[1:]
-	return c.write(text)
-}
-
-// deliverAll writes all that is in transit to the relay: what was written before a close arrives.
-func (c *endpointConn) deliverAll() {
-	for len(c.inTransit) > 0 {
-		if c.deliverNext() != nil {
-			return // the relay has closed the connection
-		}
-	}
-}
-
-// transit returns the time that the network takes to and from the endpoint.
-func (c *endpointConn) transit() time.Duration {
-	d := c.endpoint.destination
-	return d.harness.extra.transit(c.endpoint.id, d.name())
-}
-
-// awaitArrival waits until a request whose first byte the relay has written has arrived at the endpoint. It reports whether the
-// connection is still open then: a relay that closes it meanwhile gives the request up, and may already send it elsewhere.
-func (c *endpointConn) awaitArrival() (open bool) {
-	transit := c.transit()
-	if transit == 0 {
-		return true
-	}
-	c.setArriving(true)
-	time.Sleep(transit)
-	c.setArriving(false)
-	return !c.closedByPeer()
-}
-
-// closedByPeer reports whether the relay has closed the connection, also if bytes before the end are unread.
-func (c *endpointConn) closedByPeer() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return true
-	}
-	var info *unix.TCPInfo
-	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	return controlErr != nil || err != nil || info.State != unix.BPF_TCP_ESTABLISHED
-}
-
-func (c *endpointConn) setArriving(arriving bool) {
-	c.endpoint.destination.mu.Lock()
-	defer c.endpoint.destination.mu.Unlock()
-	c.arriving = arriving
-}
-
 // scheduleExtraResponses schedules a fault in which a share of responses is followed by one that nobody asked for.
 func scheduleExtraResponses(h *harness, f *scheduledFault) []scheduledAction {
 	description := fmt.Sprintf("%s after responses of %s", f.ExtraForm, cmp.Or(f.Destination, extraSource(f.Fault)))
@@ -249,41 +161,3 @@
 	}
 	return f.beginAndEnd(description, func() { h.extra.begin(f.Fault) }, func() { h.extra.end(f.Fault) })
 }
-
-// copyingListener is a listener whose connections write a share of the acknowledgements of notifications twice.
-type copyingListener struct {
-	net.Listener
-	extra *extraResponses
-}
-
-func (l copyingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err //nolint:wrapcheck // net.Listener's contract
-	}
-	return copyingConn{conn, l.extra}, nil
-}
-
-type copyingConn struct {
-	net.Conn
-	extra *extraResponses
-}
-
-// acknowledgementPrefix begins the response to a notification.
-const acknowledgementPrefix = "HTTP/1.1 204 "
-
-func (c copyingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	if err != nil || !strings.HasPrefix(string(b), acknowledgementPrefix) {
-		return n, err //nolint:wrapcheck // net.Conn's contract
-	}
-	if fault, delay := c.extra.draw(scenario.SourcePlatform, ""); fault != nil {
-		text := string(b)
-		time.AfterFunc(delay, func() {
-			if _, err := c.Conn.Write([]byte(text)); err == nil {
-				c.extra.count(false, false)
-			}
-		})
-	}
-	return n, nil
-}
--- a/internal/fleettask/heartbeat_test.go
+++ b/internal/fleettask/heartbeat_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+
+	"frostlink/internal/socket/sockettest"
 )
 
 // copyingMonitor accepts the first heartbeat and rejects the others. Before each response but the first on a connection it writes the
@@ -16,7 +18,6 @@
 type copyingMonitor struct{ heartbeats atomic.Int32 }
 
 func (m *copyingMonitor) serve(conn net.Conn) {
-	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for onConn := 1; ; onConn++ {
 		r, err := http.ReadRequest(in)
@@ -41,22 +42,9 @@
 
 // A copy of the response to an earlier heartbeat does not hide that the monitor rejects the token of a later one.
 func TestHeartbeat_CopiedResponseDoesNotHideRejection(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
 	m := &copyingMonitor{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // the test is over
-			}
-			go m.serve(conn)
-		}
-	}()
-	h := newHeartbeat(&Heartbeat{URL: "http://" + listener.Addr().String()}, "relay-1")
+	address := sockettest.Serve(t, "tcp", sockettest.Loopback, m.serve)
+	h := newHeartbeat(&Heartbeat{URL: "http://" + address}, "relay-1")
 	if err := h.post(t.Context(), 1); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/notification/extra_response_test.go
+++ b/internal/notification/extra_response_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"frostlink/internal/socket/sockettest"
 	"frostlink/internal/wait/waittest"
 )
 
@@ -22,7 +23,6 @@
 }
 
 func (p *copyingPlatform) serve(c net.Conn) {
-	defer c.Close()
 	in := bufio.NewReader(c)
 	for first := true; ; first = false {
 		r, err := http.ReadRequest(in)
@@ -53,22 +53,9 @@
 // A copy of the acknowledgement of one post does not acknowledge the notices of the next, which the platform has not handled.
 func TestNotifier_CopiedAcknowledgementDoesNotAcknowledgeOtherNotices(t *testing.T) {
 	platform := &copyingPlatform{}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go platform.serve(c)
-		}
-	}()
+	address := sockettest.Serve(t, "tcp", sockettest.Loopback, platform.serve)
 	acknowledged := make(chan []string, 2)
-	n := New(listener.Addr().String(), func(ids []string) { acknowledged <- ids })
+	n := New(address, func(ids []string) { acknowledged <- ids })
 	n.client.Timeout = waittest.Long
 	go n.Run(t.Context())
 	for _, id := range []string{"first", "second"} {
--- a/internal/upstream/http1/doc.go
+++ b/internal/upstream/http1/doc.go
@@ -21,6 +21,7 @@
 //   - conn.go: one connection, its states and its deadlines;
 //   - acquire.go: a connection for an attempt: one that has rested, or a new one;
 //   - ownership.go: which request a response belongs to;
+//   - confirmation.go: the wait for what follows a response that may belong to an earlier request;
 //   - exchange.go: one attempt: a request and its response on a connection;
 //   - request.go: encoding of requests;
 //   - response.go: reading and classifying responses, their load reports and requested waits;
--- a/internal/upstream/http1/endpoint_test.go
+++ b/internal/upstream/http1/endpoint_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"frostlink/internal/socket/sockettest"
 	"frostlink/internal/upstream"
 	"frostlink/internal/wait/waittest"
 )
@@ -18,24 +19,7 @@
 // serveEndpoint starts an endpoint that handles each connection with serve, and returns its address.
 func serveEndpoint(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c)
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return sockettest.Serve(t, "tcp", sockettest.Loopback, serve)
 }
 
 // readRequest reads and discards one request.
