--- a/internal/socket/sockettest/serve.go
+++ b/internal/socket/sockettest/serve.go
@@ -25,7 +25,7 @@
 				return // the test is over
 			}
 			go func() {
-				defer conn.Close()
+				defer func() { _ = conn.Close() }()
 				serve(conn)
 			}()
 		}
