Emulator: the report of a relay's crash is not lost under injected system call errors

The Go runtime reports a crash from a signal handler, in which all signals are blocked; the preloaded library had its write to standard error raise SIGSYS there, which killed the process unreported.

Writes to standard error are not trapped any more (no rule applied to them). TestSyscallErrors_CrashIsReported failed before: "signal: bad system call", nothing printed.

--- a/internal/faultinjection/faults/preload/syscalls.c
+++ b/internal/faultinjection/faults/preload/syscalls.c
@@ -210,13 +210,14 @@
 
 /*
  * install_filter installs the filter that makes the trapped calls raise SIGSYS. The filter also makes sigaction calls for SIGSYS return
- * success without an effect, so that the Go runtime does not replace the signal handler.
+ * success without an effect, so that the Go runtime does not replace the signal handler. Writes to standard error are never trapped: the
+ * Go runtime reports a crash from a signal handler, in which SIGSYS is blocked, so that a trapped call would kill the process unreported.
  */
 static int install_filter(void)
 {
 	enum { COUNT = sizeof trapped_calls / sizeof trapped_calls[0] };
 	uint64_t pass = (uintptr_t)frostlink_after_syscall;
-	struct sock_filter program[COUNT + 16];
+	struct sock_filter program[COUNT + 24];
 	int n = 0;
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, arch));
 	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AUDIT_ARCH_X86_64, 1, 0);
@@ -227,6 +228,11 @@
 	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, (uint32_t)(pass >> 32), 0, 1);
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW);
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, nr));
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_write, 0, 3);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, args[0]));
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, STDERR_FILENO, 0, 1);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, nr));
 	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_rt_sigaction, 0, 3);
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, args[0]));
 	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SIGSYS, 0, COUNT + 1);
--- a/internal/faultinjection/faults/syscalls_test.go
+++ b/internal/faultinjection/faults/syscalls_test.go
@@ -39,9 +39,16 @@
 	accept           = "accept"
 )
 
+// quitEnv makes the helper process end itself by SIGQUIT, for which the Go runtime prints a report from its signal handler.
+const quitEnv = "FROSTLINK_TEST_QUIT"
+
 // makeCalls is the main function of the helper process. It makes calls on files inside and outside of the folder and on sockets, and
 // prints a line for each kind with the kind's name and the number of failures by error.
 func makeCalls(folder string) {
+	if os.Getenv(quitEnv) != "" {
+		_ = syscall.Kill(os.Getpid(), syscall.SIGQUIT)
+		time.Sleep(time.Minute)
+	}
 	makeFileCalls(folder)
 	makeSocketCalls()
 }
@@ -160,7 +167,10 @@
 			t.Fatal(err)
 		}
 	}
-	output := runHelper(t, append(syscallErrors.Env(), Preload(syscallErrors.Library()), callerEnv+"="+folder))
+	output, err := runHelper(t, append(syscallErrors.Env(), Preload(syscallErrors.Library()), callerEnv+"="+folder))
+	if err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
 	if tt.call != 0 {
 		hits, err := syscallErrors.Clear(rule)
 		if err != nil || tt.call != PollWait && (hits < callsPerKind/4 || hits > 2*callsPerKind) {
@@ -188,8 +198,25 @@
 	}
 }
 
-// runHelper runs the test binary as a helper process, and returns its output.
-func runHelper(t *testing.T, env []string) string {
+// The report of a crash that the Go runtime prints from a signal handler is not lost: otherwise the process would be killed by SIGSYS, and
+// nothing would tell why it ended.
+func TestSyscallErrors_CrashIsReported(t *testing.T) {
+	library, err := BuildSyscallLibrary(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	syscallErrors, err := NewSyscallErrors(library, filepath.Join(t.TempDir(), "rules"), t.TempDir(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	output, err := runHelper(t, append(syscallErrors.Env(), Preload(syscallErrors.Library()), callerEnv+"="+t.TempDir(), quitEnv+"=1"))
+	if err == nil || !strings.Contains(output, "SIGQUIT") {
+		t.Errorf("helper process ended with %v, and printed %q", err, output)
+	}
+}
+
+// runHelper runs the test binary as a helper process, and returns its output and how it ended.
+func runHelper(t *testing.T, env []string) (text string, err error) {
 	t.Helper()
 	program, err := os.Executable()
 	if err != nil {
@@ -199,10 +226,8 @@
 	cmd.Env = append(os.Environ(), env...)
 	var output bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &output, &output
-	if err := cmd.Run(); err != nil {
-		t.Fatalf("%v: %s", err, output.String())
-	}
-	return output.String()
+	err = cmd.Run()
+	return output.String(), err
 }
 
 // lineOf returns the text that follows a prefix in the line that begins with the prefix.
