Emulator: injected errors of system calls kill no process with blocked signals

The preloaded library fails calls from a handler of SIGSYS; the kernel kills a process that gets SIGSYS while it is blocked. The Go runtime keeps a thread with all but a few signals blocked once signal.Notify is used (ensureSigM), and a thread that gives its processor up may write to the network poller's descriptor.

The library now executes calls that block signals itself, and leaves SIGSYS unblocked.

--- a/internal/faultinjection/faults/preload/syscalls.c
+++ b/internal/faultinjection/faults/preload/syscalls.c
@@ -199,12 +199,34 @@
 	return frostlink_syscall(number, argument[0], argument[1], argument[2], argument[3], argument[4], argument[5]);
 }
 
+/*
+ * change_mask executes rt_sigprocmask(2) for the interrupted thread, whose signal mask is restored from mask when the signal handler
+ * returns. SIGSYS stays unblocked: a trapped call kills the process if SIGSYS is blocked.
+ */
+static long change_mask(uint64_t *mask, const long *argument)
+{
+	const uint64_t *set = (const uint64_t *)argument[1];
+	uint64_t *old_set = (uint64_t *)argument[2], old = *mask;
+	if (set != NULL && argument[0] == SIG_BLOCK)
+		*mask |= *set;
+	else if (set != NULL && argument[0] == SIG_SETMASK)
+		*mask = *set;
+	*mask &= ~(UINT64_C(1) << (SIGSYS - 1));
+	if (old_set != NULL)
+		*old_set = old;
+	return 0;
+}
+
 static void handle_sigsys(int signal, siginfo_t *info, void *context)
 {
 	greg_t *registers = ((ucontext_t *)context)->uc_mcontext.gregs;
 	long argument[6] = {registers[REG_RDI], registers[REG_RSI], registers[REG_RDX],
 			    registers[REG_R10], registers[REG_R8], registers[REG_R9]};
 	(void)signal;
+	if (info->si_syscall == SYS_rt_sigprocmask) {
+		registers[REG_RAX] = change_mask((uint64_t *)&((ucontext_t *)context)->uc_sigmask, argument);
+		return;
+	}
 	registers[REG_RAX] = fail_or_execute(info->si_syscall, argument);
 }
 
@@ -212,12 +234,14 @@
  * install_filter installs the filter that makes the trapped calls raise SIGSYS. The filter also makes sigaction calls for SIGSYS return
  * success without an effect, so that the Go runtime does not replace the signal handler. Writes to standard error are never trapped: the
  * Go runtime reports a crash from a signal handler, in which SIGSYS is blocked, so that a trapped call would kill the process unreported.
+ * Calls that block signals are trapped, since the Go runtime has a thread with all signals blocked that wakes the network poller at times;
+ * a call that only unblocks some is not, since the runtime makes it in a signal handler.
  */
 static int install_filter(void)
 {
 	enum { COUNT = sizeof trapped_calls / sizeof trapped_calls[0] };
 	uint64_t pass = (uintptr_t)frostlink_after_syscall;
-	struct sock_filter program[COUNT + 24];
+	struct sock_filter program[COUNT + 32];
 	int n = 0;
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, arch));
 	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AUDIT_ARCH_X86_64, 1, 0);
@@ -235,8 +259,13 @@
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, nr));
 	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_rt_sigaction, 0, 3);
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, args[0]));
-	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SIGSYS, 0, COUNT + 1);
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SIGSYS, 0, COUNT + 6);
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ERRNO); /* errno 0: reports success without executing the call */
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_rt_sigprocmask, 0, 4);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, args[0]));
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SIG_UNBLOCK, 0, 1);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW);
+	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_TRAP);
 	for (int i = 0; i < COUNT; i++)
 		program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, trapped_calls[i].number, COUNT - i, 0);
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW);
--- a/internal/faultinjection/faults/syscalls_test.go
+++ b/internal/faultinjection/faults/syscalls_test.go
@@ -8,10 +8,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+	"unsafe"
 )
 
 // callerEnv is an environment variable that names a folder. It makes the test binary act as a helper process, which makes system calls of
@@ -42,6 +44,22 @@
 // quitEnv makes the helper process end itself by SIGQUIT, for which the Go runtime prints a report from its signal handler.
 const quitEnv = "FROSTLINK_TEST_QUIT"
 
+// blockEnv makes the helper process block all signals on the thread that makes its calls.
+const blockEnv = "FROSTLINK_TEST_BLOCK"
+
+// blockSignals blocks all signals on the calling goroutine's thread, which it keeps.
+func blockSignals() {
+	runtime.LockOSThread()
+	all := ^uint64(0)
+	if _, _, errno := syscall.RawSyscall6(syscall.SYS_RT_SIGPROCMASK, setMask, uintptr(unsafe.Pointer(&all)), 0, unsafe.Sizeof(all), 0, 0); errno != 0 {
+		fmt.Println("rt_sigprocmask", errno)
+		os.Exit(1)
+	}
+}
+
+// setMask is SIG_SETMASK of rt_sigprocmask(2).
+const setMask = 2
+
 // makeCalls is the main function of the helper process. It makes calls on files inside and outside of the folder and on sockets, and
 // prints a line for each kind with the kind's name and the number of failures by error.
 func makeCalls(folder string) {
@@ -49,6 +67,9 @@
 		_ = syscall.Kill(os.Getpid(), syscall.SIGQUIT)
 		time.Sleep(time.Minute)
 	}
+	if os.Getenv(blockEnv) != "" {
+		blockSignals()
+	}
 	makeFileCalls(folder)
 	makeSocketCalls()
 }
@@ -125,15 +146,16 @@
 		t.Fatal(err)
 	}
 	for _, tt := range []syscallTest{
-		{"no rule", "", 0, 0},
-		{"no space", fileWrite, FileWrite, syscall.ENOSPC},
-		{"short writes, which the runtime completes", fileWrite, FileWrite, ShortTransfer},
-		{"sync", fileSync, FileSync, syscall.EIO},
-		{"read-only", fileOpen, FileOpen, syscall.EROFS},
-		{"rename", fileRename, FileRename, syscall.EIO},
-		{"unreachable", connect, Connect, syscall.ENETUNREACH},
-		{"no buffers", accept, Accept, syscall.ENOBUFS},
-		{"interrupted polls, which the runtime repeats", "", PollWait, syscall.EINTR},
+		{"no rule", "", 0, 0, ""},
+		{"no space", fileWrite, FileWrite, syscall.ENOSPC, ""},
+		{"short writes, which the runtime completes", fileWrite, FileWrite, ShortTransfer, ""},
+		{"sync", fileSync, FileSync, syscall.EIO, ""},
+		{"read-only", fileOpen, FileOpen, syscall.EROFS, ""},
+		{"rename", fileRename, FileRename, syscall.EIO, ""},
+		{"unreachable", connect, Connect, syscall.ENETUNREACH, ""},
+		{"no buffers", accept, Accept, syscall.ENOBUFS, ""},
+		{"interrupted polls, which the runtime repeats", "", PollWait, syscall.EINTR, ""},
+		{"no space, on a thread that blocks all signals", fileWrite, FileWrite, syscall.ENOSPC, "all"},
 	} {
 		t.Run(tt.name, func(t *testing.T) { tt.run(t, library) })
 	}
@@ -145,6 +167,7 @@
 	kind  string // kind that fails; "": none
 	call  Syscall
 	errno syscall.Errno
+	block string // not empty: the calls are made with all signals blocked
 }
 
 func (tt syscallTest) run(t *testing.T, library string) {
@@ -167,7 +190,7 @@
 			t.Fatal(err)
 		}
 	}
-	output, err := runHelper(t, append(syscallErrors.Env(), Preload(syscallErrors.Library()), callerEnv+"="+folder))
+	output, err := runHelper(t, append(syscallErrors.Env(), Preload(syscallErrors.Library()), callerEnv+"="+folder, blockEnv+"="+tt.block))
 	if err != nil {
 		t.Fatalf("%v: %s", err, output)
 	}
