Virtual fleet: a request takes a connection that has rested before a dial would end

The relay races a dial with a resting connection; the model dialed whenever no connection had rested. It waits now for one that will have rested within the least time of a dial.

--- a/internal/faultinjection/simulation/attempt.go
+++ b/internal/faultinjection/simulation/attempt.go
@@ -36,7 +36,8 @@
 	index        int // among the attempts of its request, from 0
 	endpoint     *endpoint
 	model        *destination.Attempt
-	conn         *connection // nil until the attempt has one
+	conn         *connection // nil until the attempt has one, or dials one
+	resting      *connection // the idle connection whose rest the attempt awaits; nil: none
 	sentAt       time.Duration
 	writtenAt    time.Duration
 	state        attemptState
@@ -52,7 +53,7 @@
 // attempts of its message, in which each submission has a range of maxAttemptsPerSubmission numbers.
 const maxAttemptsPerSubmission = 100
 
-// send begins an attempt, on an idle connection if there is one that has rested.
+// send begins an attempt, on an idle connection if there is one that has rested before a new one could be dialed.
 func (r *relay) send(action policy.Send) {
 	f, request, to := r.fleet, r.requests[action.ID], r.fleet.endpoints[action.Endpoint]
 	if request == nil || to == nil {
@@ -70,12 +71,20 @@
 	}
 	f.after(timeout, func() { a.interrupt(policy.AttemptEnded{Outcome: policy.TimedOut}) })
 	r.closeIdle(to.id, f.now-scenario.Seconds(f.Scenario.Limits.IdleConnTimeout))
-	if c := r.takeIdle(to); c != nil {
-		a.conn, c.attempt, a.state = c, a, attemptConnected
-		a.write()
-		return
+	switch c, rest := r.takeIdle(to); {
+	case c == nil:
+		a.dial()
+	case rest == 0:
+		a.use(c)
+	default:
+		a.awaitRest(c, rest)
 	}
-	a.conn = &connection{relay: r, incarnation: r.incarnation, endpoint: to, attempt: a}
+}
+
+// dial opens a new connection for the attempt.
+func (a *attempt) dial() {
+	f := a.relay.fleet
+	a.conn = &connection{relay: a.relay, incarnation: a.incarnation, endpoint: a.endpoint, attempt: a}
 	f.result.Connections++
 	a.model.NewConnection = true
 	f.after(f.oneWay(), a.connect)
@@ -247,7 +256,11 @@
 func (a *attempt) abandon() {
 	f, d := a.relay.fleet, a.endpoint.destination
 	hadConn := a.hasConn()
-	a.state, a.conn.closed = attemptEnded, true
+	a.state = attemptEnded
+	a.giveBack()
+	if a.conn != nil {
+		a.conn.closed = true
+	}
 	a.recordEnd(checker.Event{Outcome: checker.Abandoned})
 	if _, waits := d.attempts[a.model]; waits {
 		delete(d.attempts, a.model)
--- a/internal/faultinjection/simulation/connection.go
+++ b/internal/faultinjection/simulation/connection.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,6 +14,8 @@
 	deadlineMargin = 100 * time.Millisecond
 	// maxCopyDelay is the longest time after which an endpoint writes a response once more. A relay lets a connection rest for longer.
 	maxCopyDelay = 250 * time.Millisecond
+	// leastDialTime is the least time that a dial takes: the round trips of the handshake on the fastest network.
+	leastDialTime = 2 * handshakeRoundTrips * 15 * time.Millisecond
 )
 
 // connection is a connection from a process of a relay to an endpoint.
@@ -41,25 +44,67 @@
 	return responder
 }
 
-// takeIdle removes and returns the newest idle connection to an endpoint that may carry another request, or nil if there is none.
-func (r *relay) takeIdle(to *endpoint) *connection {
-	idle := r.idleConns[to.id]
-	for i, c := range slices.Backward(idle) {
-		if r.mayReuse(c) {
-			r.idleConns[to.id] = slices.Delete(idle, i, i+1)
-			return c
+// takeIdle removes and returns the newest idle connection to an endpoint that may carry another request, or the one that may do so soonest
+// if it has to rest for less time than a dial takes, and how long it has to rest. It returns nil if there is neither.
+func (r *relay) takeIdle(to *endpoint) (c *connection, rest time.Duration) {
+	best, shortest := -1, leastDialTime
+	for i, c := range slices.Backward(r.idleConns[to.id]) {
+		if rest, reusable := r.restTime(c); reusable && rest < shortest {
+			best, shortest = i, rest
 		}
 	}
-	return nil
+	if best < 0 {
+		return nil, 0
+	}
+	c = r.idleConns[to.id][best]
+	r.idleConns[to.id] = slices.Delete(r.idleConns[to.id], best, best+1)
+	return c, shortest
 }
 
-func (r *relay) mayReuse(c *connection) bool {
+func (r *relay) restTime(c *connection) (rest time.Duration, reusable bool) {
 	if !c.used || r.fleet.Bug.TakesEveryResponse {
-		return true
+		return 0, true
 	}
 	now := r.fleet.now
-	rest, reusable := r.responder(c.endpoint.id).RestTime(epoch.Add(now), now-c.respondedAt)
-	return reusable && rest == 0
+	return r.responder(c.endpoint.id).RestTime(epoch.Add(now), now-c.respondedAt)
+}
+
+// awaitRest writes the attempt's request on a connection once that has rested, or dials if the connection is closed by then.
+func (a *attempt) awaitRest(c *connection, rest time.Duration) {
+	a.resting = c
+	a.relay.fleet.after(rest, func() {
+		switch {
+		case a.state == attemptEnded || !a.relay.runs(a.incarnation):
+		case c.closed:
+			a.resting = nil
+			a.dial()
+		default:
+			a.resting = nil
+			a.use(c)
+		}
+	})
+}
+
+// use writes the attempt's request on an idle connection.
+func (a *attempt) use(c *connection) {
+	a.conn, c.attempt, a.state = c, a, attemptConnected
+	a.write()
+}
+
+// giveBack makes the connection whose rest the attempt awaits idle again.
+func (a *attempt) giveBack() {
+	r, c := a.relay, a.resting
+	a.resting = nil
+	switch {
+	case c == nil || c.closed:
+	case !r.runs(c.incarnation):
+		c.closed = true
+		c.endpoint.destination.Disconnect(c.endpoint.index)
+	default:
+		idle := append(r.idleConns[c.endpoint.id], c)
+		slices.SortStableFunc(idle, func(x, y *connection) int { return cmp.Compare(x.idleSince, y.idleSince) })
+		r.idleConns[c.endpoint.id] = idle
+	}
 }
 
 // arrival returns when a response that the endpoint writes now arrives. Responses on a connection arrive in order.
