Review case 1: a resend waits in the relay past the time of its key

Reason: the store permits a resend of a keyed payment while its partner still remembers the key, but the relay then queues it without that bound. Behind another call to a slow dealer it goes out 15.8 s after the first call, and is executed again.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -4,135 +4,122 @@
 import (
 	"fmt"
 	"path/filepath"
-	"sync"
 	"time"
 
 	"frostlink/review/stage"
 )
 
 const (
-	class       = "fee-payment"
-	destination = 3
-	partners    = 4
-	// deadline is how long a payment may be delivered, and memory how long the hosts of a zone remember its key, as in the site
-	// lahore-delivery. left is how long a payment that comes again may still be delivered.
-	deadline, memory, left = 28.0, 15.0, 6.0
-	service                = 240 * time.Millisecond
-	// registerLag is how long after a host's death the register says that it is gone.
-	registerLag = 4500 * time.Millisecond
-	zoneA       = "lhr-dc1"
-	zoneB       = "lhr-dc2"
+	payment, status = "fee-payment", "parcel-status"
+	// destination is the dealer; the other partners, with lower numbers, get as much traffic each.
+	destination, others = 4, 3
+	// deadline and memory are those of the site lahore-delivery.
+	deadline, memory = 28.0, 15 * time.Second
+	// left is how long a payment that comes again may still be delivered.
+	left = 6.0
+	// The dealer's service times, and by how much it is slower for a while.
+	usualPayment, usualStatus = 550 * time.Millisecond, 360 * time.Millisecond
+	slower                    = 14
+	slowFor                   = 14 * time.Second
 )
 
-// run is one execution of a payment at a host.
-type run struct {
-	stage.Call
-	zone string
-}
-
-// world is what all partner systems have executed. Each has one host in each of two zones. The hosts of a zone drop repeats of a key
-// that they remember.
-type world struct {
-	stage *stage.Stage
-	mu    sync.Mutex // guards the fields below
-	runs  map[string][]run
-	dying string // the host of this name dies once it has begun to execute the next payment
-}
-
-// begin is what a host of a zone does with a call.
-func (w *world) begin(zone string, c stage.Call) stage.Answer {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, earlier := range w.runs[c.Key] {
-		if earlier.zone == zone && c.At-earlier.At < time.Duration(memory*float64(time.Second)) {
-			w.stage.Record("host %s drops call %s: it remembers key %s", c.Host, c.ID, c.Key)
-			return stage.Delivered
-		}
-	}
-	w.runs[c.Key] = append(w.runs[c.Key], run{c, zone})
-	w.stage.Record("host %s in %s executes call %s, key %s", c.Host, zone, c.ID, c.Key)
-	if w.dying == c.Host {
-		w.dying = ""
-		return stage.Die
-	}
-	return stage.Delivered
-}
-
-// violations returns the keys that were executed twice while the first execution's key was in force.
-func (w *world) violations() (violations []string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for key, runs := range w.runs {
-		for _, r := range runs[1:] {
-			violations = append(violations, fmt.Sprintf(
-				"payment with key %s was executed by %s in %s, and %.3f s later, as %s, by %s in %s: a resend of a call that may have run left its group",
-				key, runs[0].Host, runs[0].zone, (r.At-runs[0].At).Seconds(), r.ID, r.Host, r.zone))
-		}
-	}
-	return violations
-}
-
 func main() { stage.Play(play) }
 
 func play(s *stage.Stage) []string {
-	w := &world{stage: s, runs: map[string][]run{}}
+	d := startDealer(s)
 	platform := s.StartPlatform()
-	for dest := 1; dest <= partners; dest++ {
-		for _, zone := range []string{zoneA, zoneB} {
-			h := s.StartHost(hostName(dest, zone), stage.Takes(service), func(c stage.Call) stage.Answer { return w.begin(zone, c) })
-			platform.Add(stage.Entry{Host: h.Name, Dial: h.Addr, Site: zone, Block: dest})
-		}
+	platform.Add(stage.Entry{Host: "s-dealer", Dial: d.addr, Site: "lhr-dc1", Block: destination})
+	for dest := 1; dest <= others; dest++ {
+		h := s.StartHost(fmt.Sprintf("s-%d", dest), stage.Takes(usualStatus), func(stage.Call) stage.Answer { return stage.Delivered })
+		platform.Add(stage.Entry{Host: h.Name, Dial: h.Addr, Site: "lhr-dc1", Block: dest})
 	}
-	payments := stage.Class{Name: class, Idempotency: "dedup", Group: "zone", DeadlineS: deadline, MemoryS: memory}
-	relay := s.NewRelay(platform, stage.Settings(16, []string{zoneA, zoneB}, payments), operatorFile(s))
+	settings := stage.Settings(16, []string{"lhr-dc1"},
+		stage.Class{Name: payment, Idempotency: "dedup", Group: "all", DeadlineS: deadline, MemoryS: memory.Seconds()},
+		stage.Class{Name: status, Idempotency: "retryable", DeadlineS: deadline})
+	operator := fmt.Sprintf("version = 1\n[undelivered]\nfolder = %q\nclients_return = false\n[[undelivered.rule]]\nclass = %q\n"+
+		"action = \"resend\"\nafter_s = 6.4\nmost = 3\nrate = 2\n", filepath.Join(s.Dir, "undelivered"), payment)
+	relay := s.NewRelay(platform, settings, operator)
 	relay.Start()
-
 	client := s.NewClient(relay.Addr)
-	for i := range 4 * partners { // usual traffic
-		submit(s, client, i%partners+1, deadline)
-		time.Sleep(150 * time.Millisecond)
-	}
+	usualTraffic(s, client, 6)
+
+	// The dealer's connections are taken by others for a moment: the relay learns that it gets only one.
+	otherTraffic(s, client, 2)
+	leave := d.fill()
+	submit(s, client, payment, deadline)
+	time.Sleep(30 * time.Millisecond)
+	submit(s, client, payment, deadline)
+	time.Sleep(1400 * time.Millisecond)
+	leave()
 	time.Sleep(time.Second)
+	usualTraffic(s, client, 2)
+
 	if s.Trouble {
-		w.mu.Lock()
-		w.dying = hostName(destination, zoneA)
-		w.mu.Unlock()
+		d.setFactor(slower)
 	}
-	last := submit(s, client, destination, left)
-	time.Sleep(registerLag)
+	first := submit(s, client, payment, left)
+	at := func(after time.Duration) { time.Sleep(first.SentAt + after - s.Now()) }
+	at(time.Second)
+	otherTraffic(s, client, 3)
+	at(10800 * time.Millisecond)
+	submit(s, client, status, deadline)
+	at(slowFor)
 	if s.Trouble {
-		platform.Remove(hostName(destination, zoneA))
+		d.setFactor(1)
 	}
-	// The relay may resend the payment for as long as its first host remembers the key.
-	time.Sleep(last.SentAt + time.Duration((memory+1)*float64(time.Second)) - s.Now())
+	at(24 * time.Second)
 	if !relay.Running() {
 		s.Fail("the relay has ended: %s", relay.Log())
 	}
-	return w.violations()
+	return violations(d)
 }
 
-// hostName returns the name of a partner's host in a zone.
-func hostName(dest int, zone string) string { return fmt.Sprintf("s-%d-%s", dest, zone) }
+// usualTraffic hands in payments one after another.
+func usualTraffic(s *stage.Stage, client *stage.Client, messages int) {
+	for range messages {
+		otherTraffic(s, client, 1)
+		submit(s, client, payment, deadline)
+		time.Sleep(usualPayment + 350*time.Millisecond)
+	}
+}
 
-// operatorFile returns an operator's file that keeps undelivered payments and resends them.
-func operatorFile(s *stage.Stage) string {
-	return fmt.Sprintf(`version = 1
-[undelivered]
-folder = %q
-[[undelivered.rule]]
-class = %q
-action = "resend"
-after_s = 1
-most = 3
-rate = 2
-`, filepath.Join(s.Dir, "undelivered"), class)
+// otherTraffic hands in messages to each of the other partners.
+func otherTraffic(s *stage.Stage, client *stage.Client, messages int) {
+	for i := range others * messages {
+		submitTo(s, client, i%others+1, payment, deadline)
+	}
 }
 
-// submit hands in a payment, which has to be taken on.
-func submit(s *stage.Stage, client *stage.Client, dest int, timeout float64) *stage.Message {
-	m := &stage.Message{ID: stage.NewID(), Key: "k" + stage.NewID(), Class: class, Dest: dest, TimeoutS: timeout, Body: "payment"}
+// submit hands in a message to the dealer.
+func submit(s *stage.Stage, client *stage.Client, class string, timeout float64) *stage.Message {
+	return submitTo(s, client, destination, class, timeout)
+}
+
+// submitTo hands in a message, which has to be taken on.
+func submitTo(s *stage.Stage, client *stage.Client, dest int, class string, timeout float64) *stage.Message {
+	m := &stage.Message{ID: stage.NewID(), Class: class, Dest: dest, TimeoutS: timeout, Body: "message"}
+	if class == payment {
+		m.Key = "k" + stage.NewID()
+	}
 	if !client.Submit(m) {
-		s.Fail("payment %s was not taken on: %d", m.ID, m.Status)
+		s.Fail("message %s was not taken on: %d", m.ID, m.Status)
 	}
 	return m
 }
+
+// violations returns the payments that were sent again, after a call that may have run, when their key was remembered no more.
+func violations(d *dealer) (violations []string) {
+	const slack = 50 * time.Millisecond
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, runs := range d.runs {
+		for _, again := range runs[1:] {
+			if age := again.at - runs[0].at; age > memory+slack {
+				violations = append(violations, fmt.Sprintf(
+					"payment with key %s was executed as %s, and again as %s, %.3f s later, when its key was remembered no more",
+					key, runs[0].id, again.id, age.Seconds()))
+			}
+		}
+	}
+	return violations
+}
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"frostlink/review/stage"
@@ -14,58 +13,60 @@
 const (
 	class       = "fee-payment"
 	destination = 3
-	// deadline and memory are those of the site lahore-delivery.
-	deadline, memory = 28.0, 15 * time.Second
-	service          = 300 * time.Millisecond
-	// left is how long the payment may still be delivered when it comes again.
-	left = 0.4
-	// move is how long the staff take to move the store.
-	move = 16 * time.Second
+	partners    = 4
+	// deadline is how long a payment may be delivered, and memory how long the hosts of a zone remember its key, as in the site
+	// lahore-delivery. left is how long a payment that comes again may still be delivered.
+	deadline, memory, left = 28.0, 15.0, 6.0
+	service                = 240 * time.Millisecond
+	// registerLag is how long after a host's death the register says that it is gone.
+	registerLag = 4500 * time.Millisecond
+	zoneA       = "lhr-dc1"
+	zoneB       = "lhr-dc2"
 )
 
-// partner is a partner system with one host, which drops repeats of a key that it remembers.
-type partner struct {
+// run is one execution of a payment at a host.
+type run struct {
+	stage.Call
+	zone string
+}
+
+// world is what all partner systems have executed. Each has one host in each of two zones. The hosts of a zone drop repeats of a key
+// that they remember.
+type world struct {
 	stage *stage.Stage
 	mu    sync.Mutex // guards the fields below
-	full  bool       // calls are turned away
-	runs  map[string][]stage.Call
-	begun chan stage.Call // calls that are executed
+	runs  map[string][]run
+	dying string // the host of this name dies once it has begun to execute the next payment
 }
 
-// begin is what the host does with a call.
-func (p *partner) begin(c stage.Call) stage.Answer {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.full {
-		p.stage.Record("host %s turns call %s away: its queue is full", c.Host, c.ID)
-		return stage.Full
-	}
-	for _, earlier := range p.runs[c.Key] {
-		if c.At-earlier.At < memory {
-			p.stage.Record("host %s drops call %s: it remembers key %s", c.Host, c.ID, c.Key)
+// begin is what a host of a zone does with a call.
+func (w *world) begin(zone string, c stage.Call) stage.Answer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, earlier := range w.runs[c.Key] {
+		if earlier.zone == zone && c.At-earlier.At < time.Duration(memory*float64(time.Second)) {
+			w.stage.Record("host %s drops call %s: it remembers key %s", c.Host, c.ID, c.Key)
 			return stage.Delivered
 		}
 	}
-	p.runs[c.Key] = append(p.runs[c.Key], c)
-	p.stage.Record("host %s executes call %s, key %s", c.Host, c.ID, c.Key)
-	p.begun <- c
+	w.runs[c.Key] = append(w.runs[c.Key], run{c, zone})
+	w.stage.Record("host %s in %s executes call %s, key %s", c.Host, zone, c.ID, c.Key)
+	if w.dying == c.Host {
+		w.dying = ""
+		return stage.Die
+	}
 	return stage.Delivered
 }
 
-func (p *partner) setFull(full bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.full = full
-}
-
-// violations returns the payments that were executed twice.
-func (p *partner) violations() (violations []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for key, runs := range p.runs {
-		for _, again := range runs[1:] {
-			violations = append(violations, fmt.Sprintf("payment with key %s was executed as %s, and again as %s, %.3f s later, when its key was remembered no more",
-				key, runs[0].ID, again.ID, (again.At-runs[0].At).Seconds()))
+// violations returns the keys that were executed twice while the first execution's key was in force.
+func (w *world) violations() (violations []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key, runs := range w.runs {
+		for _, r := range runs[1:] {
+			violations = append(violations, fmt.Sprintf(
+				"payment with key %s was executed by %s in %s, and %.3f s later, as %s, by %s in %s: a resend of a call that may have run left its group",
+				key, runs[0].Host, runs[0].zone, (r.At-runs[0].At).Seconds(), r.ID, r.Host, r.zone))
 		}
 	}
 	return violations
@@ -74,65 +75,64 @@
 func main() { stage.Play(play) }
 
 func play(s *stage.Stage) []string {
-	p := &partner{stage: s, runs: map[string][]stage.Call{}, begun: make(chan stage.Call, 100)}
+	w := &world{stage: s, runs: map[string][]run{}}
 	platform := s.StartPlatform()
-	host := s.StartHost("s-a", stage.Takes(service), p.begin)
-	platform.Add(stage.Entry{Host: host.Name, Dial: host.Addr, Site: "lhr-dc1", Block: destination})
-	payments := stage.Class{Name: class, Idempotency: "dedup", Group: "all", DeadlineS: deadline, MemoryS: memory.Seconds()}
-	oldStore, newStore := filepath.Join(s.Dir, "undelivered-1"), filepath.Join(s.Dir, "undelivered-2")
-	relay := s.NewRelay(platform, stage.Settings(16, []string{"lhr-dc1"}, payments), operatorFile(s, oldStore))
+	for dest := 1; dest <= partners; dest++ {
+		for _, zone := range []string{zoneA, zoneB} {
+			h := s.StartHost(hostName(dest, zone), stage.Takes(service), func(c stage.Call) stage.Answer { return w.begin(zone, c) })
+			platform.Add(stage.Entry{Host: h.Name, Dial: h.Addr, Site: zone, Block: dest})
+		}
+	}
+	payments := stage.Class{Name: class, Idempotency: "dedup", Group: "zone", DeadlineS: deadline, MemoryS: memory}
+	relay := s.NewRelay(platform, stage.Settings(16, []string{zoneA, zoneB}, payments), operatorFile(s))
 	relay.Start()
-	client := s.NewClient(relay.Addr)
 
-	p.setFull(true)
-	m := &stage.Message{ID: stage.NewID(), Key: "k" + stage.NewID(), Class: class, Dest: destination, TimeoutS: left, Body: "payment"}
-	if !client.Submit(m) {
-		s.Fail("the payment was not taken on: %d", m.Status)
+	client := s.NewClient(relay.Addr)
+	for i := range 4 * partners { // usual traffic
+		submit(s, client, i%partners+1, deadline)
+		time.Sleep(150 * time.Millisecond)
 	}
-	s.WaitFor("the payment is given up", 3*time.Second, func() bool { _, _, come := platform.Notice(m.ID); return come })
-	p.setFull(false)
-	select {
-	case <-p.begun:
-	case <-time.After(10 * time.Second):
-		s.Fail("the payment is not resent")
+	time.Sleep(time.Second)
+	if s.Trouble {
+		w.mu.Lock()
+		w.dying = hostName(destination, zoneA)
+		w.mu.Unlock()
 	}
-	if s.Trouble { // a kill while the resend is out
-		relay.Kill()
-	} else {
-		time.Sleep(time.Second)
-		relay.Signal(syscall.SIGTERM)
-		relay.AwaitExit(5 * time.Second)
+	last := submit(s, client, destination, left)
+	time.Sleep(registerLag)
+	if s.Trouble {
+		platform.Remove(hostName(destination, zoneA))
 	}
-	// The staff move the store: export, a start with a new folder, import.
-	exported := filepath.Join(s.Dir, "moved.jsonl")
-	ctl(s, "undelivered", "export", "--folder", oldStore, "--to", exported)
-	time.Sleep(600 * time.Millisecond)
-	relay.SetOperator(operatorFile(s, newStore))
-	relay.Start()
-	time.Sleep(move)
-	ctl(s, "undelivered", "import", exported, "--socket", socket(s))
-	ctl(s, "undelivered", "list", "--socket", socket(s))
-	time.Sleep(5 * time.Second)
+	// The relay may resend the payment for as long as its first host remembers the key.
+	time.Sleep(last.SentAt + time.Duration((memory+1)*float64(time.Second)) - s.Now())
 	if !relay.Running() {
 		s.Fail("the relay has ended: %s", relay.Log())
 	}
-	return p.violations()
+	return w.violations()
 }
 
-// ctl runs a command of frostlinkctl.
-func ctl(s *stage.Stage, args ...string) {
-	output, code := s.Output("bin/frostlinkctl", args...)
-	s.Record("frostlinkctl %v: exit code %d\n%s", args, code, output)
-	if code != 0 {
-		s.Fail("frostlinkctl %v: %s", args, output)
-	}
-}
+// hostName returns the name of a partner's host in a zone.
+func hostName(dest int, zone string) string { return fmt.Sprintf("s-%d-%s", dest, zone) }
 
-// socket returns the path of the socket for the staff's tool.
-func socket(s *stage.Stage) string { return filepath.Join(s.Dir, "undelivered.sock") }
+// operatorFile returns an operator's file that keeps undelivered payments and resends them.
+func operatorFile(s *stage.Stage) string {
+	return fmt.Sprintf(`version = 1
+[undelivered]
+folder = %q
+[[undelivered.rule]]
+class = %q
+action = "resend"
+after_s = 1
+most = 3
+rate = 2
+`, filepath.Join(s.Dir, "undelivered"), class)
+}
 
-// operatorFile returns an operator's file that keeps undelivered payments in a folder and resends them.
-func operatorFile(s *stage.Stage, folder string) string {
-	return fmt.Sprintf("version = 1\n[undelivered]\nfolder = %q\nsocket = %q\nclients_return = false\n[[undelivered.rule]]\nclass = %q\n"+
-		"action = \"resend\"\nafter_s = 1\nmost = 3\nrate = 2\n", folder, socket(s), class)
+// submit hands in a payment, which has to be taken on.
+func submit(s *stage.Stage, client *stage.Client, dest int, timeout float64) *stage.Message {
+	m := &stage.Message{ID: stage.NewID(), Key: "k" + stage.NewID(), Class: class, Dest: dest, TimeoutS: timeout, Body: "payment"}
+	if !client.Submit(m) {
+		s.Fail("payment %s was not taken on: %d", m.ID, m.Status)
+	}
+	return m
 }
