--- a/review/1/main.go
+++ b/review/1/main.go
@@ -97,9 +97,9 @@
 
 // submitTo hands in a message, which has to be taken on.
 func submitTo(s *stage.Stage, client *stage.Client, dest int, class string, timeout float64) *stage.Message {
-	m := &stage.Message{ID: stage.NewID(), Class: class, Dest: dest, TimeoutS: timeout, Body: "message"}
+	m := &stage.Message{ID: s.NewID(), Class: class, Dest: dest, TimeoutS: timeout, Body: "message"}
 	if class == payment {
-		m.Key = "k" + stage.NewID()
+		m.Key = "k" + s.NewID()
 	}
 	if !client.Submit(m) {
 		s.Fail("message %s was not taken on: %d", m.ID, m.Status)
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -130,7 +130,7 @@
 
 // submit hands in a payment, which has to be taken on.
 func submit(s *stage.Stage, client *stage.Client, dest int, timeout float64) *stage.Message {
-	m := &stage.Message{ID: stage.NewID(), Key: "k" + stage.NewID(), Class: class, Dest: dest, TimeoutS: timeout, Body: "payment"}
+	m := &stage.Message{ID: s.NewID(), Key: "k" + s.NewID(), Class: class, Dest: dest, TimeoutS: timeout, Body: "payment"}
 	if !client.Submit(m) {
 		s.Fail("payment %s was not taken on: %d", m.ID, m.Status)
 	}
--- a/review/stage/doc.go
+++ b/review/stage/doc.go
@@ -13,5 +13,4 @@
 //   - platform.go: discovery and the receiver of notices
 //   - host.go: an endpoint of a destination
 //   - client.go: a client
-//   - coordination.go: members of the coordination service
 package stage
--- a/review/stage/process.go
+++ b/review/stage/process.go
@@ -18,15 +18,14 @@
 	log    string        // path of what it wrote to standard output and error
 }
 
-// startShell starts a command by /bin/sh -c from the root of the repository, as the platform does. files become the descriptors
-// from 3 on.
-func (s *Stage) startShell(name, command string, env []string, files ...*os.File) *Process {
+// startShell starts a command by /bin/sh -c from the root of the repository, as the platform does.
+func (s *Stage) startShell(name, command string, env []string) *Process {
 	p := &Process{stage: s, name: name, exited: make(chan struct{}), log: filepath.Join(s.Dir, name+".log")}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	s.Check(err, "log of "+name)
 	p.cmd = exec.Command("/bin/sh", "-c", command)
 	p.cmd.Env = append(os.Environ(), env...)
-	p.cmd.Stdout, p.cmd.Stderr, p.cmd.ExtraFiles = log, log, files
+	p.cmd.Stdout, p.cmd.Stderr = log, log
 	s.Check(p.cmd.Start(), "start "+name)
 	_ = log.Close() // the process has its own descriptor
 	s.AtEnd(p.kill)
--- a/review/stage/relay.go
+++ b/review/stage/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -20,7 +19,6 @@
 	config   string
 	operator string // path of the operator's file; empty: none
 	starts   int
-	listener *os.File // the clients' listening socket, held by the platform; nil: the relay opens its own
 }
 
 // NewRelay prepares a relay. operator is the text of the operator's file; empty: none.
@@ -28,7 +26,7 @@
 	r := &Relay{stage: s, Addr: s.FreeAddress(), folder: filepath.Join(s.Dir, "relay"), config: filepath.Join(s.Dir, "config.json")}
 	s.Check(os.MkdirAll(r.folder, 0o700), "folder of the relay")
 	config, err := json.Marshal(map[string]any{
-		"name": "n1", "listen": r.Addr, "discovery": p.Addr, "seed": NewID(),
+		"name": "n1", "listen": r.Addr, "discovery": p.Addr, "seed": s.NewID(),
 		"limits":      map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
 		"peer_listen": s.FreeAddress(), "peers": []string{}, "known": p.whole(), "settings": settings,
 	})
@@ -46,16 +44,6 @@
 	r.stage.Check(os.WriteFile(r.operator, []byte(text), 0o600), "operator's file")
 }
 
-// HoldListener makes the platform hold the clients' listening socket, which every process inherits as descriptor 4.
-func (r *Relay) HoldListener() {
-	l, err := net.Listen("tcp", r.Addr)
-	r.stage.Check(err, "listen")
-	defer func() { _ = l.Close() }()
-	r.listener, err = l.(*net.TCPListener).File()
-	r.stage.Check(err, "listening socket")
-	r.stage.AtEnd(func() { _ = r.listener.Close() })
-}
-
 // Start starts a process of the relay and waits until it is ready.
 func (r *Relay) Start() {
 	r.begin()
@@ -74,22 +62,8 @@
 	if r.operator != "" {
 		command += " -operator " + r.operator
 	}
-	var files []*os.File
-	if r.listener != nil {
-		env = append(env, "NODE_LISTEN_FD=4")
-		files = []*os.File{nil, r.listener}
-	}
-	r.Process = r.stage.startShell("relay-"+string(rune('0'+r.starts)), command, env, files...)
+	r.Process = r.stage.startShell("relay-"+string(rune('0'+r.starts)), command, env)
 }
 
 // Ready reports whether the latest process says at its operators' address that it serves.
 func (r *Relay) Ready() bool { return get("http://"+r.Admin+"/status") == http.StatusOK }
-
-// Replace starts another process beside the one that serves, waits until the new one says yes, and returns the old one.
-func (r *Relay) Replace() (old *Process) {
-	old = r.Process
-	r.begin()
-	r.stage.WaitFor("the new process says yes", 6*time.Second, r.Ready)
-	r.stage.Record("%s says yes", r.name)
-	return old
-}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -1,9 +1,9 @@
 package stage
 
 import (
-	"crypto/rand"
-	"encoding/hex"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
@@ -33,6 +33,7 @@
 	start time.Time
 
 	mu     sync.Mutex // guards the fields below
+	random *rand.Rand
 	record *os.File
 	ends   []func() // what ends the stage, in reverse order
 	ended  bool
@@ -41,15 +42,18 @@
 // failure is the panic value of Check.
 type failure struct{ text string }
 
-// Play runs a case and exits. The program's argument is the case's folder; the working directory is the root of the repository.
+// Play runs a case and exits. The program's argument is the case's folder, after a seed that the ids of relay and messages are drawn
+// from; the working directory is the root of the repository.
 func Play(play func(s *Stage) (violations []string)) {
-	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: CASE FOLDER, from the root of the repository")
+	seed := flag.Uint64("seed", 1, "seed of the ids")
+	flag.Parse()
+	if flag.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "usage: CASE [--seed N] FOLDER, from the root of the repository")
 		os.Exit(failed)
 	}
-	s := &Stage{Trouble: os.Getenv("TROUBLE") != "0", start: time.Now()}
+	s := &Stage{Trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), random: rand.New(rand.NewPCG(*seed, 0))}
 	result := make(chan int, 1)
-	go func() { result <- s.play(os.Args[1], play) }()
+	go func() { result <- s.play(flag.Arg(0), play) }()
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
 	code := failed
@@ -178,9 +182,9 @@
 	return l.Addr().String()
 }
 
-// NewID returns a random id of 16 hexadecimal digits.
-func NewID() string {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
+// NewID draws an id of 16 hexadecimal digits.
+func (s *Stage) NewID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%016x", s.random.Uint64())
 }
