Relay: a log line tells how long a redelivery waited since the store offered it

Three causes were possible: the store allows the redelivery too late, the relay holds an allowed one back, or the pool does (slow connect, slow write). No log line or metric told them apart.

The line "redelivery sent" has the time between the offer and the start of the attempt.

--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -30,4 +30,5 @@
 	Status      = "status"      // an HTTP status code
 	TimeLeft    = "time_left"   // the time until a request's deadline
 	To          = "to"          // the state after a change
+	Waited      = "waited"      // the time between two steps that the message names
 )
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -83,6 +83,11 @@
 		return
 	}
 	r.attemptStarted = time.Now()
+	if r.Redelivery {
+		// The store allowed it when it offered it: a long wait tells a redelivery that was held up here from one that was allowed late.
+		slog.Info("redelivery sent", logkey.RequestID, r.ID, logkey.Class, r.Class, logkey.Destination, r.Destination,
+			logkey.Endpoint, p.endpoint.ID, logkey.Waited, l.timeline.Now().Sub(r.AcceptedAt))
+	}
 	l.traceEvent(trace.Event{
 		Kind: trace.AttemptStarted, ID: r.ID, Class: r.Class, Destination: r.Destination, Endpoint: p.endpoint.ID, Count: p.index + 1,
 		TimeLeftMs: milliseconds(r.Deadline.Sub(l.timeline.Now())),
