Redelivery: the relay binds each send to the attempts under the message's earlier ids

Cause: the store's permission holds at the moment of its offer. The resend then reached the policy package as a new message without its earlier attempts, so that keyExpiry, the key's zone, MaxAttempts and WriteWithin did not bind it, and it could wait: canSendBackground looked neither at the endpoint's connection limit nor at the order key.

A background message that is not sent in the batch of its arrival is rejected, and the store decides again. The checks of package invariant see the earlier attempts as well. An attempt from before a reboot has an unknown age. Allowed, rules and operators' resends are as before. Nothing changes for other messages.

Why this works: a resend can no longer wait, and what still takes time (a slow connect, a write) ends at the key's time.

--- a/internal/clock/timeline.go
+++ b/internal/clock/timeline.go
@@ -70,6 +70,10 @@
 // spans between the instants of both processes are exact.
 func (t *Timeline) SameBoot() bool { return t.continued }
 
+// Covers reports whether an instant of the past belongs to this timeline, so that its span to Now is exact. Earlier instants were
+// read before the machine's last reboot, or on another timeline.
+func (t *Timeline) Covers(i Instant) bool { return i > t.anchor.At }
+
 // Now returns the current instant.
 func (t *Timeline) Now() Instant { return t.originInstant.Add(time.Since(t.origin)) }
 
--- a/internal/clock/timeline_test.go
+++ b/internal/clock/timeline_test.go
@@ -48,8 +48,14 @@
 				if timeline.originInstant.Sub(latest) < 0 || timeline.SameBoot() {
 					t.Fatalf("after a reboot the timeline begins at %v, or continues the timeline of the previous boot; latest instant before the reboot: %v", timeline.originInstant, latest)
 				}
+				if timeline.Covers(latest) {
+					t.Fatal("the timeline covers an instant from before the reboot")
+				}
 				start, startInstant = m.sinceBoot, timeline.originInstant
 			}
+			if now := timeline.originInstant.Add(time.Second); !timeline.Covers(now) {
+				t.Fatal("the timeline does not cover an instant of its own")
+			}
 		}
 	})
 }
--- a/internal/deadletter/permission.go
+++ b/internal/deadletter/permission.go
@@ -25,9 +25,9 @@
 	HasSubject      bool          `json:"Subject"`  // its messages have a subject, and an older one must not overwrite a newer one
 }
 
-// keyMargin is how long before the end of a key's TTL redeliveries stop, because an attempt reaches the destination some
+// KeyMargin is how long before the end of a key's TTL redeliveries stop, because an attempt reaches the destination some
 // time after it begins, and because clocks differ.
-const keyMargin = 2 * time.Second
+const KeyMargin = 2 * time.Second
 
 // Permission is the decision whether a message may be sent again.
 type Permission struct {
@@ -48,7 +48,8 @@
 }
 
 // Allowed decides whether a message may be sent again at a given time. Every redelivery requires its permission, including a
-// redelivery that an operator asks for.
+// redelivery that an operator asks for. The permission holds at that time only. The relay checks it again when it sends, against
+// Record.EarlierAttempts and KeyMargin.
 func Allowed(c *Class, r *Record, newer Newer, now time.Time) Permission {
 	switch {
 	case c == nil:
@@ -90,7 +91,7 @@
 		// The client may have submitted the message again under another id, and any relay may have delivered that submission.
 	case attempt == nil:
 		return Permission{Allowed: true, Reason: "no attempt can have run"}
-	case c.Idempotency == IdempotentByKey && attempt.Execution != Executed && now.Add(keyMargin).Before(attempt.StartedAt.Add(c.KeyTTL)):
+	case c.Idempotency == IdempotentByKey && attempt.Execution != Executed && now.Add(KeyMargin).Before(attempt.StartedAt.Add(c.KeyTTL)):
 		return Permission{Allowed: true, Reason: "its partner still remembers its key"}
 	}
 	if a := r.unusedAttestation(); a != nil {
--- a/internal/deadletter/record.go
+++ b/internal/deadletter/record.go
@@ -122,13 +122,7 @@
 // ignores attempts before a redelivery that used an attestation: an operator has stated that the destination does not have
 // the message from them.
 func (r *Record) MayHaveExecuted() *Attempt {
-	from := 0
-	for i := range r.Incarnations {
-		if r.Incarnations[i].Attestation != nil {
-			from = i
-		}
-	}
-	for i := from; i < len(r.Incarnations); i++ {
+	for i := r.lastAttested(); i < len(r.Incarnations); i++ {
 		for j := range r.Incarnations[i].Attempts {
 			if a := &r.Incarnations[i].Attempts[j]; a.Execution != NotExecuted {
 				return a
@@ -138,6 +132,31 @@
 	return nil
 }
 
+// EarlierAttempts returns the attempts of all incarnations, the oldest first. Those before a redelivery that used an attestation
+// are returned as not executed, because an operator has stated that the destination does not have the message from them.
+func (r *Record) EarlierAttempts() (attempts []Attempt) {
+	attested := r.lastAttested()
+	for i := range r.Incarnations {
+		for _, a := range r.Incarnations[i].Attempts {
+			if i < attested {
+				a.Execution = NotExecuted
+			}
+			attempts = append(attempts, a)
+		}
+	}
+	return attempts
+}
+
+// lastAttested returns the index of the latest incarnation that used an attestation, or 0 if there is none.
+func (r *Record) lastAttested() int {
+	for i := len(r.Incarnations) - 1; i > 0; i-- {
+		if r.Incarnations[i].Attestation != nil {
+			return i
+		}
+	}
+	return 0
+}
+
 // deferred is the status of a notice after which the client may submit the message again.
 const deferred = "deferred"
 
--- a/internal/deadletter/rule.go
+++ b/internal/deadletter/rule.go
@@ -141,7 +141,7 @@
 	switch {
 	case mayHaveExecuted && c.Idempotency == NotIdempotent:
 		conflicts = append(conflicts, fmt.Sprintf("resends %s messages that may have run, and that class may not be repeated: only an attest allows it", c.Name))
-	case mayHaveExecuted && c.Idempotency == IdempotentByKey && seconds(max(r.Delay, r.OlderThan))+keyMargin >= c.KeyTTL:
+	case mayHaveExecuted && c.Idempotency == IdempotentByKey && seconds(max(r.Delay, r.OlderThan))+KeyMargin >= c.KeyTTL:
 		conflicts = append(conflicts, fmt.Sprintf("resends %s messages that may have run after %v s, and partners remember a key for %v only", c.Name, max(r.Delay, r.OlderThan), c.KeyTTL))
 	}
 	if r.MaxIncarnations > c.MaxAttempts {
--- a/internal/invariant/send.go
+++ b/internal/invariant/send.go
@@ -1,6 +1,8 @@
 package invariant
 
 import (
+	"slices"
+
 	"frostlink/internal/clock"
 	"frostlink/internal/journal"
 	"frostlink/policy"
@@ -33,7 +35,7 @@
 	if r.Terms == nil || r.Terms.Idempotency == policy.Idempotent {
 		return 0, true
 	}
-	firstStart, mayHaveExecuted := firstUnknownOutcome(r.Attempts)
+	firstStart, mayHaveExecuted := firstUnknownOutcome(slices.Concat(r.EarlierAttempts, r.Attempts))
 	switch {
 	case !mayHaveExecuted:
 		return 0, true
--- a/internal/invariant/send_test.go
+++ b/internal/invariant/send_test.go
@@ -45,7 +45,13 @@
 			Request{Terms: shortTTL, Entry: entryWith(outcomeUnknown)}, time.Second, ExpiredKeyRepeat,
 		},
 		"key expired, not executed": {Request{Terms: shortTTL, Entry: entryWith(notExecuted)}, time.Second, none},
-		"unknown terms":             {Request{Entry: entryWith(outcomeUnknown)}, time.Second, none},
+		"key expired since an attempt under an earlier id": {
+			Request{Terms: shortTTL, Entry: &journal.Entry{EarlierAttempts: []journal.Attempt{outcomeUnknown}}}, time.Second, ExpiredKeyRepeat,
+		},
+		"not idempotent, may have executed under an earlier id": {
+			Request{Terms: notIdempotent, Entry: &journal.Entry{EarlierAttempts: []journal.Attempt{notExecuted, outcomeUnknown}}}, time.Second, NonIdempotentRepeat,
+		},
+		"unknown terms": {Request{Entry: entryWith(outcomeUnknown)}, time.Second, none},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := test.request
--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -17,8 +17,11 @@
 	AcceptedAt clock.Instant `json:"taken,omitzero"`
 	// Redelivery is set if the request comes from the dead-letter store. Its outcome is reported to the
 	// store instead of the platform.
-	Redelivery     bool   `json:"resend,omitempty"`
-	IdempotencyKey string `json:"key,omitempty"`
+	Redelivery bool `json:"resend,omitempty"`
+	// EarlierAttempts are the attempts of a redelivered message under its earlier ids, the oldest first. They are not stored: a
+	// later process that finds a redelivery without an attempt returns it to the dead-letter store.
+	EarlierAttempts []Attempt `json:"-"`
+	IdempotencyKey  string    `json:"key,omitempty"`
 	// OrderKey is the order key of a request of an ordered class: requests with the same key are sent one
 	// after the other. It is empty if the request is unordered or was accepted by an earlier version of
 	// the program.
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"frostlink/internal/admin"
+	"frostlink/internal/deadletter"
 	"frostlink/internal/frontend"
 	"frostlink/internal/trace"
 	"frostlink/policy"
@@ -14,10 +15,17 @@
 func (l *loop) addCandidate(r *request) {
 	l.requests[r.ID] = r
 	l.candidates = append(l.candidates, r)
-	l.events = append(l.events, policy.Arrived{
-		ID: r.ID, Class: l.classIndex(r.Class), Destination: r.Destination, OrderKey: r.OrderKey, Background: r.Redelivery,
+	arrived := policy.Arrived{
+		ID: r.ID, Class: l.classIndex(r.Class), Destination: r.Destination, OrderKey: r.OrderKey,
 		TimeLeft: r.Deadline.Sub(l.timeline.Now()),
-	})
+	}
+	if r.Redelivery {
+		arrived.Background, arrived.KeyMargin = true, deadletter.KeyMargin
+		for _, a := range r.EarlierAttempts {
+			arrived.EarlierAttempts = append(arrived.EarlierAttempts, l.priorAttempt(a))
+		}
+	}
+	l.events = append(l.events, arrived)
 }
 
 // acceptCandidates accepts the candidates of this batch that the dispatcher has not rejected.
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -104,10 +104,7 @@
 		TimeLeft: r.Deadline.Sub(l.timeline.Now()),
 	}
 	for _, a := range r.Attempts {
-		// The outcome of an attempt that was in flight when the process ended is unknown, so NotExecuted is false.
-		arrived.PriorAttempts = append(arrived.PriorAttempts, policy.PriorAttempt{
-			Endpoint: a.Endpoint, SentAt: l.attemptSentAt(a), NotExecuted: a.Ended && a.NotExecuted,
-		})
+		arrived.PriorAttempts = append(arrived.PriorAttempts, l.priorAttempt(a))
 	}
 	if predecessor != nil && l.resumeHandedOverAttempt(ctx, r, predecessor) {
 		arrived.PriorAttempts[len(arrived.PriorAttempts)-1].InFlight = true
@@ -115,11 +112,16 @@
 	l.events = append(l.events, arrived)
 }
 
-// attemptSentAt returns when an attempt of an earlier process began, on the dispatcher's clock. If the machine was rebooted
-// since then, the age of the attempt is unknown, and the attempt counts as older than the time for which any destination
-// remembers an idempotency key.
+// priorAttempt returns an attempt of an earlier process, or of an earlier id of a redelivery, as the dispatcher represents it. The
+// outcome of an attempt that was in flight when its process ended is unknown, so NotExecuted is false.
+func (l *loop) priorAttempt(a journal.Attempt) policy.PriorAttempt {
+	return policy.PriorAttempt{Endpoint: a.Endpoint, SentAt: l.attemptSentAt(a), NotExecuted: a.Ended && a.NotExecuted}
+}
+
+// attemptSentAt returns when an attempt began, on the dispatcher's clock. If the machine was rebooted since then, the age of the
+// attempt is unknown, and the attempt counts as older than the time for which any destination remembers an idempotency key.
 func (l *loop) attemptSentAt(a journal.Attempt) time.Duration {
-	if !l.timeline.SameBoot() {
+	if !l.timeline.Covers(a.StartedAt) {
 		return 0
 	}
 	return time.Duration(a.StartedAt)
--- a/internal/relay/redelivery_rules.go
+++ b/internal/relay/redelivery_rules.go
@@ -97,6 +97,16 @@
 		ID: o.Incarnation.ID, Class: o.Record.Class, Destination: o.Record.Destination, Tenant: o.Record.Tenant,
 		IdempotencyKey: o.Record.IdempotencyKey, OrderKey: o.Record.OrderKey, Subject: o.Record.Subject, Order: o.Record.Order,
 		AcceptedAt: clock.FromTime(o.Incarnation.AcceptedAt), Deadline: clock.FromTime(o.Incarnation.Deadline),
-		Body: body, Redelivery: true,
+		Body: body, Redelivery: true, EarlierAttempts: earlierAttempts(o.Record),
 	}
 }
+
+// earlierAttempts returns the attempts of a dead letter as the journal represents them.
+func earlierAttempts(r *deadletter.Record) (attempts []journal.Attempt) {
+	for _, a := range r.EarlierAttempts() {
+		attempts = append(attempts, journal.Attempt{
+			Endpoint: a.Endpoint, StartedAt: clock.FromTime(a.StartedAt), Ended: true, NotExecuted: a.Execution == deadletter.NotExecuted,
+		})
+	}
+	return attempts
+}
--- a/policy/background.go
+++ b/policy/background.go
@@ -18,23 +18,37 @@
 // otherwise. The arrival rate and the shadow queue do not count the message, since it delays no
 // other message.
 func (d *Dispatcher) admitBackground(q *queue, m *message) {
-	if d.canSendBackground(q) {
+	if d.canSendBackground(q, m) {
 		d.enqueue(q, m)
 	} else {
 		d.reject(m, 0)
 	}
 }
 
+// rejectUnsentBackground rejects the background messages that are still queued at the end of a batch. Whoever stores a background
+// message allows it to be sent at the time of its arrival, and has to allow it again for a later time.
+func (d *Dispatcher) rejectUnsentBackground() {
+	for _, q := range d.activeQueues {
+		for len(q.queued) > 0 {
+			last := q.queued[len(q.queued)-1] // background messages are queued behind all others
+			if !last.Background {
+				break
+			}
+			d.reject(last, 0)
+		}
+	}
+}
+
 // canSendBackground reports whether a queue can send a background message immediately without
 // delaying other messages.
-func (d *Dispatcher) canSendBackground(q *queue) bool {
+func (d *Dispatcher) canSendBackground(q *queue, m *message) bool {
 	if len(q.queued) > 0 || d.now < q.pausedUntil() || d.quiesced || !d.hasBackgroundCapacity() {
 		return false
 	}
 	if q.sendRate > 0 && d.sendTokens(q) < minBackgroundTokens {
 		return false
 	}
-	return d.allHealthy(q) && !d.backgroundLimitReached(q) && q.acceptsWork()
+	return d.allHealthy(q) && !d.backgroundLimitReached(q) && d.attemptAllowed(m) && d.selectEndpoint(q, m) != nil
 }
 
 // hasBackgroundCapacity reports whether enough slots and queue capacity remain for other messages
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -82,6 +82,7 @@
 	d.admitArrivals()
 	d.expireQueued()
 	d.dispatch()
+	d.rejectUnsentBackground()
 	d.closeIdleConns()
 	d.cancelStuck()
 	d.deactivateQueues()
--- a/policy/events.go
+++ b/policy/events.go
@@ -24,11 +24,19 @@
 	// acknowledged yet. An Acknowledged event will follow.
 	OutcomeDecided bool
 	// Background says that the message is stored elsewhere, waits there for spare capacity, and can
-	// wait longer. It is rejected if it cannot be sent immediately, and it gets only one attempt.
+	// wait longer. It is rejected if it is not sent in the batch of its arrival, and it gets only one
+	// attempt.
 	Background bool
+	// EarlierAttempts are the attempts that the same message had under other IDs, the oldest first.
+	// For MaxAttempts and for the idempotency of the class they count like attempts of this message.
+	EarlierAttempts []PriorAttempt
+	// KeyMargin is how long before the end of KeyTTL an attempt must be sent if an earlier attempt
+	// may have executed, in addition to the margin that all messages have.
+	KeyMargin time.Duration
 }
 
-// PriorAttempt is an attempt made by an earlier process of this relay.
+// PriorAttempt is an attempt made by an earlier process of this relay, or under another ID of the
+// message.
 type PriorAttempt struct {
 	Endpoint    string
 	SentAt      time.Duration
--- a/policy/message.go
+++ b/policy/message.go
@@ -34,7 +34,8 @@
 	seq           int // position in a queue: lower numbers first
 	deadline      time.Duration
 	state         messageState
-	queue         *queue // nil if the message is not queued
+	queue         *queue    // nil if the message is not queued
+	earlier       []attempt // of the same message under other IDs
 	attempts      []attempt
 	openAttempts  int           // attempts in flight
 	cooldownUntil time.Duration // end of the cooldown of its order key
@@ -72,6 +73,9 @@
 	if e.Background {
 		m.seq += backgroundSeqOffset
 	}
+	for _, earlier := range e.EarlierAttempts {
+		m.earlier = append(m.earlier, d.endedAttempt(m, earlier))
+	}
 	d.messages[e.ID] = m
 	d.unfinished = append(d.unfinished, m)
 	if m.ordered() {
@@ -84,12 +88,20 @@
 	d.arrivals = append(d.arrivals, m)
 }
 
-// firstExecuted returns the first attempt that may have executed, or nil.
+// firstExecuted returns the first attempt under any ID that may have executed, or nil.
 func (m *message) firstExecuted() *attempt {
-	for i := range m.attempts {
-		if m.attempts[i].state != attemptNotExecuted {
-			return &m.attempts[i]
+	for _, attempts := range [][]attempt{m.earlier, m.attempts} {
+		for i := range attempts {
+			if attempts[i].state != attemptNotExecuted {
+				return &attempts[i]
+			}
 		}
 	}
 	return nil
 }
+
+// attemptsExhausted reports whether a message has had all attempts that the settings allow, under
+// all its IDs together.
+func (d *Dispatcher) attemptsExhausted(m *message) bool {
+	return len(m.earlier)+len(m.attempts) >= d.settings.MaxAttempts
+}
--- a/policy/recovery.go
+++ b/policy/recovery.go
@@ -23,26 +23,35 @@
 
 // recoverAttempt adds an attempt of an earlier process to a message.
 func (d *Dispatcher) recoverAttempt(m *message, prior PriorAttempt) {
-	ep := d.endpoints[prior.Endpoint]
-	if ep == nil {
-		ep = d.unlistedEndpoint(prior.Endpoint, m.Destination)
-	}
-	c := &call{endpoint: ep, sent: prior.SentAt, messages: []*message{m}}
-	a := attempt{call: c, sent: prior.SentAt, state: attemptEnded}
+	a := d.endedAttempt(m, prior)
 	switch {
 	case prior.InFlight:
 		a.state = attemptInFlight
-		c.pendingOutcomes = 1
+		a.call.pendingOutcomes = 1
 		m.openAttempts++
-		d.trackCall(c)
-	case prior.NotExecuted:
-		a.state = attemptNotExecuted
-	default:
+		d.trackCall(a.call)
+	case !prior.NotExecuted:
 		m.cooldownUntil = max(m.cooldownUntil, d.now+d.settings.OrderKeyCooldown)
 	}
 	m.attempts = append(m.attempts, a)
 }
 
+// endedAttempt returns an attempt of a message that is not in flight.
+func (d *Dispatcher) endedAttempt(m *message, prior PriorAttempt) attempt {
+	ep := d.endpoints[prior.Endpoint]
+	if ep == nil {
+		ep = d.unlistedEndpoint(prior.Endpoint, m.Destination)
+	}
+	state := attemptEnded
+	if prior.NotExecuted {
+		state = attemptNotExecuted
+	}
+	return attempt{
+		call: &call{endpoint: ep, sent: prior.SentAt, messages: []*message{m}},
+		sent: prior.SentAt, state: state,
+	}
+}
+
 // unlistedEndpoint returns an endpoint that is no longer listed. Its zone is unknown, so a retry
 // that must stay in the zone of an attempt there is not possible.
 func (d *Dispatcher) unlistedEndpoint(id string, destination int) *endpoint {
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -5,7 +5,7 @@
 // attemptAllowed reports whether MaxAttempts, the deadline and the message order allow another
 // attempt of a queued message now.
 func (d *Dispatcher) attemptAllowed(m *message) bool {
-	return len(m.attempts) < d.settings.MaxAttempts && d.now < m.deadline && d.isNextInOrder(m)
+	return !d.attemptsExhausted(m) && d.now < m.deadline && d.isNextInOrder(m)
 }
 
 // retryAllowed reports whether idempotency allows another attempt of a message at endpoint ep, or
@@ -25,15 +25,15 @@
 
 // keyExpiry returns the time from which a message that may have executed is not sent again, because
 // the destination may forget its idempotency key: KeyTTL after the start of the first attempt that may
-// have executed, less a margin of two batch intervals.
+// have executed, less a margin of two batch intervals and the message's KeyMargin.
 func (d *Dispatcher) keyExpiry(m *message) time.Duration {
-	return m.firstExecuted().sent + m.terms.KeyTTL - 2*d.settings.BatchInterval
+	return m.firstExecuted().sent + m.terms.KeyTTL - 2*d.settings.BatchInterval - m.KeyMargin
 }
 
 // retryableCall reports whether every message of a call may be sent again if the call is cancelled.
 func (d *Dispatcher) retryableCall(c *call) bool {
 	for _, m := range c.messages {
-		if m.terms.Idempotency == NotIdempotent || len(m.attempts) >= d.settings.MaxAttempts || !d.retryAllowed(m, nil) {
+		if m.terms.Idempotency == NotIdempotent || d.attemptsExhausted(m) || !d.retryAllowed(m, nil) {
 			return false
 		}
 	}
@@ -49,7 +49,7 @@
 	case m.state != messageActive:
 		d.evict(m)
 	case m.openAttempts > 0:
-	case m.Background, e.AttemptsExhausted, len(m.attempts) >= d.settings.MaxAttempts,
+	case m.Background, e.AttemptsExhausted, d.attemptsExhausted(m),
 		d.now >= m.deadline-d.settings.BatchInterval, !d.retryAllowed(m, nil):
 		d.giveUp(m)
 	default:
--- a/policy/rules_generator_test.go
+++ b/policy/rules_generator_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"sort"
 	"time"
 
 	"frostlink/policy"
@@ -40,6 +41,31 @@
 	endpoints    []policy.Endpoint
 	usualOutcome []policy.Outcome          // current outcome of most attempts, by destination
 	callOutcome  map[string]policy.Outcome // by endpoint and start time of the call
+	redeliveries *rand.Rand                // draws background messages; nil: there are none
+}
+
+// redeliveriesPerBatch is the number of background messages in each batch of events. Few are sent, because few endpoints are healthy.
+const redeliveriesPerBatch = 4
+
+// redelivery returns the arrival of a random background message, with attempts under other IDs.
+func (g *generator) redelivery() policy.Arrived {
+	r := g.redeliveries
+	g.next++
+	e := policy.Arrived{
+		ID: fmt.Sprint("again", g.next), Class: r.Intn(len(g.settings.Classes)), Destination: r.Intn(5), Background: true,
+		TimeLeft: time.Second + time.Duration(r.Intn(10000))*time.Millisecond,
+	}
+	if g.settings.Classes[e.Class].Ordered && r.Intn(5) > 0 {
+		e.OrderKey = fmt.Sprint("k", r.Intn(3))
+	}
+	for range r.Intn(3) {
+		attempt := policy.PriorAttempt{
+			Endpoint: fmt.Sprint("e", r.Intn(12)), SentAt: g.now - time.Duration(r.Intn(5000))*time.Millisecond, NotExecuted: r.Intn(3) == 0,
+		}
+		e.EarlierAttempts = append(e.EarlierAttempts, attempt)
+	}
+	sort.Slice(e.EarlierAttempts, func(i, j int) bool { return e.EarlierAttempts[i].SentAt < e.EarlierAttempts[j].SentAt })
+	return e
 }
 
 // endpointsChanged returns a random change of the endpoint list.
@@ -122,6 +148,11 @@
 		}
 		events = append(events, e)
 	}
+	for range redeliveriesPerBatch {
+		if g.redeliveries != nil {
+			events = append(events, g.redelivery())
+		}
+	}
 	return events
 }
 
--- a/policy/terminal.go
+++ b/policy/terminal.go
@@ -74,7 +74,7 @@
 		if m.queue == nil {
 			continue
 		}
-		if len(m.attempts) >= d.settings.MaxAttempts || d.now >= d.giveUpTime(m) || !d.retryAllowed(m, nil) {
+		if d.attemptsExhausted(m) || d.now >= d.giveUpTime(m) || !d.retryAllowed(m, nil) {
 			expired = append(expired, m)
 		}
 	}
--- a/policy/timeout.go
+++ b/policy/timeout.go
@@ -19,7 +19,7 @@
 // last allowed attempt of a message.
 func (d *Dispatcher) attemptTimeout(m *message, c *call) time.Duration {
 	timeLeft := m.deadline - d.now
-	if m.terms.Idempotency == NotIdempotent || len(m.attempts) >= d.settings.MaxAttempts {
+	if m.terms.Idempotency == NotIdempotent || d.attemptsExhausted(m) {
 		return 0
 	}
 	wait := math.Max(timeoutShare*timeLeft.Seconds(), timeoutLatencies*c.endpoint.queue.latency.mean)
