Restart: a redelivery without an attempt is returned to the dead-letter store

What callers would see: a keyed or unsafe message executed twice.

The next process ends it as not sent; the store takes it back and decides on it again. A store that is off gets nothing, and the resend is dropped; before, it was sent. Redeliveries with an attempt end with outcome unknown, as before. No stored form changes, and entries of earlier versions are covered.

Failed before: TestRedelivery_RecoveredIsReturnedToStore/no_attempt (on a scratch copy: sent, nothing returned).

--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -75,7 +75,8 @@
 	case e.Delivered:
 		r.transition(stateOutcomeDecided)
 		l.publishDelivered(r)
-	case l.classIndex(e.Class) < 0: // the settings have changed, and the dispatcher can't handle an unknown class
+	case l.classIndex(e.Class) < 0, // the settings have changed, and the dispatcher can't handle an unknown class
+		e.Redelivery && len(e.Attempts) == 0: // the store decides again: what it allowed the earlier process may be over
 		l.fail(r, frontend.Response{}, notification.Undeliverable)
 	default:
 		l.recoverOpenRequest(ctx, r, predecessor)
--- a/internal/relay/redelivery_permission_test.go
+++ b/internal/relay/redelivery_permission_test.go
@@ -6,6 +6,7 @@
 
 	"frostlink/internal/clock"
 	"frostlink/internal/deadletter"
+	"frostlink/internal/journal"
 	"frostlink/policy"
 )
 
@@ -92,3 +93,34 @@
 		}
 	}
 }
+
+// A redelivery that an earlier process left in the journal without an attempt is returned to the store, which decides on it anew,
+// and one with an attempt is not sent again. Guards against a second execution: the permission of the earlier process may be over,
+// and the journal does not have the attempts under earlier ids.
+func TestRedelivery_RecoveredIsReturnedToStore(t *testing.T) {
+	for name, attempts := range map[string]int{"no attempt": 0, "attempt without an outcome": 1} {
+		t.Run(name, func(t *testing.T) {
+			l, link := keyedLoop(t, 15)
+			now := l.timeline.Now()
+			e := &journal.Entry{ID: "again-m", Class: "payment", Destination: 7, IdempotencyKey: "key", Redelivery: true, AcceptedAt: now, Deadline: now.Add(time.Minute)}
+			l.journal.SetTerms(e, l.cfg.policy.Classes[l.classIndex("payment")])
+			l.journal.Accept(e)
+			if attempts > 0 {
+				l.journal.BeginAttempt(e, "h1", now)
+			}
+			l.recoverRequest(t.Context(), e, nil)
+			for _, a := range l.dispatcher.Handle(l.now(), l.events) {
+				if send, ok := a.(policy.Send); ok {
+					t.Errorf("sent: %+v", send)
+				}
+				l.applyOutcome(a)
+			}
+			l.events = nil
+			l.commit(t.Context())
+			results := link.writer.queue.waiting.results
+			if len(results) != 1 || results[0].Incarnation.ID != "again-m" || len(results[0].Incarnation.Attempts) != attempts || results[0].Delivered {
+				t.Errorf("returned to the store: %+v", results)
+			}
+		})
+	}
+}
