Policy: stricter terms of new settings cancel a repeat that has not been sent yet

What callers would see: a keyed message executed twice. A repeat is decided on under its class's terms, and its connection may come up a second later. New settings (SIGHUP) in between that make the terms stricter (shorter TTL, key known in one zone, not idempotent) bound only the repeats after it.

A repeat whose terms have become stricter is cancelled if no byte of it has been sent, and is decided on again; a first attempt goes on.

--- a/internal/upstream/http1/exchange_test.go
+++ b/internal/upstream/http1/exchange_test.go
@@ -136,6 +136,27 @@
 	}
 }
 
+// A request of which a part is still to be written when WriteBy passes is not written completely, so that it is not executed.
+func TestCall_PartOfRequestIsNotExecuted(t *testing.T) {
+	executed := make(chan bool, 1)
+	writeByPassed := make(chan struct{})
+	addr := serveEndpoint(t, func(c net.Conn) {
+		<-writeByPassed // the window is full: the rest of the request can be written only now
+		executed <- readRequest(bufio.NewReader(c)) == nil
+	})
+	r := newTestRequest(addr)
+	r.Body = make([]byte, 64<<20) // more than the sockets buffer
+	r.WriteBy = time.Now().Add(100 * time.Millisecond)
+	time.AfterFunc(time.Until(r.WriteBy), func() { close(writeByPassed) })
+	got := newTestPool().Call(t.Context(), r)
+	if complete := <-executed; complete || !got.NotExecuted() {
+		t.Errorf("%+v, written completely: %v", got, complete)
+	}
+	if late := time.Since(r.WriteBy); late < 0 {
+		t.Errorf("the attempt ended %v before WriteBy", -late)
+	}
+}
+
 // A request that is canceled during the dial is not written, and the connection is cached. A request
 // that is canceled after it was written is not interrupted.
 func TestCall_CancelBeforeSend(t *testing.T) {
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -35,8 +35,9 @@
 
 // CancelBeforeSend cancels an attempt if no byte of it has been sent yet, for example while its
 // connection is being established. It is emitted when the destination answers another call with
-// Retry-After, and when the endpoint starts draining or is removed. A cancelled attempt ends as
-// NotSent; an attempt that has sent a byte continues.
+// Retry-After, when the endpoint starts draining or is removed, and when new settings make the terms
+// of a repeat stricter. A cancelled attempt ends as NotSent; an attempt that has sent a byte
+// continues.
 type CancelBeforeSend struct {
 	ID      string
 	Attempt int
--- a/policy/settings_change.go
+++ b/policy/settings_change.go
@@ -24,13 +24,17 @@
 }
 
 // applySettings replaces the settings. Accepted messages keep the terms of their class, but
-// stricter idempotency in the new settings applies to them as well.
+// stricter idempotency in the new settings applies to them as well. A repeat that was decided on
+// under milder terms is cancelled if it has not been sent yet, and then decided on again.
 func (d *Dispatcher) applySettings(s Settings) {
 	d.settings = s
 	d.updateMeanPriorityWeight()
 	d.growClassTables()
 	for _, m := range d.messages {
-		m.terms = m.terms.stricterTerms(&d.settings.Classes[m.Class])
+		before := m.terms
+		if m.terms = before.stricterTerms(&d.settings.Classes[m.Class]); m.terms != before {
+			d.cancelRepeatBeforeSend(m)
+		}
 	}
 	for _, q := range d.queues {
 		if q.sendRate > 0 {
--- a/policy/settings_change_test.go
+++ b/policy/settings_change_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -75,6 +76,43 @@
 	}
 }
 
+// New settings with stricter terms cancel a repeat of which no byte has been sent yet, and it is decided on again under the new terms.
+// Guards against a second execution: the connection of a permitted repeat came up only after its terms had become stricter.
+func TestSettingsChanged_StricterTermsCancelRepeatBeforeSend(t *testing.T) {
+	unchanged := func(*Class) {}
+	shorterTTL := func(c *Class) { c.KeyTTL = 2 * time.Second }
+	notIdempotent := func(c *Class) { c.Idempotency = NotIdempotent }
+	keyPerZone := func(c *Class) { c.KeyPerZone = true }
+	for name, c := range map[string]struct {
+		change   func(*Class)
+		first    Outcome // of the message's first attempt
+		canceled bool
+		then     string // the actions once the repeat has ended as not sent
+	}{
+		"shorter TTL, still in time":       {shorterTTL, ConnectionReset, true, "m>a"},
+		"no longer idempotent":             {notIdempotent, ConnectionReset, true, "fail m"},
+		"key known in its zone only":       {keyPerZone, ConnectionReset, true, "m>a"},
+		"unchanged":                        {unchanged, ConnectionReset, false, "m>a"},
+		"shorter TTL, first not executed":  {shorterTTL, ConnectError, false, "m>a"},
+		"not idempotent, was not executed": {notIdempotent, ConnectError, false, "m>a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testSettings()
+			d := newDispatcher(t, s, Endpoint{ID: "a", Zone: 1})
+			d.Handle(0, []Event{arrival("m", 1)})
+			wantActions(t, "repeated", d.Handle(time.Second, []Event{ended("m", c.first)}), "m>a")
+			next := testSettings()
+			c.change(&next.Classes[1])
+			canceled := slices.Contains(d.Handle(time.Second+ms, []Event{SettingsChanged{next}}), Action(CancelBeforeSend{ID: "m", Attempt: 1}))
+			if canceled != c.canceled {
+				t.Errorf("cancelled before it is sent: %v, want %v", canceled, c.canceled)
+			}
+			notSent := AttemptEnded{ID: "m", Endpoint: "a", Attempt: 1, Outcome: NotSent}
+			wantActions(t, "not sent", d.Handle(time.Second+2*ms, []Event{notSent}), c.then)
+		})
+	}
+}
+
 // New settings apply to unfinished messages: a message that has used up the lowered MaxAttempts is
 // ended, a message keeps its class when the class is retired, and messages of a new class are
 // served.
