--- a/cmd/frostlinkctl/scenario_soak.go
+++ b/cmd/frostlinkctl/scenario_soak.go
@@ -23,9 +23,26 @@
 	relayCount int
 	length     float64 // in seconds
 	restarts   bool    // play the soak test of restarts
-	jsonFile   string
-	relays     string // path of the relay program
-	keepFolder string
+	// redeliveries plays the soak test of redeliveries
+	redeliveries bool
+	jsonFile     string
+	relays       string // path of the relay program
+	keepFolder   string
+}
+
+// drawScenario returns the text of a soak scenario that is drawn from a seed.
+type drawScenario func(seed int64, relays int, length float64) string
+
+// draw returns the function that draws the scenarios of the soak that the flags choose.
+func (f *scenarioSoakFlags) draw() drawScenario {
+	switch {
+	case f.restarts:
+		return scenario.RestartSoakScenario
+	case f.redeliveries:
+		return scenario.RedeliverySoakScenario
+	default:
+		return scenario.SoakScenario
+	}
 }
 
 // soakRun is the result of one seed.
@@ -47,6 +64,8 @@
 			"With --restarts processes are ended and replaced in all the ways in which the platform does it: by series of signals around\n" +
 			"SIGTERM, during start-up, in a hand-over, right after a 202, again at once, many together, or killed after they got stuck. Each\n" +
 			"such occurrence is counted and printed; the soak fails if one of them happens in no run of any seed.\n" +
+			"With --redeliveries an operator's rules redeliver messages of all classes beside slow partners with few connections; the soak fails if\n" +
+			"no message is redelivered.\n" +
 			"Exit codes: 0 success, 1 a run failed or, with --restarts, an occurrence is missing, 2 could not run or the machine was too busy.",
 		Example: "  frostlinkctl scenario soak --seed 1 --seeds 20 --count 36 --keep found\n" +
 			"  frostlinkctl scenario soak --restarts --seed 1 --seeds 50 --keep found",
@@ -59,6 +78,8 @@
 	flags.IntVar(&f.relayCount, "count", 36, "number of relays")
 	flags.Float64Var(&f.length, "length", 9, "seconds for which clients submit messages")
 	flags.BoolVar(&f.restarts, "restarts", false, "end and replace processes in all the ways in which the platform does it")
+	flags.BoolVar(&f.redeliveries, "redeliveries", false, "redeliver messages by rules beside slow partners with few connections")
+	c.MarkFlagsMutuallyExclusive("restarts", "redeliveries")
 	addPlayOutputFlags(c, &f.jsonFile, &f.relays, "the results")
 	flags.StringVar(&f.keepFolder, "keep", "", "keep scripts and logs of failed runs in this `folder`")
 	return c
@@ -86,10 +107,28 @@
 	if err := writeJSON(c.OutOrStdout(), f.jsonFile, runs); err != nil {
 		return err
 	}
-	if err := counts.verdict(); err != nil || !f.restarts {
+	if err := counts.verdict(); err != nil {
 		return err
 	}
-	return checkOccurrences(out, runs)
+	switch {
+	case f.restarts:
+		return checkOccurrences(out, runs)
+	case f.redeliveries:
+		return checkRedelivered(out, runs)
+	default:
+		return nil
+	}
+}
+
+// checkRedelivered returns cli.ErrFindings if no run redelivered a message: the soak has then judged no redelivery.
+func checkRedelivered(out io.Writer, runs []soakRun) error {
+	for i := range runs {
+		if runs[i].redeliveryCalls() > 0 {
+			return nil
+		}
+	}
+	fmt.Fprintln(out, "in no run: a message was redelivered")
+	return cli.ErrFindings
 }
 
 // checkOccurrences prints the kinds of occurrences that happened in no run. If there are any, it returns cli.ErrFindings.
@@ -111,11 +150,7 @@
 // play draws the scenario of a seed and plays it.
 func (f *scenarioSoakFlags) play(ctx context.Context, seed int64, command []string) (run soakRun, err error) {
 	run.Seed = seed
-	draw := scenario.SoakScenario
-	if f.restarts {
-		draw = scenario.RestartSoakScenario
-	}
-	text := draw(seed, f.relayCount, f.length)
+	text := f.draw()(seed, f.relayCount, f.length)
 	s, err := scenario.Parse(soakName(seed)+scenarioSuffix, []byte(text))
 	if err != nil {
 		return run, err
@@ -161,6 +196,9 @@
 	fmt.Fprintf(out, "seed %4d  %-6s  worth %.3f  %4d messages  %3d breaches  %3d faults  %.2f%% late  %d tries\n", r.Seed, verdict,
 		r.DeliveredWeight.Total, r.Counts.Requested, len(r.Violations), len(r.Failures), 100*r.LateShare, r.Plays)
 	r.printOccurrences(out)
+	if calls := r.redeliveryCalls(); calls > 0 {
+		fmt.Fprintf(out, "      calls of redeliveries %d\n", calls)
+	}
 	for _, violation := range r.Violations {
 		fmt.Fprintf(out, "      %v\n", violation)
 	}
@@ -169,6 +207,14 @@
 	}
 }
 
+// redeliveryCalls returns the number of calls that redelivered messages.
+func (r *soakRun) redeliveryCalls() (calls int) {
+	for i := range r.Redeliveries {
+		calls += r.Redeliveries[i].Attempts
+	}
+	return calls
+}
+
 // printOccurrences prints one line with the occurrences of the run and their counts.
 func (r *soakRun) printOccurrences(out io.Writer) {
 	var happened []string
--- a/internal/faultinjection/scenario/soak_test.go
+++ b/internal/faultinjection/scenario/soak_test.go
@@ -10,6 +10,30 @@
 	}
 }
 
+// The text of a soak of redeliveries is a valid scenario that a seed draws in the same way each time. It has rules that redeliver, and
+// each of its destinations is slow for a while.
+func TestRedeliverySoakScenario_IsValid(t *testing.T) {
+	for seed := range int64(20) {
+		text := RedeliverySoakScenario(seed, 4, 22)
+		s, err := Parse("soak", []byte(text))
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if text != RedeliverySoakScenario(seed, 4, 22) {
+			t.Fatalf("seed %d gives two different scenarios", seed)
+		}
+		slow := 0
+		for i := range s.Faults {
+			if s.Faults[i].Kind == string(FaultSlowdown) {
+				slow++
+			}
+		}
+		if !s.Relay.Redelivers || s.Relay.Operator == "" || slow != redeliveryDestinations {
+			t.Errorf("seed %d: redeliveries %v, %d slow destinations", seed, s.Relay.Redelivers, slow)
+		}
+	}
+}
+
 // The text of a soak of restarts is a valid scenario, and the scenarios of two consecutive seeds together have each way of ending a
 // process.
 func TestRestartSoakScenario_IsValidAndComplete(t *testing.T) {
