Submission: a message whose acceptance was not written is not remembered as completed

Cause: if the commit of a batch fails, its candidates are rejected and dropped by loop.evict, which notes their ids as completed; a submission of a completed id is answered with 202. They are withdrawn now: no id is remembered, and a repeated submission is decided on like any other.

--- a/internal/journal/changes.go
+++ b/internal/journal/changes.go
@@ -63,6 +63,10 @@
 	j.addRecord(record{Kind: kindCompleted, ID: e.ID, At: at})
 }
 
+// Withdraw drops a request whose acceptance could not be committed, as if it had never been accepted: its id is not remembered as
+// completed, so that the request may be submitted again under it.
+func (j *Journal) Withdraw(e *Entry) { j.addRecord(record{Kind: kindCompleted, ID: e.ID}) }
+
 // SetStore records the name of the dead-letter store that Store returns. An empty name means that no
 // store has a complete record of deliveries, and that notifying a store of the deliveries in this journal
 // would not complete its record.
--- a/internal/journal/doc.go
+++ b/internal/journal/doc.go
@@ -66,8 +66,8 @@
 // unanchored file was written by a program version from before that record existed: its instants are
 // wall-clock times in the same encoding, and the timeline of the process that reads the file begins at
 // the time of the wall clock, but not before the latest instant in the file. An "over" record without
-// the member at was written by an earlier version too; its request is not remembered as completed. A
-// request whose "entry" has no terms was accepted by an earlier version; the current settings apply to
+// the member at was written by an earlier version too, or withdraws a request whose acceptance could
+// not be committed; its request is not remembered as completed. A request whose "entry" has no terms was accepted by an earlier version; the current settings apply to
 // it.
 //
 // # Files
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -127,7 +127,7 @@
 func (j *Journal) applyCompleted(e *Entry, at clock.Instant) {
 	delete(j.entries, e.ID)
 	j.liveSize -= j.sizeOf(e)
-	if !at.IsZero() { // earlier versions of the program did not write the time
+	if !at.IsZero() { // Withdraw, and earlier versions of the program, write no time
 		j.completed.add(CompletedRequest{ID: e.ID, At: at})
 	}
 }
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -89,7 +89,7 @@
 func (l *loop) dropUnrecorded(r *request) {
 	switch {
 	case r.responses != nil:
-		l.evict(r)
+		l.withdraw(r)
 	case !r.completed():
 		for _, s := range l.subsystems {
 			s.acceptanceNotWritten(r)
--- a/internal/relay/terminal_outcome.go
+++ b/internal/relay/terminal_outcome.go
@@ -153,13 +153,27 @@
 // evict notes that a request needs no further publication or attempt, and drops it from memory, unless an attempt is in
 // flight.
 func (l *loop) evict(r *request) {
+	if l.journal.Entry(r.ID) == r.Entry {
+		l.journal.Complete(r.Entry, l.timeline.Now())
+	}
+	l.drop(r)
+}
+
+// withdraw drops a request whose acceptance could not be written. Its client was told that the request was not accepted, or was told
+// nothing, and may submit it again under the same id: a response 202 to that must accept it.
+func (l *loop) withdraw(r *request) {
+	if l.journal.Entry(r.ID) == r.Entry {
+		l.journal.Withdraw(r.Entry)
+	}
+	l.drop(r)
+}
+
+// drop drops a request that is no longer in the journal from memory, unless an attempt is in flight.
+func (l *loop) drop(r *request) {
 	r.transition(stateEvicted)
 	for _, s := range l.subsystems {
 		s.evicted(r)
 	}
-	if l.journal.Entry(r.ID) == r.Entry {
-		l.journal.Complete(r.Entry, l.timeline.Now())
-	}
 	r.PendingNotice = nil
 	if r.cancel == nil {
 		delete(l.requests, r.ID)
