Import: a redelivery that was in flight at the export may have been executed

Cause: importMessage held a record in state out without counting its last incarnation, which has no attempts yet. It now gets the attempt with outcome unknown that handleLost adds in the record's own store (Incarnation.lost), so that Allowed sees it.

Failed before: TestAdmin_ImportedRedeliveryInFlightMayHaveExecuted (imported without an attempt).

--- a/internal/deadletter/admin.go
+++ b/internal/deadletter/admin.go
@@ -124,7 +124,7 @@
 
 // importMessage stores a message that was exported from another store. The message is held until a rule or an operator
 // decides otherwise. Its attestations are marked as used, because an attestation is valid only in the store in which it was
-// made.
+// made. A redelivery that was in flight at the export may have been executed.
 func (a *Admin) importMessage(r *http.Request) (any, error) {
 	var message Exported
 	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxRequestBody)).Decode(&message); err != nil {
@@ -143,6 +143,9 @@
 	for i := range message.Attestations {
 		message.Attestations[i].Used = true
 	}
+	if message.State == Redelivering { // the redelivery's result will not come to this store
+		*message.Last() = message.Last().lost(a.Now())
+	}
 	if !message.State.Ended() {
 		message.State, message.Reason, message.Since = Held, "imported", a.Now()
 		message.Due = message.Since
--- a/internal/deadletter/admin_test.go
+++ b/internal/deadletter/admin_test.go
@@ -70,6 +70,37 @@
 	}
 }
 
+// A redelivery that is in flight at the export counts as one that may have been executed once it is imported. Guards against a second
+// execution (review/3): after the import of a killed relay's store, a payment that its redelivery had executed was redelivered again.
+func TestAdmin_ImportedRedeliveryInFlightMayHaveExecuted(t *testing.T) {
+	target := newAdmin(t)
+	acceptedAt := target.Now().Add(-time.Minute)
+	refused := Attempt{Endpoint: "h", StartedAt: acceptedAt, EndedAt: acceptedAt, Outcome: "turned away", Execution: NotExecuted}
+	record := Record{ID: "a", Version: Version, Class: "payment", State: Redelivering, Since: acceptedAt, Incarnations: []Incarnation{
+		{ID: "a", AcceptedAt: acceptedAt, Deadline: acceptedAt, CompletedAt: acceptedAt, Reason: DeadlineExceeded, Attempts: []Attempt{refused}},
+		{ID: "again-a", AcceptedAt: acceptedAt, Deadline: acceptedAt.Add(time.Second)},
+	}}
+	line, err := json.Marshal(Exported{record, []byte("body of a")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if code := serve(t, target, "POST", "/import", string(line), nil); code != 200 {
+		t.Fatalf("import: status %d", code)
+	}
+	got, err := target.Store.Get("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	attempt := got.MayHaveExecuted()
+	if got.State != Held || attempt == nil || !attempt.StartedAt.Equal(acceptedAt) || got.Last().CompletedAt.IsZero() {
+		t.Fatalf("imported %+v", got)
+	}
+	class := &Class{Name: "payment", Idempotency: IdempotentByKey, KeyTTL: 15 * time.Second, MaxAttempts: 8}
+	if permission := Allowed(class, got, nil, target.Now().Add(time.Second)); permission.Allowed {
+		t.Errorf("redelivery a minute later is allowed: %s", permission.Reason)
+	}
+}
+
 // A message exported from one store can be imported into another only once, and its attestations allow no redelivery there.
 func TestAdmin_ImportsExportedMessageOnce(t *testing.T) {
 	source, target := newAdmin(t), newAdmin(t)
--- a/internal/deadletter/redelivery_result.go
+++ b/internal/deadletter/redelivery_result.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -16,10 +17,15 @@
 	if inFlight(rec.Last().ID) {
 		return r.store.Change(rec.ID, func(*Record) (time.Time, error) { return now.Add(lostAfter), nil })
 	}
-	incarnation := *rec.Last()
-	incarnation.CompletedAt, incarnation.Reason, incarnation.Status = now, ProcessEnded, unknown
-	incarnation.Attempts = append(incarnation.Attempts, Attempt{StartedAt: incarnation.AcceptedAt, Outcome: unknown, Execution: ExecutionUnknown})
-	return r.HandleResults([]Result{{Incarnation: incarnation}}, now)
+	return r.HandleResults([]Result{{Incarnation: rec.Last().lost(now)}}, now)
+}
+
+// lost returns an incarnation whose result is not known as it counts: with an attempt that may have been executed.
+func (i *Incarnation) lost(now time.Time) Incarnation {
+	lost := *i
+	lost.CompletedAt, lost.Reason, lost.Status = now, ProcessEnded, unknown
+	lost.Attempts = append(slices.Clone(i.Attempts), Attempt{StartedAt: i.AcceptedAt, Outcome: unknown, Execution: ExecutionUnknown})
+	return lost
 }
 
 // HandleResults stores the results of redeliveries. It ignores a result that was stored before.
