--- a/internal/faultinjection/scenario/doc.go
+++ b/internal/faultinjection/scenario/doc.go
@@ -8,7 +8,8 @@
 // The package does no I/O except for reading files, and uses no clock. The random numbers of a run come from [RandomStreams]: the seed,
 // the name of a stream and the order of the draws from the stream determine every number, so that a run can be repeated with the same
 // draws. The way in which a stream is derived from the seed, the names of streams and the order of draws must therefore not change.
-// The same holds for the draws of [SoakScenario] and [RestartSoakScenario], which each use one generator, seeded with the soak's seed.
+// The same holds for the draws of [SoakScenario], [RestartSoakScenario] and [RedeliverySoakScenario], which each use one generator,
+// seeded with the soak's seed.
 //
 // The keys of the file use the terms of the platform (partner, register, event), whereas the code uses destination, discovery and
 // fault.
@@ -40,5 +41,6 @@
 //	relay_settings.go        the settings object of a relay
 //	soak.go                  SoakScenario: the text of a random scenario
 //	soak_faults.go           the random faults of a soak
+//	soak_redeliveries.go     RedeliverySoakScenario: the text of a random scenario of redeliveries by rules
 //	soak_restarts.go         RestartSoakScenario: the text of a random scenario of restarts
 package scenario
