Policy: cancellations by new settings come in one order, and only where terms got stricter

Failed before: TestSettingsChanged_SameEventsSameActions (without the sort), and the case "milder" of TestSettingsChanged_StricterTermsCancelRepeatBeforeSend.

--- a/policy/settings_change.go
+++ b/policy/settings_change.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -30,12 +31,7 @@
 	d.settings = s
 	d.updateMeanPriorityWeight()
 	d.growClassTables()
-	for _, m := range d.messages {
-		before := m.terms
-		if m.terms = before.stricterTerms(&d.settings.Classes[m.Class]); m.terms != before {
-			d.cancelRepeatBeforeSend(m)
-		}
-	}
+	d.tightenTerms()
 	for _, q := range d.queues {
 		if q.sendRate > 0 {
 			q.sendRate = math.Min(math.Max(q.sendRate, minFractionOfEvenShare*d.evenShare(q)), q.listedRate)
@@ -46,6 +42,23 @@
 	}
 }
 
+// tightenTerms applies stricter idempotency in the settings to the messages that were accepted under milder terms.
+func (d *Dispatcher) tightenTerms() {
+	var tightened []*message
+	for _, m := range d.messages {
+		before := m.terms
+		m.terms = before.stricterTerms(&d.settings.Classes[m.Class])
+		if *m.terms != *before {
+			tightened = append(tightened, m)
+		}
+	}
+	// Sorted, so that the same events give the same actions.
+	slices.SortFunc(tightened, func(a, b *message) int { return cmp.Compare(a.seq, b.seq) })
+	for _, m := range tightened {
+		d.cancelRepeatBeforeSend(m)
+	}
+}
+
 // stricterTerms returns the terms of class c with the idempotency tightened, so that they allow an
 // attempt only if both c and the current terms now allow it. If the class was Idempotent and is now
 // IdempotentByKey, the result is NotIdempotent: the message may have been accepted without an
--- a/policy/settings_change_test.go
+++ b/policy/settings_change_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -92,6 +93,7 @@
 		"shorter TTL, still in time":       {shorterTTL, ConnectionReset, true, "m>a"},
 		"no longer idempotent":             {notIdempotent, ConnectionReset, true, "fail m"},
 		"key known in its zone only":       {keyPerZone, ConnectionReset, true, "m>a"},
+		"milder":                           {func(c *Class) { c.Idempotency = Idempotent }, ConnectionReset, false, "m>a"},
 		"unchanged":                        {unchanged, ConnectionReset, false, "m>a"},
 		"shorter TTL, first not executed":  {shorterTTL, ConnectError, false, "m>a"},
 		"not idempotent, was not executed": {notIdempotent, ConnectError, false, "m>a"},
@@ -113,6 +115,43 @@
 	}
 }
 
+// The cancellations of new settings come in the same order in every run.
+func TestSettingsChanged_SameEventsSameActions(t *testing.T) {
+	const messages = 20
+	run := func() (cancelled []Action) {
+		s := testSettings()
+		s.MaxInFlight = messages
+		var endpoints []Endpoint
+		for i := range messages {
+			endpoints = append(endpoints, Endpoint{ID: fmt.Sprint("e", i), Destination: i})
+		}
+		d := newDispatcher(t, s, endpoints...)
+		var arrivals, resets []Event
+		for i := range messages {
+			id := fmt.Sprint("m", i)
+			arrivals = append(arrivals, Arrived{ID: id, Class: 1, Destination: i, TimeLeft: 10 * time.Second})
+			resets = append(resets, AttemptEnded{ID: id, Endpoint: fmt.Sprint("e", i), Outcome: ConnectionReset})
+		}
+		d.Handle(0, arrivals)
+		d.Handle(time.Second, resets)
+		s.Classes = slices.Clone(s.Classes)
+		s.Classes[1].KeyTTL = 2 * time.Second
+		for _, a := range d.Handle(time.Second+ms, []Event{SettingsChanged{s}}) {
+			if _, ok := a.(CancelBeforeSend); ok {
+				cancelled = append(cancelled, a)
+			}
+		}
+		return cancelled
+	}
+	first := run()
+	if len(first) != messages {
+		t.Fatalf("%d repeats are cancelled, want %d", len(first), messages)
+	}
+	if second := run(); !slices.Equal(first, second) {
+		t.Errorf("two runs on the same events differ: %v and %v", first, second)
+	}
+}
+
 // New settings apply to unfinished messages: a message that has used up the lowered MaxAttempts is
 // ended, a message keeps its class when the class is retired, and messages of a new class are
 // served.
