Fault injection: the preload libraries run on arm64 as on x86-64

Both libraries refused to compile on arm64, so that every test that steps a wall clock or makes system calls fail was red there.

wallclock.c: the system call instruction, the names of the vDSO's functions and the jump that replaces their first bytes now depend on the architecture; the instruction cache is cleared after the jump is written, which x86-64 does not need. syscalls.c: the call from the only allowed address, the audit architecture, and the registers of a trapped call; arm64 has no rename(2) and unlink(2), whose successors were trapped already. The faults, the trapped calls and the filter are the same; on x86-64 the code of frostlink_syscall is unchanged instruction by instruction (compared after a cross build with -Werror).

go test -count=3 ./internal/faultinjection/faults on arm64: ok, before: build failures. x86-64 was compiled, not run.

--- a/internal/faultinjection/faults/preload/syscalls.c
+++ b/internal/faultinjection/faults/preload/syscalls.c
@@ -28,10 +28,6 @@
 #include <ucontext.h>
 #include <unistd.h>
 
-#ifndef __x86_64__
-#error "written for x86-64 only"
-#endif
-
 enum { RULES = 16, SHORT = 0xffff, HELD_UP = 0xfffe, HELD_UP_NS = 150000000 };
 enum group { ACCEPT = 1, CONNECT, SOCKET, SOCKET_READ, SOCKET_WRITE, WAIT, FILE_WRITE, FILE_SYNC, FILE_OPEN, FILE_RENAME };
 
@@ -60,6 +56,7 @@
 	".hidden frostlink_syscall\n"
 	".hidden frostlink_after_syscall\n"
 	"frostlink_syscall:\n"
+#if defined(__x86_64__)
 	"	mov %rdi, %rax\n"
 	"	mov %rsi, %rdi\n"
 	"	mov %rdx, %rsi\n"
@@ -68,9 +65,27 @@
 	"	mov %r9, %r8\n"
 	"	mov 8(%rsp), %r9\n"
 	"	syscall\n"
+#elif defined(__aarch64__)
+	"	mov x8, x0\n"
+	"	mov x0, x1\n"
+	"	mov x1, x2\n"
+	"	mov x2, x3\n"
+	"	mov x3, x4\n"
+	"	mov x4, x5\n"
+	"	mov x5, x6\n"
+	"	svc #0\n"
+#else
+#error "written for x86-64 and arm64 only"
+#endif
 	"frostlink_after_syscall:\n"
 	"	ret\n");
 
+#if defined(__x86_64__)
+#define AUDIT_ARCHITECTURE AUDIT_ARCH_X86_64
+#else
+#define AUDIT_ARCHITECTURE AUDIT_ARCH_AARCH64
+#endif
+
 /* The trapped calls, each with the groups of rules that can apply to it. */
 static const struct {
 	int number;
@@ -80,9 +95,12 @@
 	{SYS_socket, SOCKET, 0},         {SYS_read, SOCKET_READ, 0},      {SYS_write, SOCKET_WRITE, FILE_WRITE},
 	{SYS_recvfrom, SOCKET_READ, 0},
 	{SYS_epoll_pwait, WAIT, 0},      {SYS_pwrite64, 0, FILE_WRITE},   {SYS_fsync, 0, FILE_SYNC},
-	{SYS_fdatasync, 0, FILE_SYNC},   {SYS_openat, 0, FILE_OPEN},      {SYS_rename, 0, FILE_RENAME},
+	{SYS_fdatasync, 0, FILE_SYNC},   {SYS_openat, 0, FILE_OPEN},      {SYS_bind, 0, FILE_OPEN},
 	{SYS_renameat, 0, FILE_RENAME},  {SYS_renameat2, 0, FILE_RENAME}, {SYS_ftruncate, 0, FILE_WRITE},
-	{SYS_unlinkat, 0, FILE_RENAME},  {SYS_unlink, 0, FILE_RENAME},    {SYS_bind, 0, FILE_OPEN},
+	{SYS_unlinkat, 0, FILE_RENAME},
+#ifdef SYS_rename /* arm64 has neither of these */
+	{SYS_rename, 0, FILE_RENAME},    {SYS_unlink, 0, FILE_RENAME},
+#endif
 };
 
 /* file_type returns the file type of a descriptor (S_IFMT), or 0 for the standard streams and on an error. */
@@ -106,7 +124,7 @@
 	while (n > 0)
 		link[at++] = digits[--n];
 	link[at] = 0;
-	long length = frostlink_syscall(SYS_readlink, (long)link, (long)path, sizeof path - 1, 0, 0, 0);
+	long length = frostlink_syscall(SYS_readlinkat, AT_FDCWD, (long)link, (long)path, sizeof path - 1, 0, 0);
 	if (length <= 0)
 		return 0;
 	path[length] = 0;
@@ -131,9 +149,11 @@
 			return (argument[2] & O_ACCMODE) != O_RDONLY && path_in_folder((const char *)argument[1]) ? FILE_OPEN : 0;
 		case SYS_bind: /* creates a Unix socket's file; the address begins with its family, 1 = AF_UNIX */
 			return ((const short *)argument[1])[0] == 1 && path_in_folder((const char *)argument[1] + 2) ? FILE_OPEN : 0;
+#ifdef SYS_rename
 		case SYS_unlink:
 		case SYS_rename:
 			return path_in_folder((const char *)argument[0]) ? FILE_RENAME : 0;
+#endif
 		case SYS_unlinkat:
 		case SYS_renameat:
 		case SYS_renameat2:
@@ -217,17 +237,41 @@
 	return 0;
 }
 
+/* read_arguments returns the arguments of the trapped call, and set_result sets what it returns to the program. */
+#if defined(__x86_64__)
+
+static void read_arguments(const ucontext_t *interrupted, long *argument)
+{
+	static const int registers[] = {REG_RDI, REG_RSI, REG_RDX, REG_R10, REG_R8, REG_R9};
+	for (int i = 0; i < 6; i++)
+		argument[i] = interrupted->uc_mcontext.gregs[registers[i]];
+}
+
+static void set_result(ucontext_t *interrupted, long result) { interrupted->uc_mcontext.gregs[REG_RAX] = result; }
+
+#else
+
+static void read_arguments(const ucontext_t *interrupted, long *argument)
+{
+	for (int i = 0; i < 6; i++)
+		argument[i] = (long)interrupted->uc_mcontext.regs[i];
+}
+
+static void set_result(ucontext_t *interrupted, long result) { interrupted->uc_mcontext.regs[0] = (uint64_t)result; }
+
+#endif
+
 static void handle_sigsys(int signal, siginfo_t *info, void *context)
 {
-	greg_t *registers = ((ucontext_t *)context)->uc_mcontext.gregs;
-	long argument[6] = {registers[REG_RDI], registers[REG_RSI], registers[REG_RDX],
-			    registers[REG_R10], registers[REG_R8], registers[REG_R9]};
+	ucontext_t *interrupted = context;
+	long argument[6], result;
 	(void)signal;
-	if (info->si_syscall == SYS_rt_sigprocmask) {
-		registers[REG_RAX] = change_mask((uint64_t *)&((ucontext_t *)context)->uc_sigmask, argument);
-		return;
-	}
-	registers[REG_RAX] = fail_or_execute(info->si_syscall, argument);
+	read_arguments(interrupted, argument);
+	if (info->si_syscall == SYS_rt_sigprocmask)
+		result = change_mask((uint64_t *)&interrupted->uc_sigmask, argument);
+	else
+		result = fail_or_execute(info->si_syscall, argument);
+	set_result(interrupted, result);
 }
 
 /*
@@ -244,7 +288,7 @@
 	struct sock_filter program[COUNT + 32];
 	int n = 0;
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, arch));
-	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AUDIT_ARCH_X86_64, 1, 0);
+	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AUDIT_ARCHITECTURE, 1, 0);
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW);
 	program[n++] = (struct sock_filter)BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, instruction_pointer));
 	program[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, (uint32_t)pass, 0, 3);
--- a/internal/faultinjection/faults/preload/wallclock.c
+++ b/internal/faultinjection/faults/preload/wallclock.c
@@ -22,12 +22,22 @@
 #include <time.h>
 #include <unistd.h>
 
-#ifndef __x86_64__
-#error "written for x86-64 only"
-#endif
-
 static volatile int64_t *offset;
 
+/*
+ * What differs by architecture: the system call instruction, the names of the vDSO's functions, and the jump to an address. The address
+ * is the 8 bytes of the jump from JUMP_ADDRESS_AT on.
+ */
+#if defined(__x86_64__)
+
+#define VDSO_CLOCK_GETTIME "__vdso_clock_gettime"
+#define VDSO_GETTIMEOFDAY "__vdso_gettimeofday"
+#define VDSO_TIME "__vdso_time"
+
+/* mov rax, address; jmp rax */
+enum { JUMP_ADDRESS_AT = 2 };
+static const unsigned char jump_to_address[] = {0x48, 0xb8, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xe0};
+
 static long kernel_call(long number, long a, long b)
 {
 	long result;
@@ -35,6 +45,29 @@
 	return result;
 }
 
+#elif defined(__aarch64__)
+
+#define VDSO_CLOCK_GETTIME "__kernel_clock_gettime"
+#define VDSO_GETTIMEOFDAY "__kernel_gettimeofday"
+#define VDSO_TIME "" /* the arm64 vDSO has no time(2) */
+
+/* ldr x16, address; br x16; address. x16 is free between a call and the function's first instruction. */
+enum { JUMP_ADDRESS_AT = 8 };
+static const unsigned char jump_to_address[] = {0x50, 0x00, 0x00, 0x58, 0x00, 0x02, 0x1f, 0xd6, 0, 0, 0, 0, 0, 0, 0, 0};
+
+static long kernel_call(long number, long a, long b)
+{
+	register long x8 __asm__("x8") = number;
+	register long x0 __asm__("x0") = a;
+	register long x1 __asm__("x1") = b;
+	__asm__ volatile("svc #0" : "+r"(x0) : "r"(x8), "r"(x1) : "memory");
+	return x0;
+}
+
+#else
+#error "written for x86-64 and arm64 only"
+#endif
+
 static void add_offset(int64_t *seconds, int64_t *nanoseconds)
 {
 	int64_t sum = *seconds * 1000000000 + *nanoseconds + *offset;
@@ -71,16 +104,18 @@
 	return exact.tv_sec;
 }
 
-/* redirect overwrites the first bytes of a function with "mov rax, to; jmp rax". */
+/* redirect overwrites the first bytes of a function with a jump. */
 static void redirect(unsigned char *function, void *to)
 {
-	unsigned char jump[12] = {0x48, 0xb8, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xe0};
+	unsigned char jump[sizeof jump_to_address];
 	uintptr_t page = (uintptr_t)function & ~(uintptr_t)4095;
-	memcpy(jump + 2, &to, sizeof to);
+	memcpy(jump, jump_to_address, sizeof jump);
+	memcpy(jump + JUMP_ADDRESS_AT, &to, sizeof to);
 	if (mprotect((void *)page, 8192, PROT_READ | PROT_WRITE | PROT_EXEC) != 0 &&
 	    mprotect((void *)page, 4096, PROT_READ | PROT_WRITE | PROT_EXEC) != 0)
 		_exit(125);
 	memcpy(function, jump, sizeof jump);
+	__builtin___clear_cache((char *)function, (char *)function + sizeof jump);
 }
 
 static void redirect_vdso(unsigned char *vdso)
@@ -111,11 +146,11 @@
 	for (size_t i = 0; symbols != NULL && i < count; i++) {
 		const char *name = names + symbols[i].st_name;
 		unsigned char *at = base + symbols[i].st_value;
-		if (strcmp(name, "__vdso_clock_gettime") == 0)
+		if (strcmp(name, VDSO_CLOCK_GETTIME) == 0)
 			redirect(at, (void *)stepped_clock_gettime);
-		else if (strcmp(name, "__vdso_gettimeofday") == 0)
+		else if (strcmp(name, VDSO_GETTIMEOFDAY) == 0)
 			redirect(at, (void *)stepped_gettimeofday);
-		else if (strcmp(name, "__vdso_time") == 0)
+		else if (VDSO_TIME[0] != 0 && strcmp(name, VDSO_TIME) == 0)
 			redirect(at, (void *)stepped_time);
 	}
 }
