Frontend: requests are read in a bounded pool of chunks; crowds are refused at low cost

Callers saw no answers for as long as some hundred clients held requests that never ended, and the process passed its memory limit.

A head of 16 KB was parsed whatever the number of its fields, each of which takes many times its text, and stayed parsed while the body was awaited; the recorder kept a second copy of head and body in a slice that doubles; a body was allocated in full at its head; only the body had a bound. Now a head has 100 lines at most, is parsed once it is whole, and only what the submission needs outlives that. All bytes of requests in progress are in 512 bytes of the connection and in chunks of 4 KB from one pool (1/20 of the memory), used again without garbage. Without a free chunk the connection that has stalled the longest is closed.

Evicting looked at all connections, with a system call each, under the lock; lingering connections were read at full speed, up to 1 MB; health checks were answered as fast as they came; a connection that had begun a request was not evicted for 0.5 s; accepted connections queued behind each other. Now connections are in lists by state, lingering ones are read with pauses, and a silent connection beyond the bound is closed without a goroutine. Serve yields after each accepted connection: what was accepted is served before more is accepted.

A request that was shed for lack of memory got a 503 although its id might have been accepted before, which says wrongly that it has no effect: the relay's loop answers it now, 202 to a known id. A connection handed over lost bytes behind a health check that had arrived with it. The bound on idle connections was passed when a client was faster than the server (TestServer_BoundsIdleConnections failed in one of three runs under the race detector).

--- a/internal/deadletter/subject.go
+++ b/internal/deadletter/subject.go
@@ -59,6 +59,21 @@
 	return subject, order, nil
 }
 
+// HeaderFields returns the part of a header that Read uses. A value that is too long for Read is truncated to a length that is too
+// long as well.
+func (s *Subject) HeaderFields(header http.Header) http.Header {
+	fields := http.Header{}
+	for _, name := range []string{s.Header, s.OrderHeader} {
+		if name == "" || fields.Values(name) != nil {
+			continue
+		}
+		for _, value := range header.Values(name)[:min(2, len(header.Values(name)))] { // two are as wrong as more
+			fields.Add(name, strings.Clone(value[:min(len(value), maxSubject+1)]))
+		}
+	}
+	return fields
+}
+
 // valueOf returns the value in the body to which a JSON pointer refers. If no pointer is set, it returns the value of a
 // header, which must have exactly one.
 func valueOf(header http.Header, name, pointer string, body []byte) (value string, err error) {
--- a/internal/faultinjection/pressure/behavior.go
+++ b/internal/faultinjection/pressure/behavior.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -17,6 +18,9 @@
 	slowInterval = 20 * time.Millisecond
 )
 
+// largeBody is the largest body that a request may have.
+var largeBody = strings.Repeat("x", maxBodySize)
+
 // requestHead returns a valid head without its last line.
 func requestHead(id string, destination, length int) string {
 	return fmt.Sprintf("POST /status HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: %s\r\nTenant: acme\r\nRequest-Timeout: 8.000\r\n"+
@@ -32,7 +36,7 @@
 // SlowWriter writes a request with a large body in small pieces.
 func SlowWriter(ctx context.Context, conn net.Conn, n int64) {
 	go untilClosed(conn)
-	text := requestHead(fmt.Sprintf("slow-%d", n), 1, maxBodySize) + "\r\n" + strings.Repeat("x", maxBodySize)
+	text := requestHead(fmt.Sprintf("slow-%d", n), 1, maxBodySize) + "\r\n" + largeBody
 	for piece := 40; len(text) > 0 && ctx.Err() == nil; sleep(ctx, slowInterval) {
 		piece = min(piece*2, 2048, len(text))
 		if _, err := io.WriteString(conn, text[:piece]); err != nil {
@@ -44,30 +48,28 @@
 
 // HalfBody writes a head and the first part of a large body, and then stays.
 func HalfBody(_ context.Context, conn net.Conn, n int64) {
-	_, _ = io.WriteString(conn, requestHead(fmt.Sprintf("half-%d", n), 1, maxBodySize)+"\r\n"+strings.Repeat("x", maxBodySize*3/4))
+	_, _ = io.WriteString(conn, requestHead(fmt.Sprintf("half-%d", n), 1, maxBodySize)+"\r\n"+largeBody[:maxBodySize*3/4])
 	untilClosed(conn)
 }
 
-// ManyFields writes a head of very many short fields and a body that never comes.
-func ManyFields(_ context.Context, conn net.Conn, n int64) {
+// manyFields are very many short fields, up to headBytes.
+var manyFields = sync.OnceValue(func() string {
 	var text strings.Builder
-	text.WriteString(requestHead(fmt.Sprintf("fields-%d", n), 1, 1))
 	for i := 0; text.Len() < headBytes; i++ {
 		fmt.Fprintf(&text, "%s:\r\n", fieldName(i))
 	}
-	text.WriteString("\r\n")
-	_, _ = io.WriteString(conn, text.String())
+	return text.String()
+})
+
+// ManyFields writes a head of very many short fields and a body that never comes.
+func ManyFields(_ context.Context, conn net.Conn, n int64) {
+	_, _ = io.WriteString(conn, requestHead(fmt.Sprintf("fields-%d", n), 1, 1)+manyFields()+"\r\n")
 	untilClosed(conn)
 }
 
 // OpenHead writes a head of very many short fields that never ends.
 func OpenHead(_ context.Context, conn net.Conn, _ int64) {
-	var text strings.Builder
-	text.WriteString("POST /status HTTP/1.1\r\nHost: service.internal\r\n")
-	for i := 0; text.Len() < headBytes; i++ {
-		fmt.Fprintf(&text, "%s:\r\n", fieldName(i))
-	}
-	_, _ = io.WriteString(conn, text.String())
+	_, _ = io.WriteString(conn, "POST /status HTTP/1.1\r\nHost: service.internal\r\n"+manyFields())
 	untilClosed(conn)
 }
 
@@ -81,15 +83,17 @@
 	return string(name)
 }
 
-// LargeRequests submits valid requests with large bodies, one after another.
-func LargeRequests(_ context.Context, conn net.Conn, n int64) {
-	go untilClosed(conn)
-	body := strings.Repeat("x", maxBodySize)
+// LargeRequests submits valid requests with large bodies, each after the answer to the one before.
+func LargeRequests(ctx context.Context, conn net.Conn, n int64) {
+	answer := make([]byte, 4096)
 	for i := 0; ; i++ {
-		if _, err := io.WriteString(conn, requestHead(fmt.Sprintf("large-%d-%d", n, i), 1+i%endpointCount, maxBodySize)+"\r\n"+body); err != nil {
+		if _, err := io.WriteString(conn, requestHead(fmt.Sprintf("large-%d-%d", n, i), 1+i%endpointCount, maxBodySize)+"\r\n"+largeBody); err != nil {
+			return
+		}
+		if _, err := conn.Read(answer); err != nil {
 			return
 		}
-		time.Sleep(slowInterval)
+		sleep(ctx, slowInterval)
 	}
 }
 
--- a/internal/frontend/http1/closereason.go
+++ b/internal/frontend/http1/closereason.go
@@ -7,6 +7,10 @@
 const (
 	// CloseEvicted: the connection is closed to admit another one, to free its descriptor, or at shutdown.
 	CloseEvicted CloseReason = "room for others"
+	// CloseSurplus: the connection is closed unread, since there are as many connections as the server allows.
+	CloseSurplus CloseReason = "too many connections"
+	// CloseForMemory: a stalled connection is closed so that its memory serves other requests.
+	CloseForMemory CloseReason = "memory for others"
 	// CloseTooManyIdle: there are more idle connections than the server allows.
 	CloseTooManyIdle CloseReason = "clients keep more than they use"
 	// CloseDraining: the relay is in standby, and clients should connect to another relay.
--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -1,14 +1,16 @@
 package http1
 
 import (
-	"bufio"
 	"bytes"
+	"container/list"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -24,6 +26,11 @@
 	// the response (RFC 9112, section 9.6).
 	lingerTimeout  = 500 * time.Millisecond
 	maxLingerBytes = 1 << 20
+	// crowdedLingerTimeout replaces lingerTimeout while new connections wait for others to be closed.
+	crowdedLingerTimeout = 30 * time.Millisecond
+	// lingerPause is the pause between two reads of a connection that lingers. A client that keeps sending is slowed down by
+	// its full window, and takes little processor time.
+	lingerPause = 20 * time.Millisecond
 )
 
 // connState is the state of a client's connection. Only connections in the first four states, up to
@@ -63,25 +70,24 @@
 // conn is a connection from a client.
 type conn struct {
 	*net.TCPConn
-	received *recorder         // reads from the connection and records the current request
-	limit    *io.LimitedReader // reads from received, at most the allowed size of the head, then the rest of the body
-	in       *bufio.Reader     // reads from limit
+	from   io.Reader     // reads from the connection
+	buffer requestBuffer // of the request in progress
+	// healthAt is when the last health check was answered; zero: never.
+	healthAt time.Time
 
 	// Guarded by the server's lock.
 	state       connState
-	since       time.Time // when the connection entered the state
-	interrupted bool      // Quiesce, and not the connection's own timeout, ended the read
+	since       time.Time     // when the connection entered the state
+	progressAt  time.Time     // when bytes of the request in progress arrived last
+	inState     *list.Element // in the server's list of the connections in this state
+	inHolders   *list.Element // in the server's list of connections that hold chunks; nil: it holds none
+	becomesIdle bool          // it will be idle once its response is written
+	interrupted bool          // Quiesce, and not the connection's own timeout, ended the read
 }
 
-// newConn returns a connection. The bytes in read were read from raw earlier and are parsed first.
-func newConn(raw *net.TCPConn, read []byte) *conn {
-	retrying := socket.RetryConn{Conn: raw}
-	received := &recorder{from: retrying}
-	if len(read) > 0 {
-		received.from = io.MultiReader(bytes.NewReader(read), retrying)
-	}
-	limit := &io.LimitedReader{R: received}
-	return &conn{TCPConn: raw, received: received, limit: limit, in: bufio.NewReader(limit), since: time.Now()}
+// newConn returns a connection.
+func newConn(raw *net.TCPConn) *conn {
+	return &conn{TCPConn: raw, from: socket.RetryConn{Conn: raw}, since: time.Now()}
 }
 
 // isGone reports whether the connection no longer belongs to the server. The server's lock is held.
@@ -102,16 +108,22 @@
 }
 
 // rejectUnreadable returns the response to a request that could not be read.
-func (c *conn) rejectUnreadable(err error) frontend.Response {
+func (s *Server) rejectUnreadable(err error) frontend.Response {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		s.countRejection(rejectIncomplete)
 		return frontend.RejectMalformed(http.StatusRequestTimeout) // RFC 9110, section 15.5.9
-	case c.limit.N <= 0:
+	case errors.Is(err, errNoMemory):
+		s.countRejection(rejectNoMemory)
+		// The id is not known, so a 503 could wrongly say that a request which was accepted before has no effect.
+		return frontend.RejectMalformed(http.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, errHeadTooLarge):
+		s.countRejection(rejectHeadTooLarge)
 		return frontend.RejectMalformed(http.StatusRequestHeaderFieldsTooLarge) // RFC 6585, section 5
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed),
-		errors.Is(err, syscall.ECONNRESET):
+	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed), errors.Is(err, syscall.ECONNRESET):
 		return frontend.Response{} // the client disconnected in the middle of a request: RFC 9112, section 8
 	}
+	s.countRejection(rejectMalformed)
 	return frontend.RejectMalformed(http.StatusBadRequest)
 }
 
@@ -148,10 +160,40 @@
 	return err == nil && c.SetWriteDeadline(time.Time{}) == nil
 }
 
+// discardBuffers holds buffers for input that is discarded.
+var discardBuffers = sync.Pool{New: func() any { return new([16 << 10]byte) }}
+
+// discard waits for input and discards it.
+func (c *conn) discard() (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, fmt.Errorf("discard input: %w", err)
+	}
+	readErr := raw.Read(func(fd uintptr) bool {
+		buffer := discardBuffers.Get().(*[16 << 10]byte) // the pool holds nothing else
+		defer discardBuffers.Put(buffer)
+		n, err = syscall.Read(int(fd), buffer[:])
+		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	})
+	if err = errors.Join(readErr, err); err == nil && n == 0 {
+		err = io.EOF
+	}
+	return n, err
+}
+
 // linger reads and discards input after the last response, so that the response arrives before the
 // connection is closed.
-func (c *conn) linger() {
-	if c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes)
+func (s *Server) linger(c *conn) {
+	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	begun := time.Now()
+	for discarded := 0; discarded < maxLingerBytes; {
+		n, err := c.discard()
+		if err != nil || s.crowded.Load() && time.Since(begun) > crowdedLingerTimeout {
+			return
+		}
+		discarded += n
+		time.Sleep(lingerPause)
 	}
 }
--- a/internal/frontend/http1/doc.go
+++ b/internal/frontend/http1/doc.go
@@ -3,7 +3,9 @@
 // A [Server] runs one goroutine for each connection. It reads one request after another, submits
 // each for a decision, and writes the response. Whatever a client sends, it must get a response or a
 // close within 3 s of connecting. The number of connections is bounded: at the bound, a new
-// connection replaces the one that its client is least likely to need.
+// connection replaces the one that its client is least likely to need. So is the memory in which
+// requests are read: without a free chunk, the connection that has stalled the longest is closed.
+// Both choices take the same time however many connections there are.
 //
 // The package does not use net/http's Server, for two reasons. That server hides the bytes that
 // follow a request: the rest of a body whose Content-Length is too short, or a second request. And
@@ -22,9 +24,13 @@
 //   - conn.go: one connection, its states, reading and writing;
 //   - serve.go: the loop of a connection, from one request to the next;
 //   - request.go: one request: validation, body, submission;
-//   - recorder.go: the bytes read of a request in progress, for a hand-over, and the last read error;
-//   - memory.go: the memory budget for bodies;
+//   - read.go: reading into a connection's buffer;
+//   - buffer.go: the bytes of the request in progress, which a hand-over passes on;
+//   - head.go: the limits of heads, and their parsing;
+//   - memory.go: the memory in which requests are read, and that of bodies that await a decision;
+//   - pending.go: connections beyond the bound;
 //   - evict.go: the choice of the connection to evict;
+//   - stats.go: metrics;
 //   - drain.go: closing connections in standby and at shutdown;
 //   - handover.go: quiesce, detach, adopt, resume;
 //   - closereason.go: why connections are closed.
--- a/internal/frontend/http1/drain.go
+++ b/internal/frontend/http1/drain.go
@@ -86,6 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.maxConns = 0
+	s.servePending()
 	for len(s.conns) > 0 {
 		if err := ctx.Err(); err != nil {
 			return fmt.Errorf("%d client connections still open: %w", len(s.conns), err)
--- a/internal/frontend/http1/drain_test.go
+++ b/internal/frontend/http1/drain_test.go
@@ -14,7 +14,7 @@
 	s := newIdleServer()
 	add := func(state connState) *conn {
 		_, server := newConnPair(t)
-		c := newConn(server, nil)
+		c := newConn(server)
 		s.addConn(c, state, time.Now())
 		return c
 	}
--- a/internal/frontend/http1/evict.go
+++ b/internal/frontend/http1/evict.go
@@ -1,17 +1,22 @@
 package http1
 
-import "time"
+import (
+	"container/list"
+	"time"
+)
 
 const (
 	// minIdleTime is the time for which a connection must be idle before it is evicted ahead of new
 	// connections.
 	minIdleTime = 2 * time.Second
-	// descriptorMinAge is the time for which a connection must be new or idle before it is evicted
+	// descriptorMinAge is the time for which a connection must be new, idle or stalled before it is evicted
 	// because of a descriptor shortage. After this time a request is rarely still in transit.
 	descriptorMinAge = 500 * time.Millisecond
-	// stalledAfter is the time after which a request that was read in part counts as stalled. Its
-	// connection may then be evicted, after all others.
-	stalledAfter = 500 * time.Millisecond
+	// minStall is the time without a byte after which a request that was read in part counts as
+	// stalled. Clients send a request without pauses.
+	minStall = 10 * time.Millisecond
+	// maxEvictionChecks bounds the connections in one state that are checked for unread bytes, which takes a system call each.
+	maxEvictionChecks = 8
 )
 
 // evict closes the connection that its client is least likely to need, and reports whether there was
@@ -30,19 +35,29 @@
 // evictOlder is like evict, but limited to connections that have been in their state for minAge and
 // to lingering ones. s.mu is held.
 func (s *Server) evictOlder(from connState, minAge time.Duration) bool {
-	now := time.Now()
-	var victim *conn
-	for c := range s.conns {
-		if c.state < from || !c.isEvictable(now, minAge) || victim != nil && !c.evictedBefore(victim, now) {
-			continue
-		}
-		// An unread request would be lost with the connection. On a lingering connection, a close
-		// with unread bytes is a reset, which may overtake the last response.
-		if c.state <= connNew && c.hasUnread() {
-			continue
+	for _, candidates := range []evictionCandidates{
+		{connLingering, 0},
+		{connIdle, max(minAge, minIdleTime)},
+		{connNew, minAge},
+		{connIdle, minAge},
+		{connReading, max(minAge, minStall)},
+	} {
+		if candidates.state >= from && s.evictFrom(candidates) {
+			return true
 		}
-		victim = c
 	}
+	return false
+}
+
+// evictionCandidates are the connections that have been in a state, or have stalled, for at least minAge.
+type evictionCandidates struct {
+	state  connState
+	minAge time.Duration
+}
+
+// evictFrom closes the first candidate without unread bytes, and reports whether there was one. s.mu is held.
+func (s *Server) evictFrom(candidates evictionCandidates) bool {
+	victim := firstQuiet(&s.byState[candidates.state], candidates.minAge)
 	if victim == nil {
 		return false
 	}
@@ -50,61 +65,70 @@
 	return true
 }
 
-// isEvictable reports whether a connection may be evicted, by its state and the time in that state.
-func (c *conn) isEvictable(now time.Time, minAge time.Duration) bool {
-	age := now.Sub(c.since)
-	switch c.state {
-	case connLingering:
-		return true
-	case connIdle, connNew:
-		return age >= minAge
-	case connReading:
-		return age >= minAge && age >= stalledAfter
-	default:
+// evictHolder closes the connection that has stalled the longest of those that hold chunks, other than c, so that it returns its
+// chunks. It reports false if there is none. s.mu is held.
+func (s *Server) evictHolder(c *conn) bool {
+	victim := firstQuiet(&s.holders, minStall)
+	if victim == nil || victim == c {
 		return false
 	}
+	s.holders.Remove(victim.inHolders)
+	victim.inHolders = nil
+	s.close(victim, CloseForMemory)
+	return true
 }
 
-// evictedBefore reports whether c is to be evicted before other.
-func (c *conn) evictedBefore(other *conn, now time.Time) bool {
-	rank, otherRank := c.evictionRank(now), other.evictionRank(now)
-	return rank < otherRank || rank == otherRank && c.since.Before(other.since)
+// firstQuiet returns the first of a list's connections without unread bytes, if it has been in its state, or made no progress, for
+// minAge; nil if there is none. An unread request would be lost with the connection, and on a lingering connection a close with
+// unread bytes is a reset, which may overtake the last response.
+func firstQuiet(conns *list.List, minAge time.Duration) *conn {
+	now := time.Now()
+	checks := 0
+	for e := conns.Front(); e != nil && checks < maxEvictionChecks; e = e.Next() {
+		c := e.Value.(*conn) // the lists hold nothing else
+		if now.Sub(c.quietSince()) < minAge {
+			return nil
+		}
+		if !c.isGone() && !c.hasUnread() {
+			return c
+		}
+		checks++
+	}
+	return nil
 }
 
-// evictionRank returns the position of a connection in the order of eviction. It follows the state,
-// except that a connection that became idle less than minIdleTime ago comes after the new ones.
-func (c *conn) evictionRank(now time.Time) int {
-	if c.state == connIdle && now.Sub(c.since) < minIdleTime {
-		return 2*int(connNew) + 1
+// quietSince returns since when the connection has been in its state or, while its request is read, has made no progress.
+func (c *conn) quietSince() time.Time {
+	if c.state == connReading {
+		return c.progressAt
 	}
-	return 2 * int(c.state)
+	return c.since
 }
 
-// hasTooManyIdle reports whether a response should be the last on its connection because the number
-// of idle connections has reached its bound. Without the bound, a client with a limited number of
-// connections that sends one request on each and leaves it idle has no connection for further
-// requests. Connections that have been idle for minIdleTime are closed first.
-func (s *Server) hasTooManyIdle() bool {
+// reserveIdle reports whether a connection may become idle after its response; if not, the response should be the last. Without
+// the bound on idle connections, a client with a limited number of connections that sends one request on each and leaves it idle
+// has no connection for further requests. Connections that have been idle for minIdleTime are closed first.
+func (s *Server) reserveIdle(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.counts[connIdle] >= s.maxIdle {
-		oldest := s.oldestIdle()
-		if oldest == nil || time.Since(oldest.since) < minIdleTime {
-			return true
+	for s.countOf(connIdle)+s.becomingIdle >= s.maxIdle {
+		oldest := firstQuiet(&s.byState[connIdle], minIdleTime)
+		if oldest == nil {
+			return false
 		}
 		s.close(oldest, CloseTooManyIdle)
 	}
-	return false
+	if !c.becomesIdle {
+		c.becomesIdle = true
+		s.becomingIdle++
+	}
+	return true
 }
 
-// oldestIdle returns the connection that has been idle the longest among those without unread bytes;
-// nil if there is none. s.mu is held.
-func (s *Server) oldestIdle() *conn {
-	var oldest *conn
-	for c := range s.conns {
-		if c.state == connIdle && (oldest == nil || c.since.Before(oldest.since)) && !c.hasUnread() {
-			oldest = c
-		}
+// releaseIdle undoes reserveIdle once the connection has entered another state. s.mu is held.
+func (s *Server) releaseIdle(c *conn) {
+	if c.becomesIdle {
+		c.becomesIdle = false
+		s.becomingIdle--
 	}
-	return oldest
 }
--- a/internal/frontend/http1/evict_test.go
+++ b/internal/frontend/http1/evict_test.go
@@ -71,7 +71,7 @@
 			closed++
 		}
 		s.mu.Lock()
-		idle := s.counts[connIdle]
+		idle := s.countOf(connIdle)
 		s.mu.Unlock()
 		if idle > s.maxIdle {
 			t.Fatalf("%d idle connections, want at most %d", idle, s.maxIdle)
@@ -90,19 +90,19 @@
 		t.Run(fmt.Sprint(int(state)), func(t *testing.T) {
 			s := newIdleServer()
 			client, server := newConnPair(t)
-			busy := newConn(server, nil)
+			busy := newConn(server)
 			s.addConn(busy, state, time.Now().Add(-time.Hour))
 			sendHealthCheck(t, client, busy)
 			if s.evict(connLingering) || busy.isGone() {
 				t.Error("connection with an unread request was evicted")
 			}
 			if state == connIdle {
-				if !s.hasTooManyIdle() || busy.isGone() {
+				if s.reserveIdle(busy) || busy.isGone() {
 					t.Error("connection with an unread request was closed since too many are idle")
 				}
 			}
 			_, server = newConnPair(t)
-			quiet := newConn(server, nil)
+			quiet := newConn(server)
 			s.addConn(quiet, state, time.Now().Add(-time.Hour))
 			if !s.evict(connLingering) || !quiet.isGone() || busy.isGone() {
 				t.Error("connection without unread bytes was not evicted, or the wrong one was")
--- a/internal/frontend/http1/handover.go
+++ b/internal/frontend/http1/handover.go
@@ -70,7 +70,7 @@
 	if c.isGone() {
 		return
 	}
-	detached := DetachedConn{Conn: c.TCPConn, Buffered: c.received.read, Unused: c.state == connNew, Since: c.since}
+	detached := DetachedConn{Conn: c.TCPConn, Buffered: c.buffer.bytes(0, c.buffer.size), Unused: c.state == connNew, Since: c.since}
 	s.remove(c, connDetached)
 	if !s.handover.isQuiesced() {
 		s.resumeConn(detached)
@@ -109,6 +109,7 @@
 	if s.listener != nil {
 		_ = s.listener.SetDeadline(socket.PastDeadline)
 	}
+	s.servePending()
 	for c := range s.conns {
 		if c.state != connAwaitingResponse && c.state != connLingering {
 			c.interrupt()
@@ -122,7 +123,7 @@
 func (s *Server) takeDetached() (detached []DetachedConn, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	remaining := len(s.conns) - s.counts[connLingering]
+	remaining := len(s.conns) - s.countOf(connLingering)
 	if remaining > 0 || s.listener != nil && !s.handover.acceptPaused {
 		return nil, false
 	}
@@ -158,13 +159,18 @@
 }
 
 // resumeConn serves a detached connection again. It closes the connection if the bound on
-// connections is reached and none can be evicted. s.mu is held.
+// connections is reached and none can be evicted, or if there is no memory for the bytes of its
+// request. s.mu is held.
 func (s *Server) resumeConn(d DetachedConn) {
 	if len(s.conns) >= s.maxConns && !s.evict(connLingering) {
 		_ = d.Conn.Close()
 		return
 	}
-	c := newConn(d.Conn, d.Buffered)
+	c := newConn(d.Conn)
+	if !s.prefill(c, d.Buffered) {
+		_ = d.Conn.Close()
+		return
+	}
 	c.since = d.Since
 	state := connIdle
 	if d.Unused {
--- a/internal/frontend/http1/handover_test.go
+++ b/internal/frontend/http1/handover_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	for end := time.Now().Add(waittest.Long); ; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
-		done := s.counts[connNew] == isNew && s.counts[connReading] == reading
+		done := s.countOf(connNew) == isNew && s.countOf(connReading) == reading
 		s.mu.Unlock()
 		if done {
 			return
--- a/internal/frontend/http1/request.go
+++ b/internal/frontend/http1/request.go
@@ -1,9 +1,10 @@
 package http1
 
 import (
+	"errors"
 	"fmt"
-	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -12,85 +13,137 @@
 	"frostlink/internal/logkey"
 )
 
-const (
-	// healthPath is the path of the health check, which tells clients whether to use this relay.
-	healthPath = "/_health"
-	// shedRetryAfter is the Retry-After of a request that is shed because there is no memory for its
-	// body.
-	shedRetryAfter = time.Second
-)
+// healthPath is the path of the health check, which tells clients whether to use this relay.
+const healthPath = "/_health"
+
+// errNoMemory is the error of a request that is shed because there is no memory to read the rest of it.
+var errNoMemory = errors.New("no memory to read a request")
+
+// pendingRequest is a request whose head was read.
+type pendingRequest struct {
+	submission    *frontend.Submission
+	subjectHeader http.Header // the header fields from which the subject is read; nil: none
+	headSize      int
+	bodySize      int
+	expectsGoOn   bool // the client waits for 100 Continue
+	last          bool // the client closes the connection after this request
+}
 
 // handleRequest reads one request, submits it and returns the response. A response with status 0
 // means that the client has disconnected. An error means that the request could not be read.
 func (s *Server) handleRequest(c *conn) (frontend.Response, error) {
-	r, err := http.ReadRequest(c.in)
-	if err != nil {
-		if c.received.err != nil {
-			err = c.received.err // the cause; instead of it, the parser may report the incomplete head as malformed
+	request, response, err := s.readHead(c)
+	if request == nil || err != nil {
+		return response, err
+	}
+	if !s.hasSpace(request.bodySize) {
+		return s.shedUnread(request), nil
+	}
+	if err := s.readBody(c, request); err != nil {
+		if errors.Is(err, errNoMemory) {
+			return s.shedUnread(request), nil
 		}
-		return frontend.Response{}, fmt.Errorf("read request head: %w", err)
+		return frontend.Response{}, err
 	}
-	submission, response := s.parse(r)
-	if submission == nil {
-		return response, nil
+	if !s.awaiting.reserve(request.bodySize) {
+		return s.shedUnread(request), nil
 	}
-	if size := int(r.ContentLength); size > 0 {
-		if !s.bodies.reserve(size) {
-			s.onShed(submission.Entry.Class)
-			return frontend.Response{Status: http.StatusServiceUnavailable, RetryAfter: shedRetryAfter, Close: true}, nil
+	defer s.awaiting.release(request.bodySize)
+	return s.submit(c, request), nil
+}
+
+// shedUnread sheds a request of which the body was not read or is not needed, and returns the response. The response is the
+// relay's: to a copy of a request that was accepted before, a rejection would wrongly say that the request has no effect.
+func (s *Server) shedUnread(request *pendingRequest) frontend.Response {
+	s.countRejection(rejectNoMemory)
+	s.shed(request.submission)
+	response := <-request.submission.Response
+	response.Close = true
+	return response
+}
+
+// readHead reads and validates the head of a request. For a rejected request or a health check it returns nil and the response.
+func (s *Server) readHead(c *conn) (*pendingRequest, frontend.Response, error) {
+	var head headScanner
+	for {
+		ended, err := head.scan(&c.buffer)
+		if ended {
+			break
 		}
-		defer s.bodies.release(size)
-		if strings.EqualFold(r.Header.Get("Expect"), "100-continue") && !c.writeContinue() {
-			return frontend.Response{}, nil
+		if err == nil {
+			err = s.fill(c, maxHeadSize)
 		}
-		if submission.Entry.Body, err = c.readBody(size); err != nil {
-			return frontend.Response{}, fmt.Errorf("read request body: %w", err)
+		if err != nil {
+			return nil, frontend.Response{}, fmt.Errorf("read request head: %w", err)
 		}
 	}
-	return s.submit(c, r, submission), nil
+	r, err := parseHead(&c.buffer, head.scanned)
+	if err != nil {
+		return nil, frontend.Response{}, err
+	}
+	submission, response := s.parse(c, r)
+	if submission == nil {
+		s.dropRequest(c, head.scanned)
+		return nil, response, nil
+	}
+	return &pendingRequest{
+		submission: submission, subjectHeader: s.validator.Load().SubjectHeader(submission.Entry.Class, r.Header),
+		headSize: head.scanned, bodySize: int(max(0, r.ContentLength)), last: r.Close,
+		expectsGoOn: strings.EqualFold(r.Header.Get("Expect"), "100-continue"),
+	}, frontend.Response{}, nil
 }
 
-// readBody reads a body of a known size. It reads nothing from the connection beyond the body.
-func (c *conn) readBody(size int) ([]byte, error) {
-	c.limit.N = max(0, int64(size-c.in.Buffered()))
-	body := make([]byte, size)
-	if _, err := io.ReadFull(c.in, body); err != nil {
-		return nil, fmt.Errorf("expected %d bytes: %w", size, err)
-	}
-	return body, nil
+// readBody reads the body of a request. It reads nothing from the connection beyond the body.
+func (s *Server) readBody(c *conn, request *pendingRequest) error {
+	if request.bodySize > 0 && request.expectsGoOn && !c.writeContinue() {
+		return fmt.Errorf("write interim response: %w", net.ErrClosed)
+	}
+	end := request.headSize + request.bodySize
+	for c.buffer.size < end {
+		if err := s.fill(c, end-c.buffer.size); err != nil {
+			return fmt.Errorf("read request body of %d bytes: %w", request.bodySize, err)
+		}
+	}
+	return nil
 }
 
 // submit submits a request that was read completely, and waits for the response.
-func (s *Server) submit(c *conn, r *http.Request, submission *frontend.Submission) frontend.Response {
+func (s *Server) submit(c *conn, request *pendingRequest) frontend.Response {
 	if !s.enter(c, connAwaitingResponse) {
 		return frontend.Response{}
 	}
-	c.received.reset()
-	if c.in.Buffered() > 0 {
+	entry, end := request.submission.Entry, request.headSize+request.bodySize
+	hasMore := c.buffer.size > end
+	if request.bodySize > 0 {
+		entry.Body = c.buffer.bytes(request.headSize, end)
+	}
+	s.dropRequest(c, c.buffer.size)
+	if hasMore {
 		// The Content-Length is too short, or the client has sent another request before the
 		// response to this one, which is not supported (RFC 9112, section 9.3.2).
+		s.countRejection(rejectPipelined)
 		return frontend.RejectMalformed(http.StatusBadRequest)
 	}
-	s.validator.Load().ReadSubject(submission.Entry, r.Header)
-	submission.Quiet = c.quiet
-	s.admit(submission)
-	response := <-submission.Response
-	response.Close = response.Close || r.Close
+	s.validator.Load().ReadSubject(entry, request.subjectHeader)
+	request.submission.Quiet = c.quiet
+	s.admit(request.submission)
+	response := <-request.submission.Response
+	response.Close = response.Close || request.last
 	return response
 }
 
 // parse validates the head of a request. It returns a submission without a body, or, for a rejected
 // request or a health check, nil and the response.
-func (s *Server) parse(r *http.Request) (*frontend.Submission, frontend.Response) {
+func (s *Server) parse(c *conn, r *http.Request) (*frontend.Submission, frontend.Response) {
 	if rejection := checkFraming(r); rejection != nil {
-		return nil, reject(rejection)
+		return nil, s.reject(rejection)
 	}
 	if r.Method == http.MethodGet && r.URL.Path == healthPath && r.ContentLength == 0 {
-		return nil, s.health()
+		return nil, s.health(c)
 	}
 	submission, rejection := s.validator.Load().Parse(r)
 	if rejection != nil {
-		return nil, reject(rejection)
+		return nil, s.reject(rejection)
 	}
 	return submission, frontend.Response{}
 }
@@ -98,15 +151,18 @@
 // health returns the response to a health check. The status is 200 unless the serving mode is
 // unhealthy, as in standby. The replay of the journal needs no check, since the relay does not listen
 // before the replay is complete.
-func (s *Server) health() frontend.Response {
+func (s *Server) health(c *conn) frontend.Response {
+	time.Sleep(minHealthInterval - time.Since(c.healthAt))
+	c.healthAt = time.Now()
 	if !s.mode.Healthy() {
 		return frontend.Response{Status: http.StatusServiceUnavailable}
 	}
 	return frontend.Response{Status: http.StatusOK}
 }
 
-// reject logs a rejection and returns the response to it.
-func reject(rejection *frontend.RejectionError) frontend.Response {
+// reject counts and logs a rejection, and returns the response to it.
+func (s *Server) reject(rejection *frontend.RejectionError) frontend.Response {
+	s.countRejection(rejection.Reason)
 	slog.Debug("request rejected", logkey.Reason, string(rejection.Reason), logkey.Err, rejection)
 	return frontend.RejectMalformed(rejection.Status)
 }
--- a/internal/frontend/http1/serve.go
+++ b/internal/frontend/http1/serve.go
@@ -17,8 +17,9 @@
 	// from the first byte to the end of a later request, which clients send without pauses.
 	idleTimeout    = 8 * time.Second
 	requestTimeout = 2500 * time.Millisecond
-	// maxHeadSize bounds the head of a request, in bytes.
-	maxHeadSize = 16 << 10
+	// minHealthInterval is the least time between two answers to health checks on a connection, so that a client that sends them
+	// without a pause does not take the processor from others.
+	minHealthInterval = 5 * time.Millisecond
 )
 
 // connEnd is how serving a connection ended: the connection is detached or has to be closed.
@@ -48,13 +49,14 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request. It returns nil if a request has begun, and
+// awaitRequest waits for the first bytes of a request. It returns nil if a request has begun, and
 // otherwise how serving the connection ended.
 func (s *Server) awaitRequest(c *conn, timeout time.Duration) *connEnd {
 	s.setReadTimeout(c, timeout)
-	c.limit.N = maxHeadSize
-	c.received.reset()
-	_, err := c.in.Peek(1)
+	if c.buffer.size > 0 {
+		return nil
+	}
+	err := s.fill(c, firstChunkSize)
 	if err == nil {
 		return nil
 	}
@@ -82,18 +84,18 @@
 		if s.isInterrupted(c, err) {
 			return &connEnd{detached: true}
 		}
-		response = c.rejectUnreadable(err)
+		response = s.rejectUnreadable(err)
 	}
 	if response.Status == 0 {
 		return closedFor(CloseClientGone)
 	}
-	response.Close = response.Close || s.mode.CloseAfterResponse() || s.hasTooManyIdle()
+	response.Close = response.Close || s.mode.CloseAfterResponse() || !s.reserveIdle(c)
 	if !c.writeResponse(response) {
 		return closedFor(CloseWriteFailed)
 	}
 	if response.Close {
 		if s.enter(c, connLingering) {
-			c.linger()
+			s.linger(c)
 		}
 		return closedFor(CloseLastResponse)
 	}
--- a/internal/frontend/http1/serve_test.go
+++ b/internal/frontend/http1/serve_test.go
@@ -30,8 +30,8 @@
 // connection is not closed.
 func TestServer_AnswersRequestInTheInstantOfTheTimeout(t *testing.T) {
 	client, server := newConnPair(t)
-	c := newConn(server, nil)
-	c.received.from = &timedOutReader{Reader: server}
+	c := newConn(server)
+	c.from = &timedOutReader{Reader: server}
 	sendHealthCheck(t, client, c)
 	s := newIdleServer()
 	s.mu.Lock()
--- a/internal/frontend/http1/server_test.go
+++ b/internal/frontend/http1/server_test.go
@@ -19,16 +19,19 @@
 // healthRequest is a request that is answered without a submission.
 const healthRequest = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
 
-// newTestServer starts a server with a bound on its connections. It sends submissions to admitted.
-func newTestServer(t *testing.T, maxConns int) (s *Server, addr string, admitted chan *frontend.Submission) {
-	t.Helper()
-	validator := &frontend.Validator{
+func newValidator() *frontend.Validator {
+	return &frontend.Validator{
 		Classes: map[string]*policy.Class{"status": {Name: "status", Deadline: 30 * time.Second}},
 		Tenants: map[string]bool{"acme": true},
 	}
+}
+
+// newTestServer starts a server with a bound on its connections. It sends submissions to admitted.
+func newTestServer(t *testing.T, maxConns int) (s *Server, addr string, admitted chan *frontend.Submission) {
+	t.Helper()
 	admitted = make(chan *frontend.Submission, 100)
-	s = New(Config{Validator: validator, Mode: &servingmode.Mode{}, MemoryMB: 192, MaxConns: maxConns, MaxIdleConns: 128},
-		func(a *frontend.Submission) { admitted <- a }, func(string) {})
+	s = New(Config{Validator: newValidator(), Mode: &servingmode.Mode{}, MemoryMB: 192, MaxConns: maxConns, MaxIdleConns: 128},
+		func(a *frontend.Submission) { admitted <- a }, func(*frontend.Submission) {})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -41,14 +44,13 @@
 // newIdleServer returns a server that is not accepting connections and permits one idle connection.
 func newIdleServer() *Server {
 	return New(Config{Validator: &frontend.Validator{}, Mode: &servingmode.Mode{}, MemoryMB: 64, MaxConns: 4, MaxIdleConns: 1},
-		func(*frontend.Submission) {}, func(string) {})
+		func(*frontend.Submission) {}, func(*frontend.Submission) {})
 }
 
 // addConn registers a connection without a goroutine that serves it.
 func (s *Server) addConn(c *conn, state connState, since time.Time) {
-	c.state, c.since = state, since
-	s.conns[c] = true
-	s.counts[state]++
+	s.add(c, state)
+	c.since = since
 }
 
 func dial(t *testing.T, addr string) net.Conn {
@@ -195,7 +197,7 @@
 	s := New(Config{
 		Validator: &frontend.Validator{}, Mode: &servingmode.Mode{}, MemoryMB: 64, MaxConns: 4, MaxIdleConns: 1,
 		OnClose: func(reason string) { reasons <- reason },
-	}, func(*frontend.Submission) {}, func(string) {})
+	}, func(*frontend.Submission) {}, func(*frontend.Submission) {})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/frontend/validator.go
+++ b/internal/frontend/validator.go
@@ -192,6 +192,16 @@
 	return retry
 }
 
+// SubjectHeader returns the header fields from which the subject of a request is read; nil: there are none. The rest of the header
+// need not be held until the body is read.
+func (v *Validator) SubjectHeader(class string, h http.Header) http.Header {
+	subject := v.Subjects[class]
+	if subject == nil {
+		return nil
+	}
+	return subject.HeaderFields(h)
+}
+
 // ReadSubject sets the subject and the order of a request in its entry. A request whose subject
 // cannot be read is served like any other, but as long as it may have been delivered, no older
 // request of its class and destination is redelivered.
--- a/internal/journal/capacity.go
+++ b/internal/journal/capacity.go
@@ -30,6 +30,14 @@
 	return true
 }
 
+// SpaceLeft returns the number of bytes that are left for the records of further requests.
+func (j *Journal) SpaceLeft() int {
+	if j.failed {
+		return 0
+	}
+	return j.sizeLimit/2 - j.liveSize - j.reservedSize
+}
+
 // sizeOf returns an upper estimate of the total size of a request's records, later ones included.
 func (j *Journal) sizeOf(e *Entry) int {
 	size := len(e.Body) + 4*len(e.ID) + len(e.IdempotencyKey) + len(e.OrderKey) + len(e.Tenant) + attemptsSize
--- a/internal/relay/assemble.go
+++ b/internal/relay/assemble.go
@@ -74,12 +74,12 @@
 func (n *node) newFrontend(l *loop) *front.Server {
 	cfg := front.Config{
 		Validator: n.cfg.validator(), Mode: n.mode, MemoryMB: n.cfg.Limits.MemoryMB, MaxConns: n.cfg.maxClientConns(),
-		MaxIdleConns: n.cfg.maxIdleClientConns(),
-		OnClose:      func(why string) { l.traceEvent(trace.Event{Kind: trace.ConnClosed, Reason: why}) },
+		MaxIdleConns: n.cfg.maxIdleClientConns(), HasSpace: l.hasJournalSpace,
+		OnClose: func(why string) { l.traceEvent(trace.Event{Kind: trace.ConnClosed, Reason: why}) },
 	}
 	return front.New(cfg,
 		func(s *frontend.Submission) { l.send(submissionReceived{s}) },
-		func(class string) { l.send(submissionRejectedUnread{class}) })
+		func(s *frontend.Submission) { l.send(submissionShed{s}) })
 }
 
 // joinFleet makes the relay take part in the fleet tasks, if the operator's file has a section for them.
--- a/internal/relay/commit.go
+++ b/internal/relay/commit.go
@@ -18,6 +18,7 @@
 func (l *loop) commit(ctx context.Context) {
 	// 1. Records.
 	durable := l.writeRecords()
+	l.publishJournalSpace()
 
 	// 2. Effects that need the records of this batch. If the records are not durable, the candidates are rejected and dropped,
 	// and the attempts are not started.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"time"
 
-	"frostlink/internal/admin"
 	"frostlink/internal/discovery"
 	"frostlink/internal/frontend"
 	"frostlink/internal/logkey"
@@ -26,10 +25,10 @@
 
 func (e submissionReceived) apply(l *loop) { l.handleSubmission(e.submission) }
 
-// submissionRejectedUnread says that the frontend rejected a submission unread, for lack of memory.
-type submissionRejectedUnread struct{ class string }
+// submissionShed carries a submission whose body the frontend has not read, for lack of memory or of space in the journal.
+type submissionShed struct{ submission *frontend.Submission }
 
-func (e submissionRejectedUnread) apply(l *loop) { l.metrics.Completed(e.class, admin.Shed, false) }
+func (e submissionShed) apply(l *loop) { l.handleShed(e.submission) }
 
 // attemptEnded says that an attempt has ended, or that its connection was detached.
 type attemptEnded struct {
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -150,7 +150,7 @@
 	validator := &frontend.Validator{Classes: map[string]*policy.Class{"status": {Name: "status", Deadline: time.Minute}}}
 	n := &node{violations: &invariant.Counts{}}
 	n.frontend = front.New(front.Config{Validator: validator, Mode: &servingmode.Mode{}, MemoryMB: 64, MaxConns: 4, MaxIdleConns: 4},
-		func(*frontend.Submission) {}, func(string) {}) // submissions get no decision
+		func(*frontend.Submission) {}, func(*frontend.Submission) {}) // submissions get no decision
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"net/http"
 
 	"frostlink/internal/admin"
@@ -9,6 +10,10 @@
 	"frostlink/internal/trace"
 )
 
+// smallBodySize is the size in bytes below which a body is read before the relay decides on its request: reading it costs less than
+// closing the connection.
+const smallBodySize = 2 << 10
+
 // handleSubmission handles a submission of a client: it answers the submission, or makes the request a candidate.
 func (l *loop) handleSubmission(s *frontend.Submission) {
 	switch quiet, connected := s.Quiet(); {
@@ -40,6 +45,19 @@
 	l.admitSubmission(s)
 }
 
+// handleShed answers a submission whose body was not read.
+func (l *loop) handleShed(s *frontend.Submission) {
+	if r := l.requests[s.Entry.ID]; r != nil {
+		l.handleDuplicate(r, s)
+		return
+	}
+	if l.journal.IsCompleted(s.Entry.ID) {
+		l.respondToDuplicate(s, http.StatusAccepted)
+		return
+	}
+	l.rejectSubmission(s)
+}
+
 // handleDuplicate handles a repeated submission of a request that the loop still holds. Clients repeat a submission when its
 // connection breaks.
 func (l *loop) handleDuplicate(r *request, s *frontend.Submission) {
@@ -100,6 +118,21 @@
 	return true
 }
 
+// publishJournalSpace makes the space that is left in the journal known to hasJournalSpace. A subsystem may be able to free more.
+func (l *loop) publishJournalSpace() {
+	space := int64(math.MaxInt64)
+	if l.cfg.deadLetterSection() == nil {
+		space = int64(l.journal.SpaceLeft())
+	}
+	l.journalSpace.Store(space)
+}
+
+// hasJournalSpace reports whether the journal most likely has space for a request with a body of this size. Any goroutine may call
+// it.
+func (l *loop) hasJournalSpace(bodySize int) bool {
+	return bodySize < smallBodySize || int64(bodySize) <= l.journalSpace.Load()
+}
+
 // expireCompleted drops the ids of requests that were completed longer ago than the longest deadline: a copy of such a
 // request would be past its own deadline.
 func (l *loop) expireCompleted() {
