--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -41,13 +41,8 @@
 	exitOperatorFile = 2
 )
 
-const (
-	// heapFraction is the Go runtime's soft memory limit as a fraction of the platform's memory limit. It is below 1 because the
-	// platform's limit also counts the memory of the journal's files.
-	heapFraction   = 0.6
-	bytesPerMB     = 1 << 20
-	firstInherited = 3 // lower file descriptors are standard input, output and error
-)
+// firstInherited is the lowest file descriptor that can be inherited: lower ones are standard input, output and error.
+const firstInherited = 3
 
 func main() {
 	// This has to come first, because a SIGHUP that is not caught ends the process.
@@ -94,7 +89,7 @@
 // limitRuntime applies the platform's limits on cores and memory to the Go runtime.
 func limitRuntime(config *relay.Config) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(config.Limits.Cores))))
-	debug.SetMemoryLimit(int64(heapFraction * config.Limits.MemoryMB * bytesPerMB))
+	debug.SetMemoryLimit(config.HeapLimit())
 }
 
 // readConfig reads the platform's file, and adds the operator's file and the settings from environment variables.
--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -14,6 +14,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", s.getStatus)
 	mux.HandleFunc("GET /status/metrics", s.getMetrics)
+	mux.HandleFunc("GET /status/resources", s.getResources)
 	mux.HandleFunc("GET /status/invariants", s.getViolations)
 	mux.HandleFunc("GET /status/extra-responses", s.getExtraResponses)
 	mux.HandleFunc("POST /standby", s.postStandby)
@@ -26,8 +27,15 @@
 	writeAnswer(w, serving, state)
 }
 
-func (s *Server) getMetrics(w http.ResponseWriter, _ *http.Request) {
-	raw, err := s.relay.Metrics()
+func (s *Server) getMetrics(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.relay.Metrics) }
+
+func (s *Server) getResources(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.relay.Resources)
+}
+
+// writeJSON writes the JSON that encoded returns.
+func writeJSON(w http.ResponseWriter, encoded func() ([]byte, error)) {
+	raw, err := encoded()
 	if err != nil {
 		slog.Error("metrics can't be encoded; request answered with status 503", logkey.Err, err)
 		writeAnswer(w, false, "no figures")
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -35,6 +35,8 @@
 	Active()
 	// Metrics returns the metrics as JSON.
 	Metrics() ([]byte, error)
+	// Resources returns the connections by state, why connections were closed, and the memory by owner, as JSON.
+	Resources() ([]byte, error)
 	// Violations returns the number of violations of invariants, by kind.
 	Violations() map[string]int64
 	// ExtraResponses returns the number of responses that nobody asked for, by endpoint and by how they were noticed.
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -37,6 +37,8 @@
 
 func (r *fakeRelay) Violations() map[string]int64 { return map[string]int64{"end_twice": 3} }
 
+func (r *fakeRelay) Resources() ([]byte, error) { return []byte(`{"requests":0}`), nil }
+
 func (r *fakeRelay) ExtraResponses() map[string]map[string]int {
 	return map[string]map[string]int{"h1": {"after a response": 2}}
 }
@@ -114,6 +116,7 @@
 	for request, want := range map[string]string{
 		statusRequest: "yes: so\n",
 		"GET /status/invariants HTTP/1.1\r\nHost: x\r\n\r\n":      `{"violations":{"end_twice":3}}` + "\n",
+		"GET /status/resources HTTP/1.1\r\nHost: x\r\n\r\n":       `{"requests":0}` + "\n",
 		"GET /status/extra-responses HTTP/1.1\r\nHost: x\r\n\r\n": `{"extra_responses":{"h1":{"after a response":2}}}` + "\n",
 		"POST /standby HTTP/1.1\r\nHost: x\r\n\r\n":               "yes: standing by\n",
 		"POST /active HTTP/1.1\r\nHost: x\r\n\r\n":                "yes: active\n",
--- a/internal/coord/api/caller.go
+++ b/internal/coord/api/caller.go
@@ -19,7 +19,7 @@
 // NewCaller returns a caller. Each of its calls has a connection of its own: nothing in a response names its request, so that on a
 // connection that is used again a second response to an earlier call could grant a lease that another relay holds.
 func NewCaller(cluster string) *Caller {
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: MaxHeaderSize}
 	return &Caller{Cluster: cluster, HTTPClient: &http.Client{Transport: transport}}
 }
 
--- a/internal/coord/api/protocol.go
+++ b/internal/coord/api/protocol.go
@@ -13,6 +13,9 @@
 	PathRaft     = "/v1/raft"
 )
 
+// MaxHeaderSize bounds the headers of responses, in bytes.
+const MaxHeaderSize = 8 << 10
+
 // MaxBodySize bounds the bodies that are read from a member, in bytes.
 const MaxBodySize = 64 << 20
 
--- a/internal/coord/server/peers.go
+++ b/internal/coord/server/peers.go
@@ -49,7 +49,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	// A second response to an earlier post may count for a later one here: votes and acknowledgements of entries are messages of
 	// their own, and a response only tells whether to pause before the next post.
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: api.MaxHeaderSize}
 	return &peers{
 		joinAddresses: joinAddresses, overrides: overrides, queues: map[uint64]chan peerMessage{}, ctx: ctx, stop: stop,
 		client: &http.Client{Timeout: peerTimeout, Transport: transport},
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -21,6 +21,8 @@
 	maxSilence = 3 * time.Second
 	// maxListSize bounds one list of a watch, in bytes.
 	maxListSize = 1 << 20
+	// maxHeaderSize bounds the header of a response, in bytes.
+	maxHeaderSize = 8 << 10
 	// listPath is the path at which discovery serves the list.
 	listPath = "/catalog/members"
 )
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -39,7 +39,9 @@
 // with each list or change and the address from which it was received, and onWatchEnd at the end of
 // each watch with the number of lists that the watch reported.
 func NewWatcher(address string, onList func(list EndpointList, address string), onWatchEnd func(lists int)) *Watcher {
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: new(socket.Dialer).DialContext}
+	transport := &http.Transport{
+		DisableKeepAlives: true, DialContext: new(socket.Dialer).DialContext, MaxResponseHeaderBytes: maxHeaderSize,
+	}
 	return &Watcher{
 		address: address, client: &http.Client{Transport: transport}, maxSilence: maxSilence,
 		subscribed: make(chan struct{}, 1), addresses: make(chan string), done: make(chan struct{}),
--- a/internal/fleettask/heartbeat.go
+++ b/internal/fleettask/heartbeat.go
@@ -30,6 +30,8 @@
 	// actRetryDelay is the pause after an act was not allowed. It is short because the lease is
 	// about to be renewed.
 	actRetryDelay = 20 * time.Millisecond
+	// maxHeaderSize bounds the header of the monitor's response, in bytes.
+	maxHeaderSize = 8 << 10
 )
 
 // heartbeat informs a monitor that the fleet is alive: one relay at a time sends POST requests with
@@ -42,7 +44,7 @@
 
 func newHeartbeat(section *Heartbeat, relay string) *heartbeat {
 	// A second response to an earlier heartbeat must not hide that the monitor has rejected the token of this one.
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderSize}}
 	return &heartbeat{section: section, relay: relay, client: client}
 }
 
--- a/internal/frontend/http1/pending.go
+++ b/internal/frontend/http1/pending.go
@@ -3,17 +3,12 @@
 import "time"
 
 const (
-	// maxPending is the number of connections that are accepted beyond the bound on those that are served.
-	maxPending = 32
 	// pendingTime is how long a connection beyond the bound may be silent. Clients send a request as soon as they are connected.
 	pendingTime = 5 * time.Millisecond
 	// minNewTime is the time for which a connection on which nothing has arrived is not evicted for another such connection.
 	minNewTime = 50 * time.Millisecond
 )
 
-// PendingConns is the number of connections that a server accepts beyond its bound.
-const PendingConns = maxPending
-
 // accept serves a connection at once or, at the bound on connections, when it is its turn.
 func (s *Server) accept(c *conn) {
 	s.mu.Lock()
@@ -23,7 +18,7 @@
 		return
 	}
 	s.pending = append(s.pending, c)
-	for s.settlePending(); len(s.pending) >= maxPending; s.settlePending() {
+	for s.settlePending(); len(s.pending) >= s.maxPending; s.settlePending() {
 		s.awaitEvictable()
 	}
 	s.armPending()
--- a/internal/frontend/http1/server.go
+++ b/internal/frontend/http1/server.go
@@ -32,10 +32,12 @@
 
 // Config configures a server.
 type Config struct {
-	Validator    *frontend.Validator
-	Mode         *servingmode.Mode
-	MemoryMB     float64 // memory of the whole relay
-	MaxConns     int
+	Validator *frontend.Validator
+	Mode      *servingmode.Mode
+	MemoryMB  float64 // memory of the whole relay
+	MaxConns  int
+	// MaxPending is the number of connections that are accepted beyond MaxConns, and wait to be served or closed.
+	MaxPending   int
 	MaxIdleConns int
 	// HasSpace, if set, reports whether the relay most likely has space for a request with a body of this size. A request for
 	// which it has none is shed before its body is read.
@@ -61,11 +63,13 @@
 	changed  sync.Cond  // signalled when a connection is removed or becomes evictable
 	maxConns int
 	maxIdle  int
-	conns    map[*conn]bool
-	byState  [connStates]list.List // the same connections by state, the one that entered it first or, of those that are being read, made progress least recently at the front
-	holders  list.List             // the connections that hold chunks, the one that made progress least recently at the front
-	pending  []*conn               // accepted beyond maxConns, and not served yet
-	stats    connStats
+	// maxPending is the number of connections in pending that stops the server from accepting.
+	maxPending int
+	conns      map[*conn]bool
+	byState    [connStates]list.List // the same connections by state, the one that entered it first or, of those that are being read, made progress least recently at the front
+	holders    list.List             // the connections that hold chunks, the one that made progress least recently at the front
+	pending    []*conn               // accepted beyond maxConns, and not served yet
+	stats      connStats
 
 	becomingIdle int  // connections whose response is being written, and which then are idle
 	draining     bool // CloseIdleConns is running
@@ -84,7 +88,7 @@
 		mode: c.Mode, admit: admit, shed: shed, hasSpace: c.HasSpace, onClose: c.OnClose,
 		chunks:   chunkPool{limit: max(largestRequest, int(readMemoryFraction*memory)) / chunkSize},
 		awaiting: account{limit: max(frontend.MaxBodySize, int(awaitingMemoryFraction*memory))},
-		maxConns: c.MaxConns, maxIdle: c.MaxIdleConns, conns: map[*conn]bool{}, stats: newConnStats(),
+		maxConns: c.MaxConns, maxPending: max(1, c.MaxPending), maxIdle: c.MaxIdleConns, conns: map[*conn]bool{}, stats: newConnStats(),
 	}
 	if s.hasSpace == nil {
 		s.hasSpace = func(int) bool { return true }
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -2,6 +2,9 @@
 
 import "fmt"
 
+// maxBufferCapacity is the size in bytes of the largest buffer that is kept for the next Commit.
+const maxBufferCapacity = 256 << 10
+
 // addRecord applies a record to the state in memory, and buffers it for the next Commit.
 func (j *Journal) addRecord(r record) {
 	j.apply(r)
@@ -23,7 +26,9 @@
 		return nil
 	}
 	err := j.write()
-	j.buffer = j.buffer[:0]
+	if j.buffer = j.buffer[:0]; cap(j.buffer) > maxBufferCapacity {
+		j.buffer = nil
+	}
 	j.failed = err != nil
 	if err != nil {
 		return fmt.Errorf("journal: %w", err)
--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -1,7 +1,9 @@
 package journal
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"os"
 )
 
@@ -18,42 +20,32 @@
 	return nil
 }
 
+// writeBufferSize is the size in bytes of the pieces in which a new file is written.
+const writeBufferSize = 16 << 10
+
 // compact replaces the file by a new one with the live records only.
 func (j *Journal) compact() error {
 	j.accepted = j.Entries()
 	j.dropUnusedTerms()
 	completed := encodeCompleted(j.completed.latest(j.completedCapacity()))
-
-	contents := j.appendAnchor(nil)
-	contents = j.appendTerms(contents)
-	for _, e := range j.accepted {
-		contents = appendEntry(contents, e)
-	}
-	if len(completed) > 0 {
-		contents = appendRecord(contents, record{Kind: kindCompletedRequests, Body: completed})
-	}
-	contents = j.appendEndpoints(contents)
-	contents = j.appendStore(contents)
-	contents = j.appendHealth(contents)
-
-	file, err := j.replaceFile(contents)
+	file, size, err := j.replaceFile(completed)
 	if err != nil {
 		return err
 	}
 	if j.file != nil {
 		_ = j.file.Close() // the new file has replaced this file, so an error loses no record
 	}
-	j.file, j.fileSize, j.completedSize = file, len(contents), len(completed)
+	j.file, j.fileSize, j.completedSize = file, size, len(completed)
 	return nil
 }
 
-// replaceFile writes a new file and renames it to the journal's name.
-func (j *Journal) replaceFile(contents []byte) (*os.File, error) {
-	file, err := os.OpenFile(j.temporaryPath(), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+// replaceFile writes a new file and renames it to the journal's name. It returns the file and its size.
+func (j *Journal) replaceFile(completed []byte) (file *os.File, size int, err error) {
+	file, err = os.OpenFile(j.temporaryPath(), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, fmt.Errorf("compact: %w", err)
+		return nil, 0, fmt.Errorf("compact: %w", err)
 	}
-	if _, err = file.Write(contents); err == nil {
+	if size, err = j.writeLiveRecords(file, completed); err == nil {
 		if err = os.Rename(j.temporaryPath(), j.path); err != nil {
 			j.mayHoldUncommitted = true // after EIO, either file may have the journal's name (rename(2))
 		}
@@ -61,9 +53,34 @@
 	if err != nil {
 		_ = file.Close()
 		_ = os.Remove(j.temporaryPath())
-		return nil, fmt.Errorf("compact: %w", err)
+		return nil, 0, fmt.Errorf("compact: %w", err)
+	}
+	return file, size, nil
+}
+
+// writeLiveRecords writes the records of a compacted file, and returns their size. Memory holds the records of one request at a
+// time.
+func (j *Journal) writeLiveRecords(to io.Writer, completed []byte) (size int, err error) {
+	out := bufio.NewWriterSize(to, writeBufferSize)
+	var records []byte
+	write := func() {
+		n, _ := out.Write(records) // Flush returns the error
+		size += n
+		records = records[:0]
+	}
+	records = j.appendTerms(j.appendAnchor(records))
+	write()
+	for _, e := range j.accepted {
+		records = appendEntry(records, e)
+		write()
+	}
+	if len(completed) > 0 {
+		records = appendRecord(records, record{Kind: kindCompletedRequests, Body: completed})
+		write()
 	}
-	return file, nil
+	records = j.appendHealth(j.appendStore(j.appendEndpoints(records)))
+	write()
+	return size, out.Flush() //nolint:wrapcheck // the caller says what was written
 }
 
 func (j *Journal) temporaryPath() string { return j.path + ".new" }
--- a/internal/journal/completed.go
+++ b/internal/journal/completed.go
@@ -12,6 +12,9 @@
 	// maxCompleted is the maximum number of completed requests that are remembered. It exceeds the number
 	// of requests that are completed during the period in which a request can be submitted again.
 	maxCompleted = 1 << 16
+	// completedOverhead is the memory in bytes that a completed request takes besides its id: a string, an element of the slice, which
+	// grows by a quarter at a time, and an element of the map.
+	completedOverhead = 128
 	// maxMilliseconds is the largest distance of a stored time from 1970, before or after, because an
 	// Instant counts nanoseconds in 64 bits.
 	maxMilliseconds = math.MaxInt64 / 1_000_000
@@ -29,9 +32,15 @@
 type completedRequests struct {
 	ids     map[string]bool
 	ordered []CompletedRequest // in order of completion
+	memory  int                // in bytes
+	limit   int                // of memory; 0: none
 }
 
-// add remembers a request, and drops the oldest request if there are more than maxCompleted.
+// memorySize returns the memory that a completed request takes, in bytes.
+func (c *CompletedRequest) memorySize() int { return len(c.ID) + completedOverhead }
+
+// add remembers a request, and drops the oldest requests if there are more than maxCompleted, or if they take more memory than the
+// limit.
 func (r *completedRequests) add(c CompletedRequest) {
 	if r.ids[c.ID] {
 		return
@@ -41,7 +50,18 @@
 	}
 	r.ids[c.ID] = true
 	r.ordered = append(r.ordered, c)
-	if len(r.ordered) > maxCompleted {
+	r.memory += c.memorySize()
+	r.enforceLimits()
+}
+
+// setMemoryLimit bounds the memory of the requests, in bytes.
+func (r *completedRequests) setMemoryLimit(limit int) {
+	r.limit = limit
+	r.enforceLimits()
+}
+
+func (r *completedRequests) enforceLimits() {
+	for len(r.ordered) > maxCompleted || r.limit > 0 && r.memory > r.limit {
 		r.dropOldest(1)
 	}
 }
@@ -56,8 +76,10 @@
 }
 
 func (r *completedRequests) dropOldest(n int) {
-	for _, c := range r.ordered[:n] {
-		delete(r.ids, c.ID)
+	for i := range r.ordered[:n] {
+		delete(r.ids, r.ordered[i].ID)
+		r.memory -= r.ordered[i].memorySize()
+		r.ordered[i] = CompletedRequest{} // so that the id is not held by the slice's memory
 	}
 	r.ordered = r.ordered[n:]
 	if len(r.ordered) == 0 {
--- a/internal/journal/completed_test.go
+++ b/internal/journal/completed_test.go
@@ -87,6 +87,27 @@
 	}
 }
 
+// The memory of completed requests has a bound of its own: long ids leave room for fewer.
+func TestCompletedRequests_StayWithinTheirMemory(t *testing.T) {
+	const limit = 100 << 10
+	j := openJournal(t, t.TempDir(), 3)
+	j.LimitCompleted(limit)
+	at := clock.New().Now()
+	id := func(i int) string { return fmt.Sprintf("%s%08d", strings.Repeat("i", 200), i) }
+	const requests = 5000
+	for i := range requests {
+		e := &Entry{ID: id(i)}
+		j.Accept(e)
+		j.Complete(e, at)
+	}
+	if memory := j.CompletedMemory(); memory > limit || memory < limit/2 {
+		t.Errorf("%d bytes, limit %d", memory, limit)
+	}
+	if !j.IsCompleted(id(requests-1)) || j.IsCompleted(id(0)) {
+		t.Error("the latest request is not remembered, or the first one still is")
+	}
+}
+
 // If the record of completed requests is malformed, only the completed requests are lost.
 func TestReplay_SkipsMalformedCompletedRequests(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -127,6 +127,15 @@
 	return j, nil
 }
 
+// LimitCompleted bounds the memory, in bytes, of the completed requests that are remembered.
+func (j *Journal) LimitCompleted(memory int) { j.completed.setMemoryLimit(memory) }
+
+// CompletedMemory returns the memory, in bytes, of the completed requests that are remembered.
+func (j *Journal) CompletedMemory() int { return j.completed.memory }
+
+// LiveSize returns an estimate of the memory, in bytes, of the open requests and the endpoint list.
+func (j *Journal) LiveSize() int { return j.liveSize }
+
 // Close closes the file. Records that were not committed are lost.
 func (j *Journal) Close() error {
 	if j.file == nil {
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -1,10 +1,12 @@
 package journal
 
 import (
+	"bufio"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"slices"
 
 	"frostlink/internal/clock"
@@ -77,24 +79,46 @@
 	return b
 }
 
-// readRecord decodes the first record of raw, and returns its encoded size.
-func readRecord(raw []byte) (r record, size int, err error) {
-	if len(raw) < headerSize {
+// recordReader reads the records of a file one after another, so that memory holds one of them at a time.
+type recordReader struct {
+	in      *bufio.Reader
+	left    int    // bytes of the file that were not read yet
+	encoded []byte // the record read last; its memory is used again
+}
+
+// read reads the next record, and returns its encoded size.
+func (r *recordReader) read() (rec record, size int, err error) {
+	if r.left < headerSize {
 		return record{}, 0, ErrTruncatedHeader
 	}
-	bodyStart := headerSize + int(binary.BigEndian.Uint32(raw))
-	size = bodyStart + int(binary.BigEndian.Uint32(raw[4:]))
-	if size > len(raw) {
+	header, err := r.in.Peek(headerSize)
+	if err != nil {
+		return record{}, 0, fmt.Errorf("read record: %w", err)
+	}
+	bodyStart := headerSize + int(binary.BigEndian.Uint32(header))
+	size = bodyStart + int(binary.BigEndian.Uint32(header[4:]))
+	if size > r.left {
 		return record{}, 0, ErrTruncatedRecord
 	}
-	if checksum(raw[:size]) != binary.BigEndian.Uint32(raw[lengthsSize:]) {
-		return record{}, 0, ErrChecksumMismatch
+	r.encoded = slices.Grow(r.encoded[:0], size)[:size]
+	if _, err := io.ReadFull(r.in, r.encoded); err != nil {
+		return record{}, 0, fmt.Errorf("read record: %w", err)
+	}
+	r.left -= size
+	rec, err = decodeRecord(r.encoded, bodyStart)
+	return rec, size, err
+}
+
+// decodeRecord decodes a record whose body begins at bodyStart.
+func decodeRecord(encoded []byte, bodyStart int) (r record, err error) {
+	if checksum(encoded) != binary.BigEndian.Uint32(encoded[lengthsSize:]) {
+		return record{}, ErrChecksumMismatch
 	}
-	if err := json.Unmarshal(raw[headerSize:bodyStart], &r); err != nil {
-		return record{}, 0, fmt.Errorf("decode record: %w", err)
+	if err := json.Unmarshal(encoded[headerSize:bodyStart], &r); err != nil {
+		return record{}, fmt.Errorf("decode record: %w", err)
 	}
-	r.Body = slices.Clone(raw[bodyStart:size])
-	return r, size, nil
+	r.Body = slices.Clone(encoded[bodyStart:])
+	return r, nil
 }
 
 // checksum returns the checksum of an encoded record. It covers all bytes except the checksum field.
--- a/internal/journal/record_test.go
+++ b/internal/journal/record_test.go
@@ -1,10 +1,21 @@
 package journal
 
 import (
+	"bytes"
 	"errors"
 	"testing"
 )
 
+// replayBytes replays a file with the given content.
+func replayBytes(t *testing.T, j *Journal, raw []byte) *CorruptRecordError {
+	t.Helper()
+	corrupt, err := j.replay(bytes.NewReader(raw), len(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return corrupt
+}
+
 // Replay reports the offset and the cause of a corruption, and applies the records before it.
 func TestReplay_ReportsCorruptRecord(t *testing.T) {
 	first := appendRecord(nil, record{Kind: kindAccepted, Entry: &Entry{ID: "a"}})
@@ -22,7 +33,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			j := &Journal{entries: map[string]*Entry{}}
-			corrupt := j.replay(append(append([]byte(nil), first...), test.tail...))
+			corrupt := replayBytes(t, j, append(append([]byte(nil), first...), test.tail...))
 			if corrupt == nil || !errors.Is(corrupt, test.want) {
 				t.Fatalf("got %v, want %v", corrupt, test.want)
 			}
@@ -41,7 +52,7 @@
 	j := &Journal{entries: map[string]*Entry{}}
 	raw := appendRecord(nil, record{Kind: kindAccepted, Entry: &Entry{ID: "a"}})
 	raw = appendRecord(raw, record{Kind: "later", ID: "a"})
-	if corrupt := j.replay(raw); corrupt != nil || j.Entry("a") == nil {
+	if corrupt := replayBytes(t, j, raw); corrupt != nil || j.Entry("a") == nil {
 		t.Errorf("corrupt: %v, entries: %v", corrupt, j.Entries())
 	}
 }
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -1,7 +1,11 @@
 package journal
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
+	"io"
+	"io/fs"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -12,6 +16,9 @@
 	"frostlink/policy"
 )
 
+// readBufferSize is the size in bytes of the pieces in which a file is read.
+const readBufferSize = 16 << 10
+
 // load replays the journal of a folder. If the file does not exist, load returns an empty journal
 // together with the error. corrupt reports a tail that was skipped, and is nil if the whole file was
 // read.
@@ -22,24 +29,37 @@
 		health:  map[string]Health{},
 		terms:   map[int]policy.Class{},
 	}
-	raw, err := os.ReadFile(j.path)
+	file, err := os.Open(j.path)
+	if err != nil {
+		return j, nil, fmt.Errorf("journal: %w", err)
+	}
+	defer func() { _ = file.Close() }() // it was only read
+	info, err := file.Stat()
 	if err != nil {
 		return j, nil, fmt.Errorf("journal: %w", err)
 	}
-	return j, j.replay(raw), nil
+	corrupt, err = j.replay(file, int(info.Size()))
+	if err != nil {
+		return j, nil, fmt.Errorf("journal: %w", err)
+	}
+	return j, corrupt, nil
 }
 
-// replay applies the records of a file up to the first that can't be read.
-func (j *Journal) replay(raw []byte) *CorruptRecordError {
-	for offset := 0; offset < len(raw); {
-		r, size, err := readRecord(raw[offset:])
+// replay applies the records of a file of a size up to the first that can't be decoded. err is an error of reading the file.
+func (j *Journal) replay(file io.Reader, fileSize int) (corrupt *CorruptRecordError, err error) {
+	records := recordReader{in: bufio.NewReaderSize(file, readBufferSize), left: fileSize}
+	for offset := 0; offset < fileSize; {
+		r, size, err := records.read()
+		if errors.As(err, new(*fs.PathError)) {
+			return nil, err
+		}
 		if err != nil {
-			return &CorruptRecordError{Offset: offset, Skipped: len(raw) - offset, Err: err}
+			return &CorruptRecordError{Offset: offset, Skipped: fileSize - offset, Err: err}, nil
 		}
 		j.apply(r)
 		offset += size
 	}
-	return nil
+	return nil, nil
 }
 
 // apply changes the state in memory by one record. A record of an unknown kind, written by a later
--- a/internal/notification/notifier.go
+++ b/internal/notification/notifier.go
@@ -40,7 +40,9 @@
 func New(address string, onAcknowledged func(ids []string)) *Notifier {
 	// Each post has a connection of its own: nothing in a response names its request, so that on a connection that is used again a
 	// second response to an earlier post would acknowledge notices that the platform has not received.
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: new(socket.Dialer).DialContext}
+	transport := &http.Transport{
+		DisableKeepAlives: true, DialContext: new(socket.Dialer).DialContext, MaxResponseHeaderBytes: maxHeaderSize,
+	}
 	return &Notifier{
 		client:         &http.Client{Timeout: postTimeout, Transport: transport},
 		onAcknowledged: onAcknowledged, queue: newQueue(),
--- a/internal/notification/post.go
+++ b/internal/notification/post.go
@@ -9,8 +9,11 @@
 	"net/http"
 )
 
-// maxResponseSize is the maximum number of bytes read of a response.
-const maxResponseSize = 64 << 10
+// maxResponseSize is the maximum number of bytes read of a response, and maxHeaderSize that of its header.
+const (
+	maxResponseSize = 64 << 10
+	maxHeaderSize   = 8 << 10
+)
 
 // outcomesURL returns the URL to which notices are posted for a platform's address.
 func outcomesURL(address string) string { return "http://" + address + "/v1/outcomes" }
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -22,7 +22,8 @@
 	violations *invariant.Counts
 	extra      admin.ExtraResponses
 	frontend   atomic.Pointer[front.Server]
-	serving    atomic.Bool // clients are served and no graceful shutdown has begun
+	serves     atomic.Pointer[node] // whose resources are reported; nil: none serves yet
+	serving    atomic.Bool          // clients are served and no graceful shutdown has begun
 }
 
 // openAdminEndpoint opens the admin endpoint, if the configuration has an address for it. Until startServing is called, the
--- a/internal/relay/assemble.go
+++ b/internal/relay/assemble.go
@@ -74,6 +74,7 @@
 func (n *node) newFrontend(l *loop) *front.Server {
 	cfg := front.Config{
 		Validator: n.cfg.validator(), Mode: n.mode, MemoryMB: n.cfg.Limits.MemoryMB, MaxConns: n.cfg.maxClientConns(),
+		MaxPending:   n.cfg.maxPendingClientConns(),
 		MaxIdleConns: n.cfg.maxIdleClientConns(), HasSpace: l.hasJournalSpace,
 		OnClose: func(why string) { l.traceEvent(trace.Event{Kind: trace.ConnClosed, Reason: why}) },
 	}
--- a/internal/relay/commit.go
+++ b/internal/relay/commit.go
@@ -19,6 +19,7 @@
 	// 1. Records.
 	durable := l.writeRecords()
 	l.publishJournalSpace()
+	l.publishJournalUse()
 
 	// 2. Effects that need the records of this batch. If the records are not durable, the candidates are rejected and dropped,
 	// and the attempts are not started.
--- a/internal/relay/config_check.go
+++ b/internal/relay/config_check.go
@@ -62,7 +62,7 @@
 
 // applySocketLimits sets the policy settings whose values differ between sockets and the simulator's protocol.
 func (c *Config) applySocketLimits() {
-	c.policy.MaxInFlight = min(c.policy.MaxInFlight, c.maxEndpointConns()) // each attempt needs a connection
+	c.policy.MaxInFlight = min(c.policy.MaxInFlight, c.maxAttempts())
 	// The relay opens a watch even if the platform pushes lists: pushed lists reach the relay on a watch, and the platform counts a
 	// list as received as soon as its agent has the list, whether or not a watch is open.
 	c.policy.WatchEndpoints = true
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -81,4 +81,5 @@
 //	config_check.go         validation of that file
 //	config_error.go         errors in that file
 //	resource_limits.go      the division of descriptors, memory and disk
+//	resources.go            the use of connections and memory, as metrics
 package relay
--- a/internal/relay/handover_successor.go
+++ b/internal/relay/handover_successor.go
@@ -40,6 +40,9 @@
 	backoff := syserr.Backoff{Min: minOpenBackoff, Max: maxOpenBackoff}
 	for {
 		j, err := journal.Open(n.dir, n.cfg.journalSizeMB(), n.cfg.deadLetterSection() != nil)
+		if err == nil {
+			j.LimitCompleted(n.cfg.completedMemory())
+		}
 		if err == nil || syserr.Classify(syserr.File, err) != syserr.Local {
 			return j, err
 		}
@@ -60,6 +63,7 @@
 	if err != nil {
 		return err
 	}
+	j.LimitCompleted(n.cfg.completedMemory())
 	n.cfg.policy.Classes = policy.MergeClasses(n.predecessor.Classes, n.cfg.policy.Classes)
 	if n.predecessor.Standby {
 		n.mode.EnterStandby(j.Timeline().TimeOf(n.predecessor.StandbySince))
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -63,6 +63,7 @@
 	quiescing        *quiesceRequested       // the pending request to quiesce, which waits until no attempt is in flight; nil: none
 	stopping         bool                    // the process is about to end, so the dispatcher starts no attempt
 	folder           journal.FolderMonitor
+	journalUse       journalUse
 	journalSpace     atomic.Int64 // bytes that the journal has left for requests; other goroutines read it
 
 	// The batch that is being collected.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -84,6 +84,7 @@
 		return err
 	}
 	defer owner.Release()
+	n.admin.serves.Store(n)
 	n.admin.startServing(n.frontend)
 	ownership := make(chan handover.Outcome, 1)
 	go func() { ownership <- owner.Serve(ctx.Done(), n) }() //nolint:contextcheck // a hand-over that has begun goes on when ctx ends
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -79,6 +79,7 @@
 	next := *l.cfg
 	next.Settings, next.Discovery = read.Settings, read.Discovery
 	next.policy = read.policy
+	next.policy.MaxInFlight = min(next.policy.MaxInFlight, l.cfg.maxAttempts()) // the limits of the start stay in force
 	next.policy.Classes = policy.MergeClasses(l.cfg.policy.Classes, read.policy.Classes)
 	l.cfg = &next
 	for _, name := range next.classNames() {
--- a/internal/relay/resource_limits.go
+++ b/internal/relay/resource_limits.go
@@ -7,8 +7,6 @@
 const (
 	reservedDescriptors = 24
 	clientConnFraction  = 0.55
-	// clientConnsPerMB also limits clients' connections by memory: a connection needs about 16 KiB.
-	clientConnsPerMB = 12
 	// idleClientConnFraction is the fraction of the descriptors that clients' idle connections may take: far less than the
 	// third of all descriptors that clients may hold for requests, and enough for one connection per concurrent request at
 	// peak load.
@@ -18,9 +16,27 @@
 	adminConnFraction, minAdminConns = 1.0 / 24, 8
 )
 
-// journalMemoryFraction is the largest fraction of the memory for the journal file: the page cache counts towards the memory
-// limit, and the content of the file is also held in memory.
-const journalMemoryFraction = 0.15
+// Memory is divided in the same way; docs/design/memory.md has the table of all owners. These are the fractions and numbers of each
+// MB of the relay's memory.
+const (
+	// clientConnsPerMB limits clients' connections, of about 6 KB each.
+	clientConnsPerMB = 12
+	// endpointConnsPerMB limits connections to endpoints, of about 6 KB each, and attemptsPerMB attempts in flight, of about 20 KB each
+	// in addition.
+	endpointConnsPerMB, attemptsPerMB = 8, 4
+	// journalMemoryFraction is the largest fraction of the memory for the journal file: the page cache counts towards the memory
+	// limit, and the content of the file is also held in memory.
+	journalMemoryFraction = 0.15
+	// completedMemoryFraction is the fraction of the memory for the ids of completed requests.
+	completedMemoryFraction = 1.0 / 32
+	// heapMemoryFraction is the largest fraction of the memory that the Go runtime may take. programMB is the memory in MB of the
+	// program's own files and of what the runtime does not count.
+	heapMemoryFraction, programMB = 0.6, 11.0
+	// minHeapMB is the least memory in MB that is left to the Go runtime.
+	minHeapMB = 8.0
+
+	bytesPerMB = 1 << 20
+)
 
 // maxAdminConns returns the limit of operators' connections.
 func (c *Config) maxAdminConns() int {
@@ -38,6 +54,12 @@
 	return max(1, min(int(clientConnFraction*float64(c.Limits.Sockets-c.unavailableDescriptors())), int(clientConnsPerMB*c.Limits.MemoryMB)))
 }
 
+// maxPendingClientConns returns the limit of clients' connections that are accepted and not served yet.
+func (c *Config) maxPendingClientConns() int { return max(1, c.maxClientConns()/pendingFraction) }
+
+// pendingFraction is the number of clients' connections for each one that may be pending.
+const pendingFraction = 12
+
 // maxIdleClientConns returns the limit of clients' idle connections.
 func (c *Config) maxIdleClientConns() int {
 	return max(1, int(idleClientConnFraction*float64(c.Limits.Sockets)))
@@ -45,10 +67,28 @@
 
 // maxEndpointConns returns the limit of connections to endpoints, idle or with an attempt in flight.
 func (c *Config) maxEndpointConns() int {
-	return max(1, c.Limits.Sockets-c.unavailableDescriptors()-c.maxClientConns())
+	descriptors := c.Limits.Sockets - c.unavailableDescriptors() - c.maxClientConns() - c.maxPendingClientConns()
+	return max(1, min(descriptors, int(endpointConnsPerMB*c.Limits.MemoryMB)))
+}
+
+// maxAttempts returns the limit of attempts in flight, each of which needs a connection.
+func (c *Config) maxAttempts() int {
+	return max(1, min(c.maxEndpointConns(), int(attemptsPerMB*c.Limits.MemoryMB)))
 }
 
 // journalSizeMB returns the limit of the journal's size.
 func (c *Config) journalSizeMB() float64 {
 	return min(c.Limits.DiskMB, journalMemoryFraction*c.Limits.MemoryMB)
 }
+
+// completedMemory returns the limit of the memory for ids of completed requests, in bytes.
+func (c *Config) completedMemory() int {
+	return int(completedMemoryFraction * c.Limits.MemoryMB * bytesPerMB)
+}
+
+// HeapLimit returns the soft limit of the Go runtime's memory, in bytes: what the program and the journal's files leave of the
+// relay's memory.
+func (c *Config) HeapLimit() int64 {
+	left := c.Limits.MemoryMB - programMB - c.journalSizeMB()
+	return int64(bytesPerMB * max(minHeapMB, min(left, heapMemoryFraction*c.Limits.MemoryMB)))
+}
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -66,7 +66,8 @@
 	net.Conn
 	set       *idleSet          // the set that caches the connection while it is idle
 	limit     *io.LimitedReader // reads from the connection, at most maxResponseSize per attempt
-	in        *bufio.Reader     // reads from limit
+	head      *headLimiter      // reads from limit, and bounds the fields of a head
+	in        *bufio.Reader     // reads from head
 	idleSince time.Time         // guarded by the pool's lock
 	// unconfirmed reports that the last response may belong to an earlier request, and closeOnRelease that the connection is to be
 	// closed once that is decided. The pool's lock guards both.
@@ -98,7 +99,8 @@
 func (c *conn) establish(raw net.Conn, rejectionGrace time.Duration) {
 	c.Conn = raw
 	c.limit = &io.LimitedReader{R: socket.RetryConn{Conn: raw}, N: maxResponseSize}
-	c.in = bufio.NewReader(c.limit)
+	c.head = &headLimiter{from: c.limit}
+	c.in = bufio.NewReader(c.head)
 	c.rejectionGrace = rejectionGrace
 	c.setState(connIdle)
 }
--- a/internal/upstream/http1/doc.go
+++ b/internal/upstream/http1/doc.go
@@ -24,6 +24,7 @@
 //   - confirmation.go: the wait for what follows a response that may belong to an earlier request;
 //   - exchange.go: one attempt: a request and its response on a connection;
 //   - request.go: encoding of requests;
+//   - head_limiter.go: the bound on the lines of a response's head;
 //   - response.go: reading and classifying responses, their load reports and requested waits;
 //   - handover.go: quiesce, detach, adopt, resume.
 package http1
--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -128,13 +128,15 @@
 		}
 	}
 	deadline, _ := ctx.Deadline()
-	out, err := encodeRequest(r, time.Until(deadline))
+	parts, err := encodeRequest(r, time.Until(deadline))
 	if err != nil {
 		return notReusable(policy.ConnectError), false
 	}
 	c.extendAwait(&r)
-	if n, _ := (socket.RetryConn{Conn: c.Conn}).Write(out); n < len(out) {
-		return notReusable(policy.ConnectError), false
+	for _, part := range parts {
+		if n, _ := (socket.RetryConn{Conn: c.Conn}).Write(part); n < len(part) {
+			return notReusable(policy.ConnectError), false
+		}
 	}
 	c.writtenAt = time.Now()
 	if p.OnWritten != nil {
--- a/internal/upstream/http1/golden_test.go
+++ b/internal/upstream/http1/golden_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -19,5 +20,5 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	goldentest.Bytes(t, "request.txt", append(append(keyed, '\n'), unkeyed...))
+	goldentest.Bytes(t, "request.txt", slices.Concat(slices.Concat(keyed...), []byte("\n"), slices.Concat(unkeyed...)))
 }
--- a/internal/upstream/http1/pool.go
+++ b/internal/upstream/http1/pool.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// Size returns the number of connections, and of attempts in flight.
+func (p *Pool) Size() (conns, attempts int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.size, p.attempts
+}
+
 // dial establishes a connection for which capacity is reserved.
 func (p *Pool) dial(ctx context.Context, t upstream.Target, set *idleSet) (*conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/upstream/http1/response.go
+++ b/internal/upstream/http1/response.go
@@ -31,6 +31,8 @@
 	// of its body, so that an endpoint cannot exhaust the memory.
 	maxResponseSize = 128 << 10
 	maxBodySize     = 64 << 10
+	// maxResponseLines bounds the lines of a response's head, each of which takes many times its length once it is parsed.
+	maxResponseLines = 128
 	// maxInterimResponses is the number of 1xx responses that may precede the final one.
 	maxInterimResponses = 8
 	// maxRetryAfter is the longest wait that an endpoint can ask for; a longer wait is reduced to
@@ -46,6 +48,7 @@
 // Errors of a response that exceeds a limit.
 var (
 	errBodyTooLarge   = fmt.Errorf("response body larger than %d bytes", maxBodySize)
+	errTooManyLines   = fmt.Errorf("response head of more than %d lines", maxResponseLines)
 	errTooManyInterim = fmt.Errorf("more than %d interim responses", maxInterimResponses)
 )
 
@@ -61,6 +64,8 @@
 			succeeded = true
 			_ = c.SetReadDeadline(time.Now().Add(drainTimeout))
 		}
+		buffered, _ := c.in.Peek(c.in.Buffered()) // never fails for what is buffered
+		c.head.begin(buffered)
 		resp, err = http.ReadResponse(c.in, &http.Request{Method: http.MethodPost})
 		if err != nil {
 			return nil, succeeded, fmt.Errorf("read response: %w", err)
