Operators' endpoint: clients that crowd it leave operators their answers; pressure over kills, hand-overs, reloads

500 clients that hold heads or bodies at the admin endpoint left an operator 2 of 37 calls: a new connection replaced another one within milliseconds, before its request was read; a request with a body counted as complete and held its place for 0.5 s and more after its answer; a head of many short fields took a millisecond to parse.

--- a/internal/admin/connections.go
+++ b/internal/admin/connections.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -15,11 +16,48 @@
 // acceptRetryDelay is the pause after a failed accept, for example when the process has no file descriptors left.
 const acceptRetryDelay = 5 * time.Millisecond
 
+const (
+	// minRequestTime is the time that a connection has to send its request, and its caller to read the response, before another
+	// connection may replace it. An operator does both at once.
+	minRequestTime = 50 * time.Millisecond
+	// maxRoomWait bounds the wait for a replaceable connection, and roomPollInterval is the interval of checks for one.
+	maxRoomWait      = 4 * minRequestTime
+	roomPollInterval = 2 * time.Millisecond
+	// maxRequestLines bounds the lines of a request, each of which takes many times its length once it is parsed.
+	maxRequestLines = 64
+)
+
+// errTooManyLines is the error of reading a request of more than maxRequestLines lines.
+var errTooManyLines = errors.New("request of too many lines")
+
 // conn is a connection from an operator.
 type conn struct {
 	net.Conn
 	server      *Server
+	acceptedAt  time.Time
+	lines       int  // read so far; a connection carries one request
 	requestRead bool // the request was read; it is answered at once, so admit does not close this connection; guarded by server.mu
+	// answeredAt is when the response was passed on to be written; zero: it was not. It is guarded by server.mu.
+	answeredAt time.Time
+}
+
+// Read reads a part of a request.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.lines > maxRequestLines {
+		return 0, errTooManyLines
+	}
+	n, err := c.Conn.Read(p)
+	c.lines += bytes.Count(p[:n], []byte{'\n'})
+	return n, err //nolint:wrapcheck // readers compare with io.EOF
+}
+
+// isReplaceable reports whether another connection may replace this one: it has not sent its request in time, or was answered some
+// time ago and its caller does not close it. server.mu is held.
+func (c *conn) isReplaceable() bool {
+	if !c.requestRead {
+		return time.Since(c.acceptedAt) >= minRequestTime
+	}
+	return !c.answeredAt.IsZero() && time.Since(c.answeredAt) >= minRequestTime
 }
 
 // connKey is the key of the request's *conn in its context.
@@ -32,6 +70,11 @@
 			s.mu.Lock()
 			c.requestRead = true
 			s.mu.Unlock()
+			defer func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				c.answeredAt = time.Now()
+			}()
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 		next.ServeHTTP(w, r)
@@ -50,6 +93,7 @@
 	for {
 		raw, err := l.Listener.Accept()
 		if err == nil {
+			l.server.awaitRoom()
 			if c := l.server.admit(raw); c != nil {
 				return c, nil
 			}
@@ -63,13 +107,26 @@
 	}
 }
 
-// admit adds a connection. At the limit it closes the oldest connection whose request is not complete. If the requests of all
-// connections are complete, it closes the new connection and returns nil.
+// awaitRoom waits, at the limit, until a connection is replaceable.
+func (s *Server) awaitRoom() {
+	for end := time.Now().Add(maxRoomWait); !s.hasRoom() && time.Now().Before(end); {
+		time.Sleep(roomPollInterval)
+	}
+}
+
+func (s *Server) hasRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) < s.maxConns || slices.ContainsFunc(s.conns, (*conn).isReplaceable)
+}
+
+// admit adds a connection. At the limit it closes the oldest connection that is replaceable. If there is none, it closes the new
+// connection and returns nil.
 func (s *Server) admit(raw net.Conn) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= s.maxConns {
-		oldest := slices.IndexFunc(s.conns, func(c *conn) bool { return !c.requestRead })
+		oldest := slices.IndexFunc(s.conns, (*conn).isReplaceable)
 		if oldest < 0 {
 			_ = raw.Close()
 			return nil
@@ -77,7 +134,7 @@
 		_ = s.conns[oldest].Conn.Close()
 		s.conns = slices.Delete(s.conns, oldest, oldest+1)
 	}
-	c := &conn{Conn: raw, server: s}
+	c := &conn{Conn: raw, server: s, acceptedAt: time.Now()}
 	s.conns = append(s.conns, c)
 	return c
 }
--- a/internal/faultinjection/pressure/platform.go
+++ b/internal/faultinjection/pressure/platform.go
@@ -25,6 +25,8 @@
 type Platform struct {
 	// ServiceTime is how long an endpoint takes to answer. It must be set before the relay is started.
 	ServiceTime time.Duration
+	// Unused is the number of listed endpoints to which no requests are submitted, and at which nothing listens.
+	Unused int
 	// Respond, if set, writes an endpoint's response to a request that was read, and reports whether the connection stays open.
 	Respond func(conn net.Conn) bool
 
@@ -108,6 +110,12 @@
 			ID: fmt.Sprintf("endpoint-%d", i+1), Address: l.Addr().String(), Zone: "a", Kind: "m2", Destination: i + 1, Health: "SERVING", Weight: 1000,
 		})
 	}
+	for i := range p.Unused {
+		list.Endpoints = append(list.Endpoints, discovery.Endpoint{
+			ID: fmt.Sprintf("unused-endpoint-%d", i), Address: fmt.Sprintf("127.77.%d.%d:8443", i/250, 1+i%250), Zone: "a", Kind: "m2",
+			Destination: endpointCount + 1 + i/2, Health: "SERVING", Weight: 10,
+		})
+	}
 	return list
 }
 
@@ -183,7 +191,11 @@
 		p.mu.Lock()
 		p.executed[r.Header.Get("Request-Id")]++
 		p.mu.Unlock()
-		time.Sleep(p.ServiceTime)
+		select {
+		case <-time.After(p.ServiceTime):
+		case <-p.closed:
+			return
+		}
 		if p.Respond != nil {
 			if !p.Respond(conn) {
 				return
--- a/internal/faultinjection/pressure/usage.go
+++ b/internal/faultinjection/pressure/usage.go
@@ -28,7 +28,7 @@
 	pids        []int
 	residentMB  float64 // largest VmHWM of a process
 	filesMB     float64 // largest size of the folder
-	togetherMB  float64 // largest sum, in one sample, of all processes' resident memory and the files
+	togetherMB  float64 // largest sum, in one sample, of all processes' own memory, the program's files and the folder
 	descriptors int     // largest number of one process's descriptors
 	memory      map[string]float64
 }
@@ -69,13 +69,14 @@
 	defer u.mu.Unlock()
 	files := megabytes(folderBytes(u.folder))
 	u.filesMB = max(u.filesMB, files)
-	together := files
+	together, mapped := files, 0.0
 	u.pids = slices.DeleteFunc(u.pids, func(pid int) bool {
 		status, err := processStatus(pid)
 		if err != nil {
 			return true // the process has ended
 		}
-		together += status["VmRSS"]
+		together += status["RssAnon"]
+		mapped = max(mapped, status["RssFile"]) // processes of one program share its pages
 		if status["VmHWM"] > u.residentMB {
 			u.residentMB, u.memory = status["VmHWM"], status
 		}
@@ -84,7 +85,7 @@
 		}
 		return false
 	})
-	u.togetherMB = max(u.togetherMB, together)
+	u.togetherMB = max(u.togetherMB, together+mapped)
 }
 
 // PeakMB returns the peak in MB: the peak of one process's resident memory plus the peak of the folder's files, or the largest sum of
--- a/internal/relay/handover_predecessor.go
+++ b/internal/relay/handover_predecessor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 
 	front "frostlink/internal/frontend/http1"
 	"frostlink/internal/handover"
@@ -77,4 +78,6 @@
 	_ = n.loop.journal.Close() // the successor has taken over its state
 	n.metrics.HandedOver()
 	_ = n.listener.Close() // the successor has a listener of its own
+	// This process may stay for some seconds, and its memory counts beside the successor's.
+	go debug.FreeOSMemory()
 }
