Endpoints: an id at another address, restarted, or of another destination is another process

Seen: a request that may be executed once was written to the process that came up at the address from which its endpoint had moved, and to an endpoint that served another destination by then; it stayed without an attempt at the right one. The connection was being established when the list changed; only removed and draining endpoints cancelled attempts that had not sent a byte. An id listed under another destination stayed in the queue of the one before.

A list's entry says now whether it names another process than the one before (address, or born_ms, which was not read); attempts without a byte are cancelled, idle connections closed. An id with another destination is removed and added anew. born_ms is not stored: stored forms stay.

--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"encoding/json"
 	"slices"
 
 	"frostlink/internal/settings"
@@ -23,6 +24,25 @@
 	Destination int     `json:"block"`  // the number of its destination
 	Health      string  `json:"health"` // Draining or Deleted; with any other value the endpoint takes requests
 	Weight      float64 `json:"share"`
+	// StartedAtMS is when the endpoint last started, in milliseconds of Unix time; 0: long ago, or not known. It tells a process from
+	// the one that had the id and the address before. It is read from lists of discovery, and is not stored.
+	StartedAtMS int64 `json:"-"`
+}
+
+// UnmarshalJSON decodes an endpoint of a list.
+func (e *Endpoint) UnmarshalJSON(raw []byte) error {
+	type fields Endpoint // without this method
+	listed := struct {
+		*fields
+		StartedAtMS *int64 `json:"born_ms"`
+	}{(*fields)(e), &e.StartedAtMS}
+	return json.Unmarshal(raw, &listed) //nolint:wrapcheck // callers distinguish the errors of package json
+}
+
+// IsReplacedBy reports whether the entry that follows in a list names another process than this one: at another address, or started
+// later.
+func (e *Endpoint) IsReplacedBy(next *Endpoint) bool {
+	return e.Address != next.Address || e.StartedAtMS != next.StartedAtMS
 }
 
 // The values of Health for an endpoint that takes no new requests.
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -27,14 +27,19 @@
 func (l *loop) updateEndpoints(list discovery.EndpointList) {
 	listed := map[string]bool{}
 	var recovered []policy.Event
-	for _, endpoint := range list.Endpoints {
+	changed := list.Event(&l.cfg.Settings)
+	for i := range list.Endpoints {
+		endpoint := &list.Endpoints[i]
 		listed[endpoint.ID] = true
-		recovered = append(recovered, l.updateEndpoint(endpoint)...)
+		if old, known := l.endpoints[endpoint.ID]; known {
+			changed.Endpoints[i].Replaced = old.IsReplacedBy(endpoint)
+		}
+		recovered = append(recovered, l.updateEndpoint(*endpoint)...)
 	}
 	if list.Full {
 		l.removeUnlisted(listed)
 	}
-	l.events = append(append(l.events, list.Event(&l.cfg.Settings)), recovered...)
+	l.events = append(append(l.events, changed), recovered...)
 }
 
 // updateEndpoint applies one endpoint of a list. For an endpoint that is new to this process it returns the health that an
@@ -42,7 +47,7 @@
 func (l *loop) updateEndpoint(endpoint discovery.Endpoint) (recovered []policy.Event) {
 	id := endpoint.ID
 	old, known := l.endpoints[id]
-	if known && (old.Address != endpoint.Address || endpoint.Health == discovery.Deleted) {
+	if known && (old.IsReplacedBy(&endpoint) || endpoint.Health == discovery.Deleted) {
 		l.pool.Evict(upstream.Target{Endpoint: id, Addr: old.Address})
 	}
 	if endpoint.Health == discovery.Deleted {
--- a/policy/endpoint_list.go
+++ b/policy/endpoint_list.go
@@ -39,12 +39,16 @@
 		}
 		return
 	}
+	if ep != nil && ep.Destination != entry.Destination {
+		d.removeEndpoint(ep) // what is known of it belongs to the destination that it served before
+		ep = nil
+	}
 	isNew := ep == nil
 	if isNew {
 		ep = d.addEndpoint(entry)
 	}
-	if entry.Draining && !ep.Draining {
-		d.cancelBeforeSend(ep.inFlight, nil)
+	if entry.Draining && !ep.Draining || entry.Replaced {
+		d.cancelBeforeSend(ep.inFlight, nil) // a connection that is being established may reach another process
 	}
 	ep.Endpoint = entry
 	d.setListedRate(ep.queue, entry.Weight)
--- a/policy/endpoint_list_test.go
+++ b/policy/endpoint_list_test.go
@@ -108,3 +108,40 @@
 		}
 	}
 }
+
+// An id under which discovery lists another process than before, at another address or started later, is not the endpoint to which
+// connections are being established: attempts that have not sent a byte are cancelled.
+func TestEndpointList_CancelsBeforeSendToReplacedProcess(t *testing.T) {
+	d := newDispatcher(t, testSettings(), Endpoint{ID: "a"})
+	d.Handle(0, []Event{arrival("m", 0)})
+	for _, tt := range []struct {
+		replaced bool
+		want     int
+	}{{false, 0}, {true, 1}} {
+		cancelled := 0
+		for _, a := range d.Handle(ms, []Event{EndpointsChanged{Endpoints: []Endpoint{{ID: "a", Replaced: tt.replaced}}}}) {
+			if _, ok := a.(CancelBeforeSend); ok {
+				cancelled++
+			}
+		}
+		if cancelled != tt.want {
+			t.Errorf("replaced %v: %d attempts cancelled, want %d", tt.replaced, cancelled, tt.want)
+		}
+	}
+}
+
+// An id that discovery lists under another destination serves that destination alone from then on.
+func TestEndpointList_MovesToAnotherDestination(t *testing.T) {
+	d := newDispatcher(t, testSettings(), Endpoint{ID: "a"}, Endpoint{ID: "b"})
+	d.Handle(ms, []Event{EndpointsChanged{Endpoints: []Endpoint{{ID: "a", Destination: 5}}}})
+	for i := range 4 {
+		message := arrival(fmt.Sprint("m", i), 0)
+		for _, a := range d.Handle(time.Duration(2+i)*ms, []Event{message}) {
+			if send, ok := a.(Send); ok && send.Endpoint == "a" {
+				t.Errorf("sent to the endpoint that serves another destination now: %+v", send)
+			}
+		}
+	}
+	message := Arrived{ID: "other", Destination: 5, TimeLeft: time.Second}
+	wantActions(t, "at its new destination", d.Handle(10*ms, []Event{message}), "other>a")
+}
--- a/policy/events.go
+++ b/policy/events.go
@@ -107,6 +107,8 @@
 	Weight      float64 // meaning: see Weights
 	Draining    bool    // accepts no new calls
 	Removed     bool    // no longer listed
+	// Replaced says that the entry names another process than the one that was listed under the ID before.
+	Replaced bool
 }
 
 // EndpointsChanged updates the endpoint list, or replaces it if Full is set.
