Requests count from their arrival, also in the listen queue; ids across leaving clients; soak of crowds

The kernel knows when the last bytes came (tcpi_last_data_recv): waits of 20 ms and more count now; a request whose time is up when it is read is rejected.

TestRelay_IDRunsOnceHoweverItsClientLeaves: 8 clients leave half way, at once, by a reset, or with 30 requests unread, and submit the same id again, over five hand-overs.

--- a/cmd/frostlinkctl/scenario_soak.go
+++ b/cmd/frostlinkctl/scenario_soak.go
@@ -25,9 +25,11 @@
 	restarts   bool    // play the soak test of restarts
 	// redeliveries plays the soak test of redeliveries
 	redeliveries bool
-	jsonFile     string
-	relays       string // path of the relay program
-	keepFolder   string
+	// crowds plays the soak test of hostile clients
+	crowds     bool
+	jsonFile   string
+	relays     string // path of the relay program
+	keepFolder string
 }
 
 // drawScenario returns the text of a soak scenario that is drawn from a seed.
@@ -40,6 +42,8 @@
 		return scenario.RestartSoakScenario
 	case f.redeliveries:
 		return scenario.RedeliverySoakScenario
+	case f.crowds:
+		return scenario.CrowdSoakScenario
 	default:
 		return scenario.SoakScenario
 	}
@@ -66,6 +70,7 @@
 			"such occurrence is counted and printed; the soak fails if one of them happens in no run of any seed.\n" +
 			"With --redeliveries an operator's rules redeliver messages of all classes beside slow partners with few connections; the soak fails if\n" +
 			"no message is redelivered.\n" +
+			"With --crowds hostile clients crowd relays with little memory and few descriptors while their processes are ended and replaced.\n" +
 			"Exit codes: 0 success, 1 a run failed or, with --restarts, an occurrence is missing, 2 could not run or the machine was too busy.",
 		Example: "  frostlinkctl scenario soak --seed 1 --seeds 20 --count 36 --keep found\n" +
 			"  frostlinkctl scenario soak --restarts --seed 1 --seeds 50 --keep found",
@@ -79,7 +84,8 @@
 	flags.Float64Var(&f.length, "length", 9, "seconds for which clients submit messages")
 	flags.BoolVar(&f.restarts, "restarts", false, "end and replace processes in all the ways in which the platform does it")
 	flags.BoolVar(&f.redeliveries, "redeliveries", false, "redeliver messages by rules beside slow partners with few connections")
-	c.MarkFlagsMutuallyExclusive("restarts", "redeliveries")
+	flags.BoolVar(&f.crowds, "crowds", false, "crowd relays with hostile clients while their processes are ended and replaced")
+	c.MarkFlagsMutuallyExclusive("restarts", "redeliveries", "crowds")
 	addPlayOutputFlags(c, &f.jsonFile, &f.relays, "the results")
 	flags.StringVar(&f.keepFolder, "keep", "", "keep scripts and logs of failed runs in this `folder`")
 	return c
@@ -112,7 +118,9 @@
 	}
 	switch {
 	case f.restarts:
-		return checkOccurrences(out, runs)
+		return checkOccurrences(out, harness.Occurrences(), runs)
+	case f.crowds:
+		return checkOccurrences(out, harness.CrowdOccurrences(), runs)
 	case f.redeliveries:
 		return checkRedelivered(out, runs)
 	default:
@@ -131,13 +139,13 @@
 	return cli.ErrFindings
 }
 
-// checkOccurrences prints the kinds of occurrences that happened in no run. If there are any, it returns cli.ErrFindings.
-func checkOccurrences(out io.Writer, runs []soakRun) error {
+// checkOccurrences prints the required kinds of occurrences that happened in no run. If there are any, it returns cli.ErrFindings.
+func checkOccurrences(out io.Writer, required []harness.Occurrence, runs []soakRun) error {
 	var occurred []map[harness.Occurrence]int
 	for i := range runs {
 		occurred = append(occurred, runs[i].Occurred)
 	}
-	missing := harness.Missing(occurred...)
+	missing := harness.MissingOf(required, occurred...)
 	if len(missing) == 0 {
 		return nil
 	}
@@ -218,7 +226,7 @@
 // printOccurrences prints one line with the occurrences of the run and their counts.
 func (r *soakRun) printOccurrences(out io.Writer) {
 	var happened []string
-	for _, o := range harness.Occurrences() {
+	for _, o := range append(harness.Occurrences(), harness.CrowdedHostile) {
 		if times := r.Occurred[o]; times > 0 {
 			happened = append(happened, fmt.Sprintf("%s %d", o, times))
 		}
--- a/internal/faultinjection/harness/crowd.go
+++ b/internal/faultinjection/harness/crowd.go
@@ -6,18 +6,31 @@
 	"time"
 
 	"frostlink/internal/faultinjection/checker"
+	"frostlink/internal/faultinjection/pressure"
 	"frostlink/internal/wait"
 )
 
 // crowdRequest is the beginning of a request. Every second caller of a crowd sends it and never sends the rest.
 const crowdRequest = "POST /status HTTP/1.1\r\nHost: service.internal\r\nReq"
 
-// crowd has callers hold connections to the relay for a while, half of them idle and half with an incomplete request. A
-// connection that the relay closes is opened again.
-func (r *relay) crowd(d time.Duration, callers int) {
+// hostileBehaviors are what the callers of a hostile crowd do.
+var hostileBehaviors = []pressure.Behavior{
+	pressure.SlowWriter, pressure.HalfBody, pressure.ManyFields, pressure.OpenHead, pressure.Silent,
+}
+
+// crowd has callers hold connections to the relay for a while, half of them idle and half with an incomplete request, or hostile
+// ones. A connection that the relay closes is opened again.
+func (r *relay) crowd(d time.Duration, callers int, hostile bool) {
 	r.h.count(Crowded)
 	r.h.record(checker.Event{Kind: checker.CrowdCame, Relay: r.number})
 	defer func() { r.h.record(checker.Event{Kind: checker.CrowdLeft, Relay: r.number}) }()
+	if hostile {
+		r.h.count(CrowdedHostile)
+		crowd := pressure.NewCrowd(r.listen, callers, hostileBehaviors...)
+		defer crowd.Close()
+		wait.For(r.h.ctx, d)
+		return
+	}
 	end := r.h.now() + d
 	for i := range callers {
 		request := ""
--- a/internal/faultinjection/harness/fault_schedule_relay.go
+++ b/internal/faultinjection/harness/fault_schedule_relay.go
@@ -17,7 +17,7 @@
 	scenario.FaultTerminate:      repeatedly((*relay).restart),
 	scenario.FaultSuspend:        func(r *relay, f *scenario.Fault) { r.suspend(scenario.Seconds(f.Duration)) },
 	scenario.FaultUpgrade:        repeatedly(func(r *relay, f *scenario.Fault) { r.upgrade(f.Signals) }),
-	scenario.FaultCrowd:          func(r *relay, f *scenario.Fault) { r.crowd(scenario.Seconds(f.Duration), f.IdleCallers) },
+	scenario.FaultCrowd:          func(r *relay, f *scenario.Fault) { r.crowd(scenario.Seconds(f.Duration), f.IdleCallers, f.Hostile) },
 	scenario.FaultStandby:        func(r *relay, f *scenario.Fault) { r.standby(scenario.Seconds(f.Duration)) },
 	scenario.FaultSettingsChange: func(r *relay, f *scenario.Fault) { r.applySettings(f) },
 	scenario.FaultAdminLoad:      func(r *relay, f *scenario.Fault) { r.scrape(scenario.Seconds(f.Duration), f.IdleCallers) },
--- a/internal/faultinjection/harness/occurrence.go
+++ b/internal/faultinjection/harness/occurrence.go
@@ -16,6 +16,7 @@
 	KilledAfterAcceptance   Occurrence = "killed right behind a 202"
 	RestartedAgain          Occurrence = "restarted again"
 	Crowded                 Occurrence = "crowds"
+	CrowdedHostile          Occurrence = "crowds of hostile clients"
 	ShutdownWhileHanging    Occurrence = "shutdowns past a destination that hangs"
 	StartWithoutDiscovery   Occurrence = "starts without discovery"
 	WriteHeldUp             Occurrence = "writes held up"
@@ -31,9 +32,19 @@
 	}
 }
 
+// CrowdOccurrences returns the occurrences that the runs of a soak of crowds have to contain.
+func CrowdOccurrences() []Occurrence {
+	return []Occurrence{CrowdedHostile, Terminated, RequestAfterTermination, KilledAfterAcceptance, RestartedAgain}
+}
+
 // Missing returns the occurrences that none of the runs contained.
 func Missing(runs ...map[Occurrence]int) (missing []Occurrence) {
-	for _, o := range Occurrences() {
+	return MissingOf(Occurrences(), runs...)
+}
+
+// MissingOf returns those of the given occurrences that none of the runs contained.
+func MissingOf(required []Occurrence, runs ...map[Occurrence]int) (missing []Occurrence) {
+	for _, o := range required {
 		total := 0
 		for _, run := range runs {
 			total += run[o]
--- a/internal/faultinjection/harness/relay_usage.go
+++ b/internal/faultinjection/harness/relay_usage.go
@@ -55,7 +55,7 @@
 		return
 	}
 	proc := filepath.Join("/proc", strconv.Itoa(r.process.pid))
-	memory, ok := residentMB(proc)
+	memory, ok := statusMB(proc, "VmRSS:")
 	if !ok {
 		return // the process has just ended
 	}
@@ -66,6 +66,9 @@
 		u.CPUSeconds = r.endedCPUSeconds + seconds
 	}
 	size := float64(folderSize(r.stateDir()))
+	if peak, ok := statusMB(proc, "VmHWM:"); ok && peak+size/(1<<20) > r.h.scenario.Relay.MemoryMB {
+		r.h.recordFailure("%s has taken %.1f MB, and its folder %.1f MB: more than memory_mb", r.name, peak, size/(1<<20))
+	}
 	u.StateKB = max(u.StateKB, size/1000)
 	if size > r.h.scenario.Relay.DiskMB*1e6 {
 		r.h.recordFailure("%s has %.0f kB in its folder, more than disk_mb allows", r.name, size/1000)
@@ -81,14 +84,14 @@
 	return u
 }
 
-// residentMB returns the resident memory of the process whose folder in /proc is given; 0: the process is a zombie.
-func residentMB(proc string) (mb float64, ok bool) {
+// statusMB returns a figure of the memory of the process whose folder in /proc is given; 0: the process is a zombie.
+func statusMB(proc, name string) (mb float64, ok bool) {
 	status, err := os.ReadFile(filepath.Join(proc, "status"))
 	if err != nil {
 		return 0, false
 	}
 	for line := range strings.Lines(string(status)) {
-		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == name {
 			kb, _ := strconv.ParseFloat(fields[1], 64) // the kernel writes a number
 			return kb / 1024, true
 		}
--- a/internal/faultinjection/pressure/behavior.go
+++ b/internal/faultinjection/pressure/behavior.go
@@ -33,10 +33,14 @@
 // Silent sends nothing.
 func Silent(_ context.Context, conn net.Conn, _ int64) { untilClosed(conn) }
 
-// SlowWriter writes a request with a large body in small pieces.
+// SlowWriter writes a request with a large body in small pieces, and never its last byte.
 func SlowWriter(ctx context.Context, conn net.Conn, n int64) {
-	go untilClosed(conn)
-	text := requestHead(fmt.Sprintf("slow-%d", n), 1, maxBodySize) + "\r\n" + largeBody
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		untilClosed(conn)
+		cancel()
+	}()
+	text := requestHead(fmt.Sprintf("slow-%d", n), 1, maxBodySize) + "\r\n" + largeBody[1:]
 	for piece := 40; len(text) > 0 && ctx.Err() == nil; sleep(ctx, slowInterval) {
 		piece = min(piece*2, 2048, len(text))
 		if _, err := io.WriteString(conn, text[:piece]); err != nil {
@@ -44,6 +48,7 @@
 		}
 		text = text[piece:]
 	}
+	<-ctx.Done()
 }
 
 // HalfBody writes a head and the first part of a large body, and then stays.
--- /dev/null
+++ b/internal/faultinjection/pressure/identity_test.go
@@ -0,0 +1,129 @@
+package pressure
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// identitySeed is the seed of the clients' choices.
+	identitySeed = 69
+	// identityClients is the number of clients, each of which submits identityRequests requests one after another.
+	identityClients, identityRequests = 8, 60
+)
+
+// leavingClient submits requests of a class that must not be repeated, and mostly leaves: before a request is complete, right after it,
+// or with the response unread. It then submits the same request again.
+type leavingClient struct {
+	address  string
+	random   *rand.Rand
+	accepted map[string]bool // requests whose 202 it has read
+}
+
+// request returns a request, with a body of some size.
+func (c *leavingClient) request(id string) string {
+	body := strings.Repeat("b", c.random.IntN(6000))
+	return fmt.Sprintf("POST /order HTTP/1.1\r\nHost: a\r\nRequest-Id: %s\r\nTenant: acme\r\nRequest-Timeout: 8\r\nX-Envelope: dest=%d\r\n"+
+		"Content-Length: %d\r\n\r\n%s", id, 1+c.random.IntN(endpointCount), len(body), body)
+}
+
+// submit submits a request in one of several ways.
+func (c *leavingClient) submit(id, text string) {
+	raw, err := net.DialTimeout("tcp", c.address, answerTimeout)
+	if err != nil {
+		return
+	}
+	defer func() { _ = raw.Close() }()
+	_ = raw.SetDeadline(time.Now().Add(answerTimeout)) // fails only on a closed connection
+	switch c.random.IntN(6) {
+	case 0: // leaves half way
+		_, _ = io.WriteString(raw, text[:c.random.IntN(len(text))])
+		return
+	case 1: // leaves at once
+		_, _ = io.WriteString(raw, text)
+		return
+	case 2: // resets the connection after a moment
+		_, _ = io.WriteString(raw, text)
+		time.Sleep(time.Duration(c.random.IntN(4000)) * time.Microsecond)
+		_ = raw.(*net.TCPConn).SetLinger(0)
+		return
+	case 3: // sends many requests at once, and leaves with all of them unread
+		var batch strings.Builder
+		batch.WriteString(text)
+		for i := range 30 {
+			batch.WriteString(c.request(fmt.Sprintf("%s-unread-%d", id, i)))
+		}
+		_, _ = io.WriteString(raw, batch.String())
+		return
+	}
+	if _, err := io.WriteString(raw, text); err != nil {
+		return
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(raw), nil); err == nil && resp.StatusCode == http.StatusAccepted {
+		c.accepted[id] = true
+	}
+}
+
+// run submits requests until the time is over.
+func (c *leavingClient) run(prefix string) {
+	for i := range identityRequests {
+		id := fmt.Sprintf("%s-%d", prefix, i)
+		text := c.request(id)
+		for range 1 + c.random.IntN(3) {
+			c.submit(id, text)
+			time.Sleep(time.Duration(c.random.IntN(60)) * time.Millisecond)
+		}
+	}
+}
+
+// A request that its client has left unread is not executed. An id that comes again after its client has left, at the same process or at
+// its successor, is executed once at most, and what was accepted has its outcome.
+func TestRelay_IDRunsOnceHoweverItsClientLeaves(t *testing.T) {
+	relay, platform := startRelay(t, smallest)
+	platform.ServiceTime = 30 * time.Millisecond
+	var clients sync.WaitGroup
+	all := make([]*leavingClient, identityClients)
+	for i := range all {
+		all[i] = &leavingClient{
+			address: relay.Address, random: rand.New(rand.NewPCG(identitySeed, uint64(i))), accepted: map[string]bool{},
+		}
+		clients.Go(func() { all[i].run(fmt.Sprintf("client%d", i)) })
+	}
+	for range 5 {
+		time.Sleep(time.Second)
+		start(t, relay)
+	}
+	clients.Wait()
+	var accepted []string
+	for _, c := range all {
+		for id := range c.accepted {
+			accepted = append(accepted, id)
+		}
+	}
+	checkOwed(t, platform, accepted)
+	checkExecutions(t, platform)
+	checkUsage(t, relay)
+	t.Logf("seed %d: %d requests accepted", identitySeed, len(accepted))
+}
+
+func checkExecutions(t *testing.T, platform *Platform) {
+	t.Helper()
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	for id, executions := range platform.executed {
+		if executions > 1 {
+			t.Errorf("%s was executed %d times", id, executions)
+		}
+		if strings.Contains(id, "-unread-") {
+			t.Errorf("%s was executed: its client left it unread", id)
+		}
+	}
+}
--- a/internal/faultinjection/scenario/fault.go
+++ b/internal/faultinjection/scenario/fault.go
@@ -25,6 +25,7 @@
 	Corruption      string    `toml:"broken"`   // how the settings file is corrupted, one of the CorruptionX constants
 	IdleCallers     int       `toml:"callers"`  // callers that hold connections: to the admin endpoint, sending nothing, or, as a crowd, to the relay
 	StaysWarm       bool      `toml:"warm"`     // the destination has its full capacity right after the outage
+	Hostile         bool      `toml:"hostile"`  // the callers of a crowd write slowly, stop half way, or send very many header fields
 	ClockStep       float64   `toml:"by_s"`     // seconds by which the wall clock is stepped; negative: backwards
 	Syscall         string    `toml:"call"`     // the system call that fails, a key of SocketSyscalls
 	Errno           string    `toml:"errno"`    // the error that the system call returns, a name that Errno accepts
--- a/internal/faultinjection/scenario/fault_kinds.go
+++ b/internal/faultinjection/scenario/fault_kinds.go
@@ -88,7 +88,7 @@
 	FaultClockStep:      {required: []string{"by_s"}, optional: []string{"relay"}},
 	FaultSyscallErrors:  {required: []string{"for_s", "call", "errno", "share"}, optional: []string{"relay"}},
 	FaultDiskErrors:     {required: []string{"for_s", "errno", "share"}, optional: []string{"relay"}},
-	FaultCrowd:          {required: []string{"for_s", "callers"}, optional: []string{"relay"}},
+	FaultCrowd:          {required: []string{"for_s", "callers"}, optional: []string{"relay", "hostile"}},
 
 	FaultDiscoveryMove:      {optional: []string{"relay"}},
 	FaultDiscoveryDown:      {required: []string{"for_s"}, optional: []string{"how"}},
--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -28,6 +28,9 @@
 	maxLingerBytes = 1 << 20
 	// crowdedLingerTimeout replaces lingerTimeout while new connections wait for others to be closed.
 	crowdedLingerTimeout = 30 * time.Millisecond
+	// minUnreadTime is the least time for which a request counts as having waited unread: more than the precision of the kernel's
+	// timer. maxUnreadTime is the longest plausible one: a client gives up its request after 0.4 s.
+	minUnreadTime, maxUnreadTime = 20 * time.Millisecond, 5 * time.Second
 	// lingerPause is the pause between two reads of a connection that lingers. A client that keeps sending is slowed down by
 	// its full window, and takes little processor time.
 	lingerPause = 20 * time.Millisecond
@@ -99,6 +102,16 @@
 	return err == nil && n > 0
 }
 
+// unreadFor returns how long the last bytes that arrived have waited to be read: in the queue of the listening socket, or while this
+// process got no processor time. Shorter waits than minUnreadTime count as none.
+func (c *conn) unreadFor() time.Duration {
+	age, err := socket.LastDataAge(c.TCPConn)
+	if err != nil || age < minUnreadTime || age > maxUnreadTime {
+		return 0 // an error changes nothing: the request counts from when it was read
+	}
+	return age
+}
+
 // quiet reports whether the client is connected and has sent no further bytes. connected reports
 // whether the client is connected, regardless of further bytes.
 func (c *conn) quiet() (quiet, connected bool) {
--- a/internal/frontend/http1/request.go
+++ b/internal/frontend/http1/request.go
@@ -86,6 +86,7 @@
 		s.dropRequest(c, head.scanned)
 		return nil, response, nil
 	}
+	submission.ReceivedAt = submission.ReceivedAt.Add(-c.unreadFor())
 	return &pendingRequest{
 		submission: submission, subjectHeader: s.validator.Load().SubjectHeader(submission.Entry.Class, r.Header),
 		headSize: head.scanned, bodySize: int(max(0, r.ContentLength)), last: r.Close,
--- a/internal/frontend/http1/serve_test.go
+++ b/internal/frontend/http1/serve_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"frostlink/internal/frontend"
 	"frostlink/internal/wait/waittest"
 )
 
@@ -43,3 +45,25 @@
 		t.Errorf("response %v, %v", resp, err)
 	}
 }
+
+// The time that a request waits in the queue of the listening socket counts: its deadline is that of the client. The fault: it counted
+// from when the request was read, and its notice came late.
+func TestServer_CountsTimeInTheListenQueue(t *testing.T) {
+	const waited = 300 * time.Millisecond
+	s, _, admitted := newTestServer(t, 10)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := dial(t, l.Addr().String())
+	sent := time.Now()
+	write(t, c, newRequest("m", "", "Content-Length: 0"))
+	time.Sleep(waited)
+	go func() { _ = s.Serve(l) }()
+	submission := waittest.Receive(t, admitted)
+	submission.Response <- frontend.Response{Status: http.StatusAccepted}
+	if late := submission.ReceivedAt.Sub(sent); late > waited/3 || late < -waited/3 {
+		t.Errorf("counts from %v after it was sent", late)
+	}
+}
--- a/internal/frontend/submission.go
+++ b/internal/frontend/submission.go
@@ -9,7 +9,7 @@
 // Submission is a request that a client submits.
 type Submission struct {
 	Entry      *journal.Entry // its times are unset: the relay sets them on its own timeline
-	ReceivedAt time.Time      // when this process had read the request's head
+	ReceivedAt time.Time      // when the request's head had arrived, as far as the kernel tells, or was read
 	TimeLeft   time.Duration  // from ReceivedAt until the request's deadline
 	Response   chan Response  // buffered, for one response
 	// ClientRetry is the value of the Client-Retry header, in which a client describes its earlier
--- a/internal/relay/submission_test.go
+++ b/internal/relay/submission_test.go
@@ -1,13 +1,16 @@
 package relay
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"frostlink/internal/frontend"
 	"frostlink/internal/notification"
@@ -199,3 +202,49 @@
 	}
 	p.kill(c)
 }
+
+// A request that is shed before its body is read, since the journal has no space for it, is not rejected if its id was accepted before:
+// a rejection would say that it has no effect.
+func TestSubmission_ShedCopyOfAcceptedRequestIsAccepted(t *testing.T) {
+	p := newPlatform(t)
+	p.diskMB = 0.5
+	p.addEndpoint("h1", 7)
+	p.respond = func(*http.Request) int { return 0 }
+	p.start()
+	large := func(r *http.Request) {
+		text := strings.Repeat("x", frontend.MaxBodySize)
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(text)), int64(len(text))
+	}
+	shed := false
+	for i := 0; i < 20 && !shed; i++ {
+		shed = p.submit("status", fmt.Sprint("m", i), "25", large).StatusCode == http.StatusServiceUnavailable
+	}
+	if !shed {
+		t.Fatal("the journal does not fill")
+	}
+	if resp := p.submit("status", "m0", "25", large); resp.StatusCode != http.StatusAccepted {
+		t.Errorf("copy of an accepted request: %s", resp.Status)
+	}
+}
+
+// A request whose time is up when it is read, after it has waited in the queue of the listening socket, is rejected.
+func TestSubmission_RejectsRequestThatWaitedTooLong(t *testing.T) {
+	p := newPlatform(t)
+	p.shareListener()
+	p.addEndpoint("h1", 7)
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	p.write(c, strings.Replace(rawStatusRequest("late"), "Request-Timeout: 25", "Request-Timeout: 0.1", 1))
+	time.Sleep(400 * time.Millisecond)
+	p.start()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusTooManyRequests && resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("response %v, %v", resp, err)
+	}
+	if attempts := p.attempts(); len(attempts) > 0 {
+		t.Errorf("attempts: %v", attempts)
+	}
+}
--- a/internal/socket/doc.go
+++ b/internal/socket/doc.go
@@ -10,6 +10,7 @@
 //   - dial.go: Dialer, for outgoing connections
 //   - listen.go: Listen, for listening sockets
 //   - retry_conn.go: RetryConn, whose reads and writes are retried
+//   - last_data.go: LastDataAge, how long ago a connection received its last bytes
 //   - peek.go: Peek, which checks a connection for unread bytes
 //   - socket.go: shared constants and functions
 package socket
