Eviction: a stalled request goes before a connection whose client completed one

A connection that had been idle for less than 2 s was evicted before one whose request had stalled, so that a crowd that stays half way took the connections of clients that complete their requests. The first part of a request without a chunk is 1 KB: most requests fit. The linger's read is repeated after EINTR without waiting for the socket, which signals once.

--- a/internal/faultinjection/pressure/pressure_test.go
+++ b/internal/faultinjection/pressure/pressure_test.go
@@ -1,6 +1,7 @@
 package pressure
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -46,7 +47,9 @@
 	crowdSize    = 1300
 	crowdTime    = 4 * time.Second
 	ordinaryRate = 100.0
-	ordinaryBody = 300
+	ordinaryBody = 600
+	// largerBody needs memory of the pool in which requests are read.
+	largerBody = 8 << 10
 	// minInTime is the fraction of an ordinary client's requests that are answered in time.
 	minInTime = 0.95
 	// outcomeTimeout is longer than the deadline of an ordinary request.
@@ -55,6 +58,9 @@
 	stuckTime = time.Minute
 )
 
+// pictureBehaviors are the clients of the incident.
+var pictureBehaviors = []Behavior{SlowWriter, HalfBody, ManyFields, OpenHead, Silent}
+
 // everyBehavior has each kind of client that holds what the relay has.
 var everyBehavior = []Behavior{SlowWriter, HalfBody, ManyFields, OpenHead, LargeRequests, Silent}
 
@@ -144,6 +150,7 @@
 	clients   int
 	behaviors []Behavior
 	answered  bool // the ordinary client has to be answered in time
+	body      int  // size of the ordinary client's bodies in bytes; 0: ordinaryBody
 }
 
 func (tt *crowdTest) run(t *testing.T) {
@@ -153,7 +160,9 @@
 		_, text, err := relay.AskAdmin("/status/resources")
 		t.Logf("resources: %s, %v", text, err)
 	})
-	answers := newOrdinary(relay, "ordinary").Run(crowdTime)
+	ordinary := newOrdinary(relay, "ordinary")
+	ordinary.Body = cmp.Or(tt.body, ordinaryBody)
+	answers := ordinary.Run(crowdTime)
 	crowd.Close()
 	t.Logf("%d connections of the crowd", crowd.Connected.Load())
 	if tt.answered {
@@ -170,17 +179,18 @@
 // fields took a relay of 32 MB to 70 MB, and no request was answered.
 func TestRelay_CrowdStaysWithinMemory(t *testing.T) {
 	for _, tt := range []crowdTest{
-		{"silent", smallest, crowdSize, []Behavior{Silent}, true},
-		{"slow writers", smallest, crowdSize, []Behavior{SlowWriter}, true},
-		{"half bodies", smallest, crowdSize, []Behavior{HalfBody}, true},
-		{"many fields", smallest, crowdSize, []Behavior{ManyFields}, true},
-		{"open heads", smallest, crowdSize, []Behavior{OpenHead}, true},
-		{"pictures together", smallest, crowdSize, []Behavior{SlowWriter, HalfBody, ManyFields, OpenHead, Silent}, true},
-		{"pictures together, 256 descriptors", fewDescriptors, crowdSize, []Behavior{SlowWriter, HalfBody, ManyFields, OpenHead, Silent}, true},
-		{"large requests", smallest, crowdSize, []Behavior{LargeRequests}, false},
-		{"everything", smallest, crowdSize, everyBehavior, false},
-		{"everything, 192 MB", largest, crowdSize, everyBehavior, false},
-		{"everything, 192 MB, 256 descriptors", largestFew, crowdSize, everyBehavior, false},
+		{"silent", smallest, crowdSize, []Behavior{Silent}, true, 0},
+		{"slow writers", smallest, crowdSize, []Behavior{SlowWriter}, true, 0},
+		{"half bodies", smallest, crowdSize, []Behavior{HalfBody}, true, 0},
+		{"half bodies, larger requests", smallest, crowdSize, []Behavior{HalfBody}, true, largerBody},
+		{"many fields", smallest, crowdSize, []Behavior{ManyFields}, true, 0},
+		{"open heads", smallest, crowdSize, []Behavior{OpenHead}, true, 0},
+		{"pictures together", smallest, crowdSize, pictureBehaviors, true, 0},
+		{"pictures together, 256 descriptors", fewDescriptors, crowdSize, pictureBehaviors, true, 0},
+		{"large requests", smallest, crowdSize, []Behavior{LargeRequests}, false, 0},
+		{"everything", smallest, crowdSize, everyBehavior, false, 0},
+		{"everything, 192 MB", largest, crowdSize, everyBehavior, false, 0},
+		{"everything, 192 MB, 256 descriptors", largestFew, crowdSize, everyBehavior, false, 0},
 	} {
 		t.Run(tt.name, tt.run)
 	}
@@ -190,13 +200,13 @@
 // relay its memory.
 func TestRelay_FloodLeavesAnswersToOthers(t *testing.T) {
 	for _, tt := range []crowdTest{
-		{"unsound", smallest, 1, []Behavior{FloodUnsound}, true},
-		{"health checks", smallest, 10, []Behavior{FloodHealth}, true},
-		{"names", smallest, 1, []Behavior{FloodNames}, true},
-		{"names, one after another", smallest, 1, []Behavior{SerialNames}, true},
-		{"names, one after another, 20 connections", smallest, 20, []Behavior{SerialNames}, true},
-		{"unsound, one after another", smallest, 1, []Behavior{SerialUnsound}, true},
-		{"unsound, 100 connections", smallest, 100, []Behavior{FloodUnsound}, true},
+		{"unsound", smallest, 1, []Behavior{FloodUnsound}, true, 0},
+		{"health checks", smallest, 10, []Behavior{FloodHealth}, true, 0},
+		{"names", smallest, 1, []Behavior{FloodNames}, true, 0},
+		{"names, one after another", smallest, 1, []Behavior{SerialNames}, true, 0},
+		{"names, one after another, 20 connections", smallest, 20, []Behavior{SerialNames}, true, 0},
+		{"unsound, one after another", smallest, 1, []Behavior{SerialUnsound}, true, 0},
+		{"unsound, 100 connections", smallest, 100, []Behavior{FloodUnsound}, true, 0},
 	} {
 		t.Run(tt.name, tt.run)
 	}
--- a/internal/frontend/http1/buffer.go
+++ b/internal/frontend/http1/buffer.go
@@ -3,7 +3,7 @@
 import "io"
 
 // firstChunkSize is the size in bytes of the part of a request for which a connection needs no chunk. Most requests fit.
-const firstChunkSize = 512
+const firstChunkSize = 1 << 10
 
 // requestBuffer holds the bytes that were read of the request in progress, and of what follows it: the first ones inside the
 // connection, the others in chunks. One goroutine uses it at a time.
--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -37,8 +37,7 @@
 )
 
 // connState is the state of a client's connection. Only connections in the first four states, up to
-// connReading, are evicted, in the order in which these states are declared, with one exception (see
-// evictionRank). The transitions and their causes:
+// connReading, are evicted, in the order that evictOlder states. The transitions and their causes:
 //
 //	new              → reading          the first byte of a request arrived
 //	idle             → reading          the first byte of a request arrived
@@ -185,8 +184,10 @@
 	readErr := raw.Read(func(fd uintptr) bool {
 		buffer := discardBuffers.Get().(*[16 << 10]byte) // the pool holds nothing else
 		defer discardBuffers.Put(buffer)
-		n, err = syscall.Read(int(fd), buffer[:])
-		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		for n, err = syscall.Read(int(fd), buffer[:]); errors.Is(err, syscall.EINTR); {
+			n, err = syscall.Read(int(fd), buffer[:])
+		}
+		return !errors.Is(err, syscall.EAGAIN)
 	})
 	if err = errors.Join(readErr, err); err == nil && n == 0 {
 		err = io.EOF
--- a/internal/frontend/http1/evict.go
+++ b/internal/frontend/http1/evict.go
@@ -21,8 +21,9 @@
 
 // evict closes the connection that its client is least likely to need, and reports whether there was
 // one to close. It prefers, in this order, a lingering connection, one that has been idle for
-// minIdleTime, a new one, any other idle one, and a stalled one. It closes no connection that awaits
-// a response, and none in a state that is declared before the state from. s.mu is held.
+// minIdleTime, a new one, a stalled one, and any other idle one: its client has shown that it completes
+// its requests. It closes no connection that awaits a response, and none in a state that is declared
+// before the state from. s.mu is held.
 func (s *Server) evict(from connState) bool { return s.evictOlder(from, 0) }
 
 // evictForDescriptor evicts a connection on which no request is expected, to free a descriptor.
@@ -39,8 +40,8 @@
 		{connLingering, 0},
 		{connIdle, max(minAge, minIdleTime)},
 		{connNew, minAge},
-		{connIdle, minAge},
 		{connReading, max(minAge, minStall)},
+		{connIdle, minAge},
 	} {
 		if candidates.state >= from && s.evictFrom(candidates) {
 			return true
--- a/internal/frontend/http1/evict_test.go
+++ b/internal/frontend/http1/evict_test.go
@@ -110,3 +110,24 @@
 		})
 	}
 }
+
+// A connection whose client has completed a request is evicted after one whose request has stalled, unless it has been idle for long.
+func TestServer_EvictsStalledBeforeIdle(t *testing.T) {
+	for _, tt := range []struct {
+		idle time.Duration
+		want connState // of the connection that is evicted
+	}{{minIdleTime / 2, connReading}, {2 * minIdleTime, connIdle}} {
+		s := newIdleServer()
+		conns := map[connState]*conn{}
+		for state, age := range map[connState]time.Duration{connIdle: tt.idle, connReading: 2 * minStall} {
+			_, server := newConnPair(t)
+			c := newConn(server)
+			s.addConn(c, state, time.Now().Add(-age))
+			c.progressAt = c.since
+			conns[state] = c
+		}
+		if !s.evict(connLingering) || !conns[tt.want].isGone() || s.countOf(connIdle)+s.countOf(connReading) != 1 {
+			t.Errorf("idle for %v: the wrong connection was evicted", tt.idle)
+		}
+	}
+}
--- a/internal/relay/replaced_endpoint_test.go
+++ b/internal/relay/replaced_endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -133,7 +134,7 @@
 	p.write(c, rawOrderHead(id)+"12345")
 	response := make([]byte, 4096)
 	n, err := c.Read(response)
-	if err != nil && err != io.EOF || !strings.HasPrefix(string(response[:n]), "HTTP/1.1 202 ") {
+	if err != nil && !errors.Is(err, io.EOF) || !strings.HasPrefix(string(response[:n]), "HTTP/1.1 202 ") {
 		p.t.Fatalf("%s: %q, %v", id, response[:n], err)
 	}
 }
