--- a/internal/faultinjection/harness/relay_usage.go
+++ b/internal/faultinjection/harness/relay_usage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io/fs"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -10,6 +9,7 @@
 	"time"
 
 	"frostlink/internal/faultinjection/checker"
+	"frostlink/internal/faultinjection/pressure"
 )
 
 const (
@@ -18,8 +18,6 @@
 	// clockTicks is the number of clock ticks per second (USER_HZ, which is 100 on every Linux). The times in /proc/PID/stat
 	// are in clock ticks.
 	clockTicks = 100
-	// diskBlockSize is the unit, in bytes, in which files occupy disk space.
-	diskBlockSize = 512
 	// quarters is the number of parts of a run for which maxima are kept separately, so that growth shows.
 	quarters = 4
 )
@@ -65,7 +63,7 @@
 	if seconds, ok := cpuSeconds(proc); ok {
 		u.CPUSeconds = r.endedCPUSeconds + seconds
 	}
-	size := float64(folderSize(r.stateDir()))
+	size := float64(pressure.FolderBytes(r.stateDir()))
 	if peak, ok := statusMB(proc, "VmHWM:"); ok && peak+size/(1<<20) > r.h.scenario.Relay.MemoryMB {
 		r.h.recordFailure("%s has taken %.1f MB, and its folder %.1f MB: more than memory_mb", r.name, peak, size/(1<<20))
 	}
@@ -123,17 +121,3 @@
 	system, _ := strconv.ParseFloat(fields[12], 64)
 	return (user + system) / clockTicks, true
 }
-
-// folderSize returns the disk space that the files below a folder occupy, in bytes.
-func folderSize(dir string) (size int64) {
-	_ = filepath.WalkDir(dir, func(_ string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() {
-			return nil // a file that was deleted meanwhile occupies no space
-		}
-		if info, err := entry.Info(); err == nil {
-			size += (info.Size() + diskBlockSize - 1) / diskBlockSize * diskBlockSize
-		}
-		return nil
-	})
-	return size
-}
--- a/internal/faultinjection/pressure/pressure_test.go
+++ b/internal/faultinjection/pressure/pressure_test.go
@@ -218,12 +218,12 @@
 	crowd := NewCrowd(relay.Address, 20, LargeRequests)
 	defer crowd.Close()
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
-		if folderBytes(relay.StateDir()) > int64(relay.limits.DiskMB*1e6*0.35) {
+		if FolderBytes(relay.StateDir()) > int64(relay.limits.DiskMB*1e6*0.35) {
 			return
 		}
 	}
 	_, text, err := relay.AskAdmin("/status/resources")
-	t.Fatalf("the journal does not fill: folder of %d bytes, %s, %v", folderBytes(relay.StateDir()), text, err)
+	t.Fatalf("the journal does not fill: folder of %d bytes, %s, %v", FolderBytes(relay.StateDir()), text, err)
 }
 
 // Kills in series, while the crowd stays and the journal is full, and at the replay of that journal, take no process past its limits;
--- a/internal/faultinjection/pressure/usage.go
+++ b/internal/faultinjection/pressure/usage.go
@@ -67,7 +67,7 @@
 func (u *Usage) sample() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	files := megabytes(folderBytes(u.folder))
+	files := megabytes(FolderBytes(u.folder))
 	u.filesMB = max(u.filesMB, files)
 	together, mapped := files, 0.0
 	u.pids = slices.DeleteFunc(u.pids, func(pid int) bool {
@@ -127,7 +127,8 @@
 	return status, nil
 }
 
-func folderBytes(dir string) (size int64) {
+// FolderBytes returns the disk space that the files below a folder occupy, in bytes.
+func FolderBytes(dir string) (size int64) {
 	_ = filepath.WalkDir(dir, func(_ string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() {
 			return nil // a file that was deleted meanwhile occupies no space
