Frontend: a connection accepted as a hand-over begins is detached at the bound too; lingering holds no chunks

By reading: a connection that was accepted just as Quiesce began, with the bound on connections reached, stayed pending in the predecessor and was closed with it. A rejected request kept its chunks while its connection lingered, up to 0.5 s.

TestServer_DetachesConnectionAcceptedBeyondTheBound and TestServer_LingeringConnectionHoldsNoChunks.

--- a/internal/frontend/http1/handover_test.go
+++ b/internal/frontend/http1/handover_test.go
@@ -153,3 +153,19 @@
 		})
 	}
 }
+
+// A connection that is accepted, beyond the bound, just as a hand-over begins is detached like the others.
+func TestServer_DetachesConnectionAcceptedBeyondTheBound(t *testing.T) {
+	s := newIdleServer()
+	s.maxConns = 0
+	s.mu.Lock()
+	s.handover.resumed = make(chan struct{})
+	s.mu.Unlock()
+	_, server := newConnPair(t)
+	s.accept(newConn(server))
+	waitUntil(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.handover.detached) == 1
+	})
+}
--- a/internal/frontend/http1/memory_test.go
+++ b/internal/frontend/http1/memory_test.go
@@ -186,3 +186,16 @@
 		t.Errorf("response %v, %v", resp, err)
 	}
 }
+
+// A request that is rejected gives its memory back before its connection lingers.
+func TestServer_LingeringConnectionHoldsNoChunks(t *testing.T) {
+	s, addr, _ := newTestServer(t, 4)
+	c := dial(t, addr)
+	write(t, c, newRequest("m", "", "Padding: "+strings.Repeat("p", 2*chunkSize), "Content-Length: 60000000"))
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Fatalf("response %v, %v", resp, err)
+	}
+	if use := s.Stats().Memory["requests_read"]; use.Used != 0 || use.Peak == 0 {
+		t.Errorf("%+v", use)
+	}
+}
--- a/internal/frontend/http1/pending.go
+++ b/internal/frontend/http1/pending.go
@@ -13,8 +13,8 @@
 func (s *Server) accept(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.pending) == 0 && len(s.conns) < s.maxConns {
-		s.start(c, connNew)
+	if len(s.pending) == 0 && len(s.conns) < s.maxConns || s.handover.isQuiesced() {
+		s.start(c, connNew) // while the server is quiesced, it is detached at once
 		return
 	}
 	s.pending = append(s.pending, c)
--- a/internal/frontend/http1/serve.go
+++ b/internal/frontend/http1/serve.go
@@ -90,6 +90,9 @@
 		return closedFor(CloseClientGone)
 	}
 	response.Close = response.Close || s.mode.CloseAfterResponse() || !s.reserveIdle(c)
+	if response.Close {
+		s.dropRequest(c, c.buffer.size) // no further request is read
+	}
 	if !c.writeResponse(response) {
 		return closedFor(CloseWriteFailed)
 	}
--- a/internal/relay/assemble.go
+++ b/internal/relay/assemble.go
@@ -102,6 +102,7 @@
 func (n *node) start(predecessor *handoverState) {
 	l := n.loop
 	l.restore(n.running, predecessor) // before Serve, so that no submission arrives earlier
+	l.publishJournalSpace()
 	n.goroutines.Go(func() { l.run(n.running) })
 	n.goroutines.Go(func() { l.watch.Run(n.running) })
 	n.goroutines.Go(func() { l.notifier.Run(n.running) })
