--- a/internal/faultinjection/scenario/soak_test.go
+++ b/internal/faultinjection/scenario/soak_test.go
@@ -68,3 +68,35 @@
 		}
 	}
 }
+
+// Every seed draws a scenario of crowds that can be played, with a hostile crowd for each relay, and the same one each time.
+func TestCrowdSoakScenario_IsPlayable(t *testing.T) {
+	const relays = 5
+	ends := map[FaultKind]int{}
+	for seed := range int64(50) {
+		text := CrowdSoakScenario(seed, relays, 9)
+		if text != CrowdSoakScenario(seed, relays, 9) {
+			t.Fatalf("seed %d draws a different scenario the second time", seed)
+		}
+		s, err := Parse("crowds.toml", []byte(text))
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		crowds := 0
+		for i := range s.Faults {
+			if f := &s.Faults[i]; f.Kind == FaultCrowd && f.Hostile {
+				crowds++
+			} else {
+				ends[f.Kind]++
+			}
+		}
+		if crowds != relays {
+			t.Errorf("seed %d: %d hostile crowds, want %d", seed, crowds, relays)
+		}
+	}
+	for _, kind := range []FaultKind{FaultKill, FaultTerminate, FaultUpgrade} {
+		if ends[kind] < 50 {
+			t.Errorf("%s is drawn only %d times", kind, ends[kind])
+		}
+	}
+}
--- a/internal/faultinjection/scenario/validate_fault.go
+++ b/internal/faultinjection/scenario/validate_fault.go
@@ -67,6 +67,7 @@
 	{"relays", nil},   // checked by checkRelay
 	{"warm", nil},     // true or false
 	{"behind", nil},   // true or false
+	{"hostile", nil},  // true or false
 }
 
 func (s *Scenario) validateFaults(v validator) {
