Frontend: a silent connection beyond the bound is closed only if too many wait

The verdict of a test, and whether a client that was slow by 5 ms after its connect kept its connection, depended on the machine's speed: a silent pending connection was closed after 5 ms whether or not others waited behind it. TestServer_SettlesConnectionsBeyondTheBound sets the ages itself and waits for nothing.

--- a/internal/frontend/http1/pending.go
+++ b/internal/frontend/http1/pending.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	// pendingTime is how long a connection beyond the bound may be silent. Clients send a request as soon as they are connected.
+	// pendingTime is how long a connection beyond the bound may be silent while others wait behind it. Clients send a request as soon
+	// as they are connected.
 	pendingTime = 5 * time.Millisecond
 	// minNewTime is the time for which a connection on which nothing has arrived is not evicted for another such connection.
 	minNewTime = 50 * time.Millisecond
@@ -25,8 +26,9 @@
 }
 
 // settlePending serves or closes pending connections, in the order in which they were accepted, as far as that is decided. A
-// connection with a request replaces the one that its client is least likely to need. A silent one is closed, unless it can
-// replace one that has been silent for longer. So a client that keeps connecting without a request costs little. s.mu is held.
+// connection with a request replaces the one that its client is least likely to need. A silent one replaces one that has been silent
+// for longer; if there is none, it waits, or is closed if there are too many. So a client that keeps connecting without a request
+// costs little. s.mu is held.
 func (s *Server) settlePending() {
 	defer func() { s.crowded.Store(len(s.pending) > 0) }()
 	for len(s.pending) > 0 {
@@ -38,6 +40,8 @@
 			return
 		case s.evictSilent():
 			s.start(c, connNew)
+		case len(s.pending) < s.maxPending && time.Since(c.since) < newConnTimeout:
+			return
 		default:
 			_ = c.Close() // nothing was read
 			s.countClosed(CloseSurplus)
