--- a/internal/journal/record_buffer.go
+++ b/internal/journal/record_buffer.go
@@ -45,10 +45,16 @@
 
 // writeTo writes all records.
 func (b *recordBuffer) writeTo(w io.Writer) error {
-	for _, part := range append(b.parts, b.own) {
+	for _, part := range b.parts {
 		if _, err := w.Write(part); err != nil {
 			return fmt.Errorf("write records: %w", err)
 		}
 	}
+	if len(b.own) == 0 {
+		return nil
+	}
+	if _, err := w.Write(b.own); err != nil {
+		return fmt.Errorf("write records: %w", err)
+	}
 	return nil
 }
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -28,13 +28,7 @@
 	}
 	receivedAt := l.timeline.InstantOf(s.ReceivedAt)
 	s.Entry.AcceptedAt, s.Entry.Deadline = receivedAt, receivedAt.Add(s.TimeLeft)
-	if r := l.requests[s.Entry.ID]; r != nil {
-		l.handleDuplicate(r, s)
-		return
-	}
-	if l.journal.IsCompleted(s.Entry.ID) {
-		// Guards against a copy that arrives after the request was completed: executing it could repeat the effect.
-		l.respondToDuplicate(s, http.StatusAccepted)
+	if l.answerCopy(s) {
 		return
 	}
 	if !l.destinations[s.Entry.Destination] || !l.reserveJournalSpace(s.Entry) {
@@ -47,15 +41,23 @@
 
 // handleShed answers a submission whose body was not read.
 func (l *loop) handleShed(s *frontend.Submission) {
+	if !l.answerCopy(s) {
+		l.rejectSubmission(s)
+	}
+}
+
+// answerCopy answers a submission whose id was accepted before, and reports whether it was.
+func (l *loop) answerCopy(s *frontend.Submission) bool {
 	if r := l.requests[s.Entry.ID]; r != nil {
 		l.handleDuplicate(r, s)
-		return
+		return true
 	}
 	if l.journal.IsCompleted(s.Entry.ID) {
+		// Guards against a copy that arrives after the request was completed: executing it could repeat the effect.
 		l.respondToDuplicate(s, http.StatusAccepted)
-		return
+		return true
 	}
-	l.rejectSubmission(s)
+	return false
 }
 
 // handleDuplicate handles a repeated submission of a request that the loop still holds. Clients repeat a submission when its
