Test: a late dial of the attempt before is awaited before the dialer changes

The test replaced the dialer's control function, and read the pool's size, while the goroutine of the first attempt had not begun its dial; a slow machine also has a second connection dialed (hedge). The relay sets its dialer once, so only the test had the race.

The test waits until each dial has ended, and its pool has capacity for one connection, so that no hedge is dialed. It checks more than before: the number of connections that carried requests, and that no reserved capacity is left by a canceled dial. TestCall_CancelBeforeSend uses the same pool.

--- a/internal/upstream/http1/endpoint_test.go
+++ b/internal/upstream/http1/endpoint_test.go
@@ -48,6 +48,24 @@
 
 func newTestPool() *Pool { return New(time.Second, 10*time.Second, 4) }
 
+// newUnhedgedPool returns a pool that never dials a second connection for an attempt, however slow the machine is: it has capacity
+// for one connection.
+func newUnhedgedPool() *Pool { return New(time.Second, 10*time.Second, 1) }
+
+// awaitDials waits until every connection of the pool is idle: a dial may end after its attempt.
+func (p *Pool) awaitDials(t *testing.T) {
+	t.Helper()
+	waittest.Until(t, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		idle := 0
+		for _, set := range p.idle {
+			idle += len(set.conns)
+		}
+		return p.size == idle
+	})
+}
+
 func newTestRequest(addr string) upstream.Request {
 	return upstream.Request{
 		Target: upstream.Target{Endpoint: "h", Addr: addr}, ID: "m1", IdempotencyKey: "k1", Body: []byte("a\x00b"),
--- a/internal/upstream/http1/exchange_test.go
+++ b/internal/upstream/http1/exchange_test.go
@@ -87,19 +87,23 @@
 }
 
 // A request whose WriteBy passes before or during the dial is not written, so that it is not
-// executed. The connection carries the next request.
+// executed. Later requests share one connection, which the dial may have established.
 func TestCall_NotWrittenAfterWriteBy(t *testing.T) {
-	var requests atomic.Int32
+	var requests, usedConns atomic.Int32
 	addr := serveEndpoint(t, func(c net.Conn) {
-		for in := bufio.NewReader(c); ; {
+		in := bufio.NewReader(c)
+		for first := true; ; first = false {
 			if err := readRequest(in); err != nil {
 				return
 			}
+			if first {
+				usedConns.Add(1)
+			}
 			requests.Add(1)
 			_, _ = io.WriteString(c, okResponse)
 		}
 	})
-	p := newTestPool()
+	p := newUnhedgedPool()
 	notSent := upstream.Result{Outcome: policy.NotSent, NewConn: true}
 	slow := newTestRequest(addr)
 	slow.WriteBy = time.Now().Add(20 * time.Millisecond)
@@ -110,6 +114,7 @@
 	if got := p.Call(t.Context(), slow); got != notSent {
 		t.Errorf("no connection in time: %+v", got)
 	}
+	p.awaitDials(t)
 	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
 		time.Sleep(time.Until(slow.WriteBy)) // established only after WriteBy
 		return nil
@@ -119,6 +124,7 @@
 	if got := p.Call(t.Context(), late); got.Outcome != policy.NotSent || !got.NotExecuted() {
 		t.Errorf("written too late: %+v", got)
 	}
+	p.awaitDials(t)
 	p.dialer.ControlContext = nil
 	inTime := newTestRequest(addr)
 	inTime.WriteBy = time.Now().Add(time.Minute)
@@ -131,8 +137,8 @@
 	if r := p.exchange(t.Context(), t.Context(), p.idle[late.Target].conns[0], late, connWriting); r.Outcome != policy.NotSent {
 		t.Errorf("on a connection that was established: %+v", r)
 	}
-	if requests.Load() != 2 || p.size != 1 {
-		t.Errorf("%d requests written, want 2; %d connections cached, want 1", requests.Load(), p.size)
+	if requests.Load() != 2 || usedConns.Load() != 1 || p.size != 1 {
+		t.Errorf("%d requests written on %d connections, want 2 on 1; %d connections cached, want 1", requests.Load(), usedConns.Load(), p.size)
 	}
 }
 
@@ -172,7 +178,7 @@
 			_, _ = io.WriteString(c, okResponse)
 		}
 	})
-	p := newTestPool()
+	p := newUnhedgedPool()
 	r := newTestRequest(addr)
 	r.CancelBeforeSend = &canceled
 	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
