--- a/internal/faultinjection/pressure/identity_test.go
+++ b/internal/faultinjection/pressure/identity_test.go
@@ -114,6 +114,89 @@
 	t.Logf("seed %d: %d requests accepted", identitySeed, len(accepted))
 }
 
+// submitOnce submits a request on a connection of its own, and returns the status of the response, or 0.
+func submitOnce(relay *Relay, class, id string, destination int, body string) int {
+	raw, err := net.DialTimeout("tcp", relay.Address, answerTimeout)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = raw.Close() }()
+	_ = raw.SetDeadline(time.Now().Add(answerTimeout)) // fails only on a closed connection
+	_, err = fmt.Fprintf(raw, "POST /%s HTTP/1.1\r\nHost: a\r\nRequest-Id: %s\r\nTenant: acme\r\nRequest-Timeout: 8\r\nX-Envelope: dest=%d\r\n"+
+		"Content-Length: %d\r\n\r\n%s", class, id, destination, len(body), body)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(raw), nil)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// submitters is the number of clients that submitAll has submit at the same time.
+const submitters = 16
+
+// submitAll submits requests of a class that must not be repeated, and returns the ids of those that were accepted.
+func submitAll(relay *Relay, prefix string, requests, destination int) (accepted []string) {
+	var clients sync.WaitGroup
+	var mu sync.Mutex // guards accepted
+	for client := range submitters {
+		clients.Go(func() {
+			for i := client; i < requests; i += submitters {
+				id := fmt.Sprintf("%s-%d", prefix, i)
+				if submitOnce(relay, "order", id, destination, "") != http.StatusAccepted {
+					continue
+				}
+				mu.Lock()
+				accepted = append(accepted, id)
+				mu.Unlock()
+			}
+		})
+	}
+	clients.Wait()
+	return accepted
+}
+
+// An id that comes again after its request was completed is not executed again, although the journal is full, was compacted, and the
+// process was killed: the journal keeps completed ids as long as copies may come.
+func TestRelay_CompletedIDRunsOnceDespiteFullJournal(t *testing.T) {
+	relay, platform := newRelay(t, smallest)
+	platform.Stuck = map[int]bool{2: true, 3: true, 4: true}
+	platform.ServiceTime = time.Millisecond
+	start(t, relay)
+	completed := submitAll(relay, "completed", 300, 1)
+	checkOwed(t, platform, completed)
+	rejected := 0
+	for i := 0; rejected < 20; i++ { // fills the journal
+		if submitOnce(relay, "status", fmt.Sprintf("stuck-%d", i), 2+i%3, largeBody) != http.StatusAccepted {
+			rejected++
+		}
+	}
+	filler := submitAll(relay, "filler", 2500, 1) // so that the journal is compacted
+	t.Logf("%d requests completed before the journal was full, %d then", len(completed), len(filler))
+	if len(completed) < 200 || len(filler) < 300 {
+		t.Fatalf("%d and %d requests were accepted, too few", len(completed), len(filler))
+	}
+	if err := relay.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	start(t, relay)
+	submitAll(relay, "completed", 300, 1)
+	checkOwed(t, platform, filler)
+	var repeated []string
+	for _, id := range completed {
+		if platform.Executions(id) != 1 {
+			repeated = append(repeated, id)
+		}
+	}
+	if len(repeated) > 0 {
+		t.Errorf("%d of %d requests were not executed once, among them %s", len(repeated), len(completed), repeated[0])
+	}
+	checkUsage(t, relay)
+}
+
 func checkExecutions(t *testing.T, platform *Platform) {
 	t.Helper()
 	platform.mu.Lock()
--- a/internal/faultinjection/pressure/platform.go
+++ b/internal/faultinjection/pressure/platform.go
@@ -19,12 +19,16 @@
 	heartbeatInterval = 2 * time.Second
 	// endpointCount is the number of endpoints, each of which is a destination of its own, numbered from 1.
 	endpointCount = 4
+	// stuckTime is a service time by which no request is delivered in time.
+	stuckTime = time.Minute
 )
 
 // Platform stands in for a relay's environment: discovery, endpoints and the receiver of notices.
 type Platform struct {
 	// ServiceTime is how long an endpoint takes to answer. It must be set before the relay is started.
 	ServiceTime time.Duration
+	// Stuck has the destinations whose endpoints never answer. It must be set before the relay is started.
+	Stuck map[int]bool
 	// Unused is the number of listed endpoints to which no requests are submitted, and at which nothing listens.
 	Unused int
 	// Respond, if set, writes an endpoint's response to a request that was read, and reports whether the connection stays open.
@@ -58,8 +62,8 @@
 		p.endpoints = append(p.endpoints, l)
 	}
 	go func() { _ = http.Serve(p.discovery, http.HandlerFunc(p.serveDiscovery)) }() // it ends when Close closes the listener
-	for _, l := range p.endpoints {
-		p.stopped.Go(func() { p.acceptAttempts(l) })
+	for i, l := range p.endpoints {
+		p.stopped.Go(func() { p.acceptAttempts(l, i+1) })
 	}
 	return p, nil
 }
@@ -158,8 +162,8 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// acceptAttempts serves the connections to an endpoint.
-func (p *Platform) acceptAttempts(l net.Listener) {
+// acceptAttempts serves the connections to a destination's endpoint.
+func (p *Platform) acceptAttempts(l net.Listener, destination int) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -169,7 +173,7 @@
 		p.conns[conn] = true
 		p.mu.Unlock()
 		p.stopped.Go(func() {
-			p.serveAttempts(conn)
+			p.serveAttempts(conn, destination)
 			_ = conn.Close()
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -178,8 +182,12 @@
 	}
 }
 
-// serveAttempts executes the attempts on a connection.
-func (p *Platform) serveAttempts(conn net.Conn) {
+// serveAttempts executes the attempts on a connection to a destination's endpoint.
+func (p *Platform) serveAttempts(conn net.Conn, destination int) {
+	serviceTime := p.ServiceTime
+	if p.Stuck[destination] {
+		serviceTime = stuckTime
+	}
 	for in := bufio.NewReader(conn); ; {
 		r, err := http.ReadRequest(in)
 		if err != nil {
@@ -192,7 +200,7 @@
 		p.executed[r.Header.Get("Request-Id")]++
 		p.mu.Unlock()
 		select {
-		case <-time.After(p.ServiceTime):
+		case <-time.After(serviceTime):
 		case <-p.closed:
 			return
 		}
--- a/internal/faultinjection/pressure/pressure_test.go
+++ b/internal/faultinjection/pressure/pressure_test.go
@@ -54,8 +54,6 @@
 	minInTime = 0.95
 	// outcomeTimeout is longer than the deadline of an ordinary request.
 	outcomeTimeout = 12 * time.Second
-	// stuckTime is a service time by which no request is delivered in time.
-	stuckTime = time.Minute
 )
 
 // pictureBehaviors are the clients of the incident.
