--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -46,8 +46,8 @@
 func (j *Journal) compactionDue() bool {
 	grown := j.fileSize + j.buffer.size
 	return j.failed ||
-		grown+j.liveSize > j.sizeLimit ||
-		grown > 2*(j.liveSize+j.completedSize)+compactionSlack
+		grown+j.liveSize+j.completed.size+j.compactionReserve() > j.sizeLimit ||
+		grown > 2*(j.liveSize+j.completed.size)+compactionSlack
 }
 
 // append writes records at the end of the file. If the write fails, append truncates the file to its
--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -27,20 +27,19 @@
 func (j *Journal) compact() error {
 	j.accepted = j.Entries()
 	j.dropUnusedTerms()
-	completed := encodeCompleted(j.completed.latest(j.completedCapacity()))
-	file, size, err := j.replaceFile(completed)
+	file, size, err := j.replaceFile(j.completed.latest(j.completedCapacity()))
 	if err != nil {
 		return err
 	}
 	if j.file != nil {
 		_ = j.file.Close() // the new file has replaced this file, so an error loses no record
 	}
-	j.file, j.fileSize, j.completedSize = file, size, len(completed)
+	j.file, j.fileSize = file, size
 	return nil
 }
 
 // replaceFile writes a new file and renames it to the journal's name. It returns the file and its size.
-func (j *Journal) replaceFile(completed []byte) (file *os.File, size int, err error) {
+func (j *Journal) replaceFile(completed []completedBlock) (file *os.File, size int, err error) {
 	file, err = os.OpenFile(j.temporaryPath(), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, 0, fmt.Errorf("compact: %w", err)
@@ -60,7 +59,7 @@
 
 // writeLiveRecords writes the records of a compacted file, and returns their size. Memory holds the records of one request at a
 // time.
-func (j *Journal) writeLiveRecords(to io.Writer, completed []byte) (size int, err error) {
+func (j *Journal) writeLiveRecords(to io.Writer, completed []completedBlock) (size int, err error) {
 	out := bufio.NewWriterSize(to, writeBufferSize)
 	var records []byte
 	write := func() {
@@ -74,8 +73,8 @@
 		records = appendEntry(records, e)
 		write()
 	}
-	if len(completed) > 0 {
-		records = appendRecord(records, record{Kind: kindCompletedRequests, Body: completed})
+	for _, block := range completed {
+		records = appendRecord(records, record{Kind: kindCompletedRequests, Body: block})
 		write()
 	}
 	records = j.appendHealth(j.appendStore(j.appendEndpoints(records)))
--- a/internal/journal/completed_test.go
+++ b/internal/journal/completed_test.go
@@ -43,68 +43,123 @@
 	}
 }
 
-// However many requests are completed, only the latest maxCompleted of them are kept in memory, and a
-// compaction writes only the latest that fit into completedCapacity bytes. Completed requests never cause a
-// new request to be rejected.
-func TestCompletedRequests_AreBounded(t *testing.T) {
+// However many requests are completed, none is forgotten before it expires, by a compaction or a restart. Instead further requests are
+// rejected. The file and its next compaction stay within the limit.
+func TestCompletedRequests_AreNotForgottenTooEarly(t *testing.T) {
 	const mb = 1
-	dir, at := t.TempDir(), clock.New().Now()
+	dir, at := t.TempDir(), clock.FromMilliseconds(clock.New().Now().Milliseconds())
 	j := openJournal(t, dir, mb)
-	compactions, sizeBefore := 0, 0
-	for i := range maxCompleted + 100 {
-		e := &Entry{ID: fmt.Sprintf("%s%08d", strings.Repeat("i", 24), i)}
-		if !j.Reserve(e) {
-			t.Fatalf("request %d was rejected", i)
+	compactions, sizeBefore, completed := 0, 0, 0
+	reserve := func(e *Entry) bool {
+		if j.Reserve(e) {
+			return true
+		}
+		if err := j.Compact(); err != nil { // without the records of this commit and the appended ones there may be space
+			t.Fatal(err)
+		}
+		return j.Reserve(e)
+	}
+	for ; ; completed++ {
+		e := &Entry{ID: completedID(completed)}
+		if !reserve(e) {
+			break
 		}
 		j.Accept(e)
-		j.Complete(e, at)
-		if i%64 == 0 {
+		j.Complete(e, at.Add(time.Duration(completed)*time.Millisecond))
+		if completed%32 == 0 {
 			commit(t, j)
 		}
 		if j.fileSize < sizeBefore {
 			compactions++
 		}
-		if sizeBefore = j.fileSize; j.fileSize+j.liveSize > mb*1e6 {
-			t.Fatalf("file of %d bytes and %d live bytes exceed the limit", j.fileSize, j.liveSize)
+		if sizeBefore = j.fileSize; j.fileSize+j.liveSize+j.completed.size > usableFraction*mb*1e6 {
+			t.Fatalf("file of %d bytes, %d live bytes and %d bytes of completed requests exceed the limit", j.fileSize, j.liveSize, j.completed.size)
 		}
 	}
 	commit(t, j)
-	if len(j.CompletedRequests()) != maxCompleted || len(j.completed.ids) != maxCompleted {
-		t.Errorf("%d completed requests in memory, %d ids", len(j.CompletedRequests()), len(j.completed.ids))
+	if completed < 8000 || len(j.CompletedRequests()) != completed || compactions > 60 {
+		t.Errorf("%d requests completed, %d remembered, %d compactions", completed, len(j.CompletedRequests()), compactions)
 	}
-	if compactions > 60 {
-		t.Errorf("%d compactions", compactions)
+	for range 2 { // from the appended records, and from their compaction
+		j = openJournal(t, dir, mb)
+		if n := len(j.CompletedRequests()); n != completed || !j.IsCompleted(completedID(0)) || !j.IsCompleted(completedID(completed-1)) {
+			t.Errorf("%d of %d completed requests are remembered after a restart", n, completed)
+		}
 	}
-	if err := j.Compact(); err != nil {
-		t.Fatal(err)
+	if reserve(&Entry{ID: completedID(completed)}) {
+		t.Error("a request was accepted while there is no space for its id")
 	}
-	last := j.CompletedRequests()[maxCompleted-1]
-	reopened := openJournal(t, dir, mb)
-	n := len(reopened.CompletedRequests())
-	capacity := completedFraction * usableFraction * mb * 1e6
-	if n < int(capacity)/50 || n > int(capacity)/32 || !reopened.IsCompleted(last.ID) {
-		t.Errorf("%d completed requests read from a file with capacity for %.0f bytes of them", n, capacity)
+	j.ExpireCompleted(at.Add(time.Duration(completed/2) * time.Millisecond))
+	if !reserve(&Entry{ID: completedID(completed)}) || j.IsCompleted(completedID(0)) || !j.IsCompleted(completedID(completed/2)) {
+		t.Error("after the expiry of half of the completed requests there is no space, or the wrong ones are remembered")
 	}
 }
 
-// The memory of completed requests has a bound of its own: long ids leave room for fewer.
+// completedID returns the id of the i-th completed request of a test.
+func completedID(i int) string { return fmt.Sprintf("%s%08d", strings.Repeat("i", 24), i) }
+
+// While the journal is full of open requests, a compaction that the size limit causes keeps the completed ones too.
+func TestCompletedRequests_SurviveCompactionOfFullJournal(t *testing.T) {
+	dir, at := t.TempDir(), clock.New().Now()
+	j := openJournal(t, dir, 3)
+	accept := func(id string, bodySize int) *Entry {
+		e := &Entry{ID: id, Body: make([]byte, bodySize)}
+		if !j.Reserve(e) {
+			return nil
+		}
+		j.Accept(e)
+		commit(t, j)
+		return e
+	}
+	j.Complete(accept("first", 0), at)
+	for i := 0; accept(fmt.Sprint("open", i), 64<<10) != nil; i++ {
+	}
+	compactions, sizeBefore, completed := 0, j.fileSize, 1
+	for i := 0; compactions < 2; i++ {
+		if e := accept(completedID(i), 0); e != nil {
+			j.Complete(e, at)
+			completed++
+		} else {
+			j.SetHealth("endpoint", Health{At: at}) // no further request is accepted: other records grow the file
+		}
+		commit(t, j)
+		if j.fileSize < sizeBefore {
+			compactions++
+		}
+		sizeBefore = j.fileSize
+	}
+	if j = openJournal(t, dir, 3); !j.IsCompleted("first") || len(j.CompletedRequests()) != completed {
+		t.Errorf("%d of %d completed requests are remembered, the first one: %v", len(j.CompletedRequests()), completed, j.IsCompleted("first"))
+	}
+}
+
+// The memory of completed requests has a bound of its own: long ids leave room for fewer. A request for whose id there is none is
+// rejected.
 func TestCompletedRequests_StayWithinTheirMemory(t *testing.T) {
 	const limit = 100 << 10
 	j := openJournal(t, t.TempDir(), 3)
 	j.LimitCompleted(limit)
 	at := clock.New().Now()
 	id := func(i int) string { return fmt.Sprintf("%s%08d", strings.Repeat("i", 200), i) }
-	const requests = 5000
-	for i := range requests {
-		e := &Entry{ID: id(i)}
+	completed := 0
+	for ; ; completed++ {
+		e := &Entry{ID: id(completed)}
+		if !j.Reserve(e) {
+			break
+		}
 		j.Accept(e)
 		j.Complete(e, at)
+		commit(t, j)
+	}
+	if memory := j.CompletedMemory(); memory > limit || memory < limit/2 || j.CanRemember(id(completed)) || j.SpaceLeft() < limit {
+		t.Errorf("%d bytes, limit %d; %d bytes left in the file", memory, limit, j.SpaceLeft())
 	}
-	if memory := j.CompletedMemory(); memory > limit || memory < limit/2 {
-		t.Errorf("%d bytes, limit %d", memory, limit)
+	if !j.IsCompleted(id(completed-1)) || !j.IsCompleted(id(0)) {
+		t.Error("a completed request is not remembered")
 	}
-	if !j.IsCompleted(id(requests-1)) || j.IsCompleted(id(0)) {
-		t.Error("the latest request is not remembered, or the first one still is")
+	j.ExpireCompleted(at.Add(1))
+	if j.CompletedMemory() != 0 || !j.CanRemember(id(completed)) {
+		t.Errorf("%d bytes after all requests expired", j.CompletedMemory())
 	}
 }
 
--- a/internal/journal/doc.go
+++ b/internal/journal/doc.go
@@ -30,7 +30,7 @@
 //	"done"    id                       delivered; the dead-letter store has not been notified yet
 //	"owed"    id, notice, why, at      terminal outcome decided; its recipient has not acknowledged it yet
 //	"over"    id, at                   completed: the relay has nothing left to do for the request
-//	"past"    body                     completed requests, see appendCompleted
+//	"past"    body                     some of the completed requests, see appendCompleted
 //	"list"    list, from               endpoint list, or a change of it, and the discovery service that sent it
 //	"store"   from, count              name of the dead-letter store, and the highest arrival number
 //	"health"  host, health             health of an endpoint
@@ -55,6 +55,9 @@
 //
 // # Guarantees
 //
+// A completed request is remembered until it expires, in memory and in the file: Reserve rejects requests while there is no space or
+// memory for their ids.
+//
 // After Commit has returned nil, every record added so far survives SIGKILL of the process. The file is
 // not synced to the disk, so a crash of the machine may lose the latest commits. If an append fails,
 // Commit truncates the file to its size before the append. If this truncation or the rename of a
--- a/internal/journal/golden_test.go
+++ b/internal/journal/golden_test.go
@@ -73,7 +73,7 @@
 		{"journal-anchored.bin", true},
 	} {
 		t.Run(test.file, func(t *testing.T) {
-			j, corrupt, err := load(goldentest.Copy(t, test.file, FileName))
+			j, corrupt, err := load(goldentest.Copy(t, test.file, FileName), false)
 			if err != nil || corrupt != nil {
 				t.Fatalf("corrupt: %v, err: %v", corrupt, err)
 			}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -45,7 +45,7 @@
 	liveSize      int // estimate for the records of a compaction and the later records of open requests
 	reservedSize  int // for requests that may be accepted before the next Commit
 	endpointsSize int // the share of the endpoint list in liveSize
-	completedSize int // of the completed requests that the last compaction wrote
+	openIDMemory  int // that the ids of open requests will take once these are completed
 
 	// The state that the records describe.
 	entries         map[string]*Entry // open requests, by id
@@ -77,7 +77,7 @@
 // Read replays the journal of a folder that another process still owns, without changing the folder. Its
 // parameters are those of Open. Commit must not be called before Acquire.
 func Read(dir string, diskMB float64, detailed bool) (*Journal, error) {
-	j, corrupt, err := load(dir)
+	j, corrupt, err := load(dir, detailed)
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, err
 	}
@@ -88,7 +88,7 @@
 	if j.anchor != nil && !j.timeline.SameBoot() {
 		slog.Warn("journal: written before this machine was rebooted; time since then is taken from the wall clock")
 	}
-	j.detailed, j.sizeLimit = detailed, int(usableFraction*diskMB*1e6)
+	j.sizeLimit = int(usableFraction * diskMB * 1e6)
 	if !detailed {
 		j.store = "" // this process reports no deliveries, so the store's record of them becomes incomplete
 	}
@@ -120,19 +120,13 @@
 // Inspect reads the current journal of a folder, even while another process writes it. The result is only
 // for reading: no records may be added to it.
 func Inspect(dir string) (*Journal, error) {
-	j, _, err := load(dir) // the tail may be corrupt because the owner is in the middle of a write
+	j, _, err := load(dir, false) // the tail may be corrupt because the owner is in the middle of a write
 	if err != nil {
 		return nil, err
 	}
 	return j, nil
 }
 
-// LimitCompleted bounds the memory, in bytes, of the completed requests that are remembered.
-func (j *Journal) LimitCompleted(memory int) { j.completed.setMemoryLimit(memory) }
-
-// CompletedMemory returns the memory, in bytes, of the completed requests that are remembered.
-func (j *Journal) CompletedMemory() int { return j.completed.memory }
-
 // LiveSize returns an estimate of the memory, in bytes, of the open requests and the endpoint list.
 func (j *Journal) LiveSize() int { return j.liveSize }
 
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -19,15 +19,16 @@
 // readBufferSize is the size in bytes of the pieces in which a file is read.
 const readBufferSize = 16 << 10
 
-// load replays the journal of a folder. If the file does not exist, load returns an empty journal
+// load replays the journal of a folder. Reservations count the records of outcomes and times if detailed is set. If the file does not exist, load returns an empty journal
 // together with the error. corrupt reports a tail that was skipped, and is nil if the whole file was
 // read.
-func load(dir string) (j *Journal, corrupt *CorruptRecordError, err error) {
+func load(dir string, detailed bool) (j *Journal, corrupt *CorruptRecordError, err error) {
 	j = &Journal{
-		path:    filepath.Join(dir, FileName),
-		entries: map[string]*Entry{},
-		health:  map[string]Health{},
-		terms:   map[int]policy.Class{},
+		path:     filepath.Join(dir, FileName),
+		detailed: detailed,
+		entries:  map[string]*Entry{},
+		health:   map[string]Health{},
+		terms:    map[int]policy.Class{},
 	}
 	file, err := os.Open(j.path)
 	if err != nil {
@@ -129,6 +130,7 @@
 	j.entries[e.ID] = e
 	j.accepted = append(j.accepted, e)
 	j.liveSize += j.sizeOf(e)
+	j.openIDMemory += completedMemory(e.ID)
 	if e.Order != nil {
 		j.lastArrival = max(j.lastArrival, e.Order.Arrival)
 	}
@@ -147,6 +149,7 @@
 func (j *Journal) applyCompleted(e *Entry, at clock.Instant) {
 	delete(j.entries, e.ID)
 	j.liveSize -= j.sizeOf(e)
+	j.openIDMemory -= completedMemory(e.ID)
 	if !at.IsZero() { // Withdraw, and earlier versions of the program, write no time
 		j.completed.add(CompletedRequest{ID: e.ID, At: at})
 	}
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -110,7 +110,7 @@
 // subsystem still needs, the oldest first: keeping them must not stop the relay from accepting new requests.
 func (l *loop) reserveJournalSpace(e *journal.Entry) bool {
 	for !l.journal.Reserve(e) {
-		if l.journal.Failed() { // the journal can't be written, so freeing space would not help
+		if l.journal.Failed() || !l.journal.CanRemember(e.ID) { // freeing space would not help
 			return false
 		}
 		if !l.freeJournalSpace() {
