Frontend: a connection whose request was just read is not evicted

What callers see: a request is read and its connection closed without an answer, on a busy machine with as many connections as the relay may have: such a request is lost.

Cause: a connection counted as idle, new or stalled until its goroutine had taken the server's lock and noted what it had read; in between it had no unread bytes and was evicted, or closed in standby.

A connection is closed to make room only while its goroutine waits for the client. The read and the decision to evict take turns under a lock of the connection; after that decision nothing is read. The connection's own chunks are not considered by this rule either, so that the comparison with it goes away.

--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"container/list"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -76,6 +75,7 @@
 	buffer requestBuffer // of the request in progress
 	// healthAt is when the last health check was answered; zero: never.
 	healthAt time.Time
+	eviction evictionGuard
 
 	// Guarded by the server's lock.
 	state       connState
@@ -89,7 +89,9 @@
 
 // newConn returns a connection.
 func newConn(raw *net.TCPConn) *conn {
-	return &conn{TCPConn: raw, from: socket.RetryConn{Conn: raw}, since: time.Now()}
+	c := &conn{TCPConn: raw, since: time.Now()}
+	c.from = socket.RetryConn{Conn: guardedReads{c}}
+	return c
 }
 
 // isGone reports whether the connection no longer belongs to the server. The server's lock is held.
@@ -177,22 +179,11 @@
 
 // discard waits for input and discards it.
 func (c *conn) discard() (n int, err error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, fmt.Errorf("discard input: %w", err)
-	}
-	readErr := raw.Read(func(fd uintptr) bool {
+	return c.readWith(func(fd int) (int, error) {
 		buffer := discardBuffers.Get().(*[16 << 10]byte) // the pool holds nothing else
 		defer discardBuffers.Put(buffer)
-		for n, err = syscall.Read(int(fd), buffer[:]); errors.Is(err, syscall.EINTR); {
-			n, err = syscall.Read(int(fd), buffer[:])
-		}
-		return !errors.Is(err, syscall.EAGAIN)
+		return readSocket(fd, buffer[:])
 	})
-	if err = errors.Join(readErr, err); err == nil && n == 0 {
-		err = io.EOF
-	}
-	return n, err
 }
 
 // linger reads and discards input after the last response, so that the response arrives before the
--- a/internal/frontend/http1/doc.go
+++ b/internal/frontend/http1/doc.go
@@ -21,7 +21,8 @@
 // Files:
 //
 //   - server.go: configuration, accepting connections, their registration;
-//   - conn.go: one connection, its states, reading and writing;
+//   - conn.go: one connection, its states, writing;
+//   - conn_read.go: reads from a connection, and the guard between them and its eviction;
 //   - serve.go: the loop of a connection, from one request to the next;
 //   - request.go: one request: validation, body, submission;
 //   - read.go: reading into a connection's buffer;
--- a/internal/frontend/http1/drain.go
+++ b/internal/frontend/http1/drain.go
@@ -65,10 +65,10 @@
 	}
 }
 
-// closeIfQuiet closes a connection unless it has unread bytes: they may be a request, which would be
+// closeIfQuiet closes a connection unless it has bytes that are unread or being handled: they may be a request, which would be
 // lost. s.mu is held.
 func (s *Server) closeIfQuiet(c *conn) {
-	if quiet, _ := c.quiet(); quiet {
+	if c.claimForEviction() {
 		s.close(c, CloseDraining)
 	}
 }
--- a/internal/frontend/http1/evict.go
+++ b/internal/frontend/http1/evict.go
@@ -66,11 +66,11 @@
 	return true
 }
 
-// evictHolder closes the connection that has stalled the longest of those that hold chunks, other than c, so that it returns its
-// chunks. It reports false if there is none. s.mu is held.
-func (s *Server) evictHolder(c *conn) bool {
+// evictHolder closes the connection that has stalled the longest of those that hold chunks, so that it returns its chunks. It reports
+// false if there is none. s.mu is held.
+func (s *Server) evictHolder() bool {
 	victim := firstQuiet(&s.holders, minStall)
-	if victim == nil || victim == c {
+	if victim == nil {
 		return false
 	}
 	s.holders.Remove(victim.inHolders)
@@ -79,9 +79,9 @@
 	return true
 }
 
-// firstQuiet returns the first of a list's connections without unread bytes, if it has been in its state, or made no progress, for
-// minAge; nil if there is none. An unread request would be lost with the connection, and on a lingering connection a close with
-// unread bytes is a reset, which may overtake the last response.
+// firstQuiet returns the first of a list's connections without bytes that are unread or being handled, if it has been in its state, or
+// made no progress, for minAge; nil if there is none. A request in them would be lost with the connection, and on a lingering connection
+// a close with unread bytes is a reset, which may overtake the last response. The caller has to close the connection.
 func firstQuiet(conns *list.List, minAge time.Duration) *conn {
 	now := time.Now()
 	checks := 0
@@ -90,7 +90,7 @@
 		if now.Sub(c.quietSince()) < minAge {
 			return nil
 		}
-		if !c.isGone() && !c.hasUnread() {
+		if !c.isGone() && c.claimForEviction() {
 			return c
 		}
 		checks++
--- a/internal/frontend/http1/evict_test.go
+++ b/internal/frontend/http1/evict_test.go
@@ -111,6 +111,32 @@
 	}
 }
 
+// A connection whose request was just read is not evicted, before its goroutine has noted the state of the connection or that the
+// request is complete, however long that takes on a busy machine. The request would be lost.
+func TestServer_DoesNotEvictWhileHandlingRequest(t *testing.T) {
+	for _, state := range []connState{connNew, connIdle, connReading} {
+		t.Run(fmt.Sprint(int(state)), func(t *testing.T) {
+			s := newIdleServer()
+			client, server := newConnPair(t)
+			c := newConn(server)
+			longAgo := time.Now().Add(-time.Hour)
+			s.addConn(c, state, longAgo)
+			c.progressAt = longAgo
+			sendHealthCheck(t, client, c)
+			if n, err := c.from.Read(c.buffer.space()); n != len(healthRequest) || err != nil {
+				t.Fatalf("%d bytes, %v", n, err)
+			}
+			if s.evict(connLingering) || c.isGone() {
+				t.Error("connection was evicted while its request was handled")
+			}
+			s.closeIfQuiet(c)
+			if c.isGone() {
+				t.Error("connection was closed for standby while its request was handled")
+			}
+		})
+	}
+}
+
 // A connection whose client has completed a request is evicted after one whose request has stalled, unless it has been idle for long.
 func TestServer_EvictsStalledBeforeIdle(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/frontend/http1/read.go
+++ b/internal/frontend/http1/read.go
@@ -42,7 +42,7 @@
 	taken := s.chunks.take(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if taken == nil && s.evictHolder(c) {
+	if taken == nil && s.evictHolder() {
 		taken = s.chunks.take(true)
 	}
 	if taken == nil {
@@ -83,6 +83,7 @@
 // prefill puts bytes that were read earlier into the buffer of a connection that is not served yet. It reports false if there is
 // no memory for them. s.mu is held.
 func (s *Server) prefill(c *conn, read []byte) bool {
+	c.eviction.setHandling(len(read) > 0)
 	for len(read) > 0 {
 		space := c.buffer.space()
 		if len(space) == 0 {
--- a/internal/frontend/http1/serve.go
+++ b/internal/frontend/http1/serve.go
@@ -102,6 +102,7 @@
 		}
 		return closedFor(CloseLastResponse)
 	}
+	c.eviction.setHandling(c.buffer.size > 0)
 	if !s.enter(c, connIdle) {
 		return closedFor(CloseConcurrent)
 	}
