--- a/internal/faultinjection/harness/client.go
+++ b/internal/faultinjection/harness/client.go
@@ -32,11 +32,12 @@
 
 	mu        sync.Mutex               // guards the fields below
 	idleConns map[string][]*clientConn // by relay's address
+	reserved  map[string][]reservedConn
 	closed    bool
 }
 
 func newClientPool(h *harness, messages []*scenario.Message) *clientPool {
-	return &clientPool{h: h, messages: messages, idleConns: map[string][]*clientConn{}}
+	return &clientPool{h: h, messages: messages, idleConns: map[string][]*clientConn{}, reserved: map[string][]reservedConn{}}
 }
 
 // plannedSubmission is a submission that a client is about to make.
--- a/internal/faultinjection/harness/client_conn.go
+++ b/internal/faultinjection/harness/client_conn.go
@@ -36,13 +36,16 @@
 func (c *clientPool) hasIdle(addr string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.idleConns[addr]) > 0
+	return len(c.idleConns[addr]) > 0 || c.usableReserved(addr) >= 0
 }
 
 // takeOpen returns an idle connection that the relay has not closed, or nil.
 func (c *clientPool) takeOpen(addr string) *clientConn {
 	for {
-		conn := c.takeIdle(addr)
+		conn := c.takeReserved(addr)
+		if conn == nil {
+			conn = c.takeIdle(addr)
+		}
 		if conn == nil || conn.isOpen() {
 			return conn
 		}
@@ -52,7 +55,11 @@
 
 // dial opens a connection to a relay.
 func (c *clientPool) dial(addr string) (*clientConn, error) {
-	conn, err := net.DialTimeout("tcp", addr, c.responseTimeout())
+	return c.dialWithin(addr, c.responseTimeout())
+}
+
+func (c *clientPool) dialWithin(addr string, timeout time.Duration) (*clientConn, error) {
+	conn, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, fmt.Errorf("connect to a relay: %w", err)
 	}
@@ -103,6 +110,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	for _, reserved := range c.reserved {
+		for _, conn := range reserved {
+			_ = conn.Close()
+		}
+	}
 	for _, idle := range c.idleConns {
 		for _, conn := range idle {
 			_ = conn.Close()
--- a/internal/faultinjection/harness/doc.go
+++ b/internal/faultinjection/harness/doc.go
@@ -44,6 +44,7 @@
 //	client.go                clients: submissions, retries, resubmissions
 //	client_exchange.go       a submission over HTTP
 //	client_conn.go           clients' connections
+//	reserved_conn.go         connections that clients keep for requests during a shutdown
 //	crowd.go                 callers that hold many connections to a relay
 //	destination_server.go    a destination: its model, and the endpoints that serve it
 //	endpoint_server.go       an endpoint: its listeners and connections in each of its modes
--- a/internal/faultinjection/harness/occurrence.go
+++ b/internal/faultinjection/harness/occurrence.go
@@ -34,7 +34,7 @@
 
 // CrowdOccurrences returns the occurrences that the runs of a soak of crowds have to contain.
 func CrowdOccurrences() []Occurrence {
-	return []Occurrence{CrowdedHostile, Terminated, KilledAfterAcceptance, RestartedAgain}
+	return []Occurrence{CrowdedHostile, Terminated, RequestAfterTermination, KilledAfterAcceptance, RestartedAgain}
 }
 
 // Missing returns the occurrences that none of the runs contained.
--- a/internal/faultinjection/harness/relay_shutdown.go
+++ b/internal/faultinjection/harness/relay_shutdown.go
@@ -32,6 +32,7 @@
 		r.reloadWithoutWaiting()
 		wait.For(r.h.ctx, reloadLeadTime)
 	}
+	r.h.clients.reserve(r.listen, r.h.random.Stream("reserved", r.number, r.startCount()))
 	r.h.record(checker.Event{Kind: checker.Stopping, Relay: r.number})
 	begun := r.h.now()
 	if p := r.terminate(); p != nil {
@@ -39,6 +40,7 @@
 		r.countShutdownWhileHanging(begun, r.h.now())
 	}
 	r.kill()
+	r.h.clients.dropReserved(r.listen)
 	if f.Signals == scenario.SignalsStarting {
 		r.terminateStarting(scenario.Seconds(f.RestartDelay))
 	}
@@ -178,12 +180,16 @@
 	}
 }
 
+// startCount returns how many processes were started.
+func (r *relay) startCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts
+}
+
 // drainDelay draws how long the load balancer still opens new connections after SIGTERM.
 func (r *relay) drainDelay() time.Duration {
-	r.mu.Lock()
-	starts := r.starts
-	r.mu.Unlock()
-	draw := r.h.random.Stream("drain", r.number, starts).Float64()
+	draw := r.h.random.Stream("drain", r.number, r.startCount()).Float64()
 	return minDrainDelay + time.Duration(draw*float64(maxDrainDelay-minDrainDelay))
 }
 
