Discovery: a watch that sends lists without end leaves the processor to clients

What callers see: while a discovery service sends changes at full speed, every second or third request is answered after the client's 400 ms.

--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -14,6 +14,7 @@
 //   - list.go: the endpoint list, its changes and its JSON encoding;
 //   - watcher.go: the watcher, which runs one watch after another;
 //   - watch.go: one watch, with limits on its silence and the size of a list;
+//   - pace.go: the rate of the lists of a watch;
 //   - schedule.go: the delays between requests;
 //   - errors.go: the errors that end a watch.
 package discovery
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -51,7 +51,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, &StatusError{Status: resp.Status}
 	}
-	return w.readLists(&boundedReader{from: resp.Body, onBytes: func() { silence.Reset(w.maxSilence) }})
+	return w.readLists(ctx, &boundedReader{from: resp.Body, onBytes: func() { silence.Reset(w.maxSilence) }})
 }
 
 // openWatch requests the changes after the list with the number w.Seq.
@@ -70,7 +70,8 @@
 
 // readLists reports the lists of a watch until one is unreadable or stale, or the watch ends. It
 // returns the number of reported lists.
-func (w *Watcher) readLists(in *boundedReader) (lists int, err error) {
+func (w *Watcher) readLists(ctx context.Context, in *boundedReader) (lists int, err error) {
+	pace := newPace(time.Now())
 	for decoder := json.NewDecoder(in); ; lists++ { // a list may be indented and span several lines
 		in.left = maxListSize
 		list, err := decodeList(decoder)
@@ -87,6 +88,9 @@
 			w.Seq = 0
 			return lists, ErrStaleList
 		}
+		if !pace.wait(ctx) {
+			return lists, fmt.Errorf("read watch: %w", context.Cause(ctx))
+		}
 		w.Seq = list.Seq
 		w.onList(list, w.address)
 	}
--- a/internal/faultinjection/pressure/platform.go
+++ b/internal/faultinjection/pressure/platform.go
@@ -31,6 +31,9 @@
 	Stuck map[int]bool
 	// Unused is the number of listed endpoints to which no requests are submitted, and at which nothing listens.
 	Unused int
+	// AnswerDiscovery, if set, writes what the discovery service, which also receives notices, answers to any request. It must be set
+	// before the relay is started.
+	AnswerDiscovery func(conn net.Conn)
 	// Respond, if set, writes an endpoint's response to a request that was read, and reports whether the connection stays open.
 	Respond func(conn net.Conn) bool
 
@@ -124,6 +127,13 @@
 }
 
 func (p *Platform) serveDiscovery(w http.ResponseWriter, r *http.Request) {
+	if p.AnswerDiscovery != nil {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			p.AnswerDiscovery(conn)
+			_ = conn.Close()
+		}
+		return
+	}
 	if r.URL.Path == "/v1/outcomes" {
 		p.receiveNotices(w, r)
 		return
--- a/internal/faultinjection/pressure/pressure_test.go
+++ b/internal/faultinjection/pressure/pressure_test.go
@@ -350,3 +350,38 @@
 		})
 	}
 }
+
+// writeRepeatedly writes a first text and then another one again and again, until the reader closes the connection or has got 64 MB.
+func writeRepeatedly(conn net.Conn, first, repeated string) {
+	_, err := io.WriteString(conn, first)
+	for written := 0; err == nil && written < 64<<20; written += len(repeated) {
+		_, err = io.WriteString(conn, repeated)
+	}
+}
+
+// Answers of discovery, and of the receiver of notices, that have heads of very many short fields, never end, or list endpoints without
+// end take the relay past none of its limits; it serves the endpoints that it knows.
+func TestRelay_DiscoveryStaysWithinMemory(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	endpoint := `{"id":"e","address":"127.0.0.1:9","zone":"a","kind":"m2","destination":9,"health":"SERVING","weight":1},`
+	for name, answer := range map[string][2]string{
+		"head without end":        {ok, strings.Repeat("a:\r\n", 1000)},
+		"field without end":       {ok + "a: ", strings.Repeat("x", 4096)},
+		"line without end":        {ok + "\r\n", strings.Repeat("x", 4096)},
+		"list without end":        {ok + "\r\n" + `{"seq":2,"full":true,"endpoints":[`, strings.Repeat(endpoint, 50)},
+		"lines without end":       {ok + "\r\n", strings.Repeat("{}\n", 1000)},
+		"interim responses":       {"", strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 100)},
+		"chunks without end":      {ok + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\n\n\r\n", 500)},
+		"an error without end":    {"HTTP/1.1 500 Error\r\n\r\n", strings.Repeat("x", 4096)},
+		"trailers without an end": {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("a:\r\n", 1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			relay, platform := newRelay(t, smallest)
+			platform.AnswerDiscovery = func(conn net.Conn) { writeRepeatedly(conn, answer[0], answer[1]) }
+			start(t, relay)
+			answers := newOrdinary(relay, "discovery").Run(crowdTime / 2)
+			checkInTime(t, answers)
+			checkUsage(t, relay)
+		})
+	}
+}
