--- a/internal/frontend/http1/evict.go
+++ b/internal/frontend/http1/evict.go
@@ -36,12 +36,16 @@
 // evictOlder is like evict, but limited to connections that have been in their state for minAge and
 // to lingering ones. s.mu is held.
 func (s *Server) evictOlder(from connState, minAge time.Duration) bool {
+	return s.evictUnused(from, minAge) || s.evictFrom(evictionCandidates{connIdle, minAge})
+}
+
+// evictUnused is like evictOlder, but spares connections whose client has completed a request within minIdleTime. s.mu is held.
+func (s *Server) evictUnused(from connState, minAge time.Duration) bool {
 	for _, candidates := range []evictionCandidates{
 		{connLingering, 0},
 		{connIdle, max(minAge, minIdleTime)},
 		{connNew, minAge},
 		{connReading, max(minAge, minStall)},
-		{connIdle, minAge},
 	} {
 		if candidates.state >= from && s.evictFrom(candidates) {
 			return true
