Harness: reads of metrics around a process's end are told from those of a relay that serves

Two causes, both in the harness. The checker added its tolerance to the time at which a process became ready, which overflowed for one that was not ready, so that all that its predecessors had counted was expected of it. And a read that failed between the kill and the end of the process, or before the process listened, was recorded.

A process counts from when it is ready, and a failed read is a failure if the process was ready and does not end within 100 ms.

--- a/internal/faultinjection/checker/expected_metrics.go
+++ b/internal/faultinjection/checker/expected_metrics.go
@@ -132,18 +132,22 @@
 			found = append(found, fmt.Sprintf("%s shows %d, and the log has %d to %d", name, shown, low, high))
 		}
 	}
+	since := p.countsSince()
 	counts := map[string]map[string]int{successMetric: s.Success, busyMetric: s.Busy, failureMetric: s.Failure}
 	for _, metric := range slices.Sorted(maps.Keys(counts)) {
 		for class, shown := range counts[metric] {
 			times := m.outcomes[metric][class]
-			low := between(times, p.readyAt+metricsLag, at-metricsLag)
+			low := between(times, since, at-metricsLag)
 			high := between(times, p.startedAt-metricsLag, at+metricsLag) + between(m.unanswered[class], p.startedAt-metricsLag, at)
 			check(metric+" of "+class, shown, low, high, differenceShare)
 		}
 	}
-	check("backend_calls", s.BackendCalls, between(m.attempts, p.readyAt+metricsLag, at-metricsLag),
+	check("backend_calls", s.BackendCalls, between(m.attempts, since, at-metricsLag),
 		between(m.attempts, p.startedAt-metricsLag, at+metricsLag), attemptsShare)
 	low, _ := inFlightBetween(m.certainInFlight, at-metricsLag, at+metricsLag)
+	if since == never { // it may not have read its journal yet
+		low = 0
+	}
 	_, high := inFlightBetween(m.possibleInFlight, at-metricsLag, at+metricsLag)
 	check("inflight", s.Inflight, low, high, inFlightShare)
 	return found
--- a/internal/faultinjection/checker/handover_test.go
+++ b/internal/faultinjection/checker/handover_test.go
@@ -39,6 +39,20 @@
 	return log
 }
 
+// openRequests returns the events of requests that are accepted while the second process serves, and delivered 9 s later.
+func openRequests(count int) (log []Event) {
+	requests := deliveredRequests(count)
+	for i := 0; i < len(requests); i += 4 {
+		log = append(log, requests[i:i+2]...)
+	}
+	for i := 2; i < len(requests); i += 4 {
+		sent, ended := requests[i], requests[i+1]
+		sent.At, sent.FirstByte, ended.At = sent.At+at(8), sent.FirstByte+at(8), ended.At+at(8)
+		log = append(log, sent, ended)
+	}
+	return append(log, delivered)
+}
+
 // scrapeOf returns a scrape of the second process's metrics at 14 s.
 func scrapeOf(success, attempts, inFlight int) Event {
 	return Event{At: at(14), Kind: MetricsRead, Process: 2, Metrics: &Scrape{
--- a/internal/faultinjection/checker/rule_metrics.go
+++ b/internal/faultinjection/checker/rule_metrics.go
@@ -31,6 +31,14 @@
 // requests may be counted by its predecessor.
 type process struct{ startedAt, readyAt time.Duration }
 
+// countsSince returns the time from which the process counts all outcomes; never, if it is not ready.
+func (p *process) countsSince() time.Duration {
+	if p.readyAt == never {
+		return never
+	}
+	return p.readyAt + metricsLag
+}
+
 // metricsChecker compares the metrics of all relays with the log.
 type metricsChecker struct {
 	history    *history
--- a/internal/faultinjection/harness/relay_process.go
+++ b/internal/faultinjection/harness/relay_process.go
@@ -38,6 +38,7 @@
 	expected  bool // a signal that ends it has been sent
 	replaced  bool // another process serves clients in its place
 	successor bool // the process is to replace another process, and has not done so yet
+	ready     bool // it serves clients, or has served them
 }
 
 // start starts a process, and waits until it is ready.
@@ -150,11 +151,26 @@
 	case !ready:
 		return fmt.Errorf("%s is not ready within %v s; its log ends: %s", r.name, r.h.scenario.Relay.ReadyWithin, r.logTail())
 	}
-	r.h.record(checker.Event{Kind: checker.Ready, Relay: r.number, Process: p.number})
+	p.recordReady()
 	r.h.balancer.relayReady(r.number)
 	return nil
 }
 
+// recordReady notes that the process serves clients from now on.
+func (p *process) recordReady() {
+	p.relay.h.record(checker.Event{Kind: checker.Ready, Relay: p.relay.number, Process: p.number})
+	p.relay.mu.Lock()
+	defer p.relay.mu.Unlock()
+	p.ready = true
+}
+
+// isReady reports whether the process serves clients, or has served them.
+func (p *process) isReady() bool {
+	p.relay.mu.Lock()
+	defer p.relay.mu.Unlock()
+	return p.ready
+}
+
 // wait waits for the process to end, and records how it ended.
 func (p *process) wait(cmd *exec.Cmd) {
 	defer close(p.exited)
--- a/internal/faultinjection/harness/scrape.go
+++ b/internal/faultinjection/harness/scrape.go
@@ -15,6 +15,8 @@
 	scrapeInterval = 100 * time.Millisecond
 	// idleCallerTime is how long a caller that sends nothing stays connected.
 	idleCallerTime = 4 * time.Second
+	// endTime is how long a process whose admin endpoint fails may take to end: it ends its connections before that.
+	endTime = 100 * time.Millisecond
 )
 
 // scrape reads the relay's metrics repeatedly for a while. Meanwhile, callers connect to the admin endpoint and send nothing.
@@ -26,8 +28,9 @@
 	}
 	for ctx.Err() == nil {
 		if p := r.serving(); p != nil {
+			ready := p.isReady() // before that it may not listen yet
 			err := r.scrapeOnce(p)
-			if err != nil && r.serving() == p && ctx.Err() == nil { // the process did not end meanwhile
+			if err != nil && ready && r.serving() == p && !p.exitsWithin(endTime, ctx.Done()) && ctx.Err() == nil {
 				r.recordFailure("the door, %v", err)
 			}
 		}
--- a/internal/faultinjection/harness/upgrade.go
+++ b/internal/faultinjection/harness/upgrade.go
@@ -42,7 +42,7 @@
 		successor.signal(syscall.SIGKILL)
 		return
 	}
-	r.h.record(checker.Event{Kind: checker.Ready, Relay: r.number, Process: successor.number})
+	successor.recordReady()
 	r.mu.Lock()
 	r.process, successor.successor, predecessor.replaced = successor, false, true
 	r.mu.Unlock()
@@ -54,10 +54,7 @@
 
 // terminateInHandover sends SIGTERM to a process whose successor has just been launched.
 func (r *relay) terminateInHandover(predecessor *process) {
-	r.mu.Lock()
-	starts := r.starts
-	r.mu.Unlock()
-	draw := r.h.random.Stream("handover", r.number, starts).Float64()
+	draw := r.h.random.Stream("handover", r.number, r.startCount()).Float64()
 	wait.For(r.h.ctx, time.Duration(draw*float64(maxHandoverDelay)))
 	r.h.record(checker.Event{Kind: checker.Stopping, Relay: r.number})
 	predecessor.signal(syscall.SIGTERM)
