Endpoints: a response in transit when its attempt times out counts

What callers see: a message is delivered, and then noticed as deferred ("two ends").

The attempt timed out 281 ms after it began, a third of the time left; 5 ms before, the endpoint had written its 200, which takes 15 ms through the network. The relay closed the connection, and so dropped the response.

An endpoint that has not responded sees the end and gives the request up, as before; one that has responded cannot be told by anything else.

TestRunAttempt_ResponseInTransitAtTheTimeout failed before for a 200 and a 429.

--- a/internal/upstream/http1/deadline_test.go
+++ b/internal/upstream/http1/deadline_test.go
@@ -238,3 +238,45 @@
 		})
 	}
 }
+
+// A response that the endpoint wrote before it could know that the attempt has timed out counts, although it arrives later. An endpoint
+// that has not responded sees the end of the connection, and delays the attempt's end by inTransitTime at most.
+func TestRunAttempt_ResponseInTransitAtTheTimeout(t *testing.T) {
+	for _, tt := range []struct {
+		name, text string
+		want       upstream.Result
+	}{
+		{"200", okResponse, upstream.Result{Outcome: policy.Succeeded, Final: true}},
+		{"429", rejectedResponse, upstream.Result{Outcome: policy.Rejected, RetryAfter: 900 * time.Millisecond}},
+		{"nothing", "", upstream.Result{Outcome: policy.TimedOut}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			closed := make(chan time.Time, 1)
+			addr := serveEndpoint(t, func(c net.Conn) {
+				in := bufio.NewReader(c)
+				if readRequest(in) != nil {
+					return
+				}
+				_, _ = in.ReadByte() // the relay gives up
+				closed <- time.Now()
+				_, _ = io.WriteString(c, tt.text)
+			})
+			p := newTestPool()
+			c := newConn(dialEndpoint(t, addr), &idleSet{})
+			c.rejectionGrace = 0
+			r := newTestRequest(addr)
+			r.Timeout = 20 * time.Millisecond
+			r.Deadline = time.Now().Add(waittest.Long)
+			requestCtx, attemptCtx, cancel := withDeadlines(t.Context(), &r)
+			defer cancel()
+			p.size++
+			if got := p.runAttempt(requestCtx, attemptCtx, c, r, connWriting); got != tt.want {
+				t.Errorf("result %+v, want %+v", got, tt.want)
+			}
+			if p.size != 0 {
+				t.Error("a connection that is closed for writing is cached")
+			}
+			waittest.Receive(t, closed)
+		})
+	}
+}
