Harness: an address is listened at again although a process is being started

Cause: a process that is being started has a duplicate of each listener until it executes its program; the endpoint's return coincided with the start of a relay (5.805 and 5.806 s).

--- a/internal/faultinjection/harness/doc.go
+++ b/internal/faultinjection/harness/doc.go
@@ -48,6 +48,7 @@
 //	crowd.go                 callers that hold many connections to a relay
 //	destination_server.go    a destination: its model, and the endpoints that serve it
 //	endpoint_server.go       an endpoint: its listeners and connections in each of its modes
+//	rebind.go                listening again at an address whose listener was closed
 //	extra_response.go        responses that nobody asked for
 //	transit.go               the time that the network takes to and from an endpoint
 //	copying_listener.go      acknowledgements of notifications that are written twice
--- a/internal/faultinjection/harness/endpoint_server.go
+++ b/internal/faultinjection/harness/endpoint_server.go
@@ -69,7 +69,7 @@
 // listen opens the listeners at the endpoint's addresses.
 func (e *endpointServer) listen() error {
 	for relay, addr := range e.addrs {
-		ln, err := net.Listen("tcp", addr)
+		ln, err := rebind(func() (net.Listener, error) { return net.Listen("tcp", addr) })
 		if err != nil {
 			return fmt.Errorf("endpoint %s: %w", e.id, err)
 		}
--- a/internal/faultinjection/harness/unreachable.go
+++ b/internal/faultinjection/harness/unreachable.go
@@ -47,7 +47,7 @@
 
 // blockAddress makes an address unreachable until all returned blockers are closed.
 func blockAddress(addr string) (blockers []io.Closer, err error) {
-	fd, err := listenWithoutBacklog(addr)
+	fd, err := rebind(func() (listenerFD, error) { return listenWithoutBacklog(addr) })
 	if err != nil {
 		return nil, err
 	}
