Frontend: lingering and large requests leave ordinary clients their connections

Two causes, both seen in GET /status/resources: nearly half of the connections lingered, since the rest of a refused request was discarded 16 KB at a time with 20 ms between, and a connection with unread bytes is not evicted; and clients with large requests had all the connections that may be idle, so that each response to the ordinary client closed its connection, and it had to wait in the listen queue again.

The rest of the largest request is discarded without a pause; pauses slow down what comes beyond it, as before. While connections are pending, clients with large requests take half of the idle connections at most.

--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -30,8 +30,8 @@
 	// minUnreadTime is the least time for which a request counts as having waited unread: more than the precision of the kernel's
 	// timer. maxUnreadTime is the longest plausible one: a client gives up its request after 0.4 s.
 	minUnreadTime, maxUnreadTime = 20 * time.Millisecond, 5 * time.Second
-	// lingerPause is the pause between two reads of a connection that lingers. A client that keeps sending is slowed down by
-	// its full window, and takes little processor time.
+	// lingerPause is the pause between two reads of a connection that lingers, once the rest of the largest request was read. A client
+	// that keeps sending is slowed down by its full window, and takes little processor time.
 	lingerPause = 20 * time.Millisecond
 )
 
@@ -75,7 +75,9 @@
 	buffer requestBuffer // of the request in progress
 	// healthAt is when the last health check was answered; zero: never.
 	healthAt time.Time
-	eviction evictionGuard
+	// tookChunks reports that the request in progress was too large for the connection's own memory.
+	tookChunks bool
+	eviction   evictionGuard
 
 	// Guarded by the server's lock.
 	state       connState
@@ -198,7 +200,8 @@
 		if err != nil || s.crowded.Load() && time.Since(begun) > crowdedLingerTimeout {
 			return
 		}
-		discarded += n
-		time.Sleep(lingerPause)
+		if discarded += n; discarded > largestRequest {
+			time.Sleep(lingerPause)
+		}
 	}
 }
--- a/internal/frontend/http1/evict.go
+++ b/internal/frontend/http1/evict.go
@@ -116,7 +116,11 @@
 func (s *Server) reserveIdle(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.countOf(connIdle)+s.becomingIdle >= s.maxIdle {
+	limit := s.maxIdle
+	if c.tookChunks && s.crowded.Load() {
+		limit /= 2 // the rest is for clients with small requests, which cost less
+	}
+	for s.countOf(connIdle)+s.becomingIdle >= limit {
 		oldest := firstQuiet(&s.byState[connIdle], minIdleTime)
 		if oldest == nil {
 			return false
--- a/internal/frontend/http1/evict_test.go
+++ b/internal/frontend/http1/evict_test.go
@@ -82,6 +82,36 @@
 	}
 }
 
+// While connections are pending, clients with large requests leave half of the idle connections to others.
+func TestServer_LargeRequestsLeaveIdleConnectionsToOthers(t *testing.T) {
+	for _, tt := range []struct {
+		crowded, large bool
+		idle           int
+		want           bool
+	}{
+		{true, true, 1, true},
+		{true, true, 2, false},
+		{true, false, 2, true},
+		{true, false, 4, false},
+		{false, true, 2, true},
+	} {
+		s := newIdleServer()
+		s.maxIdle, s.maxConns = 4, 8
+		s.crowded.Store(tt.crowded)
+		for range tt.idle {
+			_, server := newConnPair(t)
+			s.addConn(newConn(server), connIdle, time.Now())
+		}
+		_, server := newConnPair(t)
+		c := newConn(server)
+		c.tookChunks = tt.large
+		s.addConn(c, connReading, time.Now())
+		if got := s.reserveIdle(c); got != tt.want {
+			t.Errorf("%+v: may become idle: %v", tt, got)
+		}
+	}
+}
+
 // A connection with an unread request is not evicted: neither for a new connection, nor at shutdown,
 // nor when too many connections are idle. Nor is a lingering connection with unread bytes, since a
 // close would reset it.
--- a/internal/frontend/http1/read.go
+++ b/internal/frontend/http1/read.go
@@ -55,6 +55,7 @@
 // hold adds a chunk to a connection's buffer. s.mu is held.
 func (s *Server) hold(c *conn, taken *chunk) {
 	c.buffer.chunks = append(c.buffer.chunks, taken)
+	c.tookChunks = true
 	if c.inHolders == nil {
 		c.inHolders = s.holders.PushBack(c)
 	}
--- a/internal/frontend/http1/serve.go
+++ b/internal/frontend/http1/serve.go
@@ -78,6 +78,7 @@
 		return closedFor(CloseConcurrent)
 	}
 	s.setReadTimeout(c, timeout)
+	c.tookChunks = len(c.buffer.chunks) > 0
 	response, err := s.handleRequest(c)
 	if err != nil {
 		slog.Debug("cannot read request", logkey.Err, err)
