Endpoints: an attempt that times out closes its connection at once again

Cause: after a timeout the connection was closed for writing only, so that a response on its way would still be read. A server that sees this end may write a 200 of its own accord: Go's does, where a handler returns without a response once its client has gone. A request that was never executed counted as delivered. Reading on without that close is safe, but only moves the moment at which a response is lost.

--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -28,9 +28,6 @@
 	maxRejectionGrace    = time.Second
 )
 
-// inTransitTime is how long a response may be in transit when its attempt times out.
-const inTransitTime = 50 * time.Millisecond
-
 // connState is the state of a connection. The transitions and their causes:
 //
 //	dialing          → idle             the connection is established
@@ -38,7 +35,7 @@
 //	idle             → awaitingResponse a detached attempt is continued (Pool.AwaitResponse)
 //	writing          → awaitingResponse the request's last byte was written
 //	writing          → idle             the request must no longer be written
-//	awaitingResponse → readingResponse  the first byte of the response arrived, or the attempt timed out and a response may be in transit
+//	awaitingResponse → readingResponse  the first byte of the response arrived
 //	awaitingResponse → detached         the pool is quiesced
 //	idle             → detached         the pool is quiesced
 //	readingResponse  → idle             the response was read completely, and the connection is reusable
@@ -82,7 +79,6 @@
 	writtenAt   time.Time // when the last byte of the request in flight was written; zero: not by this process
 	// rejectionGrace is the time after writing a request within which a rejection may still arrive.
 	rejectionGrace time.Duration
-	halfClosed     bool // no request can be written any more; at most one goroutine uses it
 
 	mu    sync.Mutex // guards the fields below
 	state connState
@@ -165,27 +161,6 @@
 	}
 }
 
-// awaitInTransit waits for a response that the endpoint wrote before it could know that the attempt has timed out. It closes the
-// connection for writing, so that an endpoint that has not responded yet gives the request up, and reports whether a response has begun.
-// Without that wait, a request that was delivered could be reported as failed.
-func (c *conn) awaitInTransit(r *upstream.Request) (begun bool) {
-	writer, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || writer.CloseWrite() != nil {
-		return false
-	}
-	c.halfClosed = true
-	until := time.Now().Add(inTransitTime)
-	if until.After(r.Deadline) {
-		until = r.Deadline
-	}
-	c.setState(connReadingResponse) // the attempt's end no longer interrupts reads
-	if c.SetReadDeadline(until) != nil {
-		return false
-	}
-	_, err := c.in.Peek(1)
-	return err == nil
-}
-
 // clearDeadlines removes the deadlines of an attempt. It reports false if the connection is broken.
 func (c *conn) clearDeadlines() bool { return c.SetDeadline(time.Time{}) == nil }
 
--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -161,9 +161,6 @@
 	// response that arrived at the moment of the timeout would be lost, and the request would be
 	// sent again, or within a wait that the response asked for.
 	begun := err == nil || attemptCtx.Err() != nil && c.hasUnread()
-	if !begun && requestCtx.Err() == nil && errors.Is(attemptCtx.Err(), context.DeadlineExceeded) {
-		begun = c.awaitInTransit(r)
-	}
 	if !begun {
 		return noResponse(attemptCtx)
 	}
@@ -208,5 +205,5 @@
 	// malformed then, and the request may have executed.
 	quiet := c.in.Buffered() == 0 && c.isQuiet()
 	res.OutcomeUnknown = !quiet && c.in.Buffered() > 0
-	return exchangeResult{res, quiet && !resp.Close && !c.halfClosed && c.clearDeadlines()} // persistence: RFC 9112, section 9.3
+	return exchangeResult{res, quiet && !resp.Close && c.clearDeadlines()} // persistence: RFC 9112, section 9.3
 }
