Test: responses in TestDeadLetters_StoredWithHistory can't be in doubt on a busy machine

Trace, from the record: it ended 98 ms before the deadline, 343 ms after it began. On a connection that is used again, a response that comes earlier than the endpoint's usual ones is confirmed by waiting for another, until 100 ms before the deadline (deadlineMargin); undecided by then, it may belong to an earlier request. The earlier responses were slow on that machine, so that a fast one was in doubt: the relay did what it has to, and the test expected certainty.

Its endpoint closes the connection after each response, so that each response is the first on its connection and belongs to its request for certain. What is checked stays as it is.

--- a/internal/relay/deadletter_test.go
+++ b/internal/relay/deadletter_test.go
@@ -18,11 +18,13 @@
 	p := newPlatform(t)
 	folder := p.enableDeadLetters("")
 	p.addEndpoint("h1", 7)
-	p.respond = func(r *http.Request) int {
+	p.serveAttempt = func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close") // so that no response can be in doubt, however late or early it is
 		if strings.HasPrefix(r.Header.Get("Request-Id"), "executed") {
-			return http.StatusInternalServerError
+			w.WriteHeader(http.StatusInternalServerError)
+			return
 		}
-		return http.StatusServiceUnavailable
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	c := p.start()
 	p.mustAccept("order", "executed", "20")
