Test: rejections that a verdict depends on come on connections of one request

Trace, from the records: the last attempt of "stored" began 249 ms before its deadline and ended 99 ms before it; the first one of "waits" ended after 21 ms, and the next began 1.28 s later. That is an unconfirmed response: on a connection that is used again, a response that comes sooner than all before it may belong to an earlier request (docs/design/response-ownership.md), and the first responses were slow on a machine that ran eight packages under the race detector.

Endpoints of the tests with a dead-letter store and rejections close each connection after its response, so that each response belongs to its request for certain. What is checked is unchanged.

--- a/internal/relay/deadletter_test.go
+++ b/internal/relay/deadletter_test.go
@@ -18,13 +18,12 @@
 	p := newPlatform(t)
 	folder := p.enableDeadLetters("")
 	p.addEndpoint("h1", 7)
-	p.serveAttempt = func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Connection", "close") // so that no response can be in doubt, however late or early it is
+	p.closeAfterResponses()
+	p.respond = func(r *http.Request) int {
 		if strings.HasPrefix(r.Header.Get("Request-Id"), "executed") {
-			w.WriteHeader(http.StatusInternalServerError)
-			return
+			return http.StatusInternalServerError
 		}
-		w.WriteHeader(http.StatusServiceUnavailable)
+		return http.StatusServiceUnavailable
 	}
 	c := p.start()
 	p.mustAccept("order", "executed", "20")
@@ -80,6 +79,7 @@
 	p := newPlatform(t)
 	folder := p.enableDeadLetters(redeliveryRule)
 	p.addEndpoint("h1", 7)
+	p.closeAfterResponses()
 	var late atomic.Bool
 	p.respond = func(r *http.Request) int {
 		if !late.Load() && r.Header.Get("Request-Id") != "a" {
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -161,6 +161,7 @@
 	p.addAdminEndpoint()
 	p.shareListener()
 	p.addEndpoint("h1", 7)
+	p.closeAfterResponses()
 	answer := make(chan int)
 	p.respond = func(r *http.Request) int {
 		if r.Header.Get("Request-Id") == "out" {
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -247,6 +247,12 @@
 	}
 }
 
+// closeAfterResponses makes endpoints close a connection after each response. On a connection that is used again, a response that comes
+// sooner than the ones before may belong to an earlier request, as happens on a busy machine; then a rejected request may have executed.
+func (p *platform) closeAfterResponses() {
+	p.responseHeader = map[string]string{"Connection": "close"}
+}
+
 // update changes fields of the platform under its lock.
 func (p *platform) update(change func()) {
 	p.mu.Lock()
--- a/internal/relay/redelivery_test.go
+++ b/internal/relay/redelivery_test.go
@@ -20,6 +20,7 @@
 	type attempt struct{ id, key, length string }
 	attempts := make(chan attempt, 100)
 	var up atomic.Bool
+	p.closeAfterResponses()
 	p.respond = func(r *http.Request) int {
 		attempts <- attempt{r.Header.Get("Request-Id"), r.Header.Get("Idempotency-Key"), r.Header.Get("Content-Length")}
 		if up.Load() {
@@ -61,6 +62,7 @@
 	folder := p.enableDeadLetters(redeliveryRule)
 	p.addEndpoint("h1", 7)
 	p.addEndpoint("h2", 8)
+	p.closeAfterResponses()
 	p.respond = func(r *http.Request) int {
 		if strings.HasPrefix(r.Header.Get("Request-Id"), "executed") {
 			return http.StatusInternalServerError
@@ -88,6 +90,7 @@
 	folder := p.enableDeadLetters(redeliveryRule)
 	p.addEndpoint("h1", 7)
 	var stuck atomic.Bool
+	p.closeAfterResponses()
 	p.respond = func(*http.Request) int {
 		if stuck.Load() {
 			return 0
@@ -119,6 +122,7 @@
 	p.seedKnownTopics(folder)
 	p.addEndpoint("h1", 7)
 	var up atomic.Bool
+	p.closeAfterResponses()
 	p.respond = func(*http.Request) int {
 		if up.Load() {
 			return http.StatusOK
@@ -170,6 +174,7 @@
 	p.addEndpoint("h1", 7)
 	var stuck atomic.Bool
 	cancelled := make(chan bool, 1)
+	p.closeAfterResponses()
 	p.respond = func(r *http.Request) int {
 		switch {
 		case !stuck.Load():
@@ -226,6 +231,7 @@
 				p.seedKnownTopics(folder)
 			}
 			p.addEndpoint("h1", 7)
+			p.closeAfterResponses()
 			p.respond = func(*http.Request) int { return http.StatusServiceUnavailable }
 			child := p.start()
 			if resp := p.submit("status", "a", "1", c.change); resp.StatusCode != http.StatusAccepted {
