Discovery: the endpoints of a list, and those that a relay knows, are bounded by memory

Cause: a list was bounded by the size of its text, and an entry takes up to forty times that; nothing bounded the endpoints, and the destinations, which are never forgotten; the pace counted lists, not what they name; a thousand lists could wait in the loop's inbox.

A relay knows 128 endpoints, and destinations, for each MB of its memory: 4,096 at the least memory of the platform's pages, whose largest fleet has 3,200. A list is decoded entry by entry; one with more is unreadable, as one of more than 1 MB was, so the whole list is asked for. One list at a time is in the inbox.

--- a/internal/discovery/errors.go
+++ b/internal/discovery/errors.go
@@ -13,6 +13,8 @@
 	ErrStaleList = errors.New("received list is older than the current one")
 	// ErrListTooLarge: a list is larger than maxListSize.
 	ErrListTooLarge = fmt.Errorf("list larger than %d bytes", maxListSize)
+	// ErrTooManyEndpoints: a list has more endpoints than the relay has memory for.
+	ErrTooManyEndpoints = errors.New("list has more endpoints than this relay may hold")
 	// ErrWatchClosed: discovery ended the response.
 	ErrWatchClosed = errors.New("discovery closed the watch")
 )
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -1,7 +1,9 @@
 package discovery
 
 import (
+	"bytes"
 	"encoding/json"
+	"reflect"
 	"slices"
 
 	"frostlink/internal/settings"
@@ -39,6 +41,36 @@
 	return json.Unmarshal(raw, &listed) //nolint:wrapcheck // callers distinguish the errors of package json
 }
 
+// boundedEndpoints decodes the endpoints of a list one by one, and no more of them than limit: an entry takes many times the memory of
+// its text.
+type boundedEndpoints struct {
+	limit     int // 0: none
+	endpoints []Endpoint
+}
+
+// UnmarshalJSON decodes an array of endpoints.
+func (b *boundedEndpoints) UnmarshalJSON(raw []byte) error {
+	in := json.NewDecoder(bytes.NewReader(raw))
+	begin, err := in.Token()
+	if err != nil || begin == nil { // null
+		return err //nolint:wrapcheck // callers distinguish the errors of package json
+	}
+	if begin != json.Delim('[') {
+		return &json.UnmarshalTypeError{Value: "value", Type: reflect.TypeFor[[]Endpoint]()}
+	}
+	for in.More() {
+		if b.limit > 0 && len(b.endpoints) == b.limit {
+			return ErrTooManyEndpoints
+		}
+		var endpoint Endpoint
+		if err := in.Decode(&endpoint); err != nil {
+			return err //nolint:wrapcheck // callers distinguish the errors of package json
+		}
+		b.endpoints = append(b.endpoints, endpoint)
+	}
+	return nil
+}
+
 // IsReplacedBy reports whether the entry that follows in a list names another process than this one: at another address, or started
 // later.
 func (e *Endpoint) IsReplacedBy(next *Endpoint) bool {
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pace_test.go
@@ -5,26 +5,37 @@
 	"time"
 )
 
-// A burst of lists, one for each endpoint of the largest fleet, does not wait. A watch that sends lists without end is slowed down to
-// maxListRate, and may send a burst again after a quiet time.
+// A burst of lists, which may be the whole list of the largest fleet and then one list for each of its endpoints, removed and added, does
+// not wait. A watch that sends lists without end is slowed down to maxChangeRate, however it divides the endpoints into lists, and may
+// send a burst again after a quiet time.
 func TestPace_DelaysOnlyEndlessLists(t *testing.T) {
-	now := time.Now()
-	p := newPace(now)
-	burst := func() {
-		for i := range maxListBurst {
-			if delay := p.next(now); delay != 0 {
-				t.Fatalf("list %d of a burst waits %v", i, delay)
+	const largestFleet = 3200
+	for _, perList := range []int{0, 1, 50} {
+		now := time.Now()
+		p := newPace(now)
+		list := func(endpoints int) {
+			t.Helper()
+			if delay := p.next(now, endpoints); delay != 0 {
+				t.Fatalf("a list of a burst waits %v", delay)
 			}
 		}
+		burst := func() {
+			t.Helper()
+			list(largestFleet)
+			for range 2 * largestFleet {
+				list(1)
+			}
+		}
+		burst()
+		begun := now
+		const lists = 2000
+		for range lists {
+			now = now.Add(p.next(now, perList))
+		}
+		if took, want := now.Sub(begun), lists*time.Duration(max(1, perList))*time.Second/maxChangeRate; took < want-10*time.Millisecond || took > want+10*time.Millisecond {
+			t.Errorf("%d further lists of %d endpoints took %v, want %v", lists, perList, took, want)
+		}
+		now = now.Add(maxChangeBurst * time.Second / maxChangeRate).Add(time.Second)
+		burst()
 	}
-	burst()
-	begun := now
-	for range 2000 {
-		now = now.Add(p.next(now))
-	}
-	if took, want := now.Sub(begun), 2000*time.Second/maxListRate; took < want-10*time.Millisecond || took > want+10*time.Millisecond {
-		t.Errorf("2000 further lists took %v, want %v", took, want)
-	}
-	now = now.Add(maxListBurst * time.Second / maxListRate).Add(time.Second)
-	burst()
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -74,7 +74,7 @@
 	pace := newPace(time.Now())
 	for decoder := json.NewDecoder(in); ; lists++ { // a list may be indented and span several lines
 		in.left = maxListSize
-		list, err := decodeList(decoder)
+		list, err := decodeList(decoder, w.MaxEndpoints)
 		if errors.As(err, new(*UnreadableListError)) {
 			w.Seq = 0 // the content of the list is lost: the next watch requests the whole list
 		}
@@ -88,7 +88,7 @@
 			w.Seq = 0
 			return lists, ErrStaleList
 		}
-		if !pace.wait(ctx) {
+		if !pace.wait(ctx, len(list.Endpoints)) {
 			return lists, fmt.Errorf("read watch: %w", context.Cause(ctx))
 		}
 		w.Seq = list.Seq
@@ -96,15 +96,21 @@
 	}
 }
 
-// decodeList reads and decodes one list.
-func decodeList(decoder *json.Decoder) (list EndpointList, err error) {
-	err = decoder.Decode(&list)
+// decodeList reads and decodes one list of at most maxEndpoints endpoints; 0: of any number.
+func decodeList(decoder *json.Decoder, maxEndpoints int) (list EndpointList, err error) {
+	type fields EndpointList
+	bounded := struct {
+		*fields
+		Endpoints boundedEndpoints `json:"hosts"`
+	}{fields: (*fields)(&list), Endpoints: boundedEndpoints{limit: maxEndpoints}}
+	err = decoder.Decode(&bounded)
+	list.Endpoints = bounded.Endpoints.endpoints
 	switch {
 	case err == nil:
 		return list, nil
 	case errors.Is(err, io.EOF):
 		return list, ErrWatchClosed
-	case errors.As(err, new(*json.SyntaxError)), errors.As(err, new(*json.UnmarshalTypeError)), errors.Is(err, ErrListTooLarge):
+	case errors.As(err, new(*json.SyntaxError)), errors.As(err, new(*json.UnmarshalTypeError)), errors.Is(err, ErrListTooLarge), errors.Is(err, ErrTooManyEndpoints):
 		return list, &UnreadableListError{Err: err}
 	}
 	return list, fmt.Errorf("read watch: %w", err)
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -153,6 +153,9 @@
 	}
 }
 
+// maxTestEndpoints is the number of endpoints that a list may have in a test.
+const maxTestEndpoints = 10
+
 // Each error that ends a watch has its own value or type, and a message for logs.
 func TestWatch_Errors(t *testing.T) {
 	for _, tt := range []struct {
@@ -179,6 +182,23 @@
 			},
 			"unreadable list: list larger than 1048576 bytes",
 		},
+		{
+			"too many endpoints",
+			func(rw http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(rw, `{"seq":41,"whole":true,"hosts":[`+strings.Repeat(`{},`, maxTestEndpoints)+`{}]}`)
+			},
+			func(err error) bool {
+				return errors.Is(err, ErrTooManyEndpoints) && errors.As(err, new(*UnreadableListError))
+			},
+			"unreadable list: list has more endpoints than this relay may hold",
+		},
+		{
+			"hosts are no array",
+			func(rw http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(rw, `{"seq":41,"whole":true,"hosts":{"host":"h"}}`)
+			},
+			func(err error) bool { return errors.As(err, new(*UnreadableListError)) }, "",
+		},
 		{
 			"not JSON", func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "what?") },
 			func(err error) bool { return errors.As(err, new(*UnreadableListError)) },
@@ -203,6 +223,7 @@
 				maxSilence = 50 * time.Millisecond
 			}
 			w := newTestWatcher(t, maxSilence, tt.serve)
+			w.MaxEndpoints = maxTestEndpoints
 			_, err := w.watch(t.Context())
 			if !tt.is(err) {
 				t.Errorf("unexpected error %v", err)
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -31,6 +31,8 @@
 
 	// Seq is the sequence number of the last received list. It must be set before Run.
 	Seq int64
+	// MaxEndpoints bounds the endpoints of one list; a longer one is unreadable. 0: no bound. It must be set before Run.
+	MaxEndpoints int
 	// OnSubscribe, if set, is called before each request for a watch. It must be set before Run.
 	OnSubscribe func()
 }
--- a/internal/relay/assemble.go
+++ b/internal/relay/assemble.go
@@ -28,7 +28,7 @@
 		return err
 	}
 	l := n.newLoop(dispatcher, j)
-	l.watch = newWatcher(l)
+	l.watch = newWatcher(n.running, l)
 	l.trace = trace.New(cfg.traceSection(), os.Stderr)
 	l.watch.OnSubscribe = func() { l.trace.Record(l.now(), trace.Event{Kind: trace.WatchRequested}) }
 	l.notifier = notification.New(cfg.Discovery, func(ids []string) { l.send(noticesAcknowledged{ids}) })
@@ -52,17 +52,25 @@
 		timeline: j.Timeline(), clockSteps: clock.NewStepDetector(j.Timeline()),
 		metrics: n.metrics, violations: n.violations, extra: &n.admin.extra, mode: n.mode, detached: map[string]*net.TCPConn{},
 		requests: map[string]*request{}, endpoints: map[string]discovery.Endpoint{}, destinations: map[int]bool{},
-		pool: http1.New(settings.Seconds(n.cfg.Settings.Limits.ConnectTimeoutS), n.cfg.policy.IdleConnTimeout, n.cfg.maxEndpointConns()),
+		listPending: make(chan struct{}, 1),
+		pool:        http1.New(settings.Seconds(n.cfg.Settings.Limits.ConnectTimeoutS), n.cfg.policy.IdleConnTimeout, n.cfg.maxEndpointConns()),
 	}
 	l.pool.OnWritten = func() { l.metrics.AttemptsSent.Add(1) }
 	l.pool.OnExtraResponse = func(e http1.ExtraResponse) { go l.send(extraResponseNoticed(e)) } // the loop may wait for the pool's lock
 	return l
 }
 
-func newWatcher(l *loop) *discovery.Watcher {
-	watch := discovery.NewWatcher(l.cfg.Discovery,
-		func(list discovery.EndpointList, from string) { l.send(endpointsUpdated{list, from}) },
-		func(lists int) { l.send(watchEnded{lists}) })
+// newWatcher returns a watcher whose lists the loop gets one at a time, until ctx ends.
+func newWatcher(ctx context.Context, l *loop) *discovery.Watcher {
+	onList := func(list discovery.EndpointList, from string) {
+		select {
+		case l.listPending <- struct{}{}: // the loop has applied the list before
+			l.send(endpointsUpdated{list, from})
+		case <-ctx.Done():
+		}
+	}
+	watch := discovery.NewWatcher(l.cfg.Discovery, onList, func(lists int) { l.send(watchEnded{lists}) })
+	watch.MaxEndpoints = l.cfg.maxEndpoints()
 	relays := l.cfg.Settings.Instances
 	if l.cfg.hasOwnEndpointList() {
 		relays = 1 // no other relay polls this list
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -55,6 +55,7 @@
 //	commit.go               the commit of a batch: records, then effects; the state of the folder
 //	effects.go              the effects of a batch
 //	endpoints.go            the list of endpoints
+//	endpoint_limit.go       how many endpoints there is memory for
 //	recovery.go             the start from the journal
 //	invariants.go           run-time checks, and requests whose outcome is overdue
 //	timer.go                when the loop wakes up
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -12,6 +12,7 @@
 // handleEndpointsUpdated applies an endpoint list from discovery, or a change of one, and notes it in the journal.
 func (l *loop) handleEndpointsUpdated(e endpointsUpdated) {
 	l.traceEvent(trace.Event{Kind: trace.EndpointsReceived, Full: e.list.Full, Count: len(e.list.Endpoints)})
+	e.list = l.boundEndpoints(e.list)
 	l.updateEndpoints(e.list)
 	if e.list.Full {
 		for id := range l.journal.Health() {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -88,7 +88,10 @@
 	discovery string // the address of the discovery service that sent it
 }
 
-func (e endpointsUpdated) apply(l *loop) { l.handleEndpointsUpdated(e) }
+func (e endpointsUpdated) apply(l *loop) {
+	l.handleEndpointsUpdated(e)
+	<-l.listPending
+}
 
 // watchEnded says that the watch on discovery ended or could not be opened. lists is the number of lists received on it.
 type watchEnded struct{ lists int }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -51,8 +51,11 @@
 	extra      *admin.ExtraResponses
 	deadlines  invariant.Deadlines // of accepted requests
 
-	endpoints    map[string]discovery.Endpoint // by id
-	destinations map[int]bool                  // destinations that have occurred in any endpoint list
+	endpoints        map[string]discovery.Endpoint // by id
+	destinations     map[int]bool                  // destinations that have occurred in any endpoint list
+	endpointsListed  atomic.Int64                  // number of endpoints, for other goroutines
+	endpointsIgnored atomic.Int64                  // for which there was no memory
+	listPending      chan struct{}                 // holds a value while a list of discovery is in the inbox
 
 	wakeAt      time.Duration // when the loop runs a batch even without an event
 	timerAt     time.Duration // the last timer that the dispatcher set; until it fires, the dispatcher sets only earlier timers
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -18,6 +18,7 @@
 func (l *loop) restore(ctx context.Context, predecessor *handoverState) {
 	list := l.latestEndpointList()
 	list.Full = true
+	list = l.boundEndpoints(list)
 	l.traceEvent(trace.Event{Kind: trace.RelayStarted, Relay: l.cfg.Name, Count: l.cfg.Settings.Instances})
 	l.updateEndpoints(list)
 	l.journal.UpdateEndpoints(list, l.cfg.Discovery) // the watch may bring only changes of this list
--- a/internal/relay/resource_limits.go
+++ b/internal/relay/resource_limits.go
@@ -24,6 +24,8 @@
 	// endpointConnsPerMB limits connections to endpoints, of about 6 KB each, and attemptsPerMB attempts in flight, of about 20 KB each
 	// in addition.
 	endpointConnsPerMB, attemptsPerMB = 8, 4
+	// endpointsPerMB limits the endpoints that are known, of about 2 KB each; the largest fleet has 100 for each MB of the smallest relay.
+	endpointsPerMB = 128
 	// journalMemoryFraction is the largest fraction of the memory for the journal file: the page cache counts towards the memory
 	// limit, and the content of the file is also held in memory.
 	journalMemoryFraction = 0.15
@@ -71,6 +73,9 @@
 	return max(1, min(descriptors, int(endpointConnsPerMB*c.Limits.MemoryMB)))
 }
 
+// maxEndpoints returns the limit of endpoints that are known, and of the destinations that they serve.
+func (c *Config) maxEndpoints() int { return max(1, int(endpointsPerMB*c.Limits.MemoryMB)) }
+
 // maxAttempts returns the limit of attempts in flight, each of which needs a connection.
 func (c *Config) maxAttempts() int {
 	return max(1, min(c.maxEndpointConns(), int(attemptsPerMB*c.Limits.MemoryMB)))
--- a/internal/relay/resources.go
+++ b/internal/relay/resources.go
@@ -16,11 +16,19 @@
 type resources struct {
 	front.Stats
 	EndpointConns endpointConns `json:"endpoint_connections"`
+	Endpoints     endpointCount `json:"endpoints"`
 	Requests      int64         `json:"requests"` // in memory
 	// Runtime is the memory of the Go runtime, in bytes.
 	Runtime runtimeMemory `json:"runtime"`
 }
 
+// endpointCount counts the endpoints that are known.
+type endpointCount struct {
+	Listed  int64 `json:"listed"`
+	Limit   int   `json:"limit"`
+	Ignored int64 `json:"ignored"` // from the start of the process, since there was no memory for them
+}
+
 // endpointConns counts connections to endpoints.
 type endpointConns struct {
 	Open     int `json:"open"` // dialing, idle or with an attempt
@@ -72,6 +80,7 @@
 		r.Stats = n.frontend.Stats()
 		r.EndpointConns.Open, r.EndpointConns.Attempts = l.pool.Size()
 		r.EndpointConns.Limit = n.cfg.maxEndpointConns()
+		r.Endpoints = endpointCount{Listed: l.endpointsListed.Load(), Limit: n.cfg.maxEndpoints(), Ignored: l.endpointsIgnored.Load()}
 		r.Requests = l.journalUse.requests.Load()
 		r.Memory["journal"] = front.MemoryUse{Used: int(l.journalUse.live.Load()), Limit: int(n.cfg.journalSizeMB()*bytesPerMB) / 2}
 		r.Memory["completed_ids"] = front.MemoryUse{Used: int(l.journalUse.completed.Load()), Limit: n.cfg.completedMemory()}
@@ -88,4 +97,5 @@
 	l.journalUse.live.Store(int64(l.journal.LiveSize()))
 	l.journalUse.completed.Store(int64(l.journal.CompletedMemory()))
 	l.journalUse.requests.Store(int64(len(l.requests)))
+	l.endpointsListed.Store(int64(len(l.endpoints)))
 }
