Dead letters: rejected requests and the pages of the store's file are bounded by memory

A relay of 32 MB with a dead-letter store and refused = true, 50 clients that send valid requests of 64 KB which can't be delivered in time, each under a tenant of its own (where the settings list none): VmHWM 210.0 MB in 8 s, 148.0 MB while another process had the store.

Causes, each by a constant that suits one size or by none: 2,000 records waited for the store, whatever their size, and 200 were written in one transaction; the pages of the mapped file that were read stay resident, so that the memory grows with the store (45 MB with a store of 169 MB, once the first was mended); counts by class and tenant are one value that each write reads, and grew with every new tenant, as did the counts of groups without messages.

Waiting records get a thirty-second of the memory; what does not fit is counted only, as was said of the bound before.

--- a/internal/deadletter/doc.go
+++ b/internal/deadletter/doc.go
@@ -28,6 +28,7 @@
 //   - messages.go, checksum.go: writing and reading messages
 //   - due.go: the index of the times at which messages are due for a decision
 //   - pages.go: listing messages
+//   - resident.go: releasing the memory of pages that were read
 //   - totals.go: counts of stored, removed, dropped and rejected messages
 //   - removal.go: removing messages, and the list of messages that could not be stored
 //   - bounds.go: limits on age, number and size
--- a/internal/deadletter/pages.go
+++ b/internal/deadletter/pages.go
@@ -20,6 +20,7 @@
 				return nil
 			}
 			scanned++
+			releaseAfter(tx, scanned)
 			r, err := readRecord(records, key)
 			if err != nil {
 				damaged++
@@ -45,6 +46,7 @@
 			next = binary.BigEndian.Uint64(key) + 1
 			if r, err := readRecord(records, key); err == nil {
 				list = append(list, r)
+				releaseAfter(tx, len(list))
 			}
 		}
 		return nil
--- a/internal/deadletter/removal.go
+++ b/internal/deadletter/removal.go
@@ -41,7 +41,7 @@
 	if totals.RemovedByBound == nil {
 		totals.RemovedByBound = map[string]int{}
 	}
-	totals.RemovedByBound[r.Class+" of "+r.Tenant]++
+	CountGroup(totals.RemovedByBound, r.Class+" of "+r.Tenant, 1)
 	return s.deleteRecord(tx, totals, key, r)
 }
 
--- a/internal/deadletter/store.go
+++ b/internal/deadletter/store.go
@@ -51,6 +51,7 @@
 	path        string
 	maxBytes    int64 // limit of the file's size; 0: unlimited
 	maxMessages int   // 0: unlimited
+	resident    residentPages
 
 	section atomic.Pointer[Section] // defines how subjects are read; nil before TrackSubjects
 }
@@ -161,7 +162,7 @@
 
 // update runs a read-write transaction.
 func (s *Store) update(run func(tx *bbolt.Tx) error) error {
-	if err := s.db.Update(run); err != nil {
+	if err := s.db.Update(s.thenRelease(run)); err != nil {
 		return fmt.Errorf("undelivered: %w", err)
 	}
 	return nil
@@ -169,12 +170,21 @@
 
 // view runs a read-only transaction.
 func (s *Store) view(run func(tx *bbolt.Tx) error) error {
-	if err := s.db.View(run); err != nil {
+	if err := s.db.View(s.thenRelease(run)); err != nil {
 		return fmt.Errorf("undelivered: %w", err)
 	}
 	return nil
 }
 
+// thenRelease returns a transaction that releases pages at its end, if it is time to.
+func (s *Store) thenRelease(run func(tx *bbolt.Tx) error) func(tx *bbolt.Tx) error {
+	return func(tx *bbolt.Tx) error {
+		err := run(tx)
+		s.resident.afterTransaction(tx)
+		return err
+	}
+}
+
 // SetRules stores the digest of the rules in use, and reports whether it differs from the digest stored before.
 func (s *Store) SetRules(digest []byte) (changed bool, err error) {
 	err = s.update(func(tx *bbolt.Tx) error {
--- a/internal/deadletter/totals.go
+++ b/internal/deadletter/totals.go
@@ -7,6 +7,22 @@
 	"go.etcd.io/bbolt"
 )
 
+const (
+	// maxCountedGroups bounds the classes and tenants that are counted one by one: a client may name ever new tenants, where the settings
+	// list none.
+	maxCountedGroups = 250
+	// otherGroups is the name under which all further ones are counted.
+	otherGroups = "other"
+)
+
+// CountGroup adds to the count of a class and tenant, or to that of others if there are very many.
+func CountGroup(counts map[string]int, group string, n int) {
+	if _, counted := counts[group]; !counted && len(counts) >= maxCountedGroups {
+		group = otherGroups
+	}
+	counts[group] += n
+}
+
 // Totals counts the stored messages, and the messages that were removed, dropped or rejected.
 type Totals struct {
 	Messages       int            `json:"messages"`
@@ -67,7 +83,7 @@
 			t.Rejected = map[string]int{}
 		}
 		for group, n := range counts {
-			t.Rejected[group] += n
+			CountGroup(t.Rejected, group, n)
 		}
 		return writeTotals(tx, t)
 	})
@@ -84,6 +100,12 @@
 	}
 	group.Messages += messages
 	group.Bytes += bytes
+	if group.Messages == 0 {
+		if err := bucket.Delete(key); err != nil {
+			return fmt.Errorf("delete the counts of a class and tenant: %w", err)
+		}
+		return nil
+	}
 	raw, err := json.Marshal(group)
 	if err != nil {
 		return fmt.Errorf("encode the counts of a class and tenant: %w", err)
--- a/internal/deadletter/verify.go
+++ b/internal/deadletter/verify.go
@@ -55,6 +55,7 @@
 				return nil
 			}
 			last = number
+			releaseAfter(tx, read)
 			if _, err := readRecord(records, key); err != nil {
 				add(fmt.Sprintf("record %d", number), err)
 				continue
--- a/internal/faultinjection/pressure/behavior.go
+++ b/internal/faultinjection/pressure/behavior.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// LateRequests submits valid requests with large bodies, which can't be delivered in time, each under a tenant of its own and after the
+// answer to the one before.
+func LateRequests(_ context.Context, conn net.Conn, n int64) {
+	answer := make([]byte, 4096)
+	for i := 0; ; i++ {
+		head := fmt.Sprintf("POST /status HTTP/1.1\r\nHost: a\r\nRequest-Id: late-%d-%d\r\nTenant: tenant-%d-%d\r\nRequest-Timeout: 0.000001\r\n"+
+			"X-Envelope: dest=%d\r\nContent-Length: %d\r\n\r\n", n, i, n, i, 1+i%endpointCount, maxBodySize)
+		if _, err := io.WriteString(conn, head+largeBody); err != nil {
+			return
+		}
+		if _, err := conn.Read(answer); err != nil {
+			return
+		}
+	}
+}
+
 // flood writes texts at full speed until the relay closes the connection.
 func flood(conn net.Conn, next func(i int) string) {
 	go untilClosed(conn)
--- a/internal/faultinjection/pressure/relay.go
+++ b/internal/faultinjection/pressure/relay.go
@@ -53,6 +53,8 @@
 	Address, AdminAddress string
 	// MaxHeld is the number of requests that the relay may hold.
 	MaxHeld int
+	// Operator is the content of the operator's file; empty: there is none. It is written by Configure.
+	Operator string
 
 	program  string
 	dir      string
@@ -142,9 +144,14 @@
 	if err := os.WriteFile(r.configPath(), raw, 0o600); err != nil {
 		return fmt.Errorf("configuration of the relay: %w", err)
 	}
+	if err := os.WriteFile(r.operatorPath(), []byte("version = 1\n"+r.Operator), 0o600); err != nil {
+		return fmt.Errorf("operator's file of the relay: %w", err)
+	}
 	return nil
 }
 
+func (r *Relay) operatorPath() string { return filepath.Join(r.dir, "operator.toml") }
+
 func (r *Relay) configPath() string { return filepath.Join(r.dir, "config.json") }
 
 // inheritedFD is the descriptor that the first of exec.Cmd's ExtraFiles has in the started process.
@@ -157,7 +164,8 @@
 	if err != nil {
 		return err
 	}
-	p := &Process{cmd: exec.Command(r.program, "-config", r.configPath(), "-state", r.StateDir()), exited: make(chan struct{})}
+	p := &Process{exited: make(chan struct{})}
+	p.cmd = exec.Command(r.program, "-config", r.configPath(), "-state", r.StateDir(), "-operator", r.operatorPath())
 	p.cmd.Stdout, p.cmd.Stderr = r.log, r.log
 	p.cmd.ExtraFiles = []*os.File{r.socket}
 	p.cmd.Env = append(os.Environ(), "NODE_MANAGEMENT="+admin, fmt.Sprintf("NODE_LISTEN_FD=%d", inheritedFD))
--- a/internal/relay/deadletter_queue.go
+++ b/internal/relay/deadletter_queue.go
@@ -13,8 +13,8 @@
 const (
 	// maxBatch is the largest number of records in one transaction of the store.
 	maxBatch = 200
-	// maxWaitingRejected limits how many records of requests that were never accepted wait in the queue.
-	maxWaitingRejected = 2000
+	// recordOverhead is the memory in bytes that a record takes besides its body.
+	recordOverhead = 1 << 10
 )
 
 // deadLetterBatch holds entries to be written to the store.
@@ -30,22 +30,24 @@
 // deadLetterQueue holds the entries that wait for the writer. The loop adds entries and is never blocked; the writer removes
 // entries that the store has recorded.
 type deadLetterQueue struct {
-	keepRejected bool // keep records of requests that were never accepted, instead of only counting them
+	// rejectedMemory limits the memory, in bytes, of waiting records of requests that were never accepted; 0: they are only counted.
+	rejectedMemory int
 
-	mu      sync.Mutex // guards the fields below
-	changed sync.Cond  // signals that the result of hasWorkLocked may have changed
-	waiting deadLetterBatch
-	polling bool // poll was called since the last batch
-	closing bool // close was called
+	mu            sync.Mutex // guards the fields below
+	rejectedBytes int        // memory of waiting.rejectedRecords
+	changed       sync.Cond  // signals that the result of hasWorkLocked may have changed
+	waiting       deadLetterBatch
+	polling       bool // poll was called since the last batch
+	closing       bool // close was called
 
 	newClasses []deadletter.Class // of new settings, until the writer has applied them
 	lostCount  int                // number of requests listed as lost so far
 	unrecorded int                // number of requests dropped unrecorded; an increase makes the store's tracking of topics begin anew
 }
 
-// newDeadLetterQueue returns an empty queue.
-func newDeadLetterQueue(keepRejected bool) *deadLetterQueue {
-	q := &deadLetterQueue{keepRejected: keepRejected}
+// newDeadLetterQueue returns an empty queue, which keeps records of requests that were never accepted in rejectedMemory bytes.
+func newDeadLetterQueue(rejectedMemory int) *deadLetterQueue {
+	q := &deadLetterQueue{rejectedMemory: rejectedMemory}
 	q.changed.L = &q.mu
 	return q
 }
@@ -73,20 +75,24 @@
 	q.update(func() { q.waiting.delivered = append(q.waiting.delivered, n) })
 }
 
-// addRejected adds a request that was never accepted: the request is counted, and its record is kept if the operator's file
-// says so. At most maxWaitingRejected records are kept, since rejections are most frequent when space is scarcest.
+// addRejected adds a request that was never accepted: the request is counted, and its record is kept if the operator's file says so
+// and there is memory, since rejections are most frequent when space is scarcest.
 func (q *deadLetterQueue) addRejected(record deadletter.Message) {
 	q.update(func() {
-		if q.keepRejected && len(q.waiting.rejectedRecords) < maxWaitingRejected {
+		if memory := recordMemory(&record); q.rejectedBytes+memory <= q.rejectedMemory {
 			q.waiting.rejectedRecords = append(q.waiting.rejectedRecords, record)
+			q.rejectedBytes += memory
 		}
 		if q.waiting.rejectedCounts == nil {
 			q.waiting.rejectedCounts = map[string]int{}
 		}
-		q.waiting.rejectedCounts[record.Class+" of "+record.Tenant]++
+		deadletter.CountGroup(q.waiting.rejectedCounts, record.Class+" of "+record.Tenant, 1)
 	})
 }
 
+// recordMemory returns the memory in bytes that a waiting record takes.
+func recordMemory(record *deadletter.Message) int { return recordOverhead + len(record.Body) }
+
 // addLost adds a request that was evicted from the journal to free space, to be listed as lost, and logs the loss. A request that
 // was delivered is not lost: only the pending entry of its delivery is dropped.
 func (q *deadLetterQueue) addLost(r *request) {
@@ -188,7 +194,12 @@
 
 // removeRejectedRecords removes the first n records of rejected requests.
 func (q *deadLetterQueue) removeRejectedRecords(n int) {
-	q.update(func() { q.waiting.rejectedRecords = q.waiting.rejectedRecords[n:] })
+	q.update(func() {
+		for i := range n {
+			q.rejectedBytes -= recordMemory(&q.waiting.rejectedRecords[i])
+		}
+		q.waiting.rejectedRecords = slices.Delete(q.waiting.rejectedRecords, 0, n) // and releases the bodies
+	})
 }
 
 // removeRejectedCounts subtracts counts that were written from the counts in the queue.
--- a/internal/relay/deadletter_writer.go
+++ b/internal/relay/deadletter_writer.go
@@ -53,7 +53,7 @@
 func newDeadLetterWriter(cfg *Config, journalledStore string, timeline *clock.Timeline, send func(deadLetterEvent)) *deadLetterWriter {
 	section := cfg.OperatorFile.DeadLetter
 	return &deadLetterWriter{
-		section: section, queue: newDeadLetterQueue(section.KeepRejected), send: send, timeline: timeline,
+		section: section, queue: newDeadLetterQueue(cfg.rejectedMemory()), send: send, timeline: timeline,
 		newRedeliverer: func(store *deadletter.Store) *deadletter.Redeliverer { return newRedeliverer(cfg, store) },
 		classes:        cfg.RedeliveryClasses(section), journalledStore: journalledStore,
 	}
--- a/internal/relay/redelivery_permission_test.go
+++ b/internal/relay/redelivery_permission_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	l.cfg, l.destinations = cfg, map[int]bool{7: true}
-	link := &deadLetterLink{loop: l, writer: &deadLetterWriter{queue: newDeadLetterQueue(false)}}
+	link := &deadLetterLink{loop: l, writer: &deadLetterWriter{queue: newDeadLetterQueue(0)}}
 	l.subsystems = []subsystem{link}
 	l.dispatcher.Handle(l.now(), []policy.Event{policy.EndpointsChanged{Full: true, Endpoints: []policy.Endpoint{{ID: "h1", Destination: 7}}}})
 	return l, link
--- a/internal/relay/redelivery_unrecorded_test.go
+++ b/internal/relay/redelivery_unrecorded_test.go
@@ -12,7 +12,7 @@
 func loopWithRedelivery(t *testing.T) (*loop, *deadLetterLink, *request) {
 	t.Helper()
 	l, _ := loopWithDispatcher(t)
-	link := &deadLetterLink{loop: l, writer: &deadLetterWriter{queue: newDeadLetterQueue(false)}}
+	link := &deadLetterLink{loop: l, writer: &deadLetterWriter{queue: newDeadLetterQueue(0)}}
 	l.subsystems = []subsystem{link}
 	r := &request{Entry: &journal.Entry{
 		ID: "again", Class: "order", Destination: 3, Redelivery: true, Deadline: l.timeline.Now().Add(time.Minute),
--- a/internal/relay/resource_limits.go
+++ b/internal/relay/resource_limits.go
@@ -1,5 +1,7 @@
 package relay
 
+import "frostlink/internal/frontend"
+
 // File descriptors are divided between the parts of the relay, so that load on one part can't use up the descriptors of
 // another: reservedDescriptors are for the listener, the journal and its next file, the watch, posts of notices, the reload
 // of the configuration, standard streams and the runtime; operators get adminConnFraction; clients get clientConnFraction of
@@ -31,6 +33,8 @@
 	journalMemoryFraction = 0.15
 	// completedMemoryFraction is the fraction of the memory for the ids of completed requests.
 	completedMemoryFraction = 1.0 / 32
+	// rejectedMemoryFraction is the fraction of the memory for records of rejected requests that wait for the dead-letter store.
+	rejectedMemoryFraction = 1.0 / 32
 	// heapMemoryFraction is the largest fraction of the memory that the Go runtime may take. programMB is the memory in MB of the
 	// program's own files and of what the runtime does not count.
 	heapMemoryFraction, programMB = 0.6, 11.0
@@ -91,6 +95,15 @@
 	return int(completedMemoryFraction * c.Limits.MemoryMB * bytesPerMB)
 }
 
+// rejectedMemory returns the limit of the memory for records of rejected requests that wait for the dead-letter store, in bytes; 0: the
+// operator's file does not ask for such records.
+func (c *Config) rejectedMemory() int {
+	if c.OperatorFile == nil || c.OperatorFile.DeadLetter == nil || !c.OperatorFile.DeadLetter.KeepRejected {
+		return 0
+	}
+	return max(recordOverhead+frontend.MaxBodySize, int(rejectedMemoryFraction*c.Limits.MemoryMB*bytesPerMB))
+}
+
 // HeapLimit returns the soft limit of the Go runtime's memory, in bytes: what the program and the journal's files leave of the
 // relay's memory.
 func (c *Config) HeapLimit() int64 {
