--- a/internal/coord/api/caller.go
+++ b/internal/coord/api/caller.go
@@ -14,13 +14,18 @@
 type Caller struct {
 	Cluster    string
 	HTTPClient *http.Client
+	// MaxReplySize bounds the body of a reply, in bytes. A longer reply is an error.
+	MaxReplySize int64
+	// MaxReplyObjects bounds the JSON objects in a reply, each of which takes many times its text once it is decoded; 0: no bound. A reply
+	// with more is an error.
+	MaxReplyObjects int
 }
 
 // NewCaller returns a caller. Each of its calls has a connection of its own: nothing in a response names its request, so that on a
 // connection that is used again a second response to an earlier call could grant a lease that another relay holds.
 func NewCaller(cluster string) *Caller {
 	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: MaxHeaderSize}
-	return &Caller{Cluster: cluster, HTTPClient: &http.Client{Transport: transport}}
+	return &Caller{Cluster: cluster, HTTPClient: &http.Client{Transport: transport}, MaxReplySize: MaxBodySize}
 }
 
 // Post sends a request to a member. If the error is ErrNotLeader, the response may name the leader.
@@ -92,9 +97,12 @@
 		return 0, nil, &CallError{Address: address, Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }() // an error is harmless: the body is not read any further
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodySize))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, c.MaxReplySize+1))
 	if err != nil {
 		return 0, nil, fmt.Errorf("%s: %w", address, err)
 	}
+	if int64(len(raw)) > c.MaxReplySize || c.MaxReplyObjects > 0 && bytes.Count(raw, []byte("{")) > c.MaxReplyObjects {
+		return 0, nil, fmt.Errorf("%s: %w", address, ErrReplyTooLarge)
+	}
 	return resp.StatusCode, raw, nil
 }
--- a/internal/coord/api/caller_test.go
+++ b/internal/coord/api/caller_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,3 +60,29 @@
 		last = text
 	}
 }
+
+// A reply that exceeds the caller's bounds is an error, whatever it says.
+func TestCaller_RejectsReplyBeyondBounds(t *testing.T) {
+	for _, tt := range []struct {
+		name, body string
+		tooLarge   bool
+	}{
+		{"at the bound", `{"leases":[{},{}]}`, false},
+		{"too many objects", `{"leases":[{},{},{}]}`, true},
+		{"too long", `{"error":"` + strings.Repeat("x", 100) + `"}`, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			address := sockettest.Serve(t, "tcp", sockettest.Loopback, func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(tt.body), tt.body)
+				}
+			})
+			caller := NewCaller("c")
+			caller.HTTPClient.Timeout = waittest.Long
+			caller.MaxReplySize, caller.MaxReplyObjects = 100, 3
+			if _, err := caller.Post(t.Context(), address, PathRead, Request{}); errors.Is(err, ErrReplyTooLarge) != tt.tooLarge {
+				t.Errorf("err %v, want ErrReplyTooLarge: %v", err, tt.tooLarge)
+			}
+		})
+	}
+}
--- a/internal/coord/api/errors.go
+++ b/internal/coord/api/errors.go
@@ -13,6 +13,8 @@
 	// ErrNoLeader is returned when no leader answered before the context ended, or the list of
 	// members is empty.
 	ErrNoLeader = errors.New("no leader, or the leader can't be reached")
+	// ErrReplyTooLarge is returned for a reply that exceeds the caller's bounds.
+	ErrReplyTooLarge = errors.New("the reply is too large")
 )
 
 // StatusError reports a response with a status that none of the other errors represents.
--- a/internal/lease/client.go
+++ b/internal/lease/client.go
@@ -24,6 +24,10 @@
 	releaseTimeout = time.Second
 	// hintRetryPause is the pause after a failed wait for a hint.
 	hintRetryPause = 200 * time.Millisecond
+	// valueReplySize is the largest size in bytes of a reply with a value, which is encoded in base64, and no leases.
+	valueReplySize = 128 << 10
+	// heldReplySize is the largest size in bytes of what a reply says of one lease, and heldObjects the largest number of JSON objects.
+	heldReplySize, heldObjects = 1 << 10, 2
 )
 
 // Client runs a Core and makes its calls to the service. It is safe for concurrent use.
@@ -175,7 +179,7 @@
 	c.mu.Lock()
 	members := c.members
 	c.mu.Unlock()
-	answer, err := c.caller.CallLeader(ctx, members, api.PathRead, api.Request{Query: &api.Query{Values: key}})
+	answer, err := c.boundedCaller().CallLeader(ctx, members, api.PathRead, api.Request{Query: &api.Query{Values: key}})
 	if err != nil {
 		return nil, 0, err
 	}
@@ -187,6 +191,16 @@
 	return nil, 0, nil
 }
 
+// boundedCaller returns a caller that accepts no larger replies than the session can have.
+func (c *Client) boundedCaller() *api.Caller {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	bounded := *c.caller
+	bounded.MaxReplySize = int64(valueReplySize + heldReplySize*c.core.maxHeld())
+	bounded.MaxReplyObjects = heldObjects * c.core.maxHeld()
+	return &bounded
+}
+
 // Run keeps the session alive until its context ends, and then releases all leases. It waits at most releaseTimeout for the
 // service to confirm that.
 func (c *Client) Run(ctx context.Context) {
@@ -254,7 +268,7 @@
 func (c *Client) send(ctx context.Context, call Call, address string) {
 	ctx, stop := context.WithTimeout(ctx, c.core.cfg.Timeout)
 	defer stop()
-	answer, err := c.caller.Post(ctx, address, api.PathCommand, api.Request{Command: &call.Command})
+	answer, err := c.boundedCaller().Post(ctx, address, api.PathCommand, api.Request{Command: &call.Command})
 	if errors.Is(err, api.ErrRejected) {
 		c.log.Warn("coordination service rejected a command", logkey.Err, err)
 	}
@@ -290,7 +304,7 @@
 			}
 			continue
 		}
-		answer, err := c.caller.Post(ctx, address, api.PathWait, api.Request{Wait: &api.Wait{Session: session}})
+		answer, err := c.boundedCaller().Post(ctx, address, api.PathWait, api.Request{Wait: &api.Wait{Session: session}})
 		switch {
 		case err != nil:
 			wait.For(ctx, hintRetryPause)
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -15,6 +15,13 @@
 // randStream is the second half of the random generator's seed: the ASCII codes of "lease".
 const randStream = 0x6c65617365
 
+const (
+	// heldPerRequest is the largest number of leases that the session holds for each one that is requested at a time.
+	heldPerRequest = 2
+	// minMaxHeld is added to that, so that few requests leave room for a change of what is requested.
+	minMaxHeld = 100
+)
+
 // Config configures a Core.
 type Config struct {
 	Name    string        // of this process, as the service shows it to operators
@@ -40,12 +47,14 @@
 	held             map[string]coord.Grant
 	revoked          map[string]uint64 // tokens of leases that an operator has revoked and that are not released yet
 
-	requests   map[string]*request
-	puts       []queuedPut // in the order in which they are sent
-	putResults []PutResult // not yet taken by TakePutResults
-	nextPut    uint64
-	openActs   map[uint64]Permit
-	nextAct    uint64
+	requests map[string]*request
+	// mostRequests is the largest number of leases that this process has requested at one time.
+	mostRequests int
+	puts         []queuedPut // in the order in which they are sent
+	putResults   []PutResult // not yet taken by TakePutResults
+	nextPut      uint64
+	openActs     map[uint64]Permit
+	nextAct      uint64
 
 	// Calls to the service.
 	inFlight    map[uint64]inFlightCall
@@ -100,8 +109,19 @@
 		return
 	}
 	c.requests[name] = &request{reason: reason}
+	wanted := 0
+	for _, r := range c.requests {
+		if !r.releasing {
+			wanted++
+		}
+	}
+	c.mostRequests = max(c.mostRequests, wanted)
 }
 
+// maxHeld returns a number of leases that the session does not exceed: it holds none that this process has not requested, and of those
+// that are being released it may still hold as many as were requested.
+func (c *Core) maxHeld() int { return heldPerRequest*c.mostRequests + minMaxHeld }
+
 // Release releases a lease as soon as no act under it is open, and allows no further act. If successor is not empty, the first
 // queued process of that name gets the lease next.
 func (c *Core) Release(name, successor string) {
--- a/internal/lease/results.go
+++ b/internal/lease/results.go
@@ -104,7 +104,7 @@
 	// A lease that is held but not requested is released. It may have been granted by a command whose result was lost, and the
 	// request withdrawn meanwhile.
 	for name := range c.held {
-		if c.requests[name] == nil {
+		if c.requests[name] == nil && len(c.requests) < c.maxHeld() {
 			c.requests[name] = &request{releasing: true}
 		}
 	}
