Review: show that a replacement stands still while an attempt waits for nothing

Reason: an attempt whose dial failed while an idle connection still rested can be left with nothing that ends its wait but its time-out, and the hand-over waits for it without a bound.

--- a/review/stand/relay.go
+++ b/review/stand/relay.go
@@ -32,8 +32,10 @@
 	Name            string
 	Relays, Ordinal int
 	Classes         []Class
-	Attempts        int // allowed for a message
-	Platform        *Platform
+	// HeldSocket has the platform hold the clients' socket, and pass it to each process as descriptor 4.
+	HeldSocket bool
+	Attempts   int // allowed for a message
+	Platform   *Platform
 	// Operator is the text of the operator's file, in which {dir} stands for a folder that outlasts the relay's processes; empty: none.
 	Operator string
 }
@@ -45,6 +47,10 @@
 	c       *Case
 	dir     string
 	command string
+	// socket is the clients' socket; nil: the process opens it.
+	socket *os.File
+	// management is the address for operators; empty: none.
+	management string
 
 	mu      sync.Mutex // guards the fields below
 	process *exec.Cmd
@@ -61,6 +67,9 @@
 	}
 	r := &Relay{Address: c.freeAddress(), cfg: cfg, c: c, dir: filepath.Join(c.Dir, cfg.Name), command: string(run[1])}
 	c.check(os.MkdirAll(filepath.Join(r.dir, "state"), 0o700))
+	if cfg.HeldSocket {
+		r.holdSocket()
+	}
 	r.writeConfig()
 	if cfg.Operator != "" {
 		path := filepath.Join(r.dir, "operator.toml")
@@ -101,6 +110,41 @@
 
 // TryStart starts the relay's process, and reports whether it is ready in time. It returns at once if the process ends.
 func (r *Relay) TryStart(ctx context.Context) (ready bool) {
+	r.launch(ctx)
+	r.c.Await(ctx, readyWithin, func() bool { return r.Ended() || r.Ready(ctx) })
+	if ready = !r.Ended() && r.Ready(ctx); ready {
+		r.c.Logf("%s: ready", r.cfg.Name)
+	}
+	return ready
+}
+
+// StartNext starts another process of the relay, which is to take its place, and returns it.
+func (r *Relay) StartNext(ctx context.Context) *Relay {
+	next := &Relay{Address: r.Address, cfg: r.cfg, c: r.c, dir: r.dir, command: r.command, socket: r.socket, management: r.c.freeAddress()}
+	r.c.mu.Lock()
+	r.c.relays = append(r.c.relays, next)
+	r.c.mu.Unlock()
+	r.c.Logf("%s: the next process is started", r.cfg.Name)
+	next.launch(ctx)
+	return next
+}
+
+// holdSocket opens the clients' socket for all processes of the relay.
+func (r *Relay) holdSocket() {
+	l, err := net.Listen("tcp", r.Address)
+	r.c.check(err)
+	raw, ok := l.(*net.TCPListener)
+	if !ok {
+		r.c.NotRun("the listener is not one of TCP")
+	}
+	r.socket, err = raw.File()
+	r.c.check(err)
+	r.management = r.c.freeAddress()
+	r.c.atEnd(func() { _, _ = raw.Close(), r.socket.Close() })
+}
+
+// launch starts the relay's process.
+func (r *Relay) launch(ctx context.Context) {
 	log, err := os.OpenFile(filepath.Join(r.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, recordMode)
 	r.c.check(err)
 	defer func() { _ = log.Close() }()
@@ -108,6 +152,13 @@
 	process.Dir, process.Stdout, process.Stderr = r.c.root, log, log
 	process.Env = append(os.Environ(), "NODE_NAME="+r.cfg.Name, "NODE_LISTEN="+r.Address, "NODE_DISCOVERY="+r.cfg.Platform.Address,
 		"NODE_STATE="+filepath.Join(r.dir, "state"), "NODE_CONFIG="+filepath.Join(r.dir, "config.json"), "TMPDIR="+r.dir)
+	if r.socket != nil {
+		nothing, err := os.Open(os.DevNull)
+		r.c.check(err)
+		defer func() { _ = nothing.Close() }()
+		process.ExtraFiles = []*os.File{nothing, r.socket} // descriptors 3 and 4
+		process.Env = append(process.Env, "NODE_LISTEN_FD=4", "NODE_MANAGEMENT="+r.management)
+	}
 	r.c.check(process.Start())
 	ended := make(chan struct{})
 	go func() {
@@ -117,16 +168,21 @@
 	r.mu.Lock()
 	r.process, r.ended = process, ended
 	r.mu.Unlock()
-	r.c.Await(ctx, readyWithin, func() bool { return r.Ended() || r.ready(ctx) })
-	if ready = !r.Ended() && r.ready(ctx); ready {
-		r.c.Logf("%s: ready", r.cfg.Name)
-	}
-	return ready
 }
 
-// ready reports whether the relay answers a health check.
-func (r *Relay) ready(ctx context.Context) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Address+"/_health", nil)
+// Ready reports whether the relay answers a health check as soon as clients want an answer.
+func (r *Relay) Ready(ctx context.Context) bool { return asks(ctx, "http://"+r.Address+"/_health") }
+
+// SaysYes reports whether the process answers its operators that it takes clients.
+func (r *Relay) SaysYes(ctx context.Context) bool {
+	return asks(ctx, "http://"+r.management+"/status")
+}
+
+// asks reports whether a request is answered with 200 as soon as clients want an answer.
+func asks(ctx context.Context, url string) bool {
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false
 	}
