--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,13 +1,12 @@
-// Command 9 plays a case of the second review: a status that was refused on arrival is resent and runs, its answer is lost, and an older
-// status of the same parcel, kept in the same store, must not be resent after it.
+// Command 9 plays a case of the second review: a class gets a stricter effect by new settings, and a kept message of it that has run, and
+// that has no key, must not be resent.
 package main
 
 import (
 	"context"
 	"fmt"
 	"net/http"
-	"strconv"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,124 +14,126 @@
 )
 
 const (
-	class       = "parcel-status"
+	class       = "mutation-notice"
 	destination = 7
-	parcel      = "parcel-4711"
-	rate        = 20.0                   // calls a second that the partner takes
-	attempts    = 12                     // allowed for a message
-	service     = 300 * time.Millisecond // of a call
-	warmUp      = 12                     // messages, from which the relay learns the destination's latency
-	usualTime   = 28 * time.Second       // of messages
-	olderTime   = 2 * time.Second        // that the older status has left, and for which the partner refuses politely
-	newerTime   = 150 * time.Millisecond // that the newer status has left: less than a call takes
-	apart       = 500 * time.Millisecond // between the two
-	watched     = 45 * time.Second       // for the resends
-	trafficGap  = 400 * time.Millisecond // between messages of other parcels
+	rate        = 20.0 // calls a second that the partner takes
+	attempts    = 12   // allowed for a message
+	service     = 300 * time.Millisecond
+	warmUp      = 6                       // messages, from which the relay learns the destination's latency
+	usualTime   = 28 * time.Second        // of messages
+	noticeTime  = 2 * time.Second         // that the notice has left, and for which the partner then refuses politely
+	keyTime     = 15 * time.Second        // for which partners remember a key
+	inUseAfter  = 1200 * time.Millisecond // clients use new settings
+	watched     = 20 * time.Second        // for the resend
+	trafficGap  = 400 * time.Millisecond  // between other messages
 )
 
-// operator is the operator's file. One rule resends statuses once, some time after they failed.
+// operator is the operator's file. One rule resends notices once. The clients of this deployment do not come again.
 const operator = `version = 1
 [undelivered]
 folder = "{dir}/undelivered"
-refused = true
-subjects_stick = true
-subjects_settle_s = 0
-[[undelivered.subject]]
-class = "parcel-status"
-header = "Parcel-Id"
-order = "number"
-order_header = "Version"
+clients_return = false
 [[undelivered.rule]]
-class = "parcel-status"
+class = "mutation-notice"
 action = "resend"
-after_s = 15
+after_s = 4
 most = 2
 rate = 5
 `
 
-// partner is the partner system. It keeps the version of the status that it has taken last.
+// partner is the partner system. Once the class is keyed it drops a repeat of a key that it remembers.
 type partner struct {
 	c       *stand.Case
+	keyed   atomic.Bool // the class is one of keyed messages
 	refuses atomic.Bool
-	reset   atomic.Bool  // the next resend of the newer status runs, and its answer is lost
-	version atomic.Int64 // of the parcel's status; 0: none
-	newest  atomic.Int64
+
+	mu   sync.Mutex // guards the fields below
+	keys map[string]time.Time
+	runs map[string]int // of each body
 }
 
-// handle runs a call. The body of a status is its parcel and version.
+// handle runs a call. The body names the message.
 func (p *partner) handle(call stand.Call) stand.Answer {
-	parcelOf, text, _ := strings.Cut(string(call.Body), " ")
 	if p.refuses.Load() {
 		return stand.Answer{Status: http.StatusServiceUnavailable}
 	}
 	time.Sleep(service)
-	if parcelOf != parcel {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at, known := p.keys[call.Key]; known && call.Key != "" && time.Since(at) < keyTime {
 		return stand.Answer{Status: http.StatusOK}
 	}
-	version, _ := strconv.ParseInt(text, 10, 64) // the clients send numbers
-	p.c.Logf("partner: %s runs: version %d", call.ID, version)
-	p.version.Store(version)
-	if newest := p.newest.Load(); version < newest {
-		p.c.Broken("version %d has overwritten version %d of the status", version, newest)
+	p.keys[call.Key] = time.Now()
+	body := string(call.Body)
+	p.runs[body]++
+	if body != "notice" {
+		return stand.Answer{Status: http.StatusOK}
 	}
-	p.newest.Store(max(p.newest.Load(), version))
-	if version > 1 && p.reset.CompareAndSwap(true, false) {
-		p.c.Logf("partner: connection of %s is reset", call.ID)
-		return stand.Answer{Reset: true}
+	p.c.Logf("partner: %s runs for the %d. time, key %q, class keyed: %v", call.ID, p.runs[body], call.Key, p.keyed.Load())
+	if p.runs[body] > 1 {
+		if p.keyed.Load() {
+			p.c.Broken("a message of a keyed class that had run was resent without a key, and ran again")
+		}
+		return stand.Answer{Status: http.StatusOK}
 	}
-	return stand.Answer{Status: http.StatusOK}
+	p.refuses.Store(true)
+	return stand.Answer{Reset: true}
+}
+
+func (p *partner) ran(body string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[body]
 }
 
 func main() { stand.Main(play) }
 
 func play(ctx context.Context, c *stand.Case) {
-	p := &partner{c: c}
-	p.reset.Store(c.Trouble)
+	p := &partner{c: c, keys: map[string]time.Time{}, runs: map[string]int{}}
 	platform := stand.NewPlatform(c)
 	stand.NewHost(c, platform, "s-1", destination, rate, p.handle)
 	relay := stand.NewRelay(c, stand.RelayConfig{
-		Name: "n1", Relays: 1, Platform: platform, Operator: operator, Attempts: attempts,
-		Classes: []stand.Class{{Name: class, Idempotency: "retryable", DeadlineS: usualTime.Seconds()}},
+		Name: "n1", Relays: 1, Platform: platform, Operator: operator, Classes: classes("retryable"), Attempts: attempts,
 	})
 	relay.Start(ctx)
-	traffic, stop := context.WithCancel(ctx)
-	defer stop()
 	for i := range warmUp {
-		submit(ctx, c, relay, fmt.Sprintf("warm-%d", i), "parcel-1", i, usualTime)
+		submit(ctx, c, relay, fmt.Sprintf("warm-%d", i), "", usualTime)
 		stand.Sleep(ctx, service)
 	}
 
-	// The partner refuses politely for a short time. The older status is accepted and not delivered; the newer one is refused on
-	// arrival, since it has too little time left. Their clients do not come again.
-	p.refuses.Store(true)
-	if status := submit(ctx, c, relay, "older", parcel, 1, olderTime); status != http.StatusAccepted {
-		c.NotRun("the older status was not accepted")
+	// The notice runs, its answer is lost, and the partner refuses politely until its time is up. It is handed back, and kept. Its client
+	// does not come again.
+	if status := submit(ctx, c, relay, "notice", "", noticeTime); status != http.StatusAccepted {
+		c.NotRun("the notice was not accepted")
 	}
-	stand.Sleep(ctx, apart)
-	if status := submit(ctx, c, relay, "newer", parcel, 2, newerTime); status != http.StatusTooManyRequests {
-		c.NotRun("the newer status was not refused")
+	if !c.Await(ctx, 2*noticeTime, func() bool { return len(platform.Notices("notice")) > 0 }) {
+		c.NotRun("the notice has not ended")
 	}
-	stand.Sleep(ctx, olderTime)
-	p.refuses.Store(false)
-	go func() {
-		for i := 0; traffic.Err() == nil; i++ {
-			submit(traffic, c, relay, fmt.Sprintf("other-%d", i), "parcel-1", warmUp+i, usualTime)
-			stand.Sleep(traffic, trafficGap)
+	if p.ran("notice") != 1 {
+		c.NotRun("the notice has run %d times", p.ran("notice"))
+	}
+	if c.Trouble {
+		if !relay.Reconfigure(ctx, classes("dedup"), attempts) {
+			c.NotRun("the new settings were not taken on")
 		}
-	}()
-	if len(platform.Notices("older")) == 0 {
-		c.NotRun("the older status has not ended by a notice")
+		p.keyed.Store(true)
 	}
-	stand.Sleep(ctx, watched)
-	if p.newest.Load() < 2 {
-		c.NotRun("the newer status was not resent")
+	p.refuses.Store(false)
+	stand.Sleep(ctx, inUseAfter)
+	traffic, stop := context.WithTimeout(ctx, watched)
+	defer stop()
+	for i := 0; traffic.Err() == nil; i++ {
+		submit(traffic, c, relay, fmt.Sprintf("other-%d", i), fmt.Sprintf("key-%d", i), usualTime)
+		stand.Sleep(traffic, trafficGap)
 	}
-	c.Logf("partner: version %d at the end", p.version.Load())
+	c.Logf("partner: the notice has run %d times", p.ran("notice"))
 }
 
-func submit(ctx context.Context, c *stand.Case, relay *stand.Relay, id, of string, version int, left time.Duration) (status int) {
-	return stand.Submit(ctx, c, relay, stand.Message{
-		ID: id, Class: class, Destination: destination, Timeout: left, Body: fmt.Sprintf("%s %d", of, version),
-		Header: map[string]string{"Parcel-Id": of, "Version": strconv.Itoa(version)},
-	})
+// classes returns the only class, with an effect.
+func classes(effect string) []stand.Class {
+	return []stand.Class{{Name: class, Idempotency: effect, DeadlineS: usualTime.Seconds()}}
+}
+
+func submit(ctx context.Context, c *stand.Case, relay *stand.Relay, id, key string, left time.Duration) (status int) {
+	return stand.Submit(ctx, c, relay, stand.Message{ID: id, Class: class, Destination: destination, Key: key, Timeout: left, Body: id})
 }
