--- a/review/stand/capped.go
+++ b/review/stand/capped.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -37,10 +38,15 @@
 	listener net.Listener
 }
 
-// listen listens, unless it does already.
+// listen listens, unless it does already. The error is net.ErrClosed once the listener is closed.
 func (l *cappedListener) listen() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	select {
+	case <-l.closed:
+		return net.ErrClosed
+	default:
+	}
 	if l.listener != nil {
 		return nil
 	}
@@ -69,12 +75,18 @@
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
-	for l.listen() != nil {
+	for err := l.listen(); err != nil; err = l.listen() {
+		if errors.Is(err, net.ErrClosed) {
+			return nil, net.ErrClosed
+		}
 		time.Sleep(relistenPause)
 	}
 	l.mu.Lock()
 	listener := l.listener
 	l.mu.Unlock()
+	if listener == nil {
+		return nil, net.ErrClosed // closed meanwhile
+	}
 	conn, err := listener.Accept()
 	if err != nil {
 		return nil, err //nolint:wrapcheck // the contract of net.Listener
@@ -87,11 +99,13 @@
 
 // Close ends the listener.
 func (l *cappedListener) Close() error {
+	l.mu.Lock()
 	select {
 	case <-l.closed:
 	default:
 		close(l.closed)
 	}
+	l.mu.Unlock()
 	l.stop()
 	return nil
 }
--- a/review/stand/case.go
+++ b/review/stand/case.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
@@ -26,7 +28,8 @@
 	// Dir is a temporary folder, which is removed at the end.
 	Dir string
 
-	root  string // of the repository
+	root  string     // of the repository
+	seeds *rand.Rand // draws the seeds of the relays' processes; guarded by mu
 	begun time.Time
 
 	mu      sync.Mutex // guards the fields below
@@ -47,6 +50,8 @@
 }
 
 func play(run func(ctx context.Context, c *Case)) (code int) {
+	seed := flag.Uint64("seed", 1, "`number` from which the relays' random seeds are drawn")
+	flag.Parse()
 	folder := os.Getenv("CASE_FOLDER")
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	if folder == "" || err != nil {
@@ -58,7 +63,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return couldNotRun
 	}
-	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", Dir: dir, root: filepath.Join(folder, "../.."), begun: time.Now(), record: record}
+	c := &Case{
+		Trouble: os.Getenv("TROUBLE") != "0", Dir: dir, root: filepath.Join(folder, "../.."), seeds: rand.New(rand.NewPCG(*seed, 0)),
+		begun: time.Now(), record: record,
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), longestRun)
 	defer cancel()
 	defer func() {
@@ -68,7 +76,7 @@
 		}
 		c.end()
 	}()
-	c.Logf("disruption: %v", c.Trouble)
+	c.Logf("disruption: %v, seed %d", c.Trouble, *seed)
 	run(ctx, c)
 	if len(c.broken) > 0 {
 		return ruleBroken
@@ -92,6 +100,13 @@
 	_ = c.record.Close()
 }
 
+// relaySeed returns the random seed of a relay's process.
+func (c *Case) relaySeed() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("%016x", c.seeds.Uint64())
+}
+
 // atEnd has a function called at the end of the case.
 func (c *Case) atEnd(closeIt func()) {
 	c.mu.Lock()
--- a/review/stand/relay.go
+++ b/review/stand/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -93,7 +92,7 @@
 // writeConfig writes the relay's configuration.
 func (r *Relay) writeConfig() {
 	raw, err := json.Marshal(object{
-		"name": r.cfg.Name, "listen": r.Address, "discovery": r.cfg.Platform.Address, "seed": fmt.Sprintf("%016x", rand.Uint64()),
+		"name": r.cfg.Name, "listen": r.Address, "discovery": r.cfg.Platform.Address, "seed": r.c.relaySeed(),
 		"limits": object{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets, "disk_mb": diskMB},
 		"known":  r.cfg.Platform.List(), "settings": settings(&r.cfg),
 	})
