Relay: start with a redelivery rule that the settings forbid, and report it

Cause: the start returned an error for a rule of the operator's file that the settings forbid (validateOperatorFile), while SIGHUP logs the same conflict and goes on. The settings are the platform's and may change at any time, so that the check at the start becomes false without any fault of the operator, and a kill doesn't wait until the operator's file is mended.

Change: start and SIGHUP decide in one place. A conflict is logged with file, key and reason, counted as redelivery_rule_conflicts in GET /status/resources, and what the rule may not resend is held, since each redelivery passes deadletter.Allowed anyway. A check that passes over a rule only in a folder with history was rejected: a relay that finds an empty folder, as after the loss of its machine, has to start too.

An operator's mistake is found before its use by frostlinkctl undelivered check, which exits with 1 as before.

--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -57,7 +57,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitOperatorFile)
 	}
-	if err := run(*config, *state, operatorFile, hangups); err != nil {
+	if err := run(*config, *operator, *state, operatorFile, hangups); err != nil {
 		fmt.Fprintln(os.Stderr, "frostlink:", err)
 		os.Exit(exitError)
 	}
@@ -72,7 +72,7 @@
 }
 
 // run runs the relay until it is asked to shut down or has handed over to a successor.
-func run(configPath, state string, operatorFile *operatorconfig.File, hangups <-chan os.Signal) error {
+func run(configPath, operatorPath, state string, operatorFile *operatorconfig.File, hangups <-chan os.Signal) error {
 	if state == "" {
 		return errors.New("no folder for the journal: set NODE_STATE or -state")
 	}
@@ -80,6 +80,7 @@
 	if err != nil {
 		return err
 	}
+	config.OperatorPath = operatorPath
 	limitRuntime(config)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/deadletter/dry_run.go
+++ b/internal/deadletter/dry_run.go
@@ -24,7 +24,7 @@
 // that no rule matches.
 type DryRunResult struct {
 	Rule    int            `json:"rule"`
-	Faults  []string       `json:"faults,omitempty"` // conflicts of the rule with its class; a relay does not start with them
+	Faults  []string       `json:"faults,omitempty"` // conflicts of the rule with its class; a relay holds the messages that the class forbids to redeliver
 	Matches int            `json:"matches"`
 	Actions map[Action]int `json:"actions,omitempty"` // number of messages for each action that would be taken now
 	Samples []string       `json:"samples,omitempty"` // ids of some messages, with action and reason
--- a/internal/deadletter/rule.go
+++ b/internal/deadletter/rule.go
@@ -1,7 +1,6 @@
 package deadletter
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -111,41 +110,3 @@
 
 // seconds converts a number of seconds from the operator's file.
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
-
-// Conflicts describes the redeliveries of a rule that the class named in the rule never allows. A rule for all classes has no
-// conflicts: if a message's class does not allow a redelivery, the rule holds the message. A class that the relay does not
-// have is a conflict too.
-func (r *Rule) Conflicts(classes []Class) (conflicts []string) {
-	if r.Action != Redeliver {
-		return nil
-	}
-	found := false
-	for i := range classes {
-		if r.Class != "" && r.Class != classes[i].Name {
-			continue
-		}
-		found = true
-		if r.Class != "" {
-			conflicts = append(conflicts, r.conflictsWith(&classes[i])...)
-		}
-	}
-	if !found {
-		conflicts = append(conflicts, fmt.Sprintf("is for class %q, which the relay does not have", r.Class))
-	}
-	return conflicts
-}
-
-// conflictsWith describes the redeliveries of a rule that a class never allows.
-func (r *Rule) conflictsWith(c *Class) (conflicts []string) {
-	mayHaveExecuted := r.MayHaveExecuted != nil && *r.MayHaveExecuted || r.Reason == string(OutcomeUnknown)
-	switch {
-	case mayHaveExecuted && c.Idempotency == NotIdempotent:
-		conflicts = append(conflicts, fmt.Sprintf("resends %s messages that may have run, and that class may not be repeated: only an attest allows it", c.Name))
-	case mayHaveExecuted && c.Idempotency == IdempotentByKey && seconds(max(r.Delay, r.OlderThan))+KeyMargin >= c.KeyTTL:
-		conflicts = append(conflicts, fmt.Sprintf("resends %s messages that may have run after %v s, and partners remember a key for %v only", c.Name, max(r.Delay, r.OlderThan), c.KeyTTL))
-	}
-	if r.MaxIncarnations > c.MaxAttempts {
-		conflicts = append(conflicts, fmt.Sprintf("allows %d lives, and class %s is allowed %d attempts in all", r.MaxIncarnations, c.Name, c.MaxAttempts))
-	}
-	return conflicts
-}
--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -17,7 +17,9 @@
 	Discovery   = "discovery"   // the address of the service that lists endpoints
 	Endpoint    = "endpoint"    // an endpoint's id
 	Err         = "err"         // an error
+	File        = "file"        // the path of a configuration file
 	From        = "from"        // the state before a change
+	Key         = "key"         // the path of a key in a configuration file
 	Kind        = "kind"        // the kind of the thing that the message names
 	Late        = "late"        // the time by which something was late
 	Outcome     = "outcome"     // the terminal outcome of a request, or the outcome of an attempt
--- a/internal/relay/assemble.go
+++ b/internal/relay/assemble.go
@@ -32,9 +32,9 @@
 	l.trace = trace.New(cfg.traceSection(), os.Stderr)
 	l.watch.OnSubscribe = func() { l.trace.Record(l.now(), trace.Event{Kind: trace.WatchRequested}) }
 	l.notifier = notification.New(cfg.Discovery, func(ids []string) { l.send(noticesAcknowledged{ids}) })
-	deadLetters := newDeadLetterLink(n.running, l)
-	l.subsystems = []subsystem{deadLetters}
-	if err := n.joinFleet(deadLetters); err != nil {
+	n.deadLetters = newDeadLetterLink(n.running, l)
+	l.subsystems = []subsystem{n.deadLetters}
+	if err := n.joinFleet(); err != nil {
 		return err
 	}
 	n.loop = l
@@ -92,16 +92,16 @@
 }
 
 // joinFleet makes the relay take part in the fleet tasks, if the operator's file has a section for them.
-func (n *node) joinFleet(deadLetters *deadLetterLink) (err error) {
+func (n *node) joinFleet() (err error) {
 	if n.cfg.OperatorFile == nil || n.cfg.OperatorFile.Coordination == nil {
 		return nil
 	}
-	n.fleet, err = fleettask.New(n.cfg.OperatorFile.Coordination, n.cfg.Name, deadLetters.openStore)
+	n.fleet, err = fleettask.New(n.cfg.OperatorFile.Coordination, n.cfg.Name, n.deadLetters.openStore)
 	if err != nil {
 		return err
 	}
-	if gate := n.fleet.ResendGate(); gate != nil && deadLetters.writer != nil {
-		deadLetters.writer.gate = gate
+	if gate := n.fleet.ResendGate(); gate != nil && n.deadLetters.writer != nil {
+		n.deadLetters.writer.gate = gate
 	}
 	return nil
 }
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -34,6 +34,8 @@
 
 	// OperatorFile is the operator's file; nil means that every section of it is off.
 	OperatorFile *operatorconfig.File `json:"-"`
+	// OperatorPath is the path of the operator's file, for log messages; empty: there is none.
+	OperatorPath string `json:"-"`
 
 	policy policy.Settings
 	seed   int64
--- a/internal/relay/deadletter_link.go
+++ b/internal/relay/deadletter_link.go
@@ -51,6 +51,14 @@
 	return d.writer.openStore.Load()
 }
 
+// ruleConflicts returns the number of conflicts of the redelivery rules with the settings. Any goroutine may call it.
+func (d *deadLetterLink) ruleConflicts() int64 {
+	if d.writer == nil {
+		return 0
+	}
+	return d.writer.ruleConflicts.Load()
+}
+
 func (d *deadLetterLink) run(ctx context.Context) {
 	if d.writer != nil {
 		d.writer.run(ctx)
--- a/internal/relay/deadletter_writer.go
+++ b/internal/relay/deadletter_writer.go
@@ -29,12 +29,14 @@
 // blocks the loop: requests that the store does not accept wait in the queue, and in the journal.
 type deadLetterWriter struct {
 	section        *deadletter.Section
+	operatorPath   string // path of the operator's file, for log messages
 	queue          *deadLetterQueue
 	send           func(deadLetterEvent) // sends an event to the loop
 	timeline       *clock.Timeline
 	newRedeliverer func(*deadletter.Store) *deadletter.Redeliverer
 	gate           deadletter.Gate                  // grants destinations for redelivery; nil: every redelivery is allowed
 	openStore      atomic.Pointer[deadletter.Store] // nil until the store is open; other goroutines use it to read the store
+	ruleConflicts  atomic.Int64                     // number of redelivery rules' conflicts with the settings in force
 
 	// Used only by the goroutine of run and the goroutines that it starts.
 	classes          []deadletter.Class
@@ -53,7 +55,7 @@
 func newDeadLetterWriter(cfg *Config, journalledStore string, timeline *clock.Timeline, send func(deadLetterEvent)) *deadLetterWriter {
 	section := cfg.OperatorFile.DeadLetter
 	return &deadLetterWriter{
-		section: section, queue: newDeadLetterQueue(cfg.rejectedMemory()), send: send, timeline: timeline,
+		section: section, operatorPath: cfg.OperatorPath, queue: newDeadLetterQueue(cfg.rejectedMemory()), send: send, timeline: timeline,
 		newRedeliverer: func(store *deadletter.Store) *deadletter.Redeliverer { return newRedeliverer(cfg, store) },
 		classes:        cfg.RedeliveryClasses(section), journalledStore: journalledStore,
 	}
@@ -66,6 +68,7 @@
 func (w *deadLetterWriter) run(ctx context.Context) {
 	w.goroutines.Go(func() { w.runTicker(ctx) })
 	defer w.closeStore()
+	w.reportRuleConflicts()
 	var loggedAt time.Time
 	if err := w.ensureOpen(ctx); err != nil { // it is retried with the first batch
 		slog.Error("opening the dead-letter store failed", logkey.Err, err)
@@ -123,13 +126,7 @@
 // applyClasses applies the classes of new settings.
 func (w *deadLetterWriter) applyClasses(classes []deadletter.Class) {
 	w.classes = classes
-	for i := range w.section.Rules {
-		for _, conflict := range w.section.Rules[i].Conflicts(classes) {
-			// A redelivery that its class forbids is not made: the requests that the rule matches stay held. The next start fails
-			// unless the operator's file is corrected.
-			slog.Warn("redelivery rule conflicts with the new settings", logkey.Rule, i+1, logkey.Reason, conflict)
-		}
-	}
+	w.reportRuleConflicts()
 	if w.deadLetters != nil {
 		w.redeliverer.SetClasses(classes)
 		w.admin.SetClasses(classes)
@@ -137,6 +134,17 @@
 	}
 }
 
+// reportRuleConflicts logs and counts the rules that the settings forbid. The settings may change at any time, so that a conflict must
+// not end the process: it is logged at the start and at a reload alike, and the requests that a rule may not redeliver stay held.
+func (w *deadLetterWriter) reportRuleConflicts() {
+	conflicts := w.section.RuleConflicts(w.classes)
+	w.ruleConflicts.Store(int64(len(conflicts)))
+	for _, conflict := range conflicts {
+		slog.Warn("redelivery rule conflicts with the settings",
+			logkey.File, w.operatorPath, logkey.Key, conflict.Key(), logkey.Rule, conflict.Rule, logkey.Reason, conflict.Reason)
+	}
+}
+
 // ensureOpen opens the store and starts the server of the operator's tool, unless the store is open.
 func (w *deadLetterWriter) ensureOpen(ctx context.Context) (err error) {
 	if w.deadLetters != nil {
--- a/internal/relay/handover_successor.go
+++ b/internal/relay/handover_successor.go
@@ -78,7 +78,7 @@
 	}
 	n.mode.Activate()
 	n.cfg.policy.Classes = n.configuredClasses
-	n.predecessor, n.loop, n.frontend, n.listener = nil, nil, nil, nil
+	n.predecessor, n.loop, n.deadLetters, n.frontend, n.listener = nil, nil, nil, nil, nil
 }
 
 // Acquire makes this process the owner of the journal.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -40,6 +40,7 @@
 
 	predecessor *handoverState // the state that a predecessor handed over; nil: none
 	loop        *loop
+	deadLetters *deadLetterLink // one of the loop's subsystems
 	frontend    *front.Server
 	listener    net.Listener
 	quiesced    *quiescedNode // nil unless the relay is quiesced
@@ -50,9 +51,6 @@
 // folder, Run takes over from it; a process that starts later takes over from this one. Configurations from reread replace
 // the settings and the address of the discovery service; their other parts take effect at the next start.
 func Run(ctx context.Context, cfg *Config, dir string, reread <-chan Reload) error {
-	if err := cfg.validateOperatorFile(); err != nil {
-		return err
-	}
 	mode, metrics, violations := &servingmode.Mode{}, admin.NewMetrics(cfg.classNames()), &invariant.Counts{}
 	endpoint, err := openAdminEndpoint(cfg, mode, metrics, violations) //nolint:contextcheck // the admin endpoint outlives ctx: it answers operators until the process ends
 	if err != nil {
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -41,6 +41,7 @@
 	cfg, err := ReadConfig(path)
 	if operatorPath := os.Getenv(childOperator); err == nil && operatorPath != "" {
 		cfg.OperatorFile, err = operatorconfig.Read(operatorPath)
+		cfg.OperatorPath = operatorPath
 	}
 	if fd := os.Getenv("NODE_LISTEN_FD"); err == nil && fd != "" {
 		cfg.ListenFD, err = strconv.Atoi(fd)
--- a/internal/relay/resources.go
+++ b/internal/relay/resources.go
@@ -18,6 +18,8 @@
 	EndpointConns endpointConns `json:"endpoint_connections"`
 	Endpoints     endpointCount `json:"endpoints"`
 	Requests      int64         `json:"requests"` // in memory
+	// RuleConflicts counts what the settings forbid the redelivery rules of the operator's file.
+	RuleConflicts int64 `json:"redelivery_rule_conflicts"`
 	// Runtime is the memory of the Go runtime, in bytes.
 	Runtime runtimeMemory `json:"runtime"`
 }
@@ -82,6 +84,7 @@
 		r.EndpointConns.Limit = n.cfg.maxEndpointConns()
 		r.Endpoints = endpointCount{Listed: l.endpointsListed.Load(), Limit: n.cfg.maxEndpoints(), Ignored: l.endpointsIgnored.Load()}
 		r.Requests = l.journalUse.requests.Load()
+		r.RuleConflicts = n.deadLetters.ruleConflicts()
 		r.Memory["journal"] = front.MemoryUse{Used: int(l.journalUse.live.Load()), Limit: int(n.cfg.journalSizeMB()*bytesPerMB) / 2}
 		r.Memory["completed_ids"] = front.MemoryUse{Used: int(l.journalUse.completed.Load()), Limit: n.cfg.completedMemory()}
 	}
