Configuration: turn down malformed addresses to listen on at SIGHUP, as a start does

Cause: the form of the two addresses was first looked at by the call that listens, which only a start makes. Config.validate, which SIGHUP and the start have in common, checked discovery alone, and that listen is there.

Change: validate checks host and port of both. A start that fails for it now names file and key.

--- a/internal/relay/config_check.go
+++ b/internal/relay/config_check.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
 
@@ -14,8 +13,8 @@
 	if err := c.validateLimits(); err != nil {
 		return err
 	}
-	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
-		return &ConfigError{Key: "discovery", Reason: err}
+	if err := c.validateAddresses(); err != nil {
+		return err
 	}
 	seed, err := strconv.ParseUint(c.Seed, 16, 64)
 	if err != nil {
@@ -38,11 +37,9 @@
 	return nil
 }
 
-// validateLimits checks the listening address and the limits.
+// validateLimits checks the limits.
 func (c *Config) validateLimits() *ConfigError {
 	switch {
-	case c.Listen == "":
-		return &ConfigError{Key: "listen", Reason: errMissing}
 	case !(c.Limits.Cores > 0):
 		return notPositive("limits.cores", c.Limits.Cores)
 	case !(c.Limits.MemoryMB > 0):
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"syscall"
@@ -33,6 +34,8 @@
 		"no attempts":          strings.Replace(good, `"max_attempts":12`, `"max_attempts":0`, 1),
 		"a key is missing":     strings.Replace(good, `"ramp_time_s":10`, `"ramp":10`, 1),
 		"a class lacks a key":  strings.Replace(good, `"aim_s":2,`, ``, 1),
+		"no address":           regexp.MustCompile(`"listen":"[^"]*"`).ReplaceAllString(good, `"listen":"nowhere"`),
+		"no admin address":     strings.Replace(good, `"management":"`, `"management":"x`, 1),
 		"a class twice":        strings.Replace(good, `"name":"order"`, `"name":"status"`, 1),
 		"unknown idempotency":  strings.Replace(good, "fragile", "fragrant", 1),
 		"a class without name": strings.Replace(good, `"name":"order"`, `"name":""`, 1),
