--- a/internal/relay/missing_key.go
+++ b/internal/relay/missing_key.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
-	"slices"
 	"strings"
 )
 
@@ -16,78 +14,87 @@
 	errNotList   = errors.New("is not a list")
 )
 
-// checkNoKeyMissing reports the first key that the running configuration has and the next one lacks: a file that has lost a
-// part can still be valid JSON, and the missing values would be read as 0. The elements of a list must have the keys that all
-// elements of the running list share. The list of endpoints is not compared, since it may be empty.
+// checkNoKeyMissing reports the first required key that a configuration lacks: a file that has lost a part can still be valid JSON, and the
+// missing values would be read as 0. A key that the running configuration does without is not required of the next one either: a platform
+// that leaves it out does so in all its files.
 func checkNoKeyMissing(running, next []byte) *ConfigError {
-	var runningValue, nextValue any
-	if err := errors.Join(json.Unmarshal(running, &runningValue), json.Unmarshal(next, &nextValue)); err != nil {
+	runningValues, err := decodeWithoutEndpoints(running)
+	if err != nil {
 		return &ConfigError{Reason: err}
 	}
-	if top, ok := runningValue.(map[string]any); ok {
-		delete(top, "known")
+	nextValues, err := decodeWithoutEndpoints(next)
+	if err != nil {
+		return &ConfigError{Reason: err}
 	}
-	return missingKey("", runningValue, nextValue)
-}
-
-// missingKey compares the running value and the next value at a path.
-func missingKey(path string, running, next any) *ConfigError {
-	switch running := running.(type) {
-	case map[string]any:
-		return missingKeyOfObject(path, running, next)
-	case []any:
-		return missingKeyOfList(path, running, next)
+	for i := range requiredKeys {
+		key := &requiredKeys[i]
+		if err := key.check(nextValues); err != nil && key.check(runningValues) == nil {
+			return err
+		}
 	}
 	return nil
 }
 
-func missingKeyOfObject(path string, running map[string]any, value any) *ConfigError {
-	next, ok := value.(map[string]any)
-	if !ok {
-		return &ConfigError{Key: path, Reason: errNotObject}
+// decodeWithoutEndpoints decodes a configuration without its list of endpoints, which may be long.
+func decodeWithoutEndpoints(raw []byte) (map[string]any, error) {
+	var parts map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return nil, err //nolint:wrapcheck // checkNoKeyMissing adds the context
 	}
-	for _, key := range slices.Sorted(maps.Keys(running)) {
-		at := strings.TrimPrefix(path+"."+key, ".")
-		v, ok := next[key]
-		if !ok {
-			return &ConfigError{Key: at, Reason: errMissing}
+	delete(parts, "known")
+	values := map[string]any{}
+	for key, part := range parts {
+		var value any
+		if err := json.Unmarshal(part, &value); err != nil {
+			return nil, err //nolint:wrapcheck // as above
 		}
-		if err := missingKey(at, running[key], v); err != nil {
-			return err
+		values[key] = value
+	}
+	return values, nil
+}
+
+// check reports the first place of a configuration that lacks the key.
+func (k *requiredKey) check(configuration map[string]any) *ConfigError {
+	return k.checkObject("", configuration, strings.Split(k.path, "."))
+}
+
+// checkObject checks an object, which stands at a path of the file. names leads from the object to the key.
+func (k *requiredKey) checkObject(path string, object map[string]any, names []string) *ConfigError {
+	name, inList := strings.CutSuffix(names[0], "[]")
+	value, at := object[name], strings.TrimPrefix(path+"."+name, ".")
+	switch {
+	case len(names) == 1:
+		if value == nil && (k.appliesTo == nil || k.appliesTo(object)) { // absent, or null
+			return &ConfigError{Key: at, Reason: errMissing}
 		}
+		return nil
+	case value == nil: // whether this key is required is said by its own entry
+		return nil
+	case inList:
+		return k.checkElements(at, value, names[1:])
 	}
-	return nil
+	return k.checkValue(at, value, names[1:])
 }
 
-func missingKeyOfList(path string, running []any, value any) *ConfigError {
-	next, ok := value.([]any)
+// checkElements checks each element of a list.
+func (k *requiredKey) checkElements(path string, value any, names []string) *ConfigError {
+	list, ok := value.([]any)
 	if !ok {
 		return &ConfigError{Key: path, Reason: errNotList}
 	}
-	common := commonKeys(running)
-	if common == nil {
-		return nil
-	}
-	for i := range next {
-		if err := missingKey(fmt.Sprintf("%s[%d]", path, i), common, next[i]); err != nil {
+	for i, element := range list {
+		if err := k.checkValue(fmt.Sprintf("%s[%d]", path, i), element, names); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// commonKeys returns the keys that all elements of a list have, or nil if any element is not an object.
-func commonKeys(list []any) map[string]any {
-	var common map[string]any
-	for _, v := range list {
-		object, ok := v.(map[string]any)
-		if !ok {
-			return nil
-		}
-		if common == nil {
-			common = maps.Clone(object)
-		}
-		maps.DeleteFunc(common, func(key string, _ any) bool { _, ok := object[key]; return !ok })
+// checkValue checks a value that has to be an object.
+func (k *requiredKey) checkValue(path string, value any, names []string) *ConfigError {
+	object, ok := value.(map[string]any)
+	if !ok {
+		return &ConfigError{Key: path, Reason: errNotObject}
 	}
-	return common
+	return k.checkObject(path, object, names)
 }
