Responses: doubt about a response never allows what the response forbids

Cause: a response that comes early on a used connection may be another request's and was kept unconfirmed. If its connection was reset, if another response followed, or if the response could not be read to its end, the whole response was dropped, with the end that it stands for, and a keyed or idempotent message was sent again. The same happened to 200 and 504, to a 410 that followed an unconfirmed 503 (most of all one for lack of slots, which was compared by outcome alone and counted as the same), to a damaged 410 on any connection, and, by SIGKILL or a hand-over, to a 410 that was still unconfirmed.

policy.Response says what a response forbids, and InDoubt keeps that: the message ends by a notice (a notice for a message that is over does no harm), or as delivered after an early 200 on a connection that failed. An early 410 or 504 is not kept unconfirmed, since no confirmation could allow a call. A wait (X-Retry-In-Ms) of a following or damaged response counts as well. The loop and the run-time invariant refuse a call after such a response independently of the decision module. Doubtful responses are logged with request, endpoint and reason and counted in GET /status/doubtful-responses.

--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -17,6 +17,7 @@
 	mux.HandleFunc("GET /status/resources", s.getResources)
 	mux.HandleFunc("GET /status/invariants", s.getViolations)
 	mux.HandleFunc("GET /status/extra-responses", s.getExtraResponses)
+	mux.HandleFunc("GET /status/doubtful-responses", s.getDoubtfulResponses)
 	mux.HandleFunc("POST /standby", s.postStandby)
 	mux.HandleFunc("POST /active", s.postActive)
 	return mux
@@ -55,6 +56,11 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"extra_responses": s.relay.ExtraResponses()})
 }
 
+func (s *Server) getDoubtfulResponses(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"doubtful_responses": s.relay.DoubtfulResponses()})
+}
+
 func (s *Server) postStandby(w http.ResponseWriter, _ *http.Request) {
 	s.relay.Standby()
 	writeAnswer(w, true, "standing by")
--- a/internal/admin/extra_responses.go
+++ b/internal/admin/response_counts.go
@@ -6,21 +6,21 @@
 )
 
 const (
-	// maxCountedEndpoints bounds the endpoints that ExtraResponses counts one by one.
+	// maxCountedEndpoints bounds the endpoints that ResponseCounts counts one by one.
 	maxCountedEndpoints = 1000
 	// otherEndpoints is the name under which the responses of all further endpoints are counted.
 	otherEndpoints = "other"
 )
 
-// ExtraResponses counts the responses that endpoints wrote although nobody asked for them, from the start of the process. It is safe
-// for concurrent use. The zero value is ready to use.
-type ExtraResponses struct {
+// ResponseCounts counts responses of one sort, such as those that nobody asked for, by endpoint and reason, from the start of the
+// process. It is safe for concurrent use. The zero value is ready to use.
+type ResponseCounts struct {
 	mu     sync.Mutex
-	counts map[string]map[string]int // endpoint -> how a response was noticed -> count
+	counts map[string]map[string]int // endpoint -> reason -> count
 }
 
-// Record counts a response of an endpoint, by how it was noticed.
-func (r *ExtraResponses) Record(endpoint, sign string) {
+// Record counts a response of an endpoint.
+func (r *ResponseCounts) Record(endpoint, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.counts == nil {
@@ -32,11 +32,11 @@
 	if r.counts[endpoint] == nil {
 		r.counts[endpoint] = map[string]int{}
 	}
-	r.counts[endpoint][sign]++
+	r.counts[endpoint][reason]++
 }
 
-// ByEndpoint returns the counts by endpoint and by how the responses were noticed.
-func (r *ExtraResponses) ByEndpoint() map[string]map[string]int {
+// ByEndpoint returns the counts by endpoint and reason.
+func (r *ResponseCounts) ByEndpoint() map[string]map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	counts := make(map[string]map[string]int, len(r.counts))
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -41,6 +41,8 @@
 	Violations() map[string]int64
 	// ExtraResponses returns the number of responses that nobody asked for, by endpoint and by how they were noticed.
 	ExtraResponses() map[string]map[string]int
+	// DoubtfulResponses returns the number of responses that could not be told from another request's, by endpoint and by reason.
+	DoubtfulResponses() map[string]map[string]int
 }
 
 // Server is the HTTP endpoint.
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -43,6 +43,10 @@
 	return map[string]map[string]int{"h1": {"after a response": 2}}
 }
 
+func (r *fakeRelay) DoubtfulResponses() map[string]map[string]int {
+	return map[string]map[string]int{"h1": {"connection failed": 4}}
+}
+
 // startServer starts a server for a fakeRelay, which runs until the test ends.
 func startServer(t *testing.T) (r *fakeRelay, addr string) {
 	t.Helper()
@@ -115,11 +119,12 @@
 	r, addr := startServer(t)
 	for request, want := range map[string]string{
 		statusRequest: "yes: so\n",
-		"GET /status/invariants HTTP/1.1\r\nHost: x\r\n\r\n":      `{"violations":{"end_twice":3}}` + "\n",
-		"GET /status/resources HTTP/1.1\r\nHost: x\r\n\r\n":       `{"requests":0}` + "\n",
-		"GET /status/extra-responses HTTP/1.1\r\nHost: x\r\n\r\n": `{"extra_responses":{"h1":{"after a response":2}}}` + "\n",
-		"POST /standby HTTP/1.1\r\nHost: x\r\n\r\n":               "yes: standing by\n",
-		"POST /active HTTP/1.1\r\nHost: x\r\n\r\n":                "yes: active\n",
+		"GET /status/invariants HTTP/1.1\r\nHost: x\r\n\r\n":         `{"violations":{"end_twice":3}}` + "\n",
+		"GET /status/resources HTTP/1.1\r\nHost: x\r\n\r\n":          `{"requests":0}` + "\n",
+		"GET /status/extra-responses HTTP/1.1\r\nHost: x\r\n\r\n":    `{"extra_responses":{"h1":{"after a response":2}}}` + "\n",
+		"GET /status/doubtful-responses HTTP/1.1\r\nHost: x\r\n\r\n": `{"doubtful_responses":{"h1":{"connection failed":4}}}` + "\n",
+		"POST /standby HTTP/1.1\r\nHost: x\r\n\r\n":                  "yes: standing by\n",
+		"POST /active HTTP/1.1\r\nHost: x\r\n\r\n":                   "yes: active\n",
 	} {
 		if out := exchange(t, addr, request); !strings.HasSuffix(out, "\r\n\r\n"+want) {
 			t.Errorf("%q: %q, want body %q", request, out, want)
--- a/internal/invariant/kind.go
+++ b/internal/invariant/kind.go
@@ -5,7 +5,8 @@
 
 // The kinds of violation.
 const (
-	// SendAfterCompletion: an attempt was to be sent after the request's terminal outcome was decided.
+	// SendAfterCompletion: an attempt was to be sent after the request's terminal outcome was decided, or after a response that forbids
+	// further attempts.
 	SendAfterCompletion Kind = iota
 	// SendAfterDeadline: an attempt was to be sent after the request's deadline.
 	SendAfterDeadline
--- a/internal/invariant/send.go
+++ b/internal/invariant/send.go
@@ -12,7 +12,7 @@
 type Request struct {
 	*journal.Entry               // its Attempts do not include the attempt that is checked
 	Terms          *policy.Class // the class settings at acceptance; nil if they are unknown
-	Completed      bool          // the terminal outcome is decided
+	Completed      bool          // the terminal outcome is decided, or a response forbids further attempts
 	InFlight       bool          // an attempt of this process is in flight
 }
 
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -20,7 +20,8 @@
 	mode       *servingmode.Mode
 	metrics    *admin.Metrics
 	violations *invariant.Counts
-	extra      admin.ExtraResponses
+	extra      admin.ResponseCounts // responses that nobody asked for
+	doubtful   admin.ResponseCounts // responses that may belong to another request than the one in flight
 	frontend   atomic.Pointer[front.Server]
 	serves     atomic.Pointer[node] // whose resources are reported; nil: none serves yet
 	serving    atomic.Bool          // clients are served and no graceful shutdown has begun
@@ -97,3 +98,6 @@
 
 // ExtraResponses returns the number of responses that nobody asked for, by endpoint and by how they were noticed.
 func (a *adminEndpoint) ExtraResponses() map[string]map[string]int { return a.extra.ByEndpoint() }
+
+// DoubtfulResponses returns the number of responses that could not be told from another request's, by endpoint and by reason.
+func (a *adminEndpoint) DoubtfulResponses() map[string]map[string]int { return a.doubtful.ByEndpoint() }
--- a/internal/relay/assemble.go
+++ b/internal/relay/assemble.go
@@ -50,7 +50,7 @@
 	l := &loop{
 		cfg: n.cfg, dispatcher: dispatcher, journal: j, inbox: make(chan event, inboxSize),
 		timeline: j.Timeline(), clockSteps: clock.NewStepDetector(j.Timeline()),
-		metrics: n.metrics, violations: n.violations, extra: &n.admin.extra, mode: n.mode, detached: map[string]*net.TCPConn{},
+		metrics: n.metrics, violations: n.violations, extra: &n.admin.extra, doubtful: &n.admin.doubtful, mode: n.mode, detached: map[string]*net.TCPConn{},
 		requests: map[string]*request{}, endpoints: map[string]discovery.Endpoint{}, destinations: map[int]bool{},
 		listPending: make(chan struct{}, 1),
 		pool:        http1.New(settings.Seconds(n.cfg.Settings.Limits.ConnectTimeoutS), n.cfg.policy.IdleConnTimeout, n.cfg.maxEndpointConns()),
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -137,7 +137,9 @@
 		return
 	}
 	r.cancel, r.attemptInFlight = nil, false
+	r.attemptsEnded = r.attemptsEnded || e.Final || e.AttemptsExhausted
 	l.traceAttemptEnded(r, e)
+	l.recordDoubt(r, e)
 	if l.journal.Entry(r.ID) == r.Entry {
 		l.journal.EndAttempt(r.Entry, e.NotExecuted(), outcomeNames[e.Outcome], l.timeline.Now())
 	}
@@ -151,6 +153,17 @@
 	}
 }
 
+// recordDoubt logs and counts an attempt whose response may belong to an earlier request on its connection.
+func (l *loop) recordDoubt(r *request, e attemptEnded) {
+	if e.Doubt == upstream.NoDoubt {
+		return
+	}
+	l.doubtful.Record(e.endpoint, string(e.Doubt))
+	slog.Info("response in doubt", logkey.RequestID, r.ID, logkey.Class, r.Class, logkey.Destination, r.Destination,
+		logkey.Endpoint, e.endpoint, logkey.Attempt, e.index+1, logkey.Outcome, outcomeNames[e.Outcome], logkey.Reason, e.Doubt,
+		logkey.AttemptsEnded, e.AttemptsExhausted)
+}
+
 // noteDelivery notes at the end of an attempt whether the request was delivered, was likely delivered, or was not.
 func (l *loop) noteDelivery(r *request, e attemptEnded) {
 	r.likelyDelivered = r.likelyDelivered || e.LikelyDelivered
--- /dev/null
+++ b/internal/relay/ended_loop_test.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"frostlink/internal/admin"
+	"frostlink/internal/invariant"
+	"frostlink/internal/upstream"
+	"frostlink/policy"
+)
+
+// A request whose response forbids further attempts is not sent again, whatever the dispatcher decides.
+func TestPlanAttempt_NotAfterFinalResponse(t *testing.T) {
+	for _, result := range []upstream.Result{
+		{Outcome: policy.NotSent, AttemptsExhausted: true},
+		{Outcome: policy.NotSent, AttemptsExhausted: true, OutcomeUnknown: true, Doubt: upstream.DoubtEarly},
+		{Outcome: policy.ConnectionReset, AttemptsExhausted: true, OutcomeUnknown: true, Doubt: upstream.DoubtFollowed},
+	} {
+		l, r := loopWithAcceptedRequest(t, policy.Class{Name: "C", Idempotency: policy.Idempotent}, time.Minute)
+		l.doubtful = &admin.ResponseCounts{}
+		l.planAttempt(l.now(), policy.Send{ID: r.ID, Endpoint: "h"})
+		l.attempts = nil
+		l.handleAttemptEnded(attemptEnded{id: r.ID, endpoint: "h", Result: result})
+		l.planAttempt(l.now(), policy.Send{ID: r.ID, Endpoint: "h"})
+		if planned, violations := len(l.attempts), l.violations.ByKind()[invariant.SendAfterCompletion.String()]; planned != 0 || violations != 1 {
+			t.Errorf("after %+v: %d attempts planned, %d violations recorded; want none, and one", result, planned, violations)
+		}
+		if counts := l.doubtful.ByEndpoint()["h"]; (result.Doubt != upstream.NoDoubt) != (counts[string(result.Doubt)] == 1) {
+			t.Errorf("after %+v: counts %v", result, counts)
+		}
+	}
+}
+
+// While the folder can't be written, a response that ends a request still forbids further attempts, and the notice is due at the deadline.
+func TestEndedRequest_NotSentAgainWhileFolderFails(t *testing.T) {
+	l, r := loopWithAcceptedRequest(t, policy.Class{Name: "C", Idempotency: policy.Idempotent}, time.Minute)
+	l.planAttempt(l.now(), policy.Send{ID: r.ID, Endpoint: "h"})
+	l.attempts = nil
+	if err := l.journal.Close(); err != nil { // the next write fails
+		t.Fatal(err)
+	}
+	l.handleAttemptEnded(attemptEnded{id: r.ID, endpoint: "h", Result: upstream.Result{Outcome: policy.NotSent, Final: true}})
+	l.planAttempt(l.now(), policy.Send{ID: r.ID, Endpoint: "h"})
+	if len(l.attempts) != 0 || !r.completed() {
+		t.Errorf("%d attempts planned, completed %v; want none, and completed", len(l.attempts), r.completed())
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -48,8 +48,9 @@
 
 	requests   map[string]*request // by id
 	violations *invariant.Counts
-	extra      *admin.ExtraResponses
-	deadlines  invariant.Deadlines // of accepted requests
+	extra      *admin.ResponseCounts // responses that nobody asked for
+	doubtful   *admin.ResponseCounts // responses that may belong to another request than the one in flight
+	deadlines  invariant.Deadlines   // of accepted requests
 
 	endpoints        map[string]discovery.Endpoint // by id
 	destinations     map[int]bool                  // destinations that have occurred in any endpoint list
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -28,6 +28,7 @@
 	attempt          plannedAttempt
 	attemptStarted   time.Time
 	attemptInFlight  bool               // planned, and its end has not reached the loop
+	attemptsEnded    bool               // a response of this process's attempts forbids further ones
 	cancel           context.CancelFunc // cancels the attempt; nil while no goroutine runs it
 	cancelBeforeSend *atomic.Bool       // cancels the attempt unless a byte of it has been sent
 
--- a/internal/relay/tracing.go
+++ b/internal/relay/tracing.go
@@ -5,6 +5,7 @@
 
 	"frostlink/internal/journal"
 	"frostlink/internal/trace"
+	"frostlink/internal/upstream"
 	"frostlink/policy"
 )
 
@@ -28,7 +29,7 @@
 		Outcome: outcomeNames[e.Outcome], Count: e.index + 1,
 		DurationMs: milliseconds(e.latency), NewConn: e.NewConn, RetryAfterMs: milliseconds(e.RetryAfter),
 	}
-	if e.Doubtful {
+	if e.Doubt != upstream.NoDoubt {
 		t.Reason = reasonDoubtfulResponse
 	}
 	if e.LoadReport != nil {
--- a/internal/upstream/http1/confirmation.go
+++ b/internal/upstream/http1/confirmation.go
@@ -35,9 +35,9 @@
 // the request fails.
 const deadlineMargin = 100 * time.Millisecond
 
-// awaitNextResponse waits for another response after an unconfirmed one, until shortly before the request's deadline at most. If one
-// follows, it returns the outcome that it stands for.
-func (p *Pool) awaitNextResponse(requestCtx context.Context, c *conn) (next successor, outcome policy.Outcome) {
+// awaitNextResponse waits for another response after an unconfirmed one, until shortly before the request's deadline at most. It returns
+// what the one that follows means; if that can't be read, what its status line forbids.
+func (p *Pool) awaitNextResponse(requestCtx context.Context, c *conn) (next successor, response policy.Response) {
 	latest := time.Time{}
 	if deadline, bounded := requestCtx.Deadline(); bounded {
 		latest = deadline.Add(-deadlineMargin)
@@ -46,22 +46,23 @@
 	c.limit.N = maxResponseSize
 	for interim := range maxInterimResponses + 1 {
 		if _, err := c.in.Peek(1); err != nil {
-			return p.successorOnError(err, expires, interim > 0), 0
+			return p.successorOnError(err, expires, interim > 0), policy.Response{}
 		}
-		succeeded := c.peekStatusOK()
+		status := c.peekStatus()
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodPost})
 		switch {
-		case err != nil && succeeded:
-			return responseFollowed, policy.Succeeded
+		case err != nil && status == http.StatusOK:
+			return responseFollowed, policy.Response{Outcome: policy.Succeeded, Final: true}
 		case err != nil:
-			return connectionFailed, 0
+			return connectionFailed, policy.Response{AttemptsExhausted: endsAttempts(status)}
 		case resp.StatusCode == http.StatusRequestTimeout:
-			return otherFollowed, 0
+			return otherFollowed, policy.Response{}
 		case resp.StatusCode >= http.StatusOK:
-			return responseFollowed, classify(resp).Outcome
+			following := classify(resp)
+			return responseFollowed, following.Response()
 		}
 	}
-	return connectionFailed, 0
+	return connectionFailed, policy.Response{}
 }
 
 // successorOnError returns what follows an unconfirmed response if the wait for another one ended with an error. interim reports that
--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -135,7 +135,7 @@
 	c.extendAwait(&r)
 	for _, part := range parts {
 		if n, _ := (socket.RetryConn{Conn: c.Conn}).Write(part); n < len(part) {
-			return notReusable(policy.ConnectError), false
+			return c.notWritten(), false
 		}
 	}
 	c.writtenAt = time.Now()
@@ -145,6 +145,17 @@
 	return exchangeResult{}, true
 }
 
+// notWritten returns the result of an exchange whose request could not be written to its end. The endpoint may have responded before it
+// had the request.
+func (c *conn) notWritten() exchangeResult {
+	res := notReusable(policy.ConnectError)
+	if c.hasUnread() {
+		_ = c.SetReadDeadline(time.Now().Add(deadlineGrace))
+		res.AttemptsExhausted = endsAttempts(c.peekStatus())
+	}
+	return res
+}
+
 // awaitResponse waits for the response to a request that was written, and reads the response.
 func (p *Pool) awaitResponse(requestCtx, attemptCtx context.Context, c *conn, r *upstream.Request) exchangeResult {
 	c.limit.N = maxResponseSize
@@ -167,7 +178,7 @@
 	c.setState(connReadingResponse)
 	resp, succeeded, err := c.readResponse(requestCtx)
 	switch {
-	case err == nil && resp.StatusCode == http.StatusOK && !succeeded:
+	case resp != nil && resp.StatusCode == http.StatusOK && !succeeded:
 		// A 200 that was read after the deadline does not count as a delivery: the request has timed
 		// out, and a notice of that outcome still has to be sent.
 		return notReusable(policy.TimedOut)
@@ -176,7 +187,17 @@
 	case succeeded:
 		return p.attribute(requestCtx, c, r, begunAt, exchangeResult{Result: upstream.Result{Outcome: policy.Succeeded, Final: true}})
 	}
-	return noResponse(attemptCtx)
+	return malformedResponse(attemptCtx, err)
+}
+
+// malformedResponse returns the result of an exchange whose response can't be read to its end. The request may have executed, but what
+// was read of the response still forbids what it forbids.
+func malformedResponse(attemptCtx context.Context, err error) exchangeResult {
+	res := noResponse(attemptCtx)
+	if malformed := (*malformedError)(nil); errors.As(err, &malformed) {
+		res.SetResponse(res.Response().And(malformed.response))
+	}
+	return res
 }
 
 // isDetached reports whether the wait for a response failed with err only because the pool is
--- a/internal/upstream/http1/ownership.go
+++ b/internal/upstream/http1/ownership.go
@@ -39,11 +39,10 @@
 // nobody asked for, and nothing in a response names its request.
 func (p *Pool) attribute(requestCtx context.Context, c *conn, r *upstream.Request, begunAt time.Time, res exchangeResult) exchangeResult {
 	reused, latency := !c.respondedAt.IsZero() && !c.writtenAt.IsZero(), begunAt.Sub(c.writtenAt)
-	x := policy.Exchange{Outcome: res.Outcome, Latency: latency, Retryable: r.Retryable}
 	if reused {
-		var own bool
-		if res, own = p.confirm(requestCtx, c, r, res, p.owner(c, x)); !own {
-			return doubtful(res)
+		x := policy.Exchange{Response: res.Response(), Latency: latency, Retryable: r.Retryable}
+		if res = p.confirm(requestCtx, c, r, res, x); res.Doubt != upstream.NoDoubt {
+			return res
 		}
 	}
 	if c.beginsResponse() {
@@ -57,38 +56,46 @@
 }
 
 // confirm waits, if necessary, until it is as certain as it can be whether a response belongs to the request in flight. It returns
-// the result of the exchange, and whether the response counts as the request's own.
-func (p *Pool) confirm(requestCtx context.Context, c *conn, r *upstream.Request, res exchangeResult, owner policy.Ownership) (confirmed exchangeResult, own bool) {
-	if owner == policy.OwnResponse || owner == policy.DoubtfulResponse {
-		return res, owner == policy.OwnResponse
+// the result of the exchange, whose Doubt is empty if the response counts as the request's own.
+func (p *Pool) confirm(requestCtx context.Context, c *conn, r *upstream.Request, res exchangeResult, x policy.Exchange) (confirmed exchangeResult) {
+	owner, distrusted := p.owner(c, x)
+	switch {
+	case owner == policy.OwnResponse:
+		return res
+	case owner == policy.DoubtfulResponse && distrusted:
+		return inDoubt(res, upstream.DoubtDistrusted)
+	case owner == policy.DoubtfulResponse:
+		return inDoubt(res, upstream.DoubtEarly)
 	}
 	if r.OnUnconfirmed != nil {
 		r.OnUnconfirmed(res.Result)
 	}
 	begunAt := time.Now()
 	defer func() { confirmed.Unconfirmed = time.Since(begunAt) }()
-	next, outcome := p.awaitNextResponse(requestCtx, c)
+	next, response := p.awaitNextResponse(requestCtx, c)
 	if next == responseFollowed || next == otherFollowed {
 		p.recordExtraResponse(r.Target, c, ExtraUnconfirmed)
 	}
-	switch next {
-	case nothingFollowed:
+	if next == nothingFollowed {
 		res.reusable = res.reusable && c.clearDeadlines()
-		return res, true
-	case connectionClosed, otherFollowed:
-		res.reusable = false
-		return res, true
-	case responseFollowed:
-		// One of the two responses is the request's own. If they mean the same, it does not matter which.
-		res.reusable = false
-		return res, outcome == res.Outcome
-	case connectionFailed:
-		res.LikelyDelivered = owner == policy.LikelyOwnResponse
-		return res, false
-	case undecided:
-		res.reusable = false
+		return res
 	}
-	return res, owner == policy.LikelyOwnResponse
+	res.reusable = false
+	likelyOwn := owner == policy.LikelyOwnResponse
+	switch {
+	case next == responseFollowed && !response.Means(res.Response()):
+		res.SetResponse(res.Response().And(response))
+		return inDoubt(res, upstream.DoubtFollowed)
+	case next == responseFollowed: // one of the two is the request's own, and it does not matter which
+		res.RetryAfter = max(res.RetryAfter, response.RetryAfter)
+	case next == connectionFailed:
+		res.LikelyDelivered = likelyOwn
+		res.SetResponse(res.Response().And(response))
+		return inDoubt(res, upstream.DoubtConnFailed)
+	case next == undecided && !likelyOwn:
+		return inDoubt(res, upstream.DoubtUndecided)
+	}
+	return res
 }
 
 // beginsResponse reports whether the bytes that were read after a response begin another one. Other bytes may belong to the response,
@@ -102,14 +109,11 @@
 	return string(begin) == version
 }
 
-// doubtful returns the result of an exchange whose response may belong to an earlier request. The request may have executed. Its
-// connection is closed, which ends the request at the endpoint, before it is sent again. A wait that the response asks for still
-// counts, and so does a likely delivery if the request can't be sent again.
-func doubtful(res exchangeResult) exchangeResult {
-	res.reusable, res.Final, res.AttemptsExhausted, res.OutcomeUnknown, res.Doubtful = false, false, false, true, true
-	if res.Outcome == policy.Succeeded {
-		res.Outcome = policy.ConnectionReset
-	}
+// inDoubt returns the result of an exchange whose response may belong to an earlier request. Its connection is closed, which ends the
+// request at the endpoint.
+func inDoubt(res exchangeResult, reason upstream.Doubt) exchangeResult {
+	res.reusable, res.Doubt = false, reason
+	res.SetResponse(res.Response().InDoubt())
 	return res
 }
 
@@ -129,12 +133,12 @@
 	return set.responder.EarlyTime()
 }
 
-// owner decides whether the response of an exchange on a connection belongs to its request.
-func (p *Pool) owner(c *conn, x policy.Exchange) policy.Ownership {
+// owner decides whether the response of an exchange on a connection belongs to its request. distrusted reports that the endpoint is.
+func (p *Pool) owner(c *conn, x policy.Exchange) (owner policy.Ownership, distrusted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x.Distrusted = c.set.responder.Distrusted(time.Now())
-	return c.set.responder.Owner(x)
+	return c.set.responder.Owner(x), x.Distrusted
 }
 
 // accepted records a response that belongs to its request.
--- a/policy/attempt_outcome.go
+++ b/policy/attempt_outcome.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 // attemptEnded applies the outcome of an attempt. It ignores an attempt that is not in flight.
@@ -16,8 +17,11 @@
 		a.state = attemptNotExecuted
 	}
 	m.openAttempts--
+	m.attemptsEnded = m.attemptsEnded || e.Response().EndsAttempts()
 	if !a.answered {
 		d.applyResponse(m, a, &e)
+	} else if e.RetryAfter > a.retryAfter {
+		d.heedRetryAfter(a.call, e.RetryAfter) // of a response that has followed the unconfirmed one
 	}
 	if e.Outcome == TimedOut || e.Outcome == ConnectionReset || e.Outcome == Canceled {
 		m.cooldownUntil = d.now + d.settings.OrderKeyCooldown // the attempt may still be executing
@@ -28,7 +32,7 @@
 // responseUnconfirmed applies a response to the call of an attempt in flight, but not to its message.
 func (d *Dispatcher) responseUnconfirmed(e AttemptEnded) {
 	if m, a := d.openAttempt(e.ID, e.Attempt); a != nil && !a.answered {
-		a.answered = true
+		a.answered, a.retryAfter = true, e.RetryAfter
 		d.applyResponse(m, a, &e)
 	}
 }
@@ -49,15 +53,21 @@
 	if e.LoadReport != nil {
 		d.recordReportedLimit(q, e.LoadReport.RateLimit)
 	}
-	if e.Outcome == Rejected && e.RetryAfter > 0 {
-		q.retryAfterUntil = max(q.retryAfterUntil, d.now+min(e.RetryAfter, never-d.now))
-		d.cancelBeforeSend(q.inFlight, c)
+	if e.RetryAfter > 0 {
+		d.heedRetryAfter(c, e.RetryAfter)
 	}
 	if c.pendingOutcomes--; c.pendingOutcomes == 0 {
 		d.callEnded(c, m, e)
 	}
 }
 
+// heedRetryAfter lets no call to the destination of an answered call start before the wait that the answer asks for has passed.
+func (d *Dispatcher) heedRetryAfter(answered *call, wait time.Duration) {
+	q := answered.endpoint.queue
+	q.retryAfterUntil = max(q.retryAfterUntil, d.now+min(wait, never-d.now))
+	d.cancelBeforeSend(q.inFlight, answered)
+}
+
 // notExecuted reports whether an outcome proves that the attempt did not execute.
 func (e *AttemptEnded) notExecuted() bool {
 	return !e.OutcomeUnknown && (e.Outcome == Rejected || e.Outcome == ConnectError || e.Outcome == NotSent)
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -67,6 +67,7 @@
 //   - timeout.go: the timeout of an attempt
 //   - attempt_outcome.go: state updates after the outcome of an attempt
 //   - retry.go: whether a message may be sent again
+//   - response.go: what a response means for its message, and what it forbids if it may belong to another one
 //   - response_ownership.go: when a connection may be used again, and which request a response belongs to
 //   - stuck_attempts.go: cancellation of calls that are in flight for too long
 //   - cancel_before_send.go: cancellation of attempts that have not sent a byte
--- a/policy/events.go
+++ b/policy/events.go
@@ -83,6 +83,19 @@
 	LoadReport        *LoadReport // or nil
 }
 
+// Response returns what the response to the attempt means for its message.
+func (e *AttemptEnded) Response() Response {
+	return Response{
+		Outcome: e.Outcome, RetryAfter: e.RetryAfter, Final: e.Final, AttemptsExhausted: e.AttemptsExhausted, OutcomeUnknown: e.OutcomeUnknown,
+	}
+}
+
+// SetResponse sets what the response to the attempt means for its message.
+func (e *AttemptEnded) SetResponse(r Response) {
+	e.Outcome, e.RetryAfter, e.Final = r.Outcome, r.RetryAfter, r.Final
+	e.AttemptsExhausted, e.OutcomeUnknown = r.AttemptsExhausted, r.OutcomeUnknown
+}
+
 // ResponseUnconfirmed reports a response that may belong to an earlier request on its connection. The destination has answered a call,
 // whichever it was, so the call's slot is free and its rejections and waits count. What the response means for its message stays open
 // until the AttemptEnded of the attempt, which follows.
--- a/policy/message.go
+++ b/policy/message.go
@@ -38,6 +38,7 @@
 	earlier       []attempt // of the same message under other IDs
 	attempts      []attempt
 	openAttempts  int           // attempts in flight
+	attemptsEnded bool          // a response forbids further attempts
 	cooldownUntil time.Duration // end of the cooldown of its order key
 }
 
@@ -57,7 +58,8 @@
 	state attemptState
 	// answered reports that a response has arrived and counts for the call, while it is not certain yet that it belongs to the
 	// message.
-	answered bool
+	answered   bool
+	retryAfter time.Duration // the wait that this response asks for
 }
 
 // accept registers a new message. A message with an unknown class or an ID in use is ignored.
@@ -103,5 +105,5 @@
 // attemptsExhausted reports whether a message has had all attempts that the settings allow, under
 // all its IDs together.
 func (d *Dispatcher) attemptsExhausted(m *message) bool {
-	return len(m.earlier)+len(m.attempts) >= d.settings.MaxAttempts
+	return m.attemptsEnded || len(m.earlier)+len(m.attempts) >= d.settings.MaxAttempts
 }
--- a/policy/response_ownership.go
+++ b/policy/response_ownership.go
@@ -40,13 +40,13 @@
 	// that no other response follows within ConfirmationTime.
 	UnconfirmedResponse
 	// DoubtfulResponse may belong to an earlier request, and is not worth waiting for a confirmation: the request in flight counts as
-	// one that may have executed, and may be sent again.
+	// one that may have executed (Response.InDoubt).
 	DoubtfulResponse
 )
 
 // Exchange is a request on a connection that has carried others before, and its response.
 type Exchange struct {
-	Outcome Outcome // by the response
+	Response Response
 	// Latency is the time from the last byte of the request to the response.
 	Latency time.Duration
 	// Retryable reports that the request may be sent again after it has executed.
@@ -122,8 +122,10 @@
 	switch {
 	case !x.Distrusted && x.Latency >= r.EarlyTime():
 		return OwnResponse
-	case x.Outcome == Succeeded:
+	case x.Response.Outcome == Succeeded:
 		return LikelyOwnResponse // an endpoint with a short way to it delivers that soon at times
+	case x.Response.EndsAttempts():
+		return DoubtfulResponse // no confirmation could allow another attempt, and a process that ends meanwhile must not forget the response
 	case x.Retryable && x.Distrusted:
 		return DoubtfulResponse
 	}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -49,7 +49,7 @@
 	case m.state != messageActive:
 		d.evict(m)
 	case m.openAttempts > 0:
-	case m.Background, e.AttemptsExhausted, d.attemptsExhausted(m),
+	case m.Background, d.attemptsExhausted(m),
 		d.now >= m.deadline-d.settings.BatchInterval, !d.retryAllowed(m, nil):
 		d.giveUp(m)
 	default:
