Emulator, fleet, checker: messages that are over at an endpoint, and calls after that

The checker's new rule, "sent after its end", judges each call after a response that ended its message: it counts as read if the relay kept the connection open for 50 ms after it, or closed it in order. A process that is killed as it reads it, a suspended one, a folder that fails and injected socket errors are excused. A call after a rejection of the client's submission is a violation as well. Until now the checker judged calls after a notice only.

The metrics' check counts a message with a notice by its notice, also if a 410 came before: a 410 in doubt ends by a notice.

--- a/internal/faultinjection/checker/checker.go
+++ b/internal/faultinjection/checker/checker.go
@@ -38,6 +38,7 @@
 var checks = []check{
 	eachRequest(
 		(*history).checkOutcome,
+		(*history).checkNoAttemptAfterEnd,
 		(*history).checkAnswered,
 		(*history).checkReadIsAnswered,
 		(*history).checkIdempotency,
--- a/internal/faultinjection/checker/event.go
+++ b/internal/faultinjection/checker/event.go
@@ -17,7 +17,8 @@
 	ClosedOnRequest  Kind = "closed-on"     // ID Relay Duration: the relay closed a connection by a regular close (no reset) without a response, Duration after a request was written on it
 	AttemptSent      Kind = "called"        // ID Relay Destination Endpoint Attempt FirstByte: the last byte of an attempt has arrived, its first byte at FirstByte
 	Probed           Kind = "probed"        // Relay Destination Endpoint Attempt: the last byte of a health check has arrived
-	AttemptEnded     Kind = "ended"         // Attempt Outcome Duration Executed: the response to an attempt is about to be written, or the attempt ended without one
+	AttemptEnded     Kind = "ended"         // Attempt Outcome Duration Executed Status: the response to an attempt is about to be written, or the attempt ended without one
+	ResponseRead     Kind = "read"          // Attempt: the relay has read the response to an attempt, which ends the attempts of its request
 	Executed         Kind = "effect"        // ID Message Destination: an attempt was executed
 	EndpointShown    Kind = "shown"         // Endpoint Destination State: discovery shows a change
 	EndpointNotified Kind = "told"          // Relay Endpoint Destination State: discovery has sent the change to a relay
@@ -91,7 +92,7 @@
 	Attempt     int           `json:"call,omitempty"`    // number of the attempt, unique over all relays
 	FirstByte   time.Duration `json:"first,omitempty"`
 	Duration    time.Duration `json:"for,omitempty"`
-	Status      int           `json:"status,omitempty"`
+	Status      int           `json:"status,omitempty"` // with AttemptEnded: 410 or 504, if the response ends the attempts of its request
 	Outcome     string        `json:"outcome,omitempty"`
 	State       string        `json:"state,omitempty"`
 	Executed    bool          `json:"ran,omitempty"`
--- a/internal/faultinjection/checker/expected_metrics.go
+++ b/internal/faultinjection/checker/expected_metrics.go
@@ -107,8 +107,10 @@
 		return "", 0
 	case r.deliveredAt >= 0 && r.deliveredAt == completed:
 		return successMetric, max(r.deliveredAt, r.answeredAt)
-	case len(r.notices) > 0 && r.notices[0].At == completed && r.notices[0].State == Deferred:
-		return busyMetric, completed
+	case len(r.notices) > 0 && r.notices[0].State == Deferred:
+		return busyMetric, r.notices[0].At // also after a response that the request is over, which may not have counted
+	case len(r.notices) > 0:
+		return failureMetric, r.notices[0].At
 	}
 	return failureMetric, completed
 }
--- a/internal/faultinjection/checker/history.go
+++ b/internal/faultinjection/checker/history.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"net/http"
 	"slices"
 	"time"
 )
@@ -68,6 +69,10 @@
 		h.addAttempt(e)
 	case AttemptEnded:
 		h.endAttempt(e)
+	case ResponseRead:
+		if a := h.attemptsByNumber[e.Attempt]; a != nil {
+			a.readAt = e.At
+		}
 	default:
 		if r := h.requestsByID[e.ID]; r != nil {
 			r.read(e)
@@ -78,7 +83,7 @@
 // addAttempt reads the event that the last byte of an attempt or a health check has arrived.
 func (h *history) addAttempt(e Event) {
 	a := &attempt{
-		relay: e.Relay, destination: e.Destination, endpoint: e.Endpoint, firstByte: e.FirstByte, lastByte: e.At, endedAt: unset,
+		relay: e.Relay, destination: e.Destination, endpoint: e.Endpoint, firstByte: e.FirstByte, lastByte: e.At, endedAt: unset, readAt: unset,
 		probe: e.Kind == Probed,
 	}
 	h.attemptsByNumber[e.Attempt] = a
@@ -103,14 +108,14 @@
 	if a == nil || a.endedAt >= 0 {
 		return
 	}
-	a.endedAt, a.outcome, a.retryAfter = e.At, e.Outcome, e.Duration
+	a.endedAt, a.outcome, a.retryAfter, a.status = e.At, e.Outcome, e.Duration, e.Status
 	r := h.requestsByID[e.ID]
 	switch {
 	case r == nil:
 	case e.Outcome == OK && r.deliveredAt < 0:
 		r.deliveredAt = e.At
-	case e.Outcome == NotSent && a.lastByte > r.deadline && r.expiredAt < 0:
-		r.expiredAt = e.At // the relay was notified that the deadline has passed, so an outcome is no longer due
+	case e.Outcome == NotSent && (a.lastByte > r.deadline || e.Status == http.StatusGone) && r.expiredAt < 0:
+		r.expiredAt = e.At // the relay was notified that the request has ended, so an outcome is no longer due
 	}
 }
 
--- a/internal/faultinjection/checker/request.go
+++ b/internal/faultinjection/checker/request.go
@@ -1,6 +1,9 @@
 package checker
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // unset is the time of an event that has not happened.
 const unset = time.Duration(-1)
@@ -13,9 +16,16 @@
 	endedAt             time.Duration // unset: the attempt never ended
 	outcome             string
 	retryAfter          time.Duration
+	status              int           // 410 or 504, if the response said that the request or its attempts have ended; 0 otherwise
+	readAt              time.Duration // when the relay had read a response that ends the attempts of its request; unset: it may not have read it
 	probe               bool
 }
 
+// endsRequest reports whether the response to the attempt forbids further attempts of its request.
+func (a *attempt) endsRequest() bool {
+	return a.outcome == OK || a.status == http.StatusGone || a.status == http.StatusGatewayTimeout
+}
+
 // mayHaveExecuted reports whether the relay had to assume that the destination executed the attempt. Only a rejection, or a
 // response that the attempt counts as not sent, proves that it was not executed.
 func (a *attempt) mayHaveExecuted() bool {
@@ -43,7 +53,7 @@
 	accepted                    bool
 	attempts                    []*attempt
 	deliveredAt                 time.Duration // unset: not delivered
-	expiredAt                   time.Duration // when an endpoint responded to an attempt that the deadline has passed; unset: none did
+	expiredAt                   time.Duration // when an endpoint responded to an attempt that the request is over; unset: none did
 	notices                     []Event
 	executions                  int             // number of times that a destination executed it
 	redelivery                  bool            // sent by the relay itself, under an id that the relay generated
--- a/internal/faultinjection/checker/violation.go
+++ b/internal/faultinjection/checker/violation.go
@@ -10,6 +10,7 @@
 	OutcomeMissing        Rule = "message lost"
 	OutcomeLate           Rule = "late end"
 	OutcomeTwice          Rule = "two ends"
+	SentAfterEnd          Rule = "sent after its end"
 	Unanswered            Rule = "closed without an answer" // a complete request got no response before the relay closed the connection
 	ExecutedTwice         Rule = "effect twice"
 	ConcurrentAttempts    Rule = "second copy"
--- a/internal/faultinjection/harness/attempt.go
+++ b/internal/faultinjection/harness/attempt.go
@@ -99,8 +99,10 @@
 	}
 	if !req.probe {
 		if status := c.checkForwardable(a, req); status != 0 {
-			a.end(checker.Event{Outcome: checker.NotSent})
-			return c.respond(response{status: status})
+			return c.respondNotSent(a, status)
+		}
+		if c.endEarly(a, previous) {
+			return !c.closed
 		}
 		d.drawAttempt(a, previous)
 	}
@@ -109,6 +111,16 @@
 	return !c.closed
 }
 
+// respondNotSent responds to an attempt that does not reach the destination.
+func (c *endpointConn) respondNotSent(a *attempt, status int) (open bool) {
+	ended, resp := checker.Event{Outcome: checker.NotSent}, response{status: status}
+	if status == http.StatusGone || status == http.StatusGatewayTimeout {
+		ended.Status, resp.endingAttempt = status, a.number
+	}
+	a.end(ended)
+	return c.respond(resp)
+}
+
 // beginAttempt records an attempt and returns it, with the number of earlier attempts of its message.
 func (c *endpointConn) beginAttempt(req *attemptRequest) (a *attempt, previous int) {
 	d := c.endpoint.destination
@@ -164,6 +176,8 @@
 	}
 	now := d.harness.ledger.state(s)
 	switch {
+	case now.endedEarly != 0:
+		return now.endedEarly
 	case now.withdrawn && !now.accepted, a.startedAt > s.expiresAt:
 		return http.StatusGone
 	case now.attempts > d.harness.scenario.Limits.MaxAttempts:
--- a/internal/faultinjection/harness/check.go
+++ b/internal/faultinjection/harness/check.go
@@ -46,6 +46,7 @@
 	h.mu.Unlock()
 	result.Void = result.LateShare > voidLateShare
 	result.Datagrams = h.network.counts()
+	result.EarlyEnds = h.earlyEnds.count()
 	if result.ExtraResponses = h.extra.counts(); result.ExtraResponses != nil {
 		result.Occurred[ExtraResponseWritten] = result.ExtraResponses.Written
 	}
--- a/internal/faultinjection/harness/destination_server.go
+++ b/internal/faultinjection/harness/destination_server.go
@@ -113,6 +113,9 @@
 		return // the relay that made the attempt no longer waits for the response
 	}
 	resp, ended := responseTo(c)
+	if resp.status == http.StatusOK {
+		resp.endingAttempt = a.number
+	}
 	a.end(ended)
 	switch {
 	case c.Outcome == destination.OutcomeReset:
@@ -125,8 +128,9 @@
 
 // response is the variable part of an endpoint's response.
 type response struct {
-	status  int
-	headers string // complete lines
+	status        int
+	headers       string // complete lines
+	endingAttempt int    // as in outgoing
 }
 
 // responseTo returns the response for a completion, and the event that records it.
--- a/internal/faultinjection/harness/endpoint_conn.go
+++ b/internal/faultinjection/harness/endpoint_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -25,7 +26,9 @@
 	attempt     *attempt      // in flight; nil: none
 	attemptDone chan struct{} // capacity 1; receives a value when the attempt in flight ends
 	arriving    bool          // a request is on its way through the network
-	inTransit   []string      // responses on their way to the relay, the earliest first
+	inTransit   []outgoing    // responses on their way to the relay, the earliest first
+	// unreadEnding is the number of the attempt whose response ends the attempts of its request, until the relay has read it; 0: none.
+	unreadEnding int
 }
 
 func newEndpointConn(e *endpointServer, raw *net.TCPConn, relay int) *endpointConn {
@@ -48,6 +51,7 @@
 	in := bufio.NewReader(c)
 	for {
 		if _, err := in.Peek(1); err != nil {
+			c.readingEnded(err)
 			return
 		}
 		firstByte := c.endpoint.destination.harness.now()
@@ -63,6 +67,16 @@
 	}
 }
 
+// readingEnded handles the end of what the relay sends. A relay that closes a connection in order has read all that was written to it.
+func (c *endpointConn) readingEnded(err error) {
+	d := c.endpoint.destination
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if errors.Is(err, io.EOF) && !c.closed {
+		c.recordRead()
+	}
+}
+
 // busy reports whether an attempt is in flight.
 func (c *endpointConn) busy() bool {
 	c.endpoint.destination.mu.Lock()
@@ -70,6 +84,15 @@
 	return c.attempt != nil
 }
 
+// interrupt resets the connection, which ends the attempt on it; the lock is held.
+func (c *endpointConn) interrupt() {
+	if c.attempt != nil {
+		c.attempt.end(checker.Event{Outcome: checker.Interrupted})
+	}
+	c.setReset()
+	c.close()
+}
+
 // peerClosed cancels the attempt in flight, if any, and closes the connection after its relay has closed it.
 func (c *endpointConn) peerClosed() {
 	d := c.endpoint.destination
@@ -121,7 +144,7 @@
 		closing = "Connection: close\r\n"
 	}
 	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%sContent-Length: 0\r\n\r\n", r.status, http.StatusText(r.status), r.headers, closing)
-	if c.send(text) != nil || c.overLimit {
+	if c.sendResponse(outgoing{text, r.endingAttempt}) != nil || c.overLimit {
 		return false
 	}
 	c.followResponse(text)
--- a/internal/faultinjection/harness/endpoint_server.go
+++ b/internal/faultinjection/harness/endpoint_server.go
@@ -161,11 +161,7 @@
 // resetConns resets all connections, which ends the attempts on them.
 func (e *endpointServer) resetConns() {
 	for c := range e.conns {
-		if c.attempt != nil {
-			c.attempt.end(checker.Event{Outcome: checker.Interrupted})
-		}
-		c.setReset()
-		c.close()
+		c.interrupt()
 	}
 }
 
--- a/internal/faultinjection/harness/fault_schedule.go
+++ b/internal/faultinjection/harness/fault_schedule.go
@@ -28,6 +28,7 @@
 	scenario.FaultDrain:              scheduleDrain,
 	scenario.FaultReplacement:        scheduleReplacements,
 	scenario.FaultExtraResponse:      scheduleExtraResponses,
+	scenario.FaultEarlyEnd:           scheduleEarlyEnds,
 	scenario.FaultLoadSurge:          scheduleLoadChange,
 	scenario.FaultTrafficShift:       scheduleLoadChange,
 	scenario.FaultDiscoveryDown:      scheduleDiscoveryFailure,
--- a/internal/faultinjection/harness/harness.go
+++ b/internal/faultinjection/harness/harness.go
@@ -30,6 +30,7 @@
 	clients        *clientPool
 	network        *network
 	extra          *extraResponses
+	earlyEnds      *earlyEnds
 	timeline       []string
 	background     sync.WaitGroup // goroutines that must end before the run does
 }
@@ -39,6 +40,6 @@
 		scenario: s, random: scenario.NewRandomStreams(o.Seed), options: o, workDir: workDir, ctx: ctx,
 		recorder: newRecorder(), launcher: faults.NewLauncher(),
 	}
-	h.extra = newExtraResponses(h.random)
+	h.extra, h.earlyEnds = newExtraResponses(h.random), newEarlyEnds(h.random)
 	return h
 }
--- a/internal/faultinjection/harness/helpers_test.go
+++ b/internal/faultinjection/harness/helpers_test.go
@@ -21,7 +21,8 @@
 func newHarnessWithoutRelays(t *testing.T, s *scenario.Scenario) *harness {
 	t.Helper()
 	h := &harness{
-		scenario: s, random: scenario.NewRandomStreams(1), extra: newExtraResponses(scenario.NewRandomStreams(1)), workDir: t.TempDir(),
+		scenario: s, random: scenario.NewRandomStreams(1), workDir: t.TempDir(),
+		extra: newExtraResponses(scenario.NewRandomStreams(1)), earlyEnds: newEarlyEnds(scenario.NewRandomStreams(1)),
 		recorder: &recorder{start: time.Now()}, launcher: faults.NewLauncher(), ctx: t.Context(),
 	}
 	if err := h.open(); err != nil {
--- a/internal/faultinjection/harness/ledger.go
+++ b/internal/faultinjection/harness/ledger.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -34,6 +35,7 @@
 	withdrawn    bool          // its client got no response
 	deliveredAt  time.Duration // 0: not yet
 	ended        bool          // the platform was notified of its outcome, or it was lost with its relay's state
+	endedEarly   int           // the status with which endpoints answer all attempts, since the message is over or has had all attempts; 0: it is not
 	attempts     int
 	inFlight     int           // attempts that have no outcome yet
 	mayHaveRunAt time.Duration // start of the first attempt that may have been executed; 0: there is none
@@ -74,6 +76,21 @@
 	}
 }
 
+// endEarly records that a message is over, or has had all its attempts, as endpoints answer with a status from now on. Of a message that
+// is over, no outcome is due.
+func (l *ledger) endEarly(s *submission, status int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.endedEarly = status
+	if status != http.StatusGone || s.ended {
+		return
+	}
+	s.ended = true
+	if s.accepted && s.deliveredAt == 0 {
+		l.open--
+	}
+}
+
 // withdraw records that a client got no response to a submission.
 func (l *ledger) withdraw(s *submission) {
 	l.mu.Lock()
--- a/internal/faultinjection/harness/relay_standin_delivery_test.go
+++ b/internal/faultinjection/harness/relay_standin_delivery_test.go
@@ -136,9 +136,16 @@
 			}()
 		}
 		status, retryAfter := s.attempt(ctx, m, addr, end)
-		if status == http.StatusOK {
+		switch {
+		case status == http.StatusOK:
 			s.completed(ctx, m)
 			return
+		case s.misbehavior == forgetsEnds:
+		case status == http.StatusGone:
+			return
+		case status == http.StatusGatewayTimeout:
+			s.notify(m.id, "undeliverable")
+			return
 		}
 		if s.failed(m, status, retryAfter) && firstUnknownAt.IsZero() {
 			firstUnknownAt = sent
--- a/internal/faultinjection/harness/relay_standin_test.go
+++ b/internal/faultinjection/harness/relay_standin_test.go
@@ -45,6 +45,7 @@
 	crashes            misbehavior = "crashes"
 	doesNotAnswer      misbehavior = "mute"
 	ignoresSIGTERM     misbehavior = "stubborn"
+	forgetsEnds        misbehavior = "forgets ends"
 	onlyForwards       misbehavior = "trivial"
 )
 
--- a/internal/faultinjection/harness/result.go
+++ b/internal/faultinjection/harness/result.go
@@ -35,6 +35,7 @@
 	Occurred         map[Occurrence]int `json:"occurred,omitempty"`
 	Timeline         []string           `json:"timeline"`
 	ExtraResponses   *ExtraResponses    `json:"extra_responses,omitempty"` // nil: nothing was written to relays that nobody asked for
+	EarlyEnds        int                `json:"-"`                         // messages that endpoints said were over at their first attempt
 	DestinationNames []string           `json:"-"`
 }
 
--- a/internal/faultinjection/harness/result_print.go
+++ b/internal/faultinjection/harness/result_print.go
@@ -36,6 +36,9 @@
 	if x := r.ExtraResponses; x != nil {
 		fmt.Fprintf(out, "extra  %d responses that nobody asked for, %d crossed a request, %d while a request was in hand\n", x.Written, x.Crossed, x.Busy)
 	}
+	if r.EarlyEnds > 0 {
+		fmt.Fprintf(out, "ends   %d messages were over at their first attempt\n", r.EarlyEnds)
+	}
 	fmt.Fprintf(out, "rig    %d events, %.2f%% later than 5 ms, the latest by %.1f ms\n", r.Events, 100*r.LateShare, milliseconds(r.MaxLateness))
 	r.printVerdict(out)
 }
--- a/internal/faultinjection/harness/soak_test.go
+++ b/internal/faultinjection/harness/soak_test.go
@@ -86,7 +86,7 @@
 	}
 	for _, kind := range []string{
 		"kill", "term", "hang", "clock_step", "syscall_errors", "disk_errors", "refuse", "silent", "reset", "slow",
-		"pause", "register", "loss", "extra_response",
+		"pause", "register", "loss", "extra_response", "early_end",
 	} {
 		if kinds[kind] < minDrawn {
 			t.Errorf("%s is drawn only %d times", kind, kinds[kind])
--- a/internal/faultinjection/harness/transit.go
+++ b/internal/faultinjection/harness/transit.go
@@ -21,12 +21,15 @@
 }
 
 // send writes to the relay after the time that the network takes. The lock of the destination is held.
-func (c *endpointConn) send(text string) error {
+func (c *endpointConn) send(text string) error { return c.sendResponse(outgoing{text: text}) }
+
+// sendResponse writes a response to the relay after the time that the network takes. The lock of the destination is held.
+func (c *endpointConn) sendResponse(o outgoing) error {
 	transit := c.transit()
 	if transit == 0 && len(c.inTransit) == 0 {
-		return c.write(text)
+		return c.writeResponse(o)
 	}
-	c.inTransit = append(c.inTransit, text)
+	c.inTransit = append(c.inTransit, o)
 	time.AfterFunc(transit, func() {
 		c.endpoint.destination.mu.Lock()
 		defer c.endpoint.destination.mu.Unlock()
@@ -42,9 +45,9 @@
 	if len(c.inTransit) == 0 {
 		return nil
 	}
-	text := c.inTransit[0]
+	next := c.inTransit[0]
 	c.inTransit = c.inTransit[1:]
-	return c.write(text)
+	return c.writeResponse(next)
 }
 
 // deliverAll writes all that is in transit to the relay: what was written before a close arrives.
--- a/internal/faultinjection/scenario/fault.go
+++ b/internal/faultinjection/scenario/fault.go
@@ -35,6 +35,7 @@
 	ExtraForm       string    `toml:"form"`     // what is written although nobody asked for it, one of the ExtraX constants
 	ExtraSource     string    `toml:"source"`   // who writes it, one of the SourceX constants; "": SourceDestinations
 	Delay           Range     `toml:"delay_ms"` // time from a response to what is written after it
+	Status          int       `toml:"status"`   // HTTP status of an early end: 410, or 504; 0: 410
 	WhileBusy       bool      `toml:"busy"`     // it is written even if the endpoint has a request in hand by then
 	Transit         Range     `toml:"way_ms"`   // time that the network takes in each direction, drawn once for each endpoint
 }
--- a/internal/faultinjection/scenario/fault_kinds.go
+++ b/internal/faultinjection/scenario/fault_kinds.go
@@ -18,6 +18,7 @@
 	FaultDrain              FaultKind = "drain"          // an endpoint drains and is removed
 	FaultReplacement        FaultKind = "replace"        // a share of endpoints is replaced
 	FaultExtraResponse      FaultKind = "extra_response" // a share of responses is followed by one that nobody asked for
+	FaultEarlyEnd           FaultKind = "early_end"      // a share of messages is over: endpoints answer 410 or 504 at once, and reset the connection later
 )
 
 // Changes of the load.
@@ -73,6 +74,7 @@
 	FaultDrain:              {required: []string{"partner", "endpoint"}, optional: []string{"drain_s"}},
 	FaultReplacement:        {required: []string{"share"}, optional: []string{"partner", "over_s", "drain_s", "reused"}},
 	FaultExtraResponse:      {required: []string{"for_s", "share", "form", "delay_ms"}, optional: []string{"partner", "source", "busy", "way_ms"}},
+	FaultEarlyEnd:           {required: []string{"for_s", "share", "delay_ms"}, optional: []string{"partner", "status"}},
 
 	FaultLoadSurge:    {required: []string{"for_s", "factor"}, optional: []string{"rise_s"}},
 	FaultTrafficShift: {required: []string{"for_s", "partner", "share"}},
--- a/internal/faultinjection/scenario/read_test.go
+++ b/internal/faultinjection/scenario/read_test.go
@@ -103,7 +103,7 @@
 		`b.toml:27: partner[2].share: is the text "much", has to be a number`,
 		`b.toml:33: event[1].partner: "q" is not a partner of this scenario`,
 		`b.toml:34: event[1].factor: not allowed for "refuse"`,
-		`b.toml:38: event[2].what: "explode" is not one of clock_step, crowd, disk_errors, drain, draw, extra_response, failing, gone, halve, hang, jump, kill, lose, loss, move, pause, refuse, register, replace, reset, scrape, settings, shut, silent, slow, split, standby, syscall_errors, term, upgrade`,
+		`b.toml:38: event[2].what: "explode" is not one of clock_step, crowd, disk_errors, drain, draw, early_end, extra_response, failing, gone, halve, hang, jump, kill, lose, loss, move, pause, refuse, register, replace, reset, scrape, settings, shut, silent, slow, split, standby, syscall_errors, term, upgrade`,
 		`b.toml:45: event[3].endpoint: out of range: p has endpoints 1 to 1`,
 		`b.toml:48: event[4].at_s: overlaps the outage of event[3] at p`,
 	}
--- a/internal/faultinjection/scenario/soak.go
+++ b/internal/faultinjection/scenario/soak.go
@@ -22,6 +22,8 @@
 	restartSoakStream = 0x72736f616b
 	// extraSoakStream separates the draws of responses that nobody asked for from all others ("esoak").
 	extraSoakStream = 0x65736f616b
+	// earlyEndSoakStream does the same for early ends ("gsoak").
+	earlyEndSoakStream = 0x67736f616b
 )
 
 // soakHeader is the common part of all soaks: a class of each kind of idempotency, and an ordered class, all with short deadlines.
@@ -93,6 +95,7 @@
 	}
 	w.writeNetworkFaults()
 	w.writeExtraResponses(seed)
+	w.writeEarlyEnds(seed)
 	return w.text.String()
 }
 
--- a/internal/faultinjection/scenario/soak_crowds.go
+++ b/internal/faultinjection/scenario/soak_crowds.go
@@ -35,6 +35,7 @@
 	for i, number := range w.random.Perm(relays) {
 		w.writeCrowdedFault(i, setting{"relay", number + 1})
 	}
+	w.writeEarlyEnds(seed)
 	return w.text.String()
 }
 
--- a/internal/faultinjection/scenario/soak_faults.go
+++ b/internal/faultinjection/scenario/soak_faults.go
@@ -1,6 +1,9 @@
 package scenario
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"net/http"
+)
 
 // writeDestinationFaults draws the faults of a destination.
 func (w *soakWriter) writeDestinationFaults(name string) {
@@ -89,6 +92,15 @@
 	}
 }
 
+// writeEarlyEnds draws messages that are over at an endpoint, which says so at once, and resets the connection while the relay may still
+// await a confirmation. Its draws have a stream of their own, so that the other faults of a seed stay the same.
+func (w *soakWriter) writeEarlyEnds(seed int64) {
+	ends := &soakWriter{random: rand.New(rand.NewPCG(uint64(seed), earlyEndSoakStream)), length: w.length}
+	ends.writeFaultAt(soakFirstFault, FaultEarlyEnd, setting{"for_s", w.length - soakFirstFault}, setting{"share", ends.uniform(0.02, 0.1)},
+		setting{"delay_ms", milliseconds{60, 900}}, setting{"status", choose(ends, http.StatusGone, http.StatusGone, http.StatusGatewayTimeout)})
+	w.text.WriteString(ends.text.String())
+}
+
 // writeExtraResponses draws responses that nobody asked for, by destinations and by the platform, and copies of discovery's lists. Their
 // draws have a stream of their own, so that the other faults of a seed stay the same.
 func (w *soakWriter) writeExtraResponses(seed int64) {
--- a/internal/faultinjection/scenario/soak_restarts.go
+++ b/internal/faultinjection/scenario/soak_restarts.go
@@ -42,6 +42,7 @@
 	w.writeRestarts(relays, crowds)
 	w.writeLongDiscoveryOutage()
 	w.writeExtraResponses(seed)
+	w.writeEarlyEnds(seed)
 	return w.text.String()
 }
 
--- a/internal/faultinjection/scenario/validate_fault.go
+++ b/internal/faultinjection/scenario/validate_fault.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"net/http"
 	"slices"
 	"strings"
 )
@@ -61,6 +62,11 @@
 		f.oneOfIfGiven(key, f.fault.ExtraForm, ExtraCopy, ExtraHalf, ExtraRefusal, ExtraTimeout, ExtraInterim, ExtraNoise, ExtraEarly)
 	}},
 	{"source", faultValidator.checkExtraSource},
+	{"status", func(f faultValidator, key string) {
+		if f.Has(key) && f.fault.Status != http.StatusGone && f.fault.Status != http.StatusGatewayTimeout {
+			f.AddError(key, "%d is neither %d nor %d", f.fault.Status, http.StatusGone, http.StatusGatewayTimeout)
+		}
+	}},
 	{"delay_ms", nil}, // checked by Range
 	{"way_ms", nil},   // checked by Range
 	{"busy", nil},     // true or false
--- a/internal/faultinjection/simulation/attempt.go
+++ b/internal/faultinjection/simulation/attempt.go
@@ -191,8 +191,11 @@
 		f.after(f.oneWay(), func() { a.end(policy.AttemptEnded{Outcome: policy.ConnectionReset}, false) })
 		return
 	}
-	d.attempts[a.model] = a
 	a.recordArrival()
+	if a.endEarly() {
+		return
+	}
+	d.attempts[a.model] = a
 	f.carryOut(d, d.Arrive(f.now, a.endpoint.index, a.model))
 	switch harm {
 	case resetAfter:
@@ -244,8 +247,12 @@
 	request.ended[a.index] = true
 	request.attempts[a.index].NotExecuted = !e.OutcomeUnknown &&
 		(e.Outcome == policy.Rejected || e.Outcome == policy.ConnectError || e.Outcome == policy.NotSent)
-	if r.requests[request.id] == request && e.Outcome == policy.Succeeded {
+	switch {
+	case r.requests[request.id] != request:
+	case e.Outcome == policy.Succeeded:
 		r.delivered(request)
+	case e.Final:
+		r.withdrawn(request)
 	}
 	r.enqueue(e)
 }
--- a/internal/faultinjection/simulation/connection.go
+++ b/internal/faultinjection/simulation/connection.go
@@ -130,6 +130,11 @@
 	now := r.fleet.now
 	rest, _ := r.responder(c.endpoint.id).RestTime(epoch.Add(now), now-c.respondedAt)
 	r.responder(c.endpoint.id).ExtraResponse(epoch.Add(now), rest == 0)
+	r.closeIdleConn(c)
+}
+
+// closeIdleConn closes an idle connection.
+func (r *relay) closeIdleConn(c *connection) {
 	id := c.endpoint.id
 	r.idleConns[id] = slices.DeleteFunc(r.idleConns[id], func(other *connection) bool { return other == c })
 	c.closed = true
@@ -149,10 +154,14 @@
 		a.unconfirmedFollowed(e.Response())
 		return
 	}
+	response := e.Response()
+	if a.relay.fleet.Bug.ForgetsEnds {
+		response = policy.Response{Outcome: e.Outcome}
+	}
 	owner := policy.OwnResponse
 	if c.used && !a.relay.fleet.Bug.TakesEveryResponse {
 		owner = responder.Owner(policy.Exchange{
-			Response: e.Response(), Latency: latency, Retryable: a.isRetryable(), Distrusted: responder.Distrusted(epoch.Add(now)),
+			Response: response, Latency: latency, Retryable: a.isRetryable(), Distrusted: responder.Distrusted(epoch.Add(now)),
 		})
 	}
 	if owner == policy.OwnResponse || owner == policy.DoubtfulResponse {
@@ -211,6 +220,7 @@
 	e := *a.unconfirmed
 	if !own {
 		e.SetResponse(e.Response().InDoubt())
+		e.AttemptsExhausted = e.AttemptsExhausted && !a.relay.fleet.Bug.ForgetsEnds
 		a.end(e, false)
 		return
 	}
--- a/internal/faultinjection/simulation/day.go
+++ b/internal/faultinjection/simulation/day.go
@@ -25,6 +25,7 @@
 	FaultPartition      FaultKind = "cut"     // Zone Duration: a zone's relays and endpoints are cut off from those of the other zones
 	FaultNetworkHarm    FaultKind = "harm"    // Share Duration: a share of attempts loses its response or its connection
 	FaultCopies         FaultKind = "copies"  // Share Duration: endpoints write a share of their responses twice, the copy up to 250 ms later
+	FaultEarlyEnds      FaultKind = "ended"   // Share Duration: a share of messages is over at the first attempt: the endpoint says so at once, and resets the connection later
 	FaultClientsLeaving FaultKind = "hasty"   // Share Duration: a share of clients disconnects before the response, and submits again
 )
 
@@ -47,6 +48,7 @@
 	TrustsGossip        bool // on gossip that a destination has recovered, relays consider all destinations healthy and open all queues
 	UncoordinatedProbes bool // each relay probes an unhealthy destination four times a second
 	TakesEveryResponse  bool // relays use connections again at once, and take each response for that of the request in flight
+	ForgetsEnds         bool // relays drop what a response forbids if it may belong to an earlier request
 	NoJournal           bool // accepted requests are lost when their process is killed
 	// If set, Events changes the events of a batch before a relay's decision module gets them, and Actions the actions that the module
 	// returns.
--- a/internal/faultinjection/simulation/day_drawn.go
+++ b/internal/faultinjection/simulation/day_drawn.go
@@ -43,7 +43,7 @@
 	d := &drawnDay{Day: day, random: random}
 	d.drawClients()
 	drawnFaults[kind](d)
-	day.Faults = append(day.Faults, drawCopies(day.Scenario.Length, seed))
+	day.Faults = append(day.Faults, drawCopies(day.Scenario.Length, seed), drawEarlyEnds(day.Scenario.Length, seed))
 	return day, nil
 }
 
@@ -54,6 +54,13 @@
 	return Fault{At: scenario.Seconds(random.between(1, 3)), Kind: FaultCopies, Share: random.between(0.05, 0.2), Duration: scenario.Seconds(length)}
 }
 
+// drawEarlyEnds returns the fault of each drawn day in which messages are over at their first attempt. It has a random stream of its own
+// too.
+func drawEarlyEnds(length float64, seed int64) Fault {
+	random := drawSource{scenario.NewRandomStreams(seed).Stream("early ends of a day")}
+	return Fault{At: scenario.Seconds(random.between(1, 3)), Kind: FaultEarlyEnds, Share: random.between(0.01, 0.05), Duration: scenario.Seconds(length)}
+}
+
 // drawSource draws numbers from ranges, and subsets.
 type drawSource struct{ *rand.Rand }
 
--- a/internal/faultinjection/simulation/doc.go
+++ b/internal/faultinjection/simulation/doc.go
@@ -25,6 +25,7 @@
 //	relay_discovery.go a relay's endpoint list and watch
 //	attempt.go         an attempt, from its connection to its end
 //	connection.go      connections, and whose response is received on them
+//	early_end.go       messages that are over at their first attempt
 //	planted_bug.go     the effects of planted bugs
 //	history.go         the event log, and the checker's verdict
 //	result.go          the result of a day
--- a/internal/faultinjection/simulation/fault.go
+++ b/internal/faultinjection/simulation/fault.go
@@ -29,6 +29,7 @@
 	FaultPartition:      (*fleet).beginPartition,
 	FaultNetworkHarm:    (*fleet).harmAttempts,
 	FaultCopies:         (*fleet).copyResponses,
+	FaultEarlyEnds:      (*fleet).endMessagesEarly,
 	FaultClientsLeaving: (*fleet).haveClientsLeave,
 }
 
--- a/internal/faultinjection/simulation/fleet.go
+++ b/internal/faultinjection/simulation/fleet.go
@@ -36,6 +36,8 @@
 	unnoticed    []*endpoint                  // the endpoint of each connection that a relay closed during the partition; the endpoints notice the closes only after the partition
 	harmShare    float64                      // share of attempts that a fault of the network affects
 	copiedShare  float64                      // share of responses that endpoints write twice
+	endedShare   float64                      // share of messages that are over at their first attempt
+	endedEarly   map[string]bool              // by request id: the message is over, and endpoints answer each attempt so
 	leavingShare float64                      // share of clients that disconnect before the response
 }
 
@@ -45,7 +47,7 @@
 func newFleet(day *Day) *fleet {
 	f := &fleet{
 		Day: day, random: scenario.NewRandomStreams(day.Seed), endpoints: map[string]*endpoint{}, completed: map[int]bool{},
-		submitted: map[string]*scenario.Message{}, executions: map[int]int{}, result: &Result{Relays: day.Scenario.Relays},
+		endedEarly: map[string]bool{}, submitted: map[string]*scenario.Message{}, executions: map[int]int{}, result: &Result{Relays: day.Scenario.Relays},
 	}
 	f.latency = f.random.Stream("network")
 	f.discovery = &discoveryService{fleet: f, Discovery: day.Discovery, watchers: map[*relay]int{}}
--- a/internal/faultinjection/simulation/result.go
+++ b/internal/faultinjection/simulation/result.go
@@ -23,6 +23,7 @@
 	ConnectionRejected int                  `json:"door"`             // attempts whose connection exceeded the endpoint's limit of connections
 	Connections        int                  `json:"connections"`      // including those that failed
 	CopiedResponses    int                  `json:"copied,omitempty"` // responses that endpoints wrote twice
+	EarlyEnds          int                  `json:"-"`                //  messages that endpoints said were over at their first attempt
 	Polls              int                  `json:"asks"`             // of discovery
 	FailedPolls        int                  `json:"turned"`
 	PeakPolls          int                  `json:"ask_peak"`  // the maximum in one second
