--- a/internal/relay/ended_loop_test.go
+++ b/internal/relay/ended_loop_test.go
@@ -57,17 +57,25 @@
 	}
 }
 
-// While the folder can't be written, a response that ends a request still forbids further attempts, and the notice is due at the deadline.
+// While the folder can't be written, a response that ends a request still forbids further attempts.
 func TestEndedRequest_NotSentAgainWhileFolderFails(t *testing.T) {
-	l, r := loopWithAcceptedRequest(t, policy.Class{Name: "C", Idempotency: policy.Idempotent}, time.Minute)
-	l.planAttempt(l.now(), policy.Send{ID: r.ID, Endpoint: "h"})
-	l.attempts = nil
-	if err := l.journal.Close(); err != nil { // the next write fails
-		t.Fatal(err)
-	}
-	l.handleAttemptEnded(attemptEnded{id: r.ID, endpoint: "h", Result: upstream.Result{Outcome: policy.NotSent, Final: true}})
-	l.planAttempt(l.now(), policy.Send{ID: r.ID, Endpoint: "h"})
-	if len(l.attempts) != 0 || !r.completed() {
-		t.Errorf("%d attempts planned, completed %v; want none, and completed", len(l.attempts), r.completed())
+	for _, result := range []upstream.Result{
+		{Outcome: policy.Succeeded, Final: true},
+		{Outcome: policy.NotSent, Final: true},
+		{Outcome: policy.NotSent, AttemptsExhausted: true},
+		{Outcome: policy.ConnectionReset, AttemptsExhausted: true, OutcomeUnknown: true, Doubt: upstream.DoubtConnFailed},
+	} {
+		l, r := loopWithAcceptedRequest(t, policy.Class{Name: "C", Idempotency: policy.Idempotent}, time.Minute)
+		l.doubtful = &admin.ResponseCounts{}
+		l.planAttempt(l.now(), policy.Send{ID: r.ID, Endpoint: "h"})
+		l.attempts = nil
+		if err := l.journal.Close(); err != nil { // the next write fails
+			t.Fatal(err)
+		}
+		l.handleAttemptEnded(attemptEnded{id: r.ID, endpoint: "h", Result: result})
+		l.planAttempt(l.now(), policy.Send{ID: r.ID, Endpoint: "h"})
+		if len(l.attempts) != 0 || r.completed() != result.Final {
+			t.Errorf("after %+v: %d attempts planned, completed %v", result, len(l.attempts), r.completed())
+		}
 	}
 }
--- a/internal/relay/ended_request_test.go
+++ b/internal/relay/ended_request_test.go
@@ -236,11 +236,14 @@
 	{"hand-over", func(p *platform, c *child) { p.startSuccessor(); p.terminate(c) }},
 }
 
-// The next process does not send a request that an early response to the process before it has ended, although the connection is reset
-// when that process has ended.
+// The next process does not send a request that the process before it has ended, or that an early response to that process has ended,
+// although the connection is reset when that process has ended. A request that may not be repeated ends by a notice after an error.
 func TestEndedRequest_NotSentAgainByNextProcess(t *testing.T) {
+	classes := map[int]string{
+		http.StatusOK: "payment", http.StatusGone: "payment", http.StatusGatewayTimeout: "payment", http.StatusInternalServerError: "order",
+	}
 	for _, ending := range endings {
-		for _, status := range []int{http.StatusOK, http.StatusGone, http.StatusGatewayTimeout} {
+		for status, class := range classes {
 			t.Run(fmt.Sprint(ending.name, " ", status), func(t *testing.T) {
 				t.Parallel()
 				p := newPlatform(t)
@@ -254,7 +257,7 @@
 				})
 				c := p.start()
 				p.warmUp(1)
-				p.mustAcceptFor(firstDestination, "payment", "end", "12")
+				p.mustAcceptFor(firstDestination, class, "end", "12")
 				<-responded
 				time.Sleep(resetDelay) // the relay has read the response by then
 				ending.end(p, c)
