--- a/internal/faultinjection/checker/rule_after_end_test.go
+++ b/internal/faultinjection/checker/rule_after_end_test.go
@@ -3,17 +3,16 @@
 import (
 	"net/http"
 	"testing"
-	"time"
 )
 
-// endedBy adds an attempt whose response, with a status, ends its request, and that its relay has read after the time took.
-func (l *logBuilder) endedBy(at time.Duration, id, endpoint string, status int, took time.Duration) {
+// endedBy adds an attempt of request a after 2 s whose response, with a status, ends its request, and that its relay has read.
+func (l *logBuilder) endedBy(status int) {
 	outcome := NotSent
 	if status == http.StatusOK {
 		outcome, status = OK, 0
 	}
-	l.attempt(at, id, endpoint, outcome, took, func(_, ended *Event) { ended.Status = status })
-	l.add(Event{At: at + took + 50*ms, Kind: ResponseRead, Attempt: l.attempts})
+	l.attempt(2*sec, "a", "h", outcome, ms, func(_, ended *Event) { ended.Status = status })
+	l.add(Event{At: 2*sec + 51*ms, Kind: ResponseRead, Attempt: l.attempts})
 }
 
 func TestJudge_ReportsAttemptsAfterEnd(t *testing.T) {
@@ -25,13 +24,13 @@
 		}},
 		"graceful restart after a withdrawal": {SentAfterEnd, func(l *logBuilder) {
 			l.submit(sec, "a", payment)
-			l.endedBy(2*sec, "a", "h", http.StatusGone, ms)
+			l.endedBy(http.StatusGone)
 			l.restart(2500 * ms)
 			l.attempt(7*sec, "a", "i", Rejected, ms)
 		}},
 		"a kill long after a withdrawal": {SentAfterEnd, func(l *logBuilder) {
 			l.submit(sec, "a", payment)
-			l.endedBy(2*sec, "a", "h", http.StatusGone, ms)
+			l.endedBy(http.StatusGone)
 			l.crash(2500 * ms)
 			l.attempt(5*sec, "a", "i", Rejected, ms)
 		}},
@@ -39,13 +38,13 @@
 	for name, status := range map[string]int{"delivery": http.StatusOK, "withdrawal": http.StatusGone} {
 		cases["a "+name] = violationCase{SentAfterEnd, func(l *logBuilder) {
 			l.submit(sec, "a", payment)
-			l.endedBy(2*sec, "a", "h", status, ms)
+			l.endedBy(status)
 			l.attempt(2300*ms, "a", "i", Rejected, ms)
 		}}
 	}
 	cases["the last attempt"] = violationCase{SentAfterEnd, func(l *logBuilder) {
 		l.submit(sec, "a", payment)
-		l.endedBy(2*sec, "a", "h", http.StatusGatewayTimeout, ms)
+		l.endedBy(http.StatusGatewayTimeout)
 		l.attempt(2300*ms, "a", "i", Rejected, ms)
 		l.notify(3*sec, "a", Deferred)
 	}}
@@ -54,10 +53,10 @@
 
 func TestJudge_AllowsAttemptsThatKnowOfNoEnd(t *testing.T) {
 	judgeWithoutViolations(t, map[string]func(l *logBuilder){
-		"a withdrawal without a notice": func(l *logBuilder) { l.submit(sec, "a", payment); l.endedBy(2*sec, "a", "h", http.StatusGone, ms) },
+		"a withdrawal without a notice": func(l *logBuilder) { l.submit(sec, "a", payment); l.endedBy(http.StatusGone) },
 		"a withdrawal with a notice": func(l *logBuilder) {
 			l.submit(sec, "a", payment)
-			l.endedBy(2*sec, "a", "h", http.StatusGone, ms)
+			l.endedBy(http.StatusGone)
 			l.notify(2200*ms, "a", Deferred)
 		},
 		"the relay had given the attempt up": func(l *logBuilder) {
@@ -67,14 +66,14 @@
 		},
 		"killed as it read the response": func(l *logBuilder) {
 			l.submit(sec, "a", payment)
-			l.endedBy(2*sec, "a", "h", http.StatusGone, ms)
+			l.endedBy(http.StatusGone)
 			l.crash(2100 * ms)
 			l.attempt(4*sec, "a", "i", OK, ms)
 		},
 		"suspended as the response came": func(l *logBuilder) {
 			l.submit(sec, "a", payment)
 			l.add(Event{At: 1990 * ms, Kind: Halted})
-			l.endedBy(2*sec, "a", "h", http.StatusGone, ms)
+			l.endedBy(http.StatusGone)
 			l.add(Event{At: 2100 * ms, Kind: Resumed})
 			l.attempt(2300*ms, "a", "i", OK, ms)
 		},
