Responses: one place decides what two responses mean together; simulation, tests split

The pool and the virtual fleet decided separately what an unconfirmed response means once another has followed; policy.Response.FollowedBy decides for both. The simulation's confirmation of responses has a file of its own, and the pool's tests share the endpoint that answers a second request.

--- a/internal/faultinjection/simulation/doc.go
+++ b/internal/faultinjection/simulation/doc.go
@@ -24,7 +24,8 @@
 //	relay_request.go   requests that a relay has accepted
 //	relay_discovery.go a relay's endpoint list and watch
 //	attempt.go         an attempt, from its connection to its end
-//	connection.go      connections, and whose response is received on them
+//	connection.go      connections, their rest and reuse, and copies of responses
+//	confirmation.go    whose response is received on a connection
 //	early_end.go       messages that are over at their first attempt
 //	planted_bug.go     the effects of planted bugs
 //	history.go         the event log, and the checker's verdict
--- a/internal/upstream/http1/extra_response_test.go
+++ b/internal/upstream/http1/extra_response_test.go
@@ -196,21 +196,27 @@
 	}
 }
 
-// The wait that a rejection asks for counts although an early rejection without one has come before it.
-func TestCall_WaitOfFollowingResponseCounts(t *testing.T) {
-	addr := serveEndpoint(t, func(c net.Conn) {
+// onSecondRequest returns an endpoint that delivers the first request on a connection, and answers the second one with answer.
+func onSecondRequest(answer func(net.Conn)) func(net.Conn) {
+	return func(c net.Conn) {
 		in := bufio.NewReader(c)
 		if readRequest(in) != nil {
 			return
 		}
 		_, _ = io.WriteString(c, responseText(http.StatusOK))
-		if readRequest(in) != nil {
-			return
+		if readRequest(in) == nil {
+			answer(c)
 		}
+	}
+}
+
+// The wait that a rejection asks for counts although an early rejection without one has come before it.
+func TestCall_WaitOfFollowingResponseCounts(t *testing.T) {
+	addr := serveEndpoint(t, onSecondRequest(func(c net.Conn) {
 		_, _ = io.WriteString(c, responseText(http.StatusServiceUnavailable))
 		time.Sleep(50 * time.Millisecond)
 		_, _ = io.WriteString(c, "HTTP/1.1 429 No\r\nX-Retry-In-Ms: 700\r\nContent-Length: 0\r\n\r\n")
-	})
+	}))
 	p := newTestPool()
 	p.Call(t.Context(), newTestRequest(addr))
 	p.restIdleConns()
@@ -282,19 +288,11 @@
 // most likely was delivered. A rejection in its place says nothing.
 func TestCall_ResetLeavesEarlyDeliveryInDoubt(t *testing.T) {
 	for status, likely := range map[int]bool{http.StatusOK: true, http.StatusServiceUnavailable: false} {
-		addr := serveEndpoint(t, func(c net.Conn) {
-			in := bufio.NewReader(c)
-			if readRequest(in) != nil {
-				return
-			}
-			_, _ = io.WriteString(c, responseText(http.StatusOK))
-			if readRequest(in) != nil {
-				return
-			}
+		addr := serveEndpoint(t, onSecondRequest(func(c net.Conn) {
 			_, _ = io.WriteString(c, responseText(status))
 			time.Sleep(50 * time.Millisecond) // so that the relay reads the response before the reset
 			resetConn(t, c)
-		})
+		}))
 		p := newTestPool()
 		p.Call(t.Context(), newTestRequest(addr))
 		p.restIdleConns()
@@ -337,20 +335,12 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			addr := serveEndpoint(t, func(c net.Conn) {
-				in := bufio.NewReader(c)
-				if readRequest(in) != nil {
-					return
-				}
-				_, _ = io.WriteString(c, responseText(http.StatusOK))
-				if readRequest(in) != nil {
-					return
-				}
+			addr := serveEndpoint(t, onSecondRequest(func(c net.Conn) {
 				_, _ = io.WriteString(c, responseText(test.early))
 				time.Sleep(50 * time.Millisecond)
 				_, _ = io.WriteString(c, test.next)
-				_, _ = in.ReadByte() // until the relay closes
-			})
+				_, _ = io.Copy(io.Discard, c) // until the relay closes
+			}))
 			p := newTestPool()
 			p.Call(t.Context(), newTestRequest(addr))
 			p.restIdleConns()
--- a/internal/upstream/http1/ownership.go
+++ b/internal/upstream/http1/ownership.go
@@ -83,11 +83,12 @@
 	res.reusable = false
 	likelyOwn := owner == policy.LikelyOwnResponse
 	switch {
-	case next == responseFollowed && !response.Means(res.Response()):
-		res.SetResponse(res.Response().And(response))
-		return inDoubt(res, upstream.DoubtFollowed)
-	case next == responseFollowed: // one of the two is the request's own, and it does not matter which
-		res.RetryAfter = max(res.RetryAfter, response.RetryAfter)
+	case next == responseFollowed:
+		combined, own := res.Response().FollowedBy(response)
+		res.SetResponse(combined)
+		if !own {
+			res.Doubt = upstream.DoubtFollowed
+		}
 	case next == connectionFailed:
 		res.LikelyDelivered = likelyOwn
 		res.SetResponse(res.Response().And(response))
--- a/policy/response.go
+++ b/policy/response.go
@@ -25,8 +25,17 @@
 	return doubtful
 }
 
-// And returns r with all that another response on the same connection forbids. One of the two belongs to the request, and it is not
-// known which.
+// FollowedBy returns what an unconfirmed response means once another one has followed on its connection. One of the two belongs to the
+// request. own reports that it does not matter which, since they mean the same; otherwise the result is in doubt.
+func (r Response) FollowedBy(other Response) (combined Response, own bool) {
+	if r.Means(other) {
+		r.RetryAfter = max(r.RetryAfter, other.RetryAfter)
+		return r, true
+	}
+	return r.And(other).InDoubt(), false
+}
+
+// And returns r with all that another response on the same connection forbids.
 func (r Response) And(other Response) Response {
 	r.RetryAfter = max(r.RetryAfter, other.RetryAfter)
 	r.AttemptsExhausted = r.AttemptsExhausted || other.EndsAttempts()
