--- a/internal/faultinjection/checker/event.go
+++ b/internal/faultinjection/checker/event.go
@@ -35,6 +35,7 @@
 	MachineLost      Kind = "lost"          // Relay: the relay's machine was lost, with its folder
 	Crashed          Kind = "crashed"       // Relay Status: the process exited although no shutdown was requested
 	Halted           Kind = "halted"        // Relay: the process is suspended
+	Suspended        Kind = "suspended"     // Relay: the process is suspended during its graceful shutdown, until it is killed
 	Resumed          Kind = "resumed"       // Relay: the suspended process continues
 	SocketsBreak     Kind = "sockets-break" // Relay: from now on fault injection makes some of its connections look broken
 	SocketsHold      Kind = "sockets-hold"  // Relay: its connections no longer look broken
--- a/internal/faultinjection/checker/history.go
+++ b/internal/faultinjection/checker/history.go
@@ -20,6 +20,7 @@
 	folderFailures   relayIntervals          // when each relay's folder failed
 	socketFailures   relayIntervals          // when connections of each relay were made to look broken
 	halts            relayIntervals          // when the process of each relay was suspended
+	suspensions      relayIntervals          // when the process of each relay was suspended during its graceful shutdown
 	crowds           relayIntervals          // when a crowd of callers used up the descriptors of each relay
 	kills            map[int][]time.Duration // by relay: ends of a process by SIGKILL or a crash, not by a regular exit
 	violations       []Violation
@@ -31,7 +32,7 @@
 	h := &history{
 		Parameters: parameters, end: end, requestsByID: map[string]*request{}, attemptsByNumber: map[int]*attempt{}, absences: newAbsences(),
 		processEnds: map[int][]time.Duration{}, machineLosses: map[int][]time.Duration{},
-		folderFailures: newRelayIntervals(), socketFailures: newRelayIntervals(), halts: newRelayIntervals(),
+		folderFailures: newRelayIntervals(), socketFailures: newRelayIntervals(), halts: newRelayIntervals(), suspensions: newRelayIntervals(),
 		crowds: newRelayIntervals(), kills: map[int][]time.Duration{},
 	}
 	for _, e := range log {
@@ -127,8 +128,11 @@
 	case Halted:
 		h.absences.begin(e.Relay, e.At)
 		h.halts.begin(e.Relay, e.At)
+	case Suspended:
+		h.suspensions.begin(e.Relay, e.At)
 	case Killed, Crashed:
 		h.absences.begin(e.Relay, e.At)
+		h.suspensions.end(e.Relay, e.At)
 		h.processEnds[e.Relay] = append(h.processEnds[e.Relay], e.At)
 		if !e.OK {
 			h.kills[e.Relay] = append(h.kills[e.Relay], e.At)
--- a/internal/faultinjection/checker/rule_after_end_test.go
+++ b/internal/faultinjection/checker/rule_after_end_test.go
@@ -28,6 +28,15 @@
 			l.restart(2500 * ms)
 			l.attempt(7*sec, "a", "i", Rejected, ms)
 		}},
+		"a shutdown that is suspended long after a withdrawal": {SentAfterEnd, func(l *logBuilder) {
+			l.submit(sec, "a", payment)
+			l.endedBy(http.StatusGone)
+			l.add(Event{At: 2500 * ms, Kind: Stopping})
+			l.add(Event{At: 3 * sec, Kind: Suspended})
+			l.add(Event{At: 6200 * ms, Kind: Killed})
+			l.add(Event{At: 6800 * ms, Kind: Ready})
+			l.attempt(7*sec, "a", "i", Rejected, ms)
+		}},
 		"a kill long after a withdrawal": {SentAfterEnd, func(l *logBuilder) {
 			l.submit(sec, "a", payment)
 			l.endedBy(http.StatusGone)
@@ -70,6 +79,15 @@
 			l.crash(2100 * ms)
 			l.attempt(4*sec, "a", "i", OK, ms)
 		},
+		"suspended in its shutdown as the response came": func(l *logBuilder) {
+			l.submit(sec, "a", payment)
+			l.add(Event{At: 1500 * ms, Kind: Stopping})
+			l.add(Event{At: 2010 * ms, Kind: Suspended})
+			l.endedBy(http.StatusGone)
+			l.add(Event{At: 5200 * ms, Kind: Killed})
+			l.add(Event{At: 5800 * ms, Kind: Ready})
+			l.attempt(6*sec, "a", "i", OK, ms)
+		},
 		"suspended as the response came": func(l *logBuilder) {
 			l.submit(sec, "a", payment)
 			l.add(Event{At: 1990 * ms, Kind: Halted})
--- a/internal/faultinjection/harness/relay_shutdown.go
+++ b/internal/faultinjection/harness/relay_shutdown.go
@@ -74,6 +74,7 @@
 		}
 	case scenario.SignalsStuck:
 		if !p.exitsWithin(stuckSuspendDelay, r.h.ctx.Done()) && r.h.ctx.Err() == nil {
+			r.h.record(checker.Event{Kind: checker.Suspended, Relay: r.number})
 			p.signal(syscall.SIGSTOP)
 		}
 	}
--- a/internal/faultinjection/scenario/fault_kinds.go
+++ b/internal/faultinjection/scenario/fault_kinds.go
@@ -18,7 +18,7 @@
 	FaultDrain              FaultKind = "drain"          // an endpoint drains and is removed
 	FaultReplacement        FaultKind = "replace"        // a share of endpoints is replaced
 	FaultExtraResponse      FaultKind = "extra_response" // a share of responses is followed by one that nobody asked for
-	FaultEarlyEnd           FaultKind = "early_end"      // a share of messages is over: endpoints answer 410 or 504 at once, and reset the connection later
+	FaultEarlyEnd           FaultKind = "early_end"      // a share of the messages whose first attempt comes on a used connection is over: endpoints answer 410 or 504 at once, and reset the connection later
 )
 
 // Changes of the load.
