Test: a stand-in relay with two copies sends no third one after a delivery

TestRun_ReportsEachPlantedViolation wants each stand-in to break one rule and no other. The one that sends two copies at once also sent again after one of the two had been delivered, which nothing judged before the rule "sent after its end"; it stops then now. The test is unchanged.

--- a/internal/faultinjection/harness/relay_standin_delivery_test.go
+++ b/internal/faultinjection/harness/relay_standin_delivery_test.go
@@ -114,6 +114,9 @@
 	var firstUnknownAt time.Time // when the first attempt with an unknown outcome was sent; zero: there is none
 	for n := 0; ; n++ {
 		expired := !s.awaitSendTime(m, end) || n >= maxStandInAttempts && s.misbehavior != overloads
+		if delivered.Load() { // no attempt may follow a delivery
+			return
+		}
 		if !firstUnknownAt.IsZero() && !s.mayRetry(m, firstUnknownAt) {
 			s.notify(m.id, "undeliverable")
 			s.redeliverExecuted(ctx, m, firstUnknownAt, n)
