--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -121,10 +121,13 @@
 	return p
 }
 
-// freeAddress returns an address that no socket listens on.
+// freeAddress returns an address that no socket listens on. Its host is a loopback address that only this process uses, since another
+// process could take a port of 127.0.0.1 before a relay listens on it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f)
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
