--- a/internal/upstream/http1/extra_response_test.go
+++ b/internal/upstream/http1/extra_response_test.go
@@ -355,3 +355,13 @@
 		})
 	}
 }
+
+// A response that ends the attempts of a request counts although it arrives in one read with a rejection before it.
+func TestCall_EndReadTogetherWithRejectionEndsAttempts(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusGone, http.StatusGatewayTimeout} {
+		addr := serveEndpoint(t, respondWith(responseText(http.StatusServiceUnavailable)+responseText(status)))
+		if got := newTestPool().Call(t.Context(), newTestRequest(addr)); !got.AttemptsExhausted {
+			t.Errorf("a 503 and a %d in one read: %+v, want no further attempt", status, got)
+		}
+	}
+}
